Run a request and a job through separate processes

Cause: there was no code.

Conclusion: the path runs from end to end; slots are not yet shared between entries, and entries do not yet know each other.

--- /dev/null
+++ b/script/run_checks.py
@@ -0,0 +1,187 @@
+"""Run every check and print one verdict line."""
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+BINARY = ROOT / "dist" / "jayshunt"
+COMMAND_TIMEOUT_S = 240
+
+
+@dataclass
+class Verdict:
+    """Collect the result of each check by name."""
+
+    passed: list[str] = field(default_factory=list)
+    failed: dict[str, str] = field(default_factory=dict)
+
+    def add(self, name: str, error: str | None) -> None:
+        """Record one check; error is None for a pass."""
+        if error is None:
+            self.passed.append(name)
+            return
+        self.failed[name] = error
+
+
+class NamedResult(unittest.TextTestResult):
+    """Keep the id of each unit test that passed."""
+
+    def __init__(self, *args, **kwargs) -> None:
+        """Start with no passed test."""
+        super().__init__(*args, **kwargs)
+        self.passed_ids: list[str] = []
+
+    def addSuccess(self, test: unittest.TestCase) -> None:
+        """Record a passed test."""
+        super().addSuccess(test)
+        self.passed_ids.append(test.id())
+
+
+def read_known_red() -> set[str]:
+    """Return the ids of checks that are recorded as failing."""
+    lines = KNOWN_RED.read_text().splitlines()
+    entries = [line for line in lines if line.strip() and not line.startswith("#")]
+    return {line.split("|")[0].strip() for line in entries}
+
+
+def run_command(name: str, command: list[str], verdict: Verdict) -> str:
+    """Run one command as a check and return its output."""
+    try:
+        done = subprocess.run(
+            command,
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired:
+        verdict.add(name, f"no end after {COMMAND_TIMEOUT_S} s")
+        return ""
+    output = done.stdout + done.stderr
+    verdict.add(name, None if done.returncode == 0 else output)
+    return done.stdout
+
+
+def run_units(verdict: Verdict) -> None:
+    """Run the unit tests of every package under src."""
+    suite = unittest.defaultTestLoader.discover(
+        str(ROOT / "src"), pattern="test_*.py", top_level_dir=str(ROOT / "src")
+    )
+    runner = unittest.TextTestRunner(resultclass=NamedResult, verbosity=0)
+    result = runner.run(suite)
+    for test_id in result.passed_ids:
+        verdict.add(test_id, None)
+    for test, trace in [*result.failures, *result.errors]:
+        verdict.add(test.id(), trace)
+    for test in result.unexpectedSuccesses:
+        verdict.add(test.id(), "passed although it is marked as failing")
+    for test, reason in result.skipped:
+        verdict.add(test.id(), f"skipped: {reason}")
+
+
+def run_scenarios(verdict: Verdict) -> None:
+    """Run the behave scenarios and record each by feature and name."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "behave",
+                "--no-color",
+                "--format",
+                "json",
+                "--outfile",
+                report.name,
+                "scenarios",
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+        text = Path(report.name).read_text()
+    features = json.loads(text) if text.strip() else []
+    count = 0
+    for feature in features:
+        for scenario in feature.get("elements", []):
+            if scenario.get("type") == "background":
+                continue
+            count += 1
+            name = f"scenario: {feature['name']}: {scenario['name']}"
+            status = scenario.get("status")
+            error = None if status == "passed" else explain(scenario)
+            verdict.add(name, error)
+    if count == 0:
+        verdict.add("scenarios", f"no scenario ran\n{done.stdout}{done.stderr}")
+
+
+def explain(scenario: dict) -> str:
+    """Return the first failing step of a scenario with its message."""
+    for step in scenario.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") == "passed":
+            continue
+        message = result.get("error_message", result.get("status", "not run"))
+        if isinstance(message, list):
+            message = "\n".join(message)
+        return f"{step['keyword']} {step['name']}: {message}"
+    return str(scenario.get("status"))
+
+
+def run_binary(verdict: Verdict) -> None:
+    """Build the binary, start it and send one request through it."""
+    run_command("binary builds", ["script/build"], verdict)
+    run_command("binary prints its version", [str(BINARY), "--version"], verdict)
+    run_command(
+        "binary serves one request",
+        [sys.executable, "-m", "jayshunt_measure", "smoke", "--binary", str(BINARY)],
+        verdict,
+    )
+
+
+def report(verdict: Verdict) -> int:
+    """Print failures, known failures and the verdict; return the exit code."""
+    known = read_known_red()
+    unexpected = {n: e for n, e in verdict.failed.items() if n not in known}
+    for name, error in unexpected.items():
+        print(f"FAILED {name}\n{error}\n")
+    for name in sorted(known):
+        if name in verdict.failed:
+            print(f"KNOWN RED {name}\n{verdict.failed[name]}")
+        elif name in verdict.passed:
+            print(f"KNOWN RED BUT PASSED, remove it from KNOWN-RED.txt: {name}")
+        else:
+            unexpected[name] = "recorded in KNOWN-RED.txt, but it did not run"
+            print(f"FAILED {name}\n{unexpected[name]}")
+    print(f"{len(verdict.passed)} passed, {len(unexpected)} failed")
+    return 1 if unexpected or not verdict.passed else 0
+
+
+def main() -> int:
+    """Run the chosen checks."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--only", choices=["lint", "units", "scenarios", "binary"], default=None
+    )
+    only = parser.parse_args().only
+    verdict = Verdict()
+    if only in (None, "lint"):
+        run_command("lint", ["script/lint"], verdict)
+    if only in (None, "units"):
+        run_units(verdict)
+    if only in (None, "scenarios"):
+        run_scenarios(verdict)
+    if only in (None, "binary"):
+        run_binary(verdict)
+    return report(verdict)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/jayshunt/__main__.py
@@ -0,0 +1,5 @@
+"""Run the jayshunt command line."""
+
+from jayshunt.cli.main import main
+
+main()
--- /dev/null
+++ b/src/jayshunt/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Run jayshunt from the command line."""
--- /dev/null
+++ b/src/jayshunt/config/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the operators' configuration and spread it to every process."""
--- /dev/null
+++ b/src/jayshunt/config/models.py
@@ -0,0 +1,115 @@
+"""Describe the operators' configuration."""
+
+from enum import Enum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from jayshunt.ids import ClassName, ConfigVersion, PlannedStopId, PoolName, TeamName
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class Strict(BaseModel):
+    """Refuse unknown keys and any change after creation."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class WorkKind(Enum):
+    """Say whether a class answers its caller or runs long jobs."""
+
+    REQUEST = "request"
+    JOB = "job"
+
+
+class WorkClass(Strict):
+    """Give a class of work its pool and its target.
+
+    A request class has `target_ms`, the time within which its answer must be
+    back. A job class has `max_wait_s`, the time its jobs may wait to start.
+    """
+
+    pool: Name
+    kind: WorkKind = WorkKind.REQUEST
+    target_ms: int | None = Field(default=None, ge=1, le=600_000)
+    max_wait_s: float | None = Field(default=None, gt=0, le=7 * 86_400)
+    urgent: bool = False
+
+    @model_validator(mode="after")
+    def _check_target(self) -> "WorkClass":
+        if self.kind is WorkKind.REQUEST and self.target_ms is None:
+            raise ValueError("a request class needs target_ms")
+        if self.kind is WorkKind.JOB and self.max_wait_s is None:
+            raise ValueError("a job class needs max_wait_s")
+        return self
+
+
+class Pool(Strict):
+    """Describe a pool of VMs and its availability budget.
+
+    `min_available_ratio` is the part of the pool's VMs that must be available at
+    any moment.
+    """
+
+    min_available_ratio: float = Field(default=0.75, ge=0, le=1)
+    slots_per_instance: int = Field(default=8, ge=1, le=1024)
+    connections_per_instance: int = Field(default=64, ge=1, le=65_536)
+    spare: bool = False
+
+
+class Team(Strict):
+    """Limit what a team's jobs hold at one moment."""
+
+    quota_cores: float = Field(gt=0)
+    quota_memory_bytes: int | None = Field(default=None, gt=0)
+    quota_accelerators: int | None = Field(default=None, ge=0)
+
+
+class PlannedStop(Strict):
+    """Declare maintenance in operators' terms.
+
+    `scope` is a pool, an availability zone, a rack group or every VM; `target`
+    names it and is empty for every VM. `finish_by_s` is wall time in seconds.
+    """
+
+    scope: Literal["pool", "zone", "rack_group", "every_vm"]
+    target: str = ""
+    finish_by_s: float | None = None
+    reason: str = ""
+
+
+class Measure(Enum):
+    """Name the measure that a deployment weighs first."""
+
+    BUFFER_COST = "buffer_cost"
+    MOVES = "moves"
+
+
+class ConfigDocument(Strict):
+    """Hold everything that operators declare."""
+
+    weigh_first: Measure = Measure.BUFFER_COST
+    classes: dict[ClassName, WorkClass] = {}
+    pools: dict[PoolName, Pool] = {}
+    teams: dict[TeamName, Team] = {}
+    planned_stops: dict[PlannedStopId, PlannedStop] = {}
+
+    @model_validator(mode="after")
+    def _check_pools(self) -> "ConfigDocument":
+        for name, work_class in self.classes.items():
+            if work_class.pool not in self.pools:
+                raise ValueError(
+                    f"classes.{name}.pool: {work_class.pool!r} is not a pool"
+                )
+        return self
+
+
+class ConfigSnapshot(Strict):
+    """Hold one version of the configuration; version 0 is the empty one."""
+
+    version: ConfigVersion = ConfigVersion(0)
+    digest: str = ""
+    document: ConfigDocument = ConfigDocument()
+    author: str = ""
+    accepted_s: float = 0.0
--- /dev/null
+++ b/src/jayshunt/http_client.py
@@ -0,0 +1,107 @@
+"""Send one HTTP request over a curl handle of the calling thread."""
+
+import io
+import threading
+from dataclasses import dataclass, field
+
+import pycurl
+
+from jayshunt.errors import JayshuntError, Outcome
+
+CONNECT_TIMEOUT_MS = 500
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+# With these curl errors no connection was made, so no byte of the request left.
+NOT_SENT_ERRORS = frozenset(
+    {
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_RESOLVE_PROXY,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    }
+)
+
+_LOCAL = threading.local()
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """Hold a whole HTTP answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+def request(
+    method: str,
+    url: str,
+    *,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float,
+    step: str,
+) -> HttpAnswer:
+    """Send one request and return the whole answer.
+
+    Raise JayshuntError with outcome NOT_RUN if no connection could be made, and
+    UNKNOWN if the request may have reached the peer but no whole answer came
+    within `timeout_s` seconds.
+    """
+    handle = _thread_handle()
+    handle.reset()
+    sink = io.BytesIO()
+    lines: list[bytes] = []
+    handle.setopt(pycurl.URL, url)
+    handle.setopt(pycurl.CUSTOMREQUEST, method)
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+    handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
+    handle.setopt(pycurl.WRITEFUNCTION, sink.write)
+    handle.setopt(pycurl.HEADERFUNCTION, lines.append)
+    sent = [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if body is not None:
+        handle.setopt(pycurl.POSTFIELDS, body)
+    handle.setopt(pycurl.HTTPHEADER, [*sent, "Expect:"])
+    if method == "HEAD":
+        handle.setopt(pycurl.NOBODY, 1)
+    try:
+        handle.perform()
+    except pycurl.error as error:
+        number, text = error.args[0], str(error.args[1])
+        outcome = Outcome.NOT_RUN if number in NOT_SENT_ERRORS else Outcome.UNKNOWN
+        raise JayshuntError(
+            "peer_unreachable" if outcome is Outcome.NOT_RUN else "no_answer",
+            step=step,
+            peer=url.split("/")[2],
+            outcome=outcome,
+            retry_after_s=1.0,
+            detail=text,
+        ) from error
+    status = handle.getinfo(pycurl.RESPONSE_CODE)
+    return HttpAnswer(status, parse_headers(lines), sink.getvalue())
+
+
+def parse_headers(lines: list[bytes]) -> dict[str, str]:
+    """Return the headers of the last header block."""
+    headers: dict[str, str] = {}
+    for line in lines:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            headers = {}
+            continue
+        name, colon, value = text.partition(":")
+        if colon:
+            headers[name.strip().lower()] = value.strip()
+    return headers
+
+
+def _thread_handle() -> pycurl.Curl:
+    handle = getattr(_LOCAL, "handle", None)
+    if handle is None:
+        handle = pycurl.Curl()
+        _LOCAL.handle = handle
+    return handle
--- /dev/null
+++ b/src/jayshunt/ids.py
@@ -0,0 +1,21 @@
+"""Define the ids that slices exchange."""
+
+from typing import NewType
+
+ClassName = NewType("ClassName", str)
+ConfigVersion = NewType("ConfigVersion", int)
+EntryId = NewType("EntryId", str)
+Epoch = NewType("Epoch", int)
+IdempotencyKey = NewType("IdempotencyKey", str)
+JobId = NewType("JobId", str)
+LeaseId = NewType("LeaseId", str)
+PermitId = NewType("PermitId", str)
+PlannedStopId = NewType("PlannedStopId", str)
+PoolName = NewType("PoolName", str)
+RackName = NewType("RackName", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+TeamName = NewType("TeamName", str)
+VmId = NewType("VmId", str)
+WorkerId = NewType("WorkerId", str)
+ZoneName = NewType("ZoneName", str)
--- /dev/null
+++ b/src/jayshunt/inventory/__init__.py
@@ -0,0 +1,1 @@
+"""Read the platform's lagging list of VMs."""
--- /dev/null
+++ b/src/jayshunt/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Run long jobs on workers."""
--- /dev/null
+++ b/src/jayshunt/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which entries are alive."""
--- /dev/null
+++ b/src/jayshunt/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Let operators see and steer the deployment."""
--- /dev/null
+++ b/src/jayshunt/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connect entries with each other over gRPC."""
--- /dev/null
+++ b/src/jayshunt/peers/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the protocol between entries and its generated code."""
--- /dev/null
+++ b/src/jayshunt/peers/server.py
@@ -0,0 +1,57 @@
+"""Serve the calls of other entries."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import grpc
+
+from jayshunt.peers.const import (
+    KEEPALIVE_TIME_MS,
+    KEEPALIVE_TIMEOUT_MS,
+    MAX_CALLS_AT_ONCE,
+    MAX_MESSAGE_BYTES,
+    STOP_GRACE_S,
+)
+from jayshunt.peers.tls import server_credentials
+from jayshunt.settings.models import TlsFiles
+
+_LOGGER = logging.getLogger(__name__)
+
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_TIME_MS // 2),
+)
+
+
+class PeerServer:
+    """Run one gRPC server with the services of all slices.
+
+    Each slice gives a function that adds its servicer, for example
+    `lambda server: add_JobsServicer_to_server(servicer, server)`.
+    """
+
+    def __init__(self, address: str, tls: TlsFiles | None) -> None:
+        """Create the server; `address` is IP:PORT."""
+        self._executor = ThreadPoolExecutor(MAX_CALLS_AT_ONCE, "peer")
+        self._server = grpc.server(self._executor, options=SERVER_OPTIONS)
+        if tls is None:
+            self.port = self._server.add_insecure_port(address)
+        else:
+            self.port = self._server.add_secure_port(address, server_credentials(tls))
+
+    def add(self, add_service: Callable[[grpc.Server], None]) -> None:
+        """Add the service of a slice before the start."""
+        add_service(self._server)
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """End the calls in flight within a grace time and stop."""
+        self._server.stop(STOP_GRACE_S).wait()
+        self._executor.shutdown(wait=False)
--- /dev/null
+++ b/src/jayshunt/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which VM serves which pool."""
--- /dev/null
+++ b/src/jayshunt/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Send callers' requests to upstream instances."""
--- /dev/null
+++ b/src/jayshunt/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers over HTTP."""
--- /dev/null
+++ b/src/jayshunt/serving/problems.py
@@ -0,0 +1,29 @@
+"""Turn errors into problem responses (RFC 9457)."""
+
+import json
+import math
+
+from werkzeug.wrappers import Response
+
+from jayshunt.errors import JayshuntError
+from jayshunt.serving.const import DEFAULT_STATUS, PROBLEM_TYPE, STATUS_OF_CODE
+
+
+def problem_response(error: JayshuntError) -> Response:
+    """Return the response that tells a caller of an error."""
+    status = STATUS_OF_CODE.get(error.code, DEFAULT_STATUS)
+    content = {
+        "type": f"urn:jayshunt:error:{error.code}",
+        "title": error.code.replace("_", " "),
+        "status": status,
+        "detail": error.detail,
+        "code": error.code,
+        "step": error.step,
+        "peer": error.peer,
+        "outcome": error.outcome.value,
+        "retry_after_s": error.retry_after_s,
+    }
+    response = Response(json.dumps(content) + "\n", status, mimetype=PROBLEM_TYPE)
+    if error.retry_after_s is not None:
+        response.headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    return response
--- /dev/null
+++ b/src/jayshunt/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read the settings of one process."""
--- /dev/null
+++ b/src/jayshunt/settings/models.py
@@ -0,0 +1,95 @@
+"""Describe the settings of an entry process."""
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+from pydantic.functional_validators import AfterValidator
+
+
+def _check_address(value: str) -> str:
+    host, colon, port = value.rpartition(":")
+    if not colon or not port.isdigit() or not 0 <= int(port) <= 65_535:
+        raise ValueError("must be IP:PORT, for example 127.0.0.1:8080")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError as error:
+        raise ValueError("must be an IP number and a port, not a name") from error
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class Strict(BaseModel):
+    """Refuse unknown keys and any change after creation."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Identity(Strict):
+    """Name this entry, its availability zone and its region."""
+
+    entry: Name
+    zone: Name
+    region: Name
+
+
+class Listen(Strict):
+    """Give the addresses this entry listens on; they are IP numbers and ports."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+class Platform(Strict):
+    """Give the addresses of the platform's services."""
+
+    store_url: str = Field(pattern=r"^https?://[^/]+$")
+    inventory_url: str = Field(pattern=r"^https?://[^/]+$")
+
+
+class TlsFiles(Strict):
+    """Name the PEM files of one certificate, its key and the trusted authority."""
+
+    certificate_file: Path
+    key_file: Path
+    authority_file: Path
+
+
+class Tls(Strict):
+    """Give the keys for peers, callers and operators; callers may use plain HTTP."""
+
+    peers: TlsFiles | None = None
+    callers: TlsFiles | None = None
+    operators: TlsFiles | None = None
+
+
+class Operators(Strict):
+    """Give the bearer token that operators' calls need."""
+
+    token_file: Path
+
+
+class Limits(Strict):
+    """Bound what callers can make this entry hold."""
+
+    max_connections: int = Field(default=256, ge=1, le=4096)
+    max_body_bytes: int = Field(default=8 * 1024 * 1024, ge=0, le=256 * 1024 * 1024)
+    read_timeout_ms: int = Field(default=10_000, ge=10, le=600_000)
+    drain_timeout_ms: int = Field(default=30_000, ge=0, le=600_000)
+
+
+class EntrySettings(Strict):
+    """Hold all settings of one entry process."""
+
+    identity: Identity
+    listen: Listen
+    platform: Platform
+    operators: Operators
+    seeds: tuple[Address, ...] = ()
+    tls: Tls = Tls()
+    limits: Limits = Limits()
--- /dev/null
+++ b/src/jayshunt/settings/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the settings slice."""
--- /dev/null
+++ b/src/jayshunt/store/client.py
@@ -0,0 +1,247 @@
+"""Call the platform's key-value service over HTTP."""
+
+import json
+import logging
+import random
+import threading
+from urllib.parse import quote, urlencode
+
+from jayshunt import http_client
+from jayshunt.clock import Clock
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.http_client import HttpAnswer
+from jayshunt.ids import LeaseId, Revision
+from jayshunt.store.const import (
+    BACKOFF_FIRST_S,
+    BACKOFF_LIMIT_S,
+    BURST_CALLS,
+    CALL_TIMEOUT_S,
+    MAX_CALLS_PER_S,
+    MAX_VALUE_BYTES,
+    WATCH_WAIT_S,
+)
+from jayshunt.store.errors import (
+    RevisionConflict,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from jayshunt.store.models import StoredValue, StoreHealth, StoreState, WatchEvent
+
+_LOGGER = logging.getLogger(__name__)
+
+ANY_REVISION = Revision(-1)
+ABSENT = Revision(0)
+
+
+class StoreClient:
+    """Read and write values with compare-and-swap, leases and watches.
+
+    Every value change carries a revision that rises over the whole store. An
+    answer with a revision below the highest one seen is stale and is refused, so
+    that a reader never goes back in time. While the store is down only one call
+    per backoff period goes out and the others fail at once, so that its return
+    meets no stampede.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        clock: Clock,
+        rng: random.Random,
+        max_calls_per_s: float = MAX_CALLS_PER_S,
+    ) -> None:
+        """Start with no connection and the store presumed up."""
+        self._base_url = base_url.rstrip("/")
+        self._peer = self._base_url.split("//")[-1]
+        self._clock = clock
+        self._rng = rng
+        self._rate_per_s = max_calls_per_s
+        self._lock = threading.Lock()
+        self._tokens = BURST_CALLS
+        self._refilled_s = clock.monotonic_s()
+        self._highest = Revision(0)
+        self._failures = 0
+        self._retry_at_s = 0.0
+        self._health = StoreHealth(StoreState.UP, clock.monotonic_s())
+        self.calls = 0
+        self.writes = 0
+
+    @property
+    def health(self) -> StoreHealth:
+        """Return how the store answers at present."""
+        return self._health
+
+    def get(self, key: str) -> StoredValue | None:
+        """Return the value of a key, or None if it is absent."""
+        answer = self._read("store.get", f"/kv/{quote(key)}")
+        if answer.status == 404:
+            return None
+        return _stored(json.loads(answer.body))
+
+    def list(self, prefix: str) -> list[StoredValue]:
+        """Return every value below a prefix, in the order of keys."""
+        answer = self._read("store.list", "/kv?" + urlencode({"prefix": prefix}))
+        return [_stored(item) for item in json.loads(answer.body)["items"]]
+
+    def put(
+        self,
+        key: str,
+        value: str,
+        expected: Revision = ANY_REVISION,
+        lease: LeaseId | None = None,
+    ) -> Revision:
+        """Write a value if its revision is still the expected one.
+
+        `ABSENT` creates the key. A lease ties the key's life to the lease. Raise
+        RevisionConflict, StoreUnavailable (no effect) or StoreOutcomeUnknown.
+        """
+        body = value.encode()
+        if len(body) > MAX_VALUE_BYTES:
+            raise JayshuntError(
+                "value_too_large", step="store.put", peer=self._peer, detail=key
+            )
+        path = f"/kv/{quote(key)}" + (f"?lease={quote(lease)}" if lease else "")
+        answer = self._call(
+            "store.put", "PUT", path, body=body, headers=_condition(expected)
+        )
+        if answer.status == 412:
+            raise RevisionConflict(key, self._peer)
+        return Revision(json.loads(answer.body)["revision"])
+
+    def delete(self, key: str, expected: Revision = ANY_REVISION) -> None:
+        """Delete a key if its revision is still the expected one."""
+        answer = self._call(
+            "store.delete", "DELETE", f"/kv/{quote(key)}", headers=_condition(expected)
+        )
+        if answer.status == 412:
+            raise RevisionConflict(key, self._peer)
+
+    def watch(
+        self, prefix: str, after: Revision, wait_s: float = WATCH_WAIT_S
+    ) -> tuple[Revision, tuple[WatchEvent, ...]]:
+        """Wait for changes below a prefix after a revision.
+
+        Return the revision to continue from and the changes, none if `wait_s`
+        seconds passed without one.
+        """
+        query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
+        answer = self._call(
+            "store.watch", "GET", f"/watch?{query}", timeout_s=wait_s + CALL_TIMEOUT_S
+        )
+        document = json.loads(answer.body)
+        events = tuple(
+            WatchEvent(e["key"], e["value"], Revision(e["revision"]))
+            for e in document["events"]
+        )
+        return Revision(document["revision"]), events
+
+    def grant_lease(self, ttl_s: float) -> LeaseId:
+        """Create a lease that ends `ttl_s` seconds after it was last kept."""
+        body = json.dumps({"ttl_s": ttl_s}).encode()
+        answer = self._call("store.lease", "POST", "/leases", body=body)
+        return LeaseId(json.loads(answer.body)["lease"])
+
+    def keep_lease(self, lease: LeaseId) -> bool:
+        """Prolong a lease; return False if it has ended."""
+        answer = self._call("store.lease", "PUT", f"/leases/{quote(lease)}")
+        return answer.status == 200
+
+    def end_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete the keys tied to it."""
+        self._call("store.lease", "DELETE", f"/leases/{quote(lease)}")
+
+    def _read(self, step: str, path: str) -> HttpAnswer:
+        answer = self._call(step, "GET", path)
+        revision = Revision(int(answer.headers.get("store-revision", "0")))
+        with self._lock:
+            stale = revision < self._highest
+            self._highest = max(revision, self._highest)
+        if stale:
+            raise StoreUnavailable(step, self._peer, f"stale answer for {path}")
+        return answer
+
+    def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpAnswer:
+        self._admit(step)
+        writes = method != "GET"
+        self.calls += 1
+        self.writes += writes
+        try:
+            answer = http_client.request(
+                method,
+                self._base_url + path,
+                body=body if body is not None else (b"" if writes else None),
+                headers=headers,
+                timeout_s=timeout_s,
+                step=step,
+            )
+        except JayshuntError as error:
+            self._failed(str(error))
+            if writes and error.outcome is Outcome.UNKNOWN:
+                raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
+            raise StoreUnavailable(step, self._peer, error.detail) from error
+        if answer.status >= 500:
+            self._failed(f"status {answer.status}")
+            raise StoreUnavailable(step, self._peer, f"status {answer.status}")
+        self._succeeded()
+        if answer.status in (200, 404, 412):
+            return answer
+        raise JayshuntError(
+            "store_refused",
+            step=step,
+            peer=self._peer,
+            detail=f"status {answer.status}: {answer.body[:200]!r}",
+        )
+
+    def _admit(self, step: str) -> None:
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            if now_s < self._retry_at_s:
+                raise StoreUnavailable(step, self._peer, self._health.last_error)
+            earned = (now_s - self._refilled_s) * self._rate_per_s
+            self._tokens = min(BURST_CALLS, self._tokens + earned)
+            self._refilled_s = now_s
+            if self._tokens < 1:
+                raise StoreUnavailable(step, self._peer, "call rate limit reached")
+            self._tokens -= 1
+            if self._failures:
+                # Other callers wait for this one probe.
+                self._retry_at_s = now_s + CALL_TIMEOUT_S
+
+    def _failed(self, error: str) -> None:
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            limit_s = min(BACKOFF_LIMIT_S, BACKOFF_FIRST_S * 2**self._failures)
+            self._failures = min(self._failures + 1, 16)
+            self._retry_at_s = now_s + self._rng.uniform(0, limit_s)
+            if self._health.state is StoreState.UP:
+                _LOGGER.warning("store: no answer from %s: %s", self._peer, error)
+                self._health = StoreHealth(StoreState.DOWN, now_s, error)
+
+    def _succeeded(self) -> None:
+        with self._lock:
+            self._failures = 0
+            self._retry_at_s = 0.0
+            if self._health.state is StoreState.DOWN:
+                _LOGGER.info("store: %s answers again", self._peer)
+                self._health = StoreHealth(StoreState.UP, self._clock.monotonic_s())
+
+
+def _condition(expected: Revision) -> dict[str, str]:
+    if expected == ANY_REVISION:
+        return {}
+    if expected == ABSENT:
+        return {"If-None-Match": "*"}
+    return {"If-Match": f'"{expected}"'}
+
+
+def _stored(item: dict) -> StoredValue:
+    return StoredValue(item["key"], item["value"], Revision(item["revision"]))
--- /dev/null
+++ b/src/jayshunt/store/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the store slice."""
--- /dev/null
+++ b/src/jayshunt/store/tests/builders.py
@@ -0,0 +1,62 @@
+"""Build fakes of the platform's store."""
+
+import random
+
+from jayshunt.clock import ManualClock
+from jayshunt.ids import LeaseId, Revision
+from jayshunt.store.documents import DocumentStore
+from jayshunt.store.errors import (
+    RevisionConflict,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from jayshunt.store.models import StoredValue
+
+
+class FakeStore:
+    """Hold values in memory and fail as chosen.
+
+    `down` refuses every call; `lose_answers` counts writes that take effect
+    without an answer; `drop_writes` counts writes that get lost before they take
+    effect, also without an answer.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.values: dict[str, StoredValue] = {}
+        self.revision = 0
+        self.down = False
+        self.lose_answers = 0
+        self.drop_writes = 0
+        self.puts = 0
+
+    def get(self, key: str) -> StoredValue | None:
+        """Return the value of a key."""
+        if self.down:
+            raise StoreUnavailable("store.get", "fake", "down")
+        return self.values.get(key)
+
+    def put(
+        self, key: str, value: str, expected: Revision, lease: LeaseId | None = None
+    ) -> Revision:
+        """Write a value by compare-and-swap."""
+        if self.down:
+            raise StoreUnavailable("store.put", "fake", "down")
+        self.puts += 1
+        if self.drop_writes > 0:
+            self.drop_writes -= 1
+            raise StoreOutcomeUnknown("store.put", "fake", "lost")
+        stored = self.values.get(key)
+        if (stored.revision if stored else 0) != expected:
+            raise RevisionConflict(key, "fake")
+        self.revision += 1
+        self.values[key] = StoredValue(key, value, Revision(self.revision))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknown("store.put", "fake", "lost")
+        return Revision(self.revision)
+
+
+def build_documents(store: FakeStore, seed: int = 1) -> DocumentStore:
+    """Return documents on a fake store with a manual clock."""
+    return DocumentStore(store, ManualClock(), random.Random(seed))
--- /dev/null
+++ b/src/jayshunt_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure jayshunt against stand-ins on loopback."""
--- /dev/null
+++ b/src/jayshunt_measure/testbed.py
@@ -0,0 +1,211 @@
+"""Start stand-ins in this process and entries as processes of their own."""
+
+import json
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from jayshunt import http_client
+from jayshunt.config.models import ConfigDocument
+from jayshunt.errors import JayshuntError
+from jayshunt_standins.inventory import InventoryStandIn, ListedVm
+from jayshunt_standins.server import LOOPBACK
+from jayshunt_standins.store import StoreStandIn
+from jayshunt_standins.upstream import UpstreamStandIn
+from jayshunt_standins.worker import WorkerStandIn
+
+TOKEN = "loopback-only"
+READY_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 15.0
+
+
+@dataclass(frozen=True)
+class VmPlan:
+    """Describe one VM to start."""
+
+    name: str
+    zone: str
+    rack: str
+    kind: str
+    pool: str
+    slots: int = 8
+
+
+@dataclass
+class EntryHandle:
+    """Hold one entry process and its addresses."""
+
+    name: str
+    zone: str
+    callers: str
+    operators: str
+    settings_file: Path
+    process: subprocess.Popen | None = None
+
+
+@dataclass
+class Testbed:
+    """Own the stand-ins and the entry processes of one run."""
+
+    vms: list[VmPlan]
+    entries_per_zone: dict[str, int]
+    lag_s: float = 2.0
+    command: tuple[str, ...] = (sys.executable, "-m", "jayshunt")
+    upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
+    workers: dict[str, WorkerStandIn] = field(default_factory=dict)
+    entries: list[EntryHandle] = field(default_factory=list)
+
+    def start(self) -> "Testbed":
+        """Start everything; entries are processes of their own."""
+        self._folder = tempfile.TemporaryDirectory(prefix="jayshunt-")
+        self.token_file = Path(self._folder.name) / "token"
+        self.token_file.write_text(TOKEN)
+        self.store = StoreStandIn()
+        self.inventory = InventoryStandIn(
+            [self._start_vm(plan) for plan in self.vms], self.lag_s
+        )
+        self.store.start()
+        self.inventory.start()
+        for zone, count in self.entries_per_zone.items():
+            for number in range(count):
+                self.entries.append(self._prepare_entry(f"{zone}-{number}", zone))
+        for entry in self.entries:
+            self.start_entry(entry)
+        return self
+
+    def stop(self) -> None:
+        """Stop entries and stand-ins."""
+        for entry in self.entries:
+            if entry.process and entry.process.poll() is None:
+                entry.process.terminate()
+        for entry in self.entries:
+            if entry.process:
+                _wait_end(entry.process)
+        servers = [*self.upstreams.values(), *self.workers.values()]
+        for server in [*servers, self.store, self.inventory]:
+            server.stop()
+        self._folder.cleanup()
+
+    def start_entry(self, entry: EntryHandle) -> None:
+        """Start one entry process; its log goes to a file beside its settings."""
+        log = entry.settings_file.with_suffix(".log")
+        with log.open("ab") as sink:
+            entry.process = subprocess.Popen(
+                [*self.command, "entry", "--settings", str(entry.settings_file)],
+                stdout=sink,
+                stderr=sink,
+            )
+
+    def configure(self, document: ConfigDocument) -> int:
+        """Apply a configuration and wait until every entry has it in force."""
+        answer = self.operator_call(
+            self.entries[0], "PUT", "config", document.model_dump(mode="json")
+        )
+        for entry in self.entries:
+            self.wait_ready(entry)
+        return answer["version"]
+
+    def wait_ready(self, entry: EntryHandle) -> None:
+        """Wait until an entry says that it can serve."""
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if _status_of(f"http://{entry.operators}/readyz") == 200:
+                return
+            time.sleep(0.05)
+        log = entry.settings_file.with_suffix(".log").read_text()
+        raise RuntimeError(f"entry {entry.name} did not get ready:\n{log[-4000:]}")
+
+    def operator_call(
+        self, entry: EntryHandle, method: str, path: str, content: object = None
+    ) -> dict:
+        """Send one operator call, waiting for the entry to listen."""
+        body = None if content is None else json.dumps(content).encode()
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        while True:
+            try:
+                answer = http_client.request(
+                    method,
+                    f"http://{entry.operators}/v1/operator/{path}",
+                    body=body,
+                    headers={"Authorization": f"Bearer {TOKEN}"},
+                    timeout_s=10,
+                    step="testbed",
+                )
+            except JayshuntError:
+                if time.monotonic() > end_s:
+                    raise
+                time.sleep(0.05)
+                continue
+            if answer.status != 200:
+                raise RuntimeError(f"{method} {path}: {answer.body.decode()}")
+            return json.loads(answer.body)
+
+    def _start_vm(self, plan: VmPlan) -> ListedVm:
+        if plan.kind == "upstream":
+            server = UpstreamStandIn(plan.name, plan.slots)
+            self.upstreams[plan.name] = server
+        else:
+            server = WorkerStandIn(plan.name)
+            self.workers[plan.name] = server
+        server.start()
+        return ListedVm(
+            id=plan.name,
+            address=server.address,
+            zone=plan.zone,
+            rack=plan.rack,
+            kind=plan.kind,
+            cpu_cores=64.0,
+            memory_bytes=256 * 2**30,
+            initial_pool=plan.pool,
+        )
+
+    def _prepare_entry(self, name: str, zone: str) -> EntryHandle:
+        callers, operators, peers = (f"{LOOPBACK}:{p}" for p in free_ports(3))
+        settings = Path(self._folder.name) / f"{name}.toml"
+        settings.write_text(f"""
+[identity]
+entry = "{name}"
+zone = "{zone}"
+region = "local"
+
+[listen]
+callers = "{callers}"
+operators = "{operators}"
+peers = "{peers}"
+
+[platform]
+store_url = "{self.store.url}"
+inventory_url = "{self.inventory.url}"
+
+[operators]
+token_file = "{self.token_file}"
+""")
+        return EntryHandle(name, zone, callers, operators, settings)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free loopback ports."""
+    sockets = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
+
+
+def _status_of(url: str) -> int:
+    try:
+        return http_client.request("GET", url, timeout_s=2, step="testbed").status
+    except JayshuntError:
+        return 0
+
+
+def _wait_end(process: subprocess.Popen) -> None:
+    try:
+        process.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/src/jayshunt_standins/inventory.py
@@ -0,0 +1,87 @@
+"""Stand in for the platform's lagging list of VMs."""
+
+import threading
+import time
+from dataclasses import asdict, dataclass, replace
+
+from jayshunt_standins.server import Call, Reply, StandInServer
+
+
+@dataclass(frozen=True)
+class ListedVm:
+    """Describe one VM as the platform lists it."""
+
+    id: str
+    address: str
+    zone: str
+    rack: str
+    kind: str
+    state: str = "live"
+    cpu_cores: float = 0.0
+    memory_bytes: int = 0
+    accelerators: int = 0
+    initial_pool: str = ""
+
+
+class InventoryStandIn(StandInServer):
+    """List VMs as they were `lag_s` seconds ago; drain and reboot on request.
+
+    `GET /vms` lists, `POST /vms/<id>/drain` marks a VM as leaving, `POST
+    /vms/<id>/reboot` restarts it. `PUT /standin/vms/<id>` changes a VM.
+    """
+
+    def __init__(self, vms: list[ListedVm], lag_s: float = 5.0, port: int = 0) -> None:
+        """Start with a list of VMs."""
+        super().__init__(port)
+        self.lag_s = lag_s
+        self._lock = threading.Lock()
+        self._vms = {vm.id: vm for vm in vms}
+        self._versions: list[tuple[float, dict[str, ListedVm]]] = [(0.0, self._vms)]
+        self.reboots: list[tuple[float, str]] = []
+
+    def change(self, vm_id: str, **fields: object) -> None:
+        """Change one VM; the list shows it after the lag."""
+        with self._lock:
+            vms = dict(self._vms)
+            vms[vm_id] = replace(vms[vm_id], **fields)
+            self._record(vms)
+
+    def remove(self, vm_id: str) -> None:
+        """Remove one VM; the list shows it after the lag."""
+        with self._lock:
+            self._record({k: v for k, v in self._vms.items() if k != vm_id})
+
+    def answer(self, call: Call) -> Reply:
+        """Return the answer to one call."""
+        parts = call.path.strip("/").split("/")
+        match call.method, parts:
+            case "GET", ["vms"]:
+                return self._list()
+            case "POST", ["vms", vm_id, "drain"] if vm_id in self._vms:
+                self.change(vm_id, state="leaving")
+                return Reply(202, {})
+            case "POST", ["vms", vm_id, "reboot"] if vm_id in self._vms:
+                self.reboots.append((time.time(), vm_id))
+                self.change(vm_id, state="live")
+                return Reply(202, {})
+            case "PUT", ["standin", "vms", vm_id] if vm_id in self._vms:
+                self.change(vm_id, **call.json())
+                return Reply(200, {})
+            case "DELETE", ["standin", "vms", vm_id]:
+                self.remove(vm_id)
+                return Reply(200, {})
+            case "GET", ["standin", "reboots"]:
+                return Reply(200, {"reboots": self.reboots})
+        return Reply(404, {"error": "unknown path"})
+
+    def _record(self, vms: dict[str, ListedVm]) -> None:
+        self._vms = vms
+        self._versions.append((time.monotonic(), vms))
+
+    def _list(self) -> Reply:
+        with self._lock:
+            seen_s = time.monotonic() - self.lag_s
+            old = [v for v in self._versions if v[0] <= seen_s]
+            vms = (old or self._versions)[-1 if old else 0][1]
+            listed = [asdict(vm) for vm in vms.values()]
+        return Reply(200, {"as_of_s": time.time() - self.lag_s, "vms": listed})
--- /dev/null
+++ b/src/jayshunt_standins/upstream.py
@@ -0,0 +1,142 @@
+"""Stand in for an instance of an upstream service."""
+
+import socket
+import struct
+import threading
+import time
+from dataclasses import dataclass
+from http.server import BaseHTTPRequestHandler
+
+from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
+
+RESET_LINGER = struct.pack("ii", 1, 0)
+
+
+@dataclass
+class UpstreamFaults:
+    """Choose how the instance fails.
+
+    `silent` keeps connections open and never answers, `reset_before` and
+    `reset_after` reset before the work and after half of the answer, `errors`
+    answers 500 without work, `late_s` delays each answer, `leaving` answers 503
+    to health checks while work goes on.
+    """
+
+    silent: bool = False
+    reset_before: bool = False
+    reset_after: bool = False
+    errors: bool = False
+    late_s: float = 0.0
+    leaving: bool = False
+
+
+@dataclass(frozen=True)
+class RanRequest:
+    """Record one request that ran."""
+
+    request: str
+    started_s: float
+    ended_s: float
+    completed: bool
+
+
+class UpstreamStandIn(StandInServer):
+    """Run requests in a fixed number of slots and record each.
+
+    The header `Standin-Work-Ms` gives a request's run time. The body of the
+    answer repeats the request's id and body, so that a caller can tell whether it
+    is its own. `GET /standin/ran` returns what ran and the most slots and
+    connections ever in use; `PUT /standin/faults` sets the faults.
+    """
+
+    def __init__(self, name: str, slots: int = 8, port: int = 0) -> None:
+        """Start without faults."""
+        super().__init__(port)
+        self.name = name
+        self.slots = slots
+        self.faults = UpstreamFaults()
+        self._lock = threading.Lock()
+        self._in_use = 0
+        self._connections: set[int] = set()
+        self.peak_slots = 0
+        self.peak_connections = 0
+        self.ran: list[RanRequest] = []
+        self.leaving_since_s: float | None = None
+
+    def set_faults(self, faults: UpstreamFaults) -> None:
+        """Change the faults."""
+        if faults.leaving and not self.faults.leaving:
+            self.leaving_since_s = time.time()
+        self.faults = faults
+
+    def serve(self, handler: BaseHTTPRequestHandler, call: Call) -> None:
+        """Answer one call, or fail as chosen."""
+        if call.path.startswith("/standin/"):
+            self.send(handler, self._control(call))
+            return
+        if call.path == "/healthz":
+            status = 503 if self.faults.leaving or self.faults.errors else 200
+            state = "leaving" if self.faults.leaving else "serving"
+            self.send(handler, Reply(status, {"state": state}))
+            return
+        if self.faults.silent:
+            self._stay_silent(call.connection)
+        if self.faults.reset_before:
+            _reset(call.connection)
+        if self.faults.errors:
+            self.send(handler, Reply(500, {"error": "broken"}))
+            return
+        reply = self._run(call)
+        if self.faults.reset_after:
+            handler.wfile.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(reply.body)
+            )
+            handler.wfile.write(reply.body[: len(reply.body) // 2])
+            _reset(call.connection)
+        self.send(handler, reply)
+
+    def _run(self, call: Call) -> Reply:
+        started_s = time.time()
+        with self._lock:
+            self._in_use += 1
+            self.peak_slots = max(self.peak_slots, self._in_use)
+        try:
+            time.sleep(float(call.headers.get("Standin-Work-Ms", 5)) / 1000)
+            time.sleep(self.faults.late_s)
+        finally:
+            request = call.headers.get("Jayshunt-Request-Id", "")
+            with self._lock:
+                self._in_use -= 1
+                self.ran.append(RanRequest(request, started_s, time.time(), True))
+        body = f"{self.name} {request} ".encode() + call.body
+        headers = {"Content-Type": "text/plain"}
+        if self.faults.leaving:
+            headers["Connection"] = "close"
+        return Reply(200, body=body, headers=headers)
+
+    def _stay_silent(self, connection: socket.socket) -> None:
+        while self.faults.silent:
+            time.sleep(0.05)
+        raise DropConnection
+
+    def _control(self, call: Call) -> Reply:
+        if call.method == "PUT":
+            self.set_faults(UpstreamFaults(**call.json()))
+        with self._lock:
+            ran = [vars(item) for item in self.ran]
+        return Reply(
+            200,
+            {
+                "name": self.name,
+                "slots": self.slots,
+                "peak_slots": self.peak_slots,
+                "leaving_since_s": self.leaving_since_s,
+                "ran": ran,
+            },
+        )
+
+
+def _reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+    connection.close()
+    raise DropConnection
