Move VMs by acknowledged steps and take them down under permits

Cause: the thin controller only added listed VMs and counted itself as holder of the lease while the store was unreachable; nothing ran planned stops. Change: entries register, moves wait for the acknowledgement of every registered entry, the lease ends by its own time, and each controller raises a fencing epoch that every write checks. Planned stops run as waves under permits in budgets/<pool>, counted over all zones.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -10,15 +10,24 @@
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, ZoneName
+from jayshunt.ids import ClassName, EntryId, PoolName, VmId, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
 from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.maintenance.permits import PermitLedger
+from jayshunt.maintenance.probes import HealthProbes
+from jayshunt.maintenance.reporting import ZoneReporter
+from jayshunt.maintenance.runner import MaintenanceRunner
 from jayshunt.operations.application import OperatorApplication
 from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
+from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
+from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
+from jayshunt.pools.registry import EntryRegistry
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
 from jayshunt.routing.router import Router
@@ -27,6 +36,7 @@
 from jayshunt.settings.models import EntrySettings
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
+from jayshunt.store.models import StoreState
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -49,16 +59,12 @@
         documents = DocumentStore(self.store, clock, rng)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
-        self.controller = ZoneController(
-            zone,
-            self._entry,
-            self.store,
-            documents,
-            lambda: self.inventory.current,
-            clock,
-        )
         self._brokers: dict[PoolName, Broker] = {}
         self._brokers_lock = threading.Lock()
+        self.channels = PeerChannels(settings.tls.peers)
+        self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
+        self.controller = self._zone_controller(zone, documents)
+        self.maintenance = self._maintenance(zone, documents)
         self.statistics = ClassStatistics(clock)
         self.connections = UpstreamConnections(clock)
         self.router = Router(
@@ -76,6 +82,7 @@
         """Start every part; callers are served last."""
         for task in (self.inventory.run, self.config.run, self.controller.run):
             self._tasks.start(task)
+        self.peer_server.start()
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
@@ -92,6 +99,75 @@
         self.operators.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.peer_server.stop()
+        self.channels.stop()
+        self._probes.stop()
+
+    def _zone_controller(
+        self, zone: ZoneName, documents: DocumentStore
+    ) -> ZoneController:
+        incarnation = int(self._clock.now_s() * 1000)
+        self.registry = EntryRegistry(
+            zone,
+            self._entry,
+            incarnation,
+            self._settings.listen.peers,
+            self.store,
+            self._clock,
+        )
+        service = AssignmentsService(
+            zone,
+            self.registry.own,
+            lambda record: self.controller.apply(record),
+            self._in_flight,
+        )
+        self.peer_server.add(
+            lambda server: add_AssignmentsServicer_to_server(service, server)
+        )
+        return ZoneController(
+            zone,
+            self._entry,
+            self.store,
+            documents,
+            lambda: self.inventory.current,
+            self._clock,
+            self.registry,
+            RecordPusher(self.channels, service).push,
+        )
+
+    def _maintenance(
+        self, zone: ZoneName, documents: DocumentStore
+    ) -> MaintenanceRunner:
+        ledger = PermitLedger(
+            documents,
+            lambda: self.inventory.current,
+            self._min_available_ratio,
+            lambda: self.controller.fencing_epoch,
+            self._clock,
+        )
+        self._probes = HealthProbes()
+        runner = MaintenanceRunner(
+            zone,
+            self.controller,
+            ledger,
+            ZoneReporter(zone, ledger, dict, self._clock),
+            lambda: self.config.current().document,
+            self.inventory.call_vm,
+            self._probes.check,
+            self._clock,
+        )
+        self.controller.add_duty(runner.step)
+        return runner
+
+    def _min_available_ratio(self, pool: PoolName) -> float:
+        configured = self.config.current().document.pools.get(pool)
+        # Nothing of a pool that is not configured may be taken down.
+        return 1.0 if configured is None else configured.min_available_ratio
+
+    def _in_flight(self, vm: VmId) -> int:
+        with self._brokers_lock:
+            brokers = tuple(self._brokers.values())
+        return sum(broker.in_flight(vm) for broker in brokers)
 
     def _caller_server(
         self, settings: EntrySettings, jobs: JobApplication
@@ -148,6 +224,8 @@
             return broker
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
+        if not self.controller.may_broker:
+            return ()
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
 
     def _pool_of_class(self, name: ClassName) -> PoolName:
@@ -157,7 +235,10 @@
         return PoolName(work_class.pool)
 
     def _is_ready(self) -> bool:
-        return bool(self.config.current().version and self.controller.record.epoch)
+        if not self.config.current().version or not self.controller.record.epoch:
+            return False
+        # Without the store an entry cannot register, but it serves through others.
+        return self.controller.may_broker or self.store.health.state is StoreState.DOWN
 
     def _status(self) -> dict:
         config = self.config.current()
--- a/src/jayshunt/config/models.py
+++ b/src/jayshunt/config/models.py
@@ -70,12 +70,14 @@
     """Declare maintenance in operators' terms.
 
     `scope` is a pool, an availability zone, a rack group or every VM; `target`
-    names it and is empty for every VM. `finish_by_s` is wall time in seconds.
+    names it and is empty for every VM. `finish_by_s` is wall time in seconds;
+    with `repeat_every_s` the stop begins anew after each of its dates.
     """
 
     scope: Literal["pool", "zone", "rack_group", "every_vm"]
     target: str = ""
     finish_by_s: float | None = None
+    repeat_every_s: float | None = Field(default=None, gt=0)
     reason: str = ""
 
 
--- /dev/null
+++ b/src/jayshunt/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Take VMs down for maintenance within availability budgets."""
--- /dev/null
+++ b/src/jayshunt/maintenance/models.py
@@ -0,0 +1,110 @@
+"""Describe permits, availability reports and maintenance waves."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from jayshunt.ids import Epoch, PoolName, RackName, VmId, ZoneName
+
+
+@dataclass(frozen=True)
+class WaveProgress:
+    """Hold how far a maintenance wave got in one zone.
+
+    `width` is the number of VMs that may be down for the wave at once; it starts
+    at one VM, the canary. `streak` counts successes since the width last
+    changed. Nothing new is taken down before `hold_until_s` (wall time).
+    """
+
+    width: int = 1
+    streak: int = 0
+    succeeded: int = 0
+    failed: tuple[VmId, ...] = ()
+    hold_until_s: float = 0.0
+    reason: str = ""
+
+
+@dataclass(frozen=True)
+class Permit:
+    """Allow one VM of a pool to be taken down.
+
+    `fence` is the fencing epoch of the controller that got the permit, so that
+    a replaced controller cannot give back a permit of its successor.
+    """
+
+    pool: PoolName
+    vm: VmId
+    zone: ZoneName
+    fence: Epoch
+    reason: str
+    granted_s: float
+
+
+@dataclass(frozen=True)
+class PermitDenied:
+    """Refuse a permit with the reason."""
+
+    pool: PoolName
+    vm: VmId
+    code: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class PoolMember:
+    """Describe one VM of a pool for its budget."""
+
+    vm: VmId
+    zone: ZoneName
+    rack: RackName
+    kind: str
+
+
+@dataclass(frozen=True)
+class ZoneReport:
+    """Tell the other zones which members of a pool are down in one zone."""
+
+    zone: ZoneName
+    fence: Epoch
+    as_of_s: float
+    members: dict[VmId, PoolMember] = field(default_factory=dict)
+    down: dict[VmId, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Budget:
+    """Hold what is known of a pool in all zones."""
+
+    permits: dict[VmId, Permit] = field(default_factory=dict)
+    reports: dict[ZoneName, ZoneReport] = field(default_factory=dict)
+
+
+class WaveState(Enum):
+    """Name the states of a maintenance wave in a zone."""
+
+    CANARY = "canary"
+    RUNNING = "running"
+    SLOWED = "slowed"
+    STOPPED = "stopped"
+    WAITING = "waiting"
+    DONE = "done"
+
+
+@dataclass(frozen=True)
+class WaveStatus:
+    """Tell operators how far a wave is and why it waits.
+
+    `forecast_s` is the wall time at which the wave is expected to end, or None
+    if it cannot end under the budgets in force; `remedy` says what would make it
+    fit its date.
+    """
+
+    wave: str
+    state: WaveState
+    remaining: int
+    down: int
+    done: int
+    width: int
+    reason: str = ""
+    forecast_s: float | None = None
+    late: bool = False
+    remedy: str = ""
--- /dev/null
+++ b/src/jayshunt/maintenance/permits.py
@@ -0,0 +1,117 @@
+"""Grant permits to take VMs down, for all zones of a pool."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from jayshunt.clock import Clock
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import Epoch, PoolName, VmId, ZoneName
+from jayshunt.inventory.const import STALE_AFTER_S
+from jayshunt.inventory.models import VmList
+from jayshunt.maintenance.budget import budget_content, read_budget, refusal
+from jayshunt.maintenance.const import budget_key
+from jayshunt.maintenance.models import Budget, Permit, PermitDenied, ZoneReport
+from jayshunt.store.documents import Content, DocumentStore
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class PermitLedger:
+    """Add and remove permits of a pool by compare-and-swap.
+
+    `fence` returns the fencing epoch of the zone's controller in this process,
+    or None if it is not controller. A permit is granted before the VM's
+    assignment changes, and given back after the VM serves again, so that the
+    counted union is never too small.
+    """
+
+    def __init__(
+        self,
+        documents: DocumentStore,
+        list_vms: Callable[[], VmList],
+        min_ratio: Callable[[PoolName], float],
+        fence: Callable[[], Epoch | None],
+        clock: Clock,
+    ) -> None:
+        """Wire the parts."""
+        self._documents = documents
+        self._list_vms = list_vms
+        self._min_ratio = min_ratio
+        self._fence = fence
+        self._clock = clock
+
+    def request(
+        self, pool: PoolName, zone: ZoneName, vm: VmId, reason: str
+    ) -> Permit | PermitDenied:
+        """Ask to take one VM down; a repeated request returns the same permit."""
+        fence, now_s, listed = self._fence(), self._clock.now_s(), self._list_vms()
+        if fence is None:
+            return PermitDenied(pool, vm, "not_controller", "the lease is not held")
+        if now_s - listed.as_of_s > STALE_AFTER_S:
+            age_s = now_s - listed.as_of_s
+            return PermitDenied(
+                pool, vm, "list_stale", f"the platform's list is {age_s:.0f} s old"
+            )
+        permit = Permit(pool, vm, zone, fence, reason, now_s)
+        denied = ""
+
+        def change(content: Content | None) -> Content | None:
+            nonlocal denied, permit
+            budget = read_budget(content)
+            held = budget.permits.get(vm)
+            denied = ""
+            if held is None:
+                denied = refusal(budget, pool, vm, self._min_ratio(pool), listed, now_s)
+            elif held.fence > fence:
+                denied = f"a newer controller holds the permit of {vm}"
+            elif held.fence == fence:
+                permit = held
+                return None
+            if denied:
+                return None
+            permits = {**budget.permits, vm: permit}
+            return _merged(content, replace(budget, permits=permits))
+
+        try:
+            self._documents.update(budget_key(pool), change)
+        except JayshuntError as error:
+            return PermitDenied(pool, vm, error.code, str(error))
+        if denied:
+            return PermitDenied(pool, vm, "budget", denied)
+        _LOGGER.info("maintenance: permit for %s of %s: %s", vm, pool, reason)
+        return permit
+
+    def release(self, pool: PoolName, vms: set[VmId], fence: Epoch) -> None:
+        """Give permits back that this controller or an earlier one got."""
+
+        def change(content: Content | None) -> Content | None:
+            budget = read_budget(content)
+            kept = {
+                vm: permit
+                for vm, permit in budget.permits.items()
+                if vm not in vms or permit.fence > fence
+            }
+            if len(kept) == len(budget.permits):
+                return None
+            return _merged(content, replace(budget, permits=kept))
+
+        self._documents.update(budget_key(pool), change)
+
+    def report(self, pool: PoolName, report: ZoneReport) -> Budget:
+        """Write a zone's report unless a newer controller wrote one."""
+
+        def change(content: Content | None) -> Content | None:
+            budget = read_budget(content)
+            stored = budget.reports.get(report.zone)
+            if stored is not None and stored.fence > report.fence:
+                return None
+            reports = {**budget.reports, report.zone: report}
+            return _merged(content, replace(budget, reports=reports))
+
+        return read_budget(self._documents.update(budget_key(pool), change).content)
+
+
+def _merged(content: Content | None, budget: Budget) -> Content:
+    """Keep write ids and the fields that this version does not know."""
+    return {**(content or {}), **budget_content(budget)}
--- /dev/null
+++ b/src/jayshunt/maintenance/reporting.py
@@ -0,0 +1,92 @@
+"""Report a zone's members and down VMs to the budgets of its pools."""
+
+from collections.abc import Callable
+
+from jayshunt.clock import Clock
+from jayshunt.ids import Epoch, PoolName, VmId, ZoneName
+from jayshunt.maintenance.const import ORPHAN_PERMIT_S, REPORT_REFRESH_S
+from jayshunt.maintenance.models import Budget, PoolMember, ZoneReport
+from jayshunt.maintenance.permits import PermitLedger
+from jayshunt.pools.models import AssignmentRecord, AssignmentState, VmKind
+
+
+class ZoneReporter:
+    """Write a report per pool when it changes, else at the refresh interval.
+
+    `failing` returns VMs that brokers ejected or that are silent, with reasons.
+    """
+
+    def __init__(
+        self,
+        zone: ZoneName,
+        ledger: PermitLedger,
+        failing: Callable[[], dict[VmId, str]],
+        clock: Clock,
+    ) -> None:
+        """Start without any report written."""
+        self._zone = zone
+        self._ledger = ledger
+        self._failing = failing
+        self._clock = clock
+        self._written: dict[PoolName, ZoneReport] = {}
+        self.budgets: dict[PoolName, Budget] = {}
+
+    def step(self, record: AssignmentRecord, fence: Epoch) -> None:
+        """Write due reports and give back permits that nothing uses."""
+        now_s, failing = self._clock.now_s(), self._failing()
+        pools = {a.pool for a in record.assignments.values() if a.pool}
+        for pool in sorted(pools | set(self._written)):
+            report = zone_report(record, pool, failing, fence, now_s)
+            before = self._written.get(pool)
+            if before is not None and _is_current(before, report):
+                continue
+            budget = self._ledger.report(pool, report)
+            self._written[pool] = report
+            self.budgets[pool] = budget
+            orphans = self._orphans(budget, record, now_s)
+            if orphans:
+                self._ledger.release(pool, orphans, fence)
+
+    def _orphans(
+        self, budget: Budget, record: AssignmentRecord, now_s: float
+    ) -> set[VmId]:
+        """Return VMs of this zone whose permits are not in use."""
+        orphans = set()
+        for vm, permit in budget.permits.items():
+            if permit.zone != self._zone or now_s - permit.granted_s < ORPHAN_PERMIT_S:
+                continue
+            held = record.assignments.get(vm)
+            if held is None or held.state is AssignmentState.SERVING:
+                orphans.add(vm)
+        return orphans
+
+
+def zone_report(
+    record: AssignmentRecord,
+    pool: PoolName,
+    failing: dict[VmId, str],
+    fence: Epoch,
+    now_s: float,
+) -> ZoneReport:
+    """Return the report of one pool in a zone."""
+    members, down = {}, {}
+    for vm, assignment in record.assignments.items():
+        if assignment.pool != pool or assignment.kind is VmKind.ENTRY:
+            continue
+        kind = assignment.kind.value
+        members[vm] = PoolMember(vm, record.zone, assignment.rack, kind)
+        if assignment.state is not AssignmentState.SERVING:
+            down[vm] = f"{assignment.state.value}: {assignment.reason}"
+        elif vm in failing:
+            down[vm] = failing[vm]
+    return ZoneReport(record.zone, fence, now_s, members, down)
+
+
+def _is_current(before: ZoneReport, report: ZoneReport) -> bool:
+    """Return whether a report says what the last one said, not too long ago."""
+    if report.as_of_s - before.as_of_s >= REPORT_REFRESH_S:
+        return False
+    same_down = before.down.keys() == report.down.keys()
+    return (
+        same_down and before.members == report.members and before.fence == report.fence
+    )
--- /dev/null
+++ b/src/jayshunt/maintenance/runner.py
@@ -0,0 +1,289 @@
+"""Run planned stops in one zone: permits, drain, reboot, probation."""
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Protocol
+
+from jayshunt.clock import Clock
+from jayshunt.config.models import ConfigDocument
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import Epoch, PoolName, VmId, ZoneName
+from jayshunt.maintenance import waves
+from jayshunt.maintenance.const import DEFAULT_VM_S, RETURN_LIMIT_S
+from jayshunt.maintenance.models import (
+    Permit,
+    PermitDenied,
+    WaveProgress,
+    WaveState,
+    WaveStatus,
+)
+from jayshunt.maintenance.permits import PermitLedger
+from jayshunt.maintenance.reporting import ZoneReporter
+from jayshunt.maintenance.returns import Returns
+from jayshunt.pools import transitions
+from jayshunt.pools.models import Assignment, AssignmentRecord, AssignmentState
+
+_LOGGER = logging.getLogger(__name__)
+
+LEARNING_RATE = 0.2
+
+
+class RecordWriter(Protocol):
+    """Change the zone's record; the zone controller provides it."""
+
+    @property
+    def fencing_epoch(self) -> Epoch | None:
+        """Return the controller's fencing epoch, or None."""
+
+    def write(
+        self, transition: Callable[[AssignmentRecord], AssignmentRecord]
+    ) -> AssignmentRecord:
+        """Apply a transition and return the record in force."""
+
+
+class MaintenanceRunner:
+    """Step every planned stop; a duty of the zone controller."""
+
+    def __init__(
+        self,
+        zone: ZoneName,
+        writer: RecordWriter,
+        ledger: PermitLedger,
+        reporter: ZoneReporter,
+        read_config: Callable[[], ConfigDocument],
+        call_vm: Callable[[VmId, str], None],
+        check_health: Callable[[Iterable[Assignment]], dict[VmId, bool]],
+        clock: Clock,
+    ) -> None:
+        """Wire the parts."""
+        self._zone = zone
+        self._writer = writer
+        self._ledger = ledger
+        self._reporter = reporter
+        self._read_config = read_config
+        self._call_vm = call_vm
+        self._check_health = check_health
+        self._clock = clock
+        self._returns = Returns(clock)
+        self._vm_s = DEFAULT_VM_S
+        self.statuses: tuple[WaveStatus, ...] = ()
+        self.denied: dict[VmId, PermitDenied] = {}
+
+    def step(self, record: AssignmentRecord) -> None:
+        """Advance every VM that is down, then take down what permits allow.
+
+        Reboots and probations that are under way go on while the store is down;
+        what needs a write is tried again at the next step.
+        """
+        fence = self._writer.fencing_epoch
+        if fence is None:
+            return
+        self._reboot(record)
+        passed = self._passed(record)
+        self._reporter.step(record, fence)
+        record = self._advance(record, passed, fence)
+        self._begin(record)
+
+    def _reboot(self, record: AssignmentRecord) -> None:
+        down = _in_state(record, AssignmentState.MAINTENANCE)
+        self._returns.keep({a.vm for a in down})
+        for assignment in down:
+            if not self._returns.needs_reboot(assignment.vm, assignment.epoch):
+                continue
+            if not assignment.wave and not assignment.next_pool:
+                self._returns.skip_reboot(assignment.vm, assignment.epoch)
+                continue
+            try:
+                self._call_vm(assignment.vm, "reboot")
+            except JayshuntError as error:
+                _LOGGER.warning("maintenance: reboot is tried again: %s", error)
+                continue
+            self._returns.rebooted(assignment.vm, assignment.epoch)
+            _LOGGER.info("maintenance: %s reboots", assignment.vm)
+
+    def _passed(self, record: AssignmentRecord) -> list[Assignment]:
+        down = _in_state(record, AssignmentState.MAINTENANCE)
+        healthy = self._check_health(down)
+        return [a for a in down if self._returns.checked(a.vm, a.epoch, healthy[a.vm])]
+
+    def _advance(
+        self, record: AssignmentRecord, passed: list[Assignment], fence: Epoch
+    ) -> AssignmentRecord:
+        now_s = self._clock.now_s()
+        drained = [
+            a.vm
+            for a in _in_state(record, AssignmentState.DRAINED)
+            if a.wave or a.next_pool
+        ]
+        late = [
+            a
+            for a in _in_state(record, AssignmentState.MAINTENANCE)
+            if a.wave and a not in passed and now_s - a.changed_s > RETURN_LIMIT_S
+        ]
+        late = [a for a in late if a.vm not in _progress(record, a.wave).failed]
+        if not drained and not passed and not late:
+            return record
+
+        def advance(newest: AssignmentRecord) -> AssignmentRecord:
+            for vm in drained:
+                newest = transitions.begin_maintenance(newest, vm, now_s)
+            for item in passed:
+                newest = _returned(newest, item, now_s)
+            for item in late:
+                progress = _progress(newest, item.wave)
+                progress = waves.note_failure(progress, item.vm, now_s)
+                newest = _with_progress(newest, item.wave, progress)
+            return newest
+
+        record = self._writer.write(advance)
+        for item in passed:
+            _LOGGER.info("maintenance: %s passed its probation", item.vm)
+            self._vm_s += LEARNING_RATE * (now_s - item.changed_s - self._vm_s)
+        for pool in {item.pool for item in passed}:
+            returned = {item.vm for item in passed if item.pool == pool}
+            self._ledger.release(pool, returned, fence)
+        return record
+
+    def _begin(self, record: AssignmentRecord) -> None:
+        """Ask for permits and let the VMs leave; report each wave."""
+        now_s, statuses, granted = self._clock.now_s(), [], []
+        config = self._read_config()
+        due = [
+            waves.current_wave(name, stop, now_s)
+            for name, stop in config.planned_stops.items()
+        ]
+        self.denied = {}
+        blocked: set[PoolName] = set()
+        for wave in sorted(due, key=lambda w: (w.finish_by_s or float("inf"), w.name)):
+            taken = [a.vm for a, _, _ in granted]
+            todo = [
+                a
+                for a in waves.candidates(wave, self._zone, record.assignments.values())
+                if a.vm not in taken
+            ]
+            permits, reason = self._ask(wave, todo, record, blocked)
+            granted += permits
+            statuses.append(self._status(wave, todo, permits, record, reason, config))
+        self.statuses = tuple(statuses)
+        names = {wave.name for wave in due}
+        if granted or not names.issuperset(record.waves):
+            self._writer.write(lambda r: _left(_pruned(r, names), granted, now_s))
+
+    def _ask(
+        self,
+        wave: waves.Wave,
+        todo: list[Assignment],
+        record: AssignmentRecord,
+        blocked: set[PoolName],
+    ) -> tuple[list[tuple[Assignment, Permit, str]], str]:
+        """Return the VMs with permits, and why no further one was granted."""
+        progress = _progress(record, wave.name)
+        down = waves.under_way(wave, record.assignments.values())
+        places = waves.free_places(progress, len(down), self._clock.now_s())
+        granted, reason = [], ""
+        if todo and not places:
+            reason = progress.reason or f"waits for {_names(down)}"
+        for assignment in todo:
+            if len(granted) >= places:
+                break
+            if assignment.pool in blocked:
+                continue
+            cause = wave.stop.reason or f"planned stop {wave.name}"
+            answer = self._ledger.request(
+                assignment.pool, self._zone, assignment.vm, cause
+            )
+            if isinstance(answer, PermitDenied):
+                blocked.add(assignment.pool)
+                self.denied[assignment.vm] = answer
+                reason = f"{answer.code}: {answer.reason}"
+                continue
+            granted.append((assignment, answer, wave.name))
+        return granted, reason
+
+    def _status(
+        self,
+        wave: waves.Wave,
+        todo: list[Assignment],
+        permits: list,
+        record: AssignmentRecord,
+        reason: str,
+        config: ConfigDocument,
+    ) -> WaveStatus:
+        now_s = self._clock.now_s()
+        progress = _progress(record, wave.name)
+        down = len(waves.under_way(wave, record.assignments.values())) + len(permits)
+        remaining = len(todo) - len(permits)
+        done = sum(wave.name in a.done_waves for a in record.assignments.values())
+        status = WaveStatus(
+            wave=wave.name,
+            state=waves.state_of(progress, remaining, down, now_s, reason),
+            remaining=remaining,
+            down=down,
+            done=done,
+            width=progress.width,
+            reason=reason or progress.reason,
+        )
+        if status.state is WaveState.DONE:
+            return status
+        pools = {a.pool for a in todo}
+        allowed = waves.allowed_at_once(pools, self._reporter.budgets, config)
+        return waves.forecast(status, wave.finish_by_s, allowed, self._vm_s, now_s)
+
+
+def _in_state(record: AssignmentRecord, state: AssignmentState) -> list[Assignment]:
+    return [a for a in record.assignments.values() if a.state is state]
+
+
+def _names(assignments: list[Assignment]) -> str:
+    return ", ".join(a.vm for a in assignments[:3])
+
+
+def _progress(record: AssignmentRecord, wave: str) -> WaveProgress:
+    return record.waves.get(wave, WaveProgress())
+
+
+def _with_progress(
+    record: AssignmentRecord, wave: str, progress: WaveProgress
+) -> AssignmentRecord:
+    epoch = Epoch(record.epoch + 1)
+    return replace(record, epoch=epoch, waves={**record.waves, wave: progress})
+
+
+def _returned(
+    record: AssignmentRecord, item: Assignment, now_s: float
+) -> AssignmentRecord:
+    reason = f"back from {item.reason}"
+    changed = transitions.return_to_service(record, item.vm, item.epoch, now_s, reason)
+    if changed is record or not item.wave:
+        return changed
+    progress = waves.note_success(_progress(record, item.wave), item.vm)
+    return _with_progress(changed, item.wave, progress)
+
+
+def _left(
+    record: AssignmentRecord,
+    granted: list[tuple[Assignment, Permit, str]],
+    now_s: float,
+) -> AssignmentRecord:
+    for assignment, permit, wave in granted:
+        held = record.assignments.get(assignment.vm)
+        # The permit counts for one pool, so a VM that moved since is not taken.
+        if held is not None and held.pool == permit.pool:
+            record = transitions.begin_leaving(
+                record, assignment.vm, now_s, permit.reason, wave=wave
+            )
+    return record
+
+
+def _pruned(record: AssignmentRecord, names: set[str]) -> AssignmentRecord:
+    """Drop the progress of waves that are no longer declared."""
+    kept = {name: wave for name, wave in record.waves.items() if name in names}
+    if len(kept) == len(record.waves):
+        return record
+    assignments = {
+        vm: replace(a, done_waves=tuple(w for w in a.done_waves if w in names))
+        for vm, a in record.assignments.items()
+    }
+    epoch = Epoch(record.epoch + 1)
+    return replace(record, epoch=epoch, waves=kept, assignments=assignments)
--- /dev/null
+++ b/src/jayshunt/maintenance/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the maintenance slice."""
--- a/src/jayshunt/pools/controller.py
+++ b/src/jayshunt/pools/controller.py
@@ -1,6 +1,5 @@
 """Hold a zone's controller lease and keep its assignment record."""
 
-import json
 import logging
 import threading
 from collections.abc import Callable
@@ -8,25 +7,39 @@
 
 from jayshunt.clock import Clock
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import EntryId, Epoch, LeaseId, ZoneName
+from jayshunt.ids import EntryId, Epoch, VmId, ZoneName
 from jayshunt.inventory.models import VmList
-from jayshunt.pools.const import (
-    CONTROL_INTERVAL_S,
-    CONTROLLER_LEASE_S,
-    assignments_key,
-    controller_key,
+from jayshunt.pools.const import CONTROL_INTERVAL_S, PUSH_INTERVAL_S, assignments_key
+from jayshunt.pools.drain import GoneEntries, drained, leaving
+from jayshunt.pools.errors import Fenced, NotController
+from jayshunt.pools.lease import ControllerLease
+from jayshunt.pools.models import (
+    Acknowledgement,
+    AssignmentRecord,
+    EntryRegistration,
 )
-from jayshunt.pools.models import Assignment, AssignmentRecord, AssignmentState
 from jayshunt.pools.record import read_record, record_content
-from jayshunt.store.client import ABSENT, StoreClient
+from jayshunt.pools.registry import EntryRegistry
+from jayshunt.pools.transitions import follow_list, mark_drained
+from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import Content, DocumentStore
 from jayshunt.store.errors import RevisionConflict
 
 _LOGGER = logging.getLogger(__name__)
 
+Push = Callable[
+    [EntryRegistration, list[EntryRegistration], AssignmentRecord],
+    dict[EntryId, Acknowledgement],
+]
+Transition = Callable[[AssignmentRecord], AssignmentRecord]
+
 
 class ZoneController:
-    """Run the duties of a zone while this entry holds the zone's lease."""
+    """Run the duties of a zone while this entry holds the zone's lease.
+
+    Every entry runs one: it registers the entry, follows the zone's record and
+    stands by for the lease. All changes of the record go through `write`.
+    """
 
     def __init__(
         self,
@@ -36,18 +49,35 @@
         documents: DocumentStore,
         list_vms: Callable[[], VmList],
         clock: Clock,
+        registry: EntryRegistry,
+        push: Push,
+        list_peers: Callable[[], list[EntryRegistration]] = list,
     ) -> None:
-        """Start without the lease and with an empty record."""
+        """Start without the lease and with an empty record.
+
+        `list_peers` returns the zone's other live entries that may not be
+        registered; they get the record, but no move waits for them.
+        """
         self._zone = zone
         self._entry = entry
-        self._store = store
         self._documents = documents
         self._list_vms = list_vms
         self._clock = clock
-        self._lease: LeaseId | None = None
+        self._registry = registry
+        self._push = push
+        self._list_peers = list_peers
+        self._lease = ControllerLease(zone, entry, store, clock)
+        self._fence: Epoch | None = None
+        self._lock = threading.Lock()
         self._record = AssignmentRecord(zone)
+        self._may_broker = False
+        self._pushed = (Epoch(0), 0.0)
+        self._absent_since_s: dict[VmId, float] = {}
+        self._gone = GoneEntries()
+        self.waiting: dict[VmId, str] = {}
         self._listeners: list[Callable[[AssignmentRecord], None]] = []
         self._duties: list[Callable[[AssignmentRecord], None]] = []
+        self._holds: list[Callable[[VmId], int]] = []
 
     @property
     def record(self) -> AssignmentRecord:
@@ -56,8 +86,22 @@
 
     @property
     def holds_lease(self) -> bool:
-        """Return whether this entry was controller at its last step."""
-        return self._lease is not None
+        """Return whether this entry is controller at this moment."""
+        return self._fence is not None and self._lease.is_held
+
+    @property
+    def fencing_epoch(self) -> Epoch | None:
+        """Return the fencing epoch of this controller, or None if it is none.
+
+        A write on behalf of the controller must check that the record's `fence`
+        is not higher, because this process may have paused past its lease.
+        """
+        return self._fence if self.holds_lease else None
+
+    @property
+    def may_broker(self) -> bool:
+        """Return whether the record was read after this entry registered."""
+        return self._may_broker and self._registry.is_registered
 
     def add_listener(self, listener: Callable[[AssignmentRecord], None]) -> None:
         """Call a listener with each newer record."""
@@ -67,6 +111,10 @@
         """Run a duty at each step in which this entry is controller."""
         self._duties.append(duty)
 
+    def add_hold(self, hold: Callable[[VmId], int]) -> None:
+        """Let a VM drain only when a function counts no more work on it."""
+        self._holds.append(hold)
+
     def run(self, stop: threading.Event) -> None:
         """Step until stopped, then end the lease."""
         while not stop.is_set():
@@ -75,71 +123,135 @@
             except JayshuntError as error:
                 _LOGGER.warning("pools: controller step failed: %s", error)
             self._clock.wait(stop, CONTROL_INTERVAL_S)
-        if self._lease is not None:
-            self._store.end_lease(self._lease)
+        self._fence = None
+        self._lease.release()
 
     def step(self) -> None:
-        """Keep the lease, add new VMs to the record and run the duties."""
-        if self._hold_lease():
-            self._documents.update(assignments_key(self._zone), self._add_new_vms)
-        document = self._documents.read(assignments_key(self._zone))
-        self.apply(read_record(self._zone, document.content))
-        if self._lease is None:
+        """Register, keep the lease, advance moves and run the duties."""
+        try:
+            self._registry.register()
+            self._control()
+            self._may_broker = self._registry.is_registered
+        finally:
+            self._spread()
+        if not self.holds_lease:
             return
         for duty in self._duties:
             duty(self._record)
 
-    def apply(self, record: AssignmentRecord) -> None:
-        """Take a record if its epoch is higher."""
-        if record.epoch <= self._record.epoch:
-            return
-        self._record = record
+    def write(self, transition: Transition) -> AssignmentRecord:
+        """Change the record under this controller's fencing epoch.
+
+        `transition` is pure and may run several times; it returns its argument
+        to leave the record as it is. Raise Fenced if a newer controller exists,
+        NotController if the lease is not held.
+        """
+        fence = self.fencing_epoch
+        if fence is None:
+            raise NotController(self._zone)
+
+        def change(content: Content | None) -> Content | None:
+            record = read_record(self._zone, content)
+            if record.fence != fence:
+                raise Fenced(self._zone, fence, record.fence)
+            changed = transition(record)
+            if changed is record:
+                return None
+            # Fields that this version does not know, and write ids, are kept.
+            return {**(content or {}), **record_content(changed)}
+
+        try:
+            document = self._documents.update(assignments_key(self._zone), change)
+        except Fenced:
+            self._fence = None
+            self._lease.abandon()
+            raise
+        self.apply(read_record(self._zone, document.content))
+        return self._record
+
+    def apply(self, record: AssignmentRecord) -> AssignmentRecord:
+        """Take a record if its epoch is higher; return the one in force."""
+        with self._lock:
+            if record.epoch <= self._record.epoch:
+                return self._record
+            self._record = record
         for listener in self._listeners:
             listener(record)
+        return self._record
 
-    def _hold_lease(self) -> bool:
-        if self._lease is not None:
-            if self._store.keep_lease(self._lease):
-                return True
-            _LOGGER.warning("pools: the controller lease of %s ended", self._zone)
-            self._lease = None
-        key = controller_key(self._zone)
-        if self._store.get(key) is not None:
-            return False
-        lease = self._store.grant_lease(CONTROLLER_LEASE_S)
-        holder = json.dumps({"entry": self._entry})
-        try:
-            self._store.put(key, holder, ABSENT, lease)
-        except RevisionConflict:
-            return False
-        self._lease = lease
-        _LOGGER.info("pools: %s controls zone %s", self._entry, self._zone)
-        return True
-
-    def _add_new_vms(self, content: Content | None) -> Content | None:
-        record = read_record(self._zone, content)
-        new = [
-            vm
-            for vm in self._list_vms().vms.values()
-            if vm.zone == self._zone
-            and vm.vm not in record.assignments
-            and vm.initial_pool
-        ]
-        if not new:
-            return None
-        epoch = Epoch(record.epoch + 1)
-        added = {
-            vm.vm: Assignment(
-                vm=vm.vm,
-                pool=vm.initial_pool,
-                state=AssignmentState.SERVING,
-                epoch=epoch,
-                address=vm.address,
-                rack=vm.rack,
-                kind=vm.kind,
-                reason="listed by the platform",
-            )
-            for vm in new
+    def _control(self) -> None:
+        if not self._lease.hold():
+            self._fence = None
+            document = self._documents.read(assignments_key(self._zone))
+            self.apply(read_record(self._zone, document.content))
+            return
+        if self._fence is None:
+            self._raise_fence()
+        listed, now_s = self._list_vms(), self._clock.now_s()
+        self._absent_since_s = {
+            vm: self._absent_since_s.get(vm, now_s)
+            for vm in self._record.assignments
+            if vm not in listed.vms
         }
-        assignments = {**record.assignments, **added}
-        return record_content(replace(record, epoch=epoch, assignments=assignments))
+        self.write(lambda r: follow_list(r, listed, self._absent_since_s, now_s))
+        self._advance(listed, now_s)
+
+    def _raise_fence(self) -> None:
+        raised = Epoch(0)
+
+        def change(content: Content | None) -> Content:
+            nonlocal raised
+            record = read_record(self._zone, content)
+            raised = Epoch(record.fence + 1)
+            changed = replace(record, fence=raised, epoch=Epoch(record.epoch + 1))
+            return {**(content or {}), **record_content(changed)}
+
+        document = self._documents.update(assignments_key(self._zone), change)
+        self._fence = raised
+        self.apply(read_record(self._zone, document.content))
+        _LOGGER.info(
+            "pools: %s controls zone %s with fencing epoch %s",
+            self._entry,
+            self._zone,
+            raised,
+        )
+
+    def _advance(self, listed: VmList, now_s: float) -> None:
+        """Drain VMs whose leaving every registered entry acknowledged.
+
+        The registrations are read after LEAVING was written, so that an entry
+        either is waited for or reads LEAVING when it starts as broker.
+        """
+        if not leaving(self._record):
+            self.waiting = {}
+            return
+        registered = self._registry.registered()
+        entries = [registration for registration, _ in registered]
+        acknowledged = self._push(self._registry.own, entries, self._record)
+        self._pushed = (self._record.epoch, now_s)
+        done, self.waiting = drained(
+            self._record, registered, acknowledged, self._holds
+        )
+        if done:
+            self.write(lambda r: mark_drained(r, done, self._clock.now_s()))
+        for entry, revision in self._gone.find(
+            registered, acknowledged, listed, self._clock.monotonic_s()
+        ):
+            try:
+                self._registry.remove(entry, revision)
+            except RevisionConflict:
+                _LOGGER.info("pools: %s registered again", entry)
+
+    def _spread(self) -> None:
+        """Send a changed record to the zone's entries at once, else at times.
+
+        This goes on while the store is down, also by the last holder of the
+        lease, so that an entry that starts then gets the record.
+        """
+        epoch, pushed_s = self._pushed
+        now_s = self._clock.now_s()
+        is_due = now_s - pushed_s >= PUSH_INTERVAL_S or epoch < self._record.epoch
+        if self._fence is None or not is_due or not self._record.epoch:
+            return
+        self._push(self._registry.own, self._list_peers(), self._record)
+        self._pushed = (self._record.epoch, now_s)
--- /dev/null
+++ b/src/jayshunt/pools/drain.py
@@ -0,0 +1,107 @@
+"""Decide which leaving VMs are drained and which entries are gone."""
+
+from collections.abc import Callable, Iterable
+
+from jayshunt.ids import EntryId, Epoch, Revision, VmId
+from jayshunt.inventory.models import VmList
+from jayshunt.pools.const import QUIET_PERIOD_S
+from jayshunt.pools.models import (
+    Acknowledgement,
+    AssignmentRecord,
+    AssignmentState,
+    EntryRegistration,
+    VmKind,
+)
+
+Registered = list[tuple[EntryRegistration, Revision]]
+
+
+def leaving(record: AssignmentRecord) -> list[VmId]:
+    """Return the VMs that wait for acknowledgements."""
+    return [
+        vm
+        for vm, assignment in record.assignments.items()
+        if assignment.state is AssignmentState.LEAVING
+    ]
+
+
+def waits_for(
+    vm: VmId,
+    epoch: Epoch,
+    registered: Registered,
+    acknowledged: dict[EntryId, Acknowledgement],
+) -> str:
+    """Return why a VM that began to leave at an epoch is not drained, or ""."""
+    for registration, _ in registered:
+        done = acknowledged.get(registration.entry)
+        if done is None or done.incarnation != registration.incarnation:
+            return f"{registration.entry} did not acknowledge"
+        if done.epoch < epoch:
+            return f"{registration.entry} is at epoch {done.epoch}"
+        if done.in_flight.get(vm):
+            return f"{registration.entry} has {done.in_flight[vm]} requests in flight"
+    return ""
+
+
+def drained(
+    record: AssignmentRecord,
+    registered: Registered,
+    acknowledged: dict[EntryId, Acknowledgement],
+    holds: Iterable[Callable[[VmId], int]],
+) -> tuple[list[tuple[VmId, Epoch]], dict[VmId, str]]:
+    """Return the drained VMs with their epochs, and why the others wait.
+
+    Without any registered entry nothing is drained, because the controller
+    itself must be registered.
+    """
+    done, waiting = [], {}
+    for vm in leaving(record):
+        epoch = record.assignments[vm].epoch
+        reason = waits_for(vm, epoch, registered, acknowledged)
+        busy = sum(hold(vm) for hold in holds)
+        if not registered:
+            reason = "no entry is registered"
+        elif busy and not reason:
+            reason = f"{busy} jobs run on it"
+        if reason:
+            waiting[vm] = reason
+        else:
+            done.append((vm, epoch))
+    return done, waiting
+
+
+class GoneEntries:
+    """Find registered entries whose VM is gone.
+
+    An entry is gone when a list newer than its registration names other entry
+    VMs but not its own, and it neither answered nor was listed for
+    QUIET_PERIOD_S.
+    """
+
+    def __init__(self) -> None:
+        """Start without any observation."""
+        self._quiet_since_s: dict[EntryId, float] = {}
+
+    def find(
+        self,
+        registered: Registered,
+        acknowledged: dict[EntryId, Acknowledgement],
+        listed: VmList,
+        now_s: float,
+    ) -> list[tuple[EntryId, Revision]]:
+        """Return the entries to remove."""
+        names_entries = any(vm.kind is VmKind.ENTRY for vm in listed.vms.values())
+        quiet, gone = {}, []
+        for registration, revision in registered:
+            entry = registration.entry
+            done = acknowledged.get(entry)
+            answered = done and done.incarnation == registration.incarnation
+            is_listed = VmId(entry) in listed.vms
+            too_old = listed.as_of_s <= registration.registered_s
+            if answered or is_listed or too_old or not names_entries:
+                continue
+            quiet[entry] = self._quiet_since_s.get(entry, now_s)
+            if now_s - quiet[entry] >= QUIET_PERIOD_S:
+                gone.append((entry, revision))
+        self._quiet_since_s = quiet
+        return gone
--- /dev/null
+++ b/src/jayshunt/pools/lease.py
@@ -0,0 +1,93 @@
+"""Hold the lease that makes an entry the controller of its zone."""
+
+import json
+import logging
+
+from jayshunt.clock import Clock
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import EntryId, LeaseId, ZoneName
+from jayshunt.pools.const import CONTROLLER_LEASE_S, controller_key
+from jayshunt.store.client import ABSENT, StoreClient
+from jayshunt.store.errors import RevisionConflict, StoreOutcomeUnknown
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ControllerLease:
+    """Take and keep the lease; it counts as held only within its own time.
+
+    The time runs from before the call that prolonged the lease, so it ends here
+    before it ends in the store. A process that pauses can still act after the
+    end, which the fencing epoch of the record prevents.
+    """
+
+    def __init__(
+        self, zone: ZoneName, entry: EntryId, store: StoreClient, clock: Clock
+    ) -> None:
+        """Start without the lease."""
+        self._zone = zone
+        self._entry = entry
+        self._store = store
+        self._clock = clock
+        self._lease: LeaseId | None = None
+        self._pending: LeaseId | None = None
+        self._ends_s = 0.0
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether the lease is held and has not run out."""
+        return self._lease is not None and self._clock.monotonic_s() < self._ends_s
+
+    def hold(self) -> bool:
+        """Keep the lease, or take it if it is free; return whether it is held."""
+        if self._lease is not None and self._keep():
+            return True
+        return self._take()
+
+    def abandon(self) -> None:
+        """Stop counting the lease as held."""
+        self._lease = None
+
+    def release(self) -> None:
+        """End the lease, so that another entry may take it at once."""
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            self._store.end_lease(lease)
+        except JayshuntError as error:
+            _LOGGER.warning("pools: the lease ends by itself: %s", error)
+
+    def _keep(self) -> bool:
+        asked_s = self._clock.monotonic_s()
+        if self._store.keep_lease(self._lease):
+            self._ends_s = asked_s + CONTROLLER_LEASE_S
+            return True
+        _LOGGER.warning("pools: the controller lease of %s ended", self._zone)
+        self._lease = None
+        return False
+
+    def _take(self) -> bool:
+        key = controller_key(self._zone)
+        stored = self._store.get(key)
+        if stored is not None:
+            return self._adopt(json.loads(stored.value).get("lease"))
+        asked_s = self._clock.monotonic_s()
+        lease = self._store.grant_lease(CONTROLLER_LEASE_S)
+        holder = json.dumps({"entry": self._entry, "lease": lease})
+        try:
+            self._store.put(key, holder, ABSENT, lease)
+        except RevisionConflict:
+            return False
+        except StoreOutcomeUnknown:
+            self._pending = lease
+            raise
+        self._lease, self._ends_s = lease, asked_s + CONTROLLER_LEASE_S
+        return self.is_held
+
+    def _adopt(self, holder: LeaseId | None) -> bool:
+        """Take over the lease whose answer was lost if the store names it."""
+        if holder is None or holder != self._pending:
+            return False
+        self._lease, self._pending = self._pending, None
+        return self._keep()
--- /dev/null
+++ b/src/jayshunt/pools/mover.py
@@ -0,0 +1,67 @@
+"""Begin moves of VMs between pools under permits."""
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from jayshunt.clock import Clock
+from jayshunt.ids import PoolName, VmId, ZoneName
+from jayshunt.maintenance.models import Permit, PermitDenied
+from jayshunt.pools import transitions
+from jayshunt.pools.models import AssignmentRecord
+
+_LOGGER = logging.getLogger(__name__)
+
+RequestPermit = Callable[[PoolName, ZoneName, VmId, str], Permit | PermitDenied]
+
+
+class RecordWriter(Protocol):
+    """Change the zone's record; the zone controller provides it."""
+
+    def write(
+        self, transition: Callable[[AssignmentRecord], AssignmentRecord]
+    ) -> AssignmentRecord:
+        """Apply a transition and return the record in force."""
+
+
+class Mover:
+    """Ask the old pool's budget, then let the VM leave for its next pool."""
+
+    def __init__(
+        self,
+        zone: ZoneName,
+        writer: RecordWriter,
+        request_permit: RequestPermit,
+        clock: Clock,
+    ) -> None:
+        """Wire the parts."""
+        self._zone = zone
+        self._writer = writer
+        self._request_permit = request_permit
+        self._clock = clock
+        self.denied: dict[VmId, PermitDenied] = {}
+
+    def move(
+        self, record: AssignmentRecord, vm: VmId, pool: PoolName, reason: str
+    ) -> bool:
+        """Begin one move; return whether the VM leaves."""
+        held = record.assignments.get(vm)
+        if held is None or held.pool == pool:
+            return False
+        answer = self._request_permit(held.pool, self._zone, vm, f"move: {reason}")
+        if isinstance(answer, PermitDenied):
+            self.denied[vm] = answer
+            _LOGGER.info("pools: no move of %s to %s: %s", vm, pool, answer.reason)
+            return False
+        self.denied.pop(vm, None)
+        now_s = self._clock.now_s()
+
+        def leave(newest: AssignmentRecord) -> AssignmentRecord:
+            assignment = newest.assignments.get(vm)
+            if assignment is None or assignment.pool != answer.pool:
+                return newest
+            return transitions.begin_leaving(newest, vm, now_s, reason, pool)
+
+        newest = self._writer.write(leave).assignments.get(vm)
+        _LOGGER.info("pools: %s moves from %s to %s: %s", vm, held.pool, pool, reason)
+        return newest is not None and newest.next_pool == pool
--- a/src/jayshunt/pools/record.py
+++ b/src/jayshunt/pools/record.py
@@ -1,6 +1,13 @@
 """Convert assignment records to and from their stored form."""
 
+import json
+import zlib
+from dataclasses import asdict
+
+from jayshunt.errors import JayshuntError
 from jayshunt.ids import Epoch, PoolName, RackName, VmId, ZoneName
+from jayshunt.maintenance.models import WaveProgress
+from jayshunt.pools.const import MAX_RECORD_BYTES
 from jayshunt.pools.models import (
     Assignment,
     AssignmentRecord,
@@ -15,6 +22,8 @@
     return {
         "zone": record.zone,
         "epoch": record.epoch,
+        "fence": record.fence,
+        "waves": {name: asdict(wave) for name, wave in record.waves.items()},
         "assignments": {
             vm: {
                 "pool": a.pool,
@@ -25,6 +34,9 @@
                 "kind": a.kind.value,
                 "next_pool": a.next_pool,
                 "reason": a.reason,
+                "changed_s": a.changed_s,
+                "wave": a.wave,
+                "done_waves": list(a.done_waves),
             }
             for vm, a in record.assignments.items()
         },
@@ -32,13 +44,21 @@
 
 
 def read_record(zone: ZoneName, content: Content | None) -> AssignmentRecord:
-    """Return the record of a stored form; an empty one if there is none."""
+    """Return the record of a stored form; an empty one if there is none.
+
+    Fields that an older version of the program did not write get their default.
+    """
     if content is None:
         return AssignmentRecord(zone)
     return AssignmentRecord(
-        ZoneName(content["zone"]),
-        Epoch(content["epoch"]),
-        {
+        zone=ZoneName(content["zone"]),
+        epoch=Epoch(content["epoch"]),
+        fence=Epoch(content.get("fence", 0)),
+        waves={
+            name: WaveProgress(**{**wave, "failed": tuple(wave["failed"])})
+            for name, wave in content.get("waves", {}).items()
+        },
+        assignments={
             VmId(vm): Assignment(
                 vm=VmId(vm),
                 pool=PoolName(item["pool"]),
@@ -49,7 +69,29 @@
                 kind=VmKind(item["kind"]),
                 next_pool=PoolName(item["next_pool"]) if item["next_pool"] else None,
                 reason=item["reason"],
+                changed_s=item.get("changed_s", 0.0),
+                wave=item.get("wave", ""),
+                done_waves=tuple(item.get("done_waves", ())),
             )
             for vm, item in content["assignments"].items()
         },
     )
+
+
+def pack_record(record: AssignmentRecord) -> bytes:
+    """Return a record compressed for a message between entries."""
+    return zlib.compress(json.dumps(record_content(record)).encode())
+
+
+def unpack_record(zone: ZoneName, packed: bytes) -> AssignmentRecord:
+    """Return the record of a message; refuse one that is too large."""
+    expander = zlib.decompressobj()
+    try:
+        text = expander.decompress(packed, MAX_RECORD_BYTES)
+    except zlib.error as error:
+        raise JayshuntError(
+            "record_unreadable", step="pools.apply", detail=str(error)
+        ) from error
+    if expander.unconsumed_tail:
+        raise JayshuntError("record_too_large", step="pools.apply")
+    return read_record(zone, json.loads(text))
--- /dev/null
+++ b/src/jayshunt/pools/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the pools slice."""
--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -66,7 +66,15 @@
         self.token_file.write_text(TOKEN)
         self.store = StoreStandIn()
         self.inventory = InventoryStandIn(
-            [self._start_vm(plan) for plan in self.vms], self.lag_s
+            [
+                *(self._start_vm(plan) for plan in self.vms),
+                *(
+                    _listed_entry(f"{zone}-{number}", zone)
+                    for zone, count in self.entries_per_zone.items()
+                    for number in range(count)
+                ),
+            ],
+            self.lag_s,
         )
         self.store.start()
         self.inventory.start()
@@ -187,6 +195,10 @@
         return EntryHandle(name, zone, callers, operators, settings)
 
 
+def _listed_entry(name: str, zone: str) -> ListedVm:
+    return ListedVm(id=name, address="", zone=zone, rack="", kind="entry")
+
+
 def free_ports(count: int) -> list[int]:
     """Return free loopback ports."""
     sockets = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
