Serve peers and know the other entries

Cause: other slices need the peers' server, channels and a membership view. Change: an entry starts the peers' server with mutual TLS, asks its seeds by Exchange and publishes a MembershipView to listeners. The testbed gives every entry the others' addresses as seeds and a certificate made at run time. EntryProcess exposes peer_server, channels and membership; a slice adds its servicer with peer_server.add before the start.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -10,13 +10,18 @@
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, ZoneName
+from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
 from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.membership.models import Member
+from jayshunt.membership.peer_service import MembershipServicer
+from jayshunt.membership.service import MembershipService
 from jayshunt.operations.application import OperatorApplication
 from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
 from jayshunt.routing.connections import UpstreamConnections
@@ -47,6 +52,12 @@
         self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
+        self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
+        self.channels = PeerChannels(settings.tls.peers)
+        self.membership = MembershipService(
+            self._own_member(), settings.seeds, self.channels, clock, rng
+        )
+        self.peer_server.add(MembershipServicer(self.membership).add_to)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
         self.controller = ZoneController(
@@ -74,7 +85,13 @@
 
     def start(self) -> None:
         """Start every part; callers are served last."""
-        for task in (self.inventory.run, self.config.run, self.controller.run):
+        self.peer_server.start()
+        for task in (
+            self.membership.run,
+            self.inventory.run,
+            self.config.run,
+            self.controller.run,
+        ):
             self._tasks.start(task)
         self.operators.start()
         self.callers.start()
@@ -92,6 +109,21 @@
         self.operators.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.peer_server.stop()
+        self.channels.stop()
+
+    def _own_member(self) -> Member:
+        identity = self._settings.identity
+        host, _ = split_address(self._settings.listen.peers)
+        return Member(
+            entry=self._entry,
+            zone=ZoneName(identity.zone),
+            region=RegionName(identity.region),
+            peer_address=f"{host}:{self.peer_server.port}",
+            # The wall time makes a restarted process newer than its predecessor.
+            incarnation=int(self._clock.now_s() * 1000),
+            program_version=__version__,
+        )
 
     def _caller_server(
         self, settings: EntrySettings, jobs: JobApplication
@@ -168,6 +200,10 @@
             "config_version": config.version,
             "store": self.store.health.state.value,
             "is_controller": self.controller.holds_lease,
+            "members": {
+                member.entry: member.state.value
+                for member in self.membership.view().members
+            },
             "classes": [
                 {**asdict(status), "is_met": status.is_met}
                 for status in self.statistics.status(config)
--- a/src/jayshunt/membership/models.py
+++ b/src/jayshunt/membership/models.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from jayshunt.ids import ConfigVersion, EntryId, ZoneName
+from jayshunt.ids import ConfigVersion, EntryId, RegionName, ZoneName
 
 
 class MemberState(Enum):
@@ -26,6 +26,7 @@
     state: MemberState = MemberState.ALIVE
     program_version: str = ""
     config_version: ConfigVersion = ConfigVersion(0)
+    region: RegionName = RegionName("")
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/jayshunt/membership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the membership slice."""
--- /dev/null
+++ b/src/jayshunt/membership/tests/test_table.py
@@ -0,0 +1,36 @@
+"""Test how news of members is merged."""
+
+import itertools
+import unittest
+
+from jayshunt.ids import EntryId
+from jayshunt.membership.models import MemberState
+from jayshunt.membership.table import MemberTable
+from jayshunt.membership.tests.builders import build_member
+
+
+class MemberTableTest(unittest.TestCase):
+    """Guard the order of news."""
+
+    def test_any_order_of_news_gives_the_same_members(self) -> None:
+        """Late news must not bring back a state that newer news replaced."""
+        news = [
+            build_member("b", incarnation=1),
+            build_member("b", incarnation=1, state=MemberState.SUSPECT),
+            build_member("b", incarnation=1, state=MemberState.LOST),
+            build_member("b", incarnation=2),
+        ]
+        for order in itertools.permutations(news):
+            table = MemberTable(build_member("a"))
+            table.merge([build_member("b", incarnation=0)])
+            for member in order:
+                table.merge([member])
+            self.assertEqual(table.find(EntryId("b")), news[-1])
+
+    def test_member_refutes_its_own_loss(self) -> None:
+        """A live member that others call lost must come back as newer."""
+        table = MemberTable(build_member("a", incarnation=3))
+        changed = table.merge(
+            [build_member("a", incarnation=3, state=MemberState.LOST)]
+        )
+        self.assertEqual(changed, [build_member("a", incarnation=4)])
--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -12,6 +12,7 @@
 from jayshunt import http_client
 from jayshunt.config.models import ConfigDocument
 from jayshunt.errors import JayshuntError
+from jayshunt_measure.certificates import Authority
 from jayshunt_standins.inventory import InventoryStandIn, ListedVm
 from jayshunt_standins.server import LOOPBACK
 from jayshunt_standins.store import StoreStandIn
@@ -43,6 +44,7 @@
     zone: str
     callers: str
     operators: str
+    peers: str
     settings_file: Path
     process: subprocess.Popen | None = None
 
@@ -70,9 +72,18 @@
         )
         self.store.start()
         self.inventory.start()
-        for zone, count in self.entries_per_zone.items():
-            for number in range(count):
-                self.entries.append(self._prepare_entry(f"{zone}-{number}", zone))
+        self.authority = Authority(Path(self._folder.name))
+        names = [
+            (f"{zone}-{number}", zone)
+            for zone, count in self.entries_per_zone.items()
+            for number in range(count)
+        ]
+        ports = free_ports(3 * len(names))
+        addresses = [f"{LOOPBACK}:{port}" for port in ports]
+        peers = addresses[2::3]
+        for number, (name, zone) in enumerate(names):
+            listen = addresses[3 * number : 3 * number + 3]
+            self.entries.append(self._prepare_entry(name, zone, listen, peers))
         for entry in self.entries:
             self.start_entry(entry)
         return self
@@ -163,10 +174,16 @@
             initial_pool=plan.pool,
         )
 
-    def _prepare_entry(self, name: str, zone: str) -> EntryHandle:
-        callers, operators, peers = (f"{LOOPBACK}:{p}" for p in free_ports(3))
+    def _prepare_entry(
+        self, name: str, zone: str, listen: list[str], all_peers: list[str]
+    ) -> EntryHandle:
+        callers, operators, peers = listen
+        seeds = [address for address in all_peers if address != peers]
+        keys = self.authority.issue(name)
         settings = Path(self._folder.name) / f"{name}.toml"
         settings.write_text(f"""
+seeds = {json.dumps(seeds)}
+
 [identity]
 entry = "{name}"
 zone = "{zone}"
@@ -183,8 +200,13 @@
 
 [operators]
 token_file = "{self.token_file}"
+
+[tls.peers]
+certificate_file = "{keys.certificate_file}"
+key_file = "{keys.key_file}"
+authority_file = "{keys.authority_file}"
 """)
-        return EntryHandle(name, zone, callers, operators, settings)
+        return EntryHandle(name, zone, callers, operators, peers, settings)
 
 
 def free_ports(count: int) -> list[int]:
