Give up a waiting watch when an entry stops

Change: http_client.request takes a stop event and checks it from curl's progress callback, which runs at least once a second; the configuration watch passes it.

--- a/src/jayshunt/config/coordinator.py
+++ b/src/jayshunt/config/coordinator.py
@@ -102,7 +102,7 @@
             try:
                 if revision is None:
                     revision = self.refresh()
-                revision, events = self._store.watch(CURRENT_KEY, revision)
+                revision, events = self._store.watch(CURRENT_KEY, revision, stop=stop)
                 for event in events:
                     if event.value is not None:
                         self.apply(read_snapshot(json.loads(event.value)))
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -42,12 +42,14 @@
     headers: dict[str, str] | None = None,
     timeout_s: float,
     step: str,
+    stop: threading.Event | None = None,
 ) -> HttpAnswer:
     """Send one request and return the whole answer.
 
     Raise JayshuntError with outcome NOT_RUN if no connection could be made, and
     UNKNOWN if the request may have reached the peer but no whole answer came
-    within `timeout_s` seconds.
+    within `timeout_s` seconds. A request that waits at the peer is given up
+    within a second after `stop` is set.
     """
     handle = _thread_handle()
     handle.reset()
@@ -62,6 +64,9 @@
     handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
     handle.setopt(pycurl.WRITEFUNCTION, sink.write)
     handle.setopt(pycurl.HEADERFUNCTION, lines.append)
+    if stop is not None:
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(stop.is_set()))
     sent = [f"{name}: {value}" for name, value in (headers or {}).items()]
     if body is not None:
         handle.setopt(pycurl.POSTFIELDS, body)
--- a/src/jayshunt/store/client.py
+++ b/src/jayshunt/store/client.py
@@ -117,16 +117,24 @@
             raise RevisionConflict(key, self._peer)
 
     def watch(
-        self, prefix: str, after: Revision, wait_s: float = WATCH_WAIT_S
+        self,
+        prefix: str,
+        after: Revision,
+        wait_s: float = WATCH_WAIT_S,
+        stop: threading.Event | None = None,
     ) -> tuple[Revision, tuple[WatchEvent, ...]]:
         """Wait for changes below a prefix after a revision.
 
         Return the revision to continue from and the changes, none if `wait_s`
-        seconds passed without one.
+        seconds passed without one. The wait is given up when `stop` is set.
         """
         query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
         answer = self._call(
-            "store.watch", "GET", f"/watch?{query}", timeout_s=wait_s + CALL_TIMEOUT_S
+            "store.watch",
+            "GET",
+            f"/watch?{query}",
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+            stop=stop,
         )
         document = json.loads(answer.body)
         events = tuple(
@@ -169,6 +177,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        stop: threading.Event | None = None,
     ) -> HttpAnswer:
         self._admit(step)
         writes = method != "GET"
@@ -182,6 +191,7 @@
                 headers=headers,
                 timeout_s=timeout_s,
                 step=step,
+                stop=stop,
             )
         except JayshuntError as error:
             self._failed(str(error))
