Detect lost members over heartbeats between ring monitors

Cause: the first membership knew members but never declared one lost. Change: each entry sends heartbeats with sequence numbers to three ring successors spread over zones. A silent member is probed through its other monitors, suspected at 1.6 s and lost at 2.4 s; members refute with a higher incarnation; old verdicts after a partition count only as suspicions. News goes to three random members and the next one on the ring. An entry that stops says LEAVING first and LOST last. Replaced key files are taken without a restart. Channels get stub(), renew() and a connection of their own (local subchannel pool), because two channels to one address otherwise share a silent connection.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -105,10 +105,12 @@
     def stop(self) -> None:
         """Serve what was accepted to its end, then stop every part."""
         _LOGGER.info("entry: stopping, requests in flight end first")
+        self.membership.leave()
         self.callers.stop()
         self.operators.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
 
--- a/src/jayshunt/membership/const.py
+++ b/src/jayshunt/membership/const.py
@@ -1,10 +1,57 @@
 """Name the periods and limits of membership."""
 
+HEARTBEAT_INTERVAL_S = 0.5
+MONITORS = 3
+# Monitors are chosen from this many successors on the ring, so that a member finds
+# whom it monitors without looking at the whole ring.
+RING_WINDOW = 12
+STEP_INTERVAL_S = 0.2
+
+# A pause of 1 s leaves at most 1.5 s between two heartbeats, which causes no
+# suspicion. A loss is declared at 2.4 s, so that one more step and the spreading
+# of the news fit in the 3 s goal.
+SUSPECT_AFTER_S = 1.6
+LOST_AFTER_S = 2.4
+# Probes start early enough for a first answer before the suspicion. Evidence from
+# another monitor is at most one heartbeat, one probe interval and the call old
+# (1.4 s), which is less than SUSPECT_AFTER_S.
+PROBE_AFTER_S = 1.2
+PROBE_INTERVAL_S = 0.8
+PROBE_TIMEOUT_S = 0.4
+# A member that got a new monitor first has to learn of it and to connect.
+NEW_MONITOR_GRACE_S = 2.0
+# A suspicion that nobody refuted ends as a loss, also at members that missed the
+# monitors' verdict: 1.6 s of silence, the spread of the suspicion and this time stay
+# within 3 s. A refutation takes two spreads of news, a few tenths of a second.
+SUSPECT_TIMEOUT_S = 1.2
+# Each member that still holds a suspicion tells the suspect itself once, in case
+# that the news missed it.
+SUSPECT_ASK_S = 0.5
+# A step that runs later than this shows that this process itself was paused.
+PAUSE_S = 0.5
+
 EXCHANGE_INTERVAL_S = 5.0
 # While a member knows nobody else it asks its seeds more often, so that a start
 # does not wait for a whole exchange interval.
 JOIN_INTERVAL_S = 0.25
+# Lost members are contacted again so that both sides of a healed partition meet.
+RECONTACT_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 1.0
-# News is forwarded to this many random members; the digest in each heartbeat
-# finds the few that it misses.
+# News is forwarded to this many random members and to the next one on the ring.
+# Random targets alone miss some members (e^-3 with three); each of those gets the
+# news from its predecessor.
 NEWS_FAN_OUT = 3
+# While news spreads, digests differ for a moment; only a lasting difference
+# starts an exchange.
+DIGEST_DIFFERENCES = 2
+
+# A lost member stays visible this long, then only its last incarnation is kept so
+# that old news does not bring it back.
+FORGET_AFTER_S = 600.0
+MAX_FORGOTTEN = 1024
+
+# The monitor answers every fourth heartbeat. The sender replaces a stream that got
+# no answer for this long; a silent connection does not end by itself.
+ANSWER_EVERY = 4
+STREAM_SILENT_S = 5.0
+STREAM_RETRY_S = 0.5
--- /dev/null
+++ b/src/jayshunt/membership/grpc_transport.py
@@ -0,0 +1,59 @@
+"""Send membership calls over gRPC."""
+
+import logging
+
+import grpc
+
+from jayshunt.ids import EntryId
+from jayshunt.membership.const import CALL_TIMEOUT_S, PROBE_TIMEOUT_S
+from jayshunt.membership.messages import Exchange
+from jayshunt.membership.transport import OnExchange, OnProbe
+from jayshunt.membership.wire import exchange_from_message, exchange_to_message
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class GrpcTransport:
+    """Send each call without waiting; a gRPC thread passes the reply on."""
+
+    def __init__(self, channels: PeerChannels) -> None:
+        """Send over the channels of this process."""
+        self._channels = channels
+
+    def exchange(self, address: str, message: Exchange, on_reply: OnExchange) -> None:
+        """Send an exchange and pass the reply on."""
+        stub = self._channels.stub(address, peer_pb2_grpc.MembershipStub)
+        call = stub.Exchange.future(
+            exchange_to_message(message), timeout=CALL_TIMEOUT_S
+        )
+
+        def done(ended: grpc.Future) -> None:
+            reply = _result(ended, "exchange", address)
+            on_reply(None if reply is None else exchange_from_message(reply))
+
+        call.add_done_callback(done)
+
+    def probe(self, address: str, entry: EntryId, on_reply: OnProbe) -> None:
+        """Ask a monitor for how many seconds it has not heard a member."""
+        stub = self._channels.stub(address, peer_pb2_grpc.MembershipStub)
+        request = peer_pb2.ProbeRequest(entry=entry)
+        call = stub.Probe.future(request, timeout=PROBE_TIMEOUT_S)
+
+        def done(ended: grpc.Future) -> None:
+            reply = _result(ended, "probe", address)
+            heard = reply is not None and reply.heard
+            on_reply(reply.silent_ms / 1000 if heard else None)
+
+        call.add_done_callback(done)
+
+
+def _result(ended: grpc.Future, step: str, address: str):
+    if ended.cancelled():
+        return None
+    error = ended.exception()
+    if error is None:
+        return ended.result()
+    _LOGGER.debug("membership: %s with %s failed: %s", step, address, error)
+    return None
--- a/src/jayshunt/membership/peer_service.py
+++ b/src/jayshunt/membership/peer_service.py
@@ -1,8 +1,17 @@
 """Answer membership calls of other entries."""
 
+from collections.abc import Iterator
+
 import grpc
 
+from jayshunt.ids import EntryId
 from jayshunt.membership.service import MembershipService
+from jayshunt.membership.wire import (
+    exchange_from_message,
+    exchange_to_message,
+    heartbeat_from_message,
+    heartbeat_to_message,
+)
 from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
 
 
@@ -17,6 +26,24 @@
         """Register with a server."""
         peer_pb2_grpc.add_MembershipServicer_to_server(self, server)
 
+    def Heartbeat(self, request_iterator: Iterator[peer_pb2.HeartbeatMessage], context):
+        """Take the heartbeats of one member."""
+        heartbeats = map(heartbeat_from_message, request_iterator)
+        try:
+            for answer in self._service.answer_heartbeats(heartbeats):
+                yield heartbeat_to_message(answer)
+        except grpc.RpcError:
+            # The sender ended its stream.
+            return
+
     def Exchange(self, request: peer_pb2.ExchangeMessage, context):
-        """Merge what a peer knows and return what this entry knows."""
-        return self._service.answer_exchange(request)
+        """Take a peer's news and return what it lacks."""
+        reply = self._service.answer_exchange(exchange_from_message(request))
+        return exchange_to_message(reply)
+
+    def Probe(self, request: peer_pb2.ProbeRequest, context):
+        """Say for how long a member was not heard."""
+        silence_s = self._service.node.answer_probe(EntryId(request.entry))
+        if silence_s is None:
+            return peer_pb2.ProbeReply(heard=False)
+        return peer_pb2.ProbeReply(heard=True, silent_ms=max(0, int(silence_s * 1000)))
--- a/src/jayshunt/membership/service.py
+++ b/src/jayshunt/membership/service.py
@@ -3,24 +3,25 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterable
-
-import grpc
+from collections.abc import Callable, Iterable, Iterator
 
 from jayshunt.clock import Clock
-from jayshunt.membership.const import (
-    CALL_TIMEOUT_S,
-    EXCHANGE_INTERVAL_S,
-    JOIN_INTERVAL_S,
-)
+from jayshunt.ids import ConfigVersion, EntryId, Epoch
+from jayshunt.membership.const import ANSWER_EVERY, STEP_INTERVAL_S
+from jayshunt.membership.grpc_transport import GrpcTransport
+from jayshunt.membership.messages import Exchange, Heartbeat
 from jayshunt.membership.models import Member, MembershipView, MemberState
-from jayshunt.membership.table import MemberTable
-from jayshunt.membership.wire import from_messages, to_message
+from jayshunt.membership.node import MemberNode
+from jayshunt.membership.streams import HeartbeatStreams
 from jayshunt.peers.channels import PeerChannels
-from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+from jayshunt.peers.const import KEY_REFRESH_S
 
 _LOGGER = logging.getLogger(__name__)
 
+# News that arrives within this time is forwarded together.
+GATHER_NEWS_S = 0.02
+ALL_TOLD_S = 0.1
+
 
 class MembershipService:
     """Own the membership view of this entry."""
@@ -34,62 +35,109 @@
         rng: random.Random,
     ) -> None:
         """Start knowing only itself."""
-        self._table = MemberTable(own)
-        self._seeds = [seed for seed in seeds if seed != own.peer_address]
-        self._channels = channels
+        self._own = own
         self._clock = clock
-        self._rng = rng
-        self._lock = threading.RLock()
-        self._view = MembershipView(1, self._table.members())
+        self._channels = channels
+        self.node = MemberNode(own, seeds, GrpcTransport(channels), clock, rng)
+        self._streams = HeartbeatStreams(self.node, channels, clock)
+        self._changed = threading.Event()
+        self.node.set_change_handler(self._changed.set)
+        self._published = self.node.view()
         self._listeners: list[Callable[[MembershipView], None]] = []
+        self._ahead: list[Callable[[EntryId, ConfigVersion], None]] = []
+        self._stopping = False
+        self._refresh_at_s = clock.monotonic_s()
 
     def view(self) -> MembershipView:
         """Return the newest view."""
-        return self._view
+        return self.node.view()
 
     def add_listener(self, listener: Callable[[MembershipView], None]) -> None:
         """Call a listener with each new view."""
         self._listeners.append(listener)
 
-    def merge(self, news: Iterable[Member]) -> None:
-        """Take news and publish a new view if it changed anything."""
-        with self._lock:
-            if not self._table.merge(news):
-                return
-            self._view = MembershipView(self._view.version + 1, self._table.members())
-            view = self._view
-        for listener in self._listeners:
-            listener(view)
+    def add_version_listener(
+        self, listener: Callable[[EntryId, ConfigVersion], None]
+    ) -> None:
+        """Call a listener with the configuration version that a peer reports."""
+        self._ahead.append(listener)
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Learn further addresses at which an entry may be."""
+        self.node.add_seeds(addresses)
+
+    def set_config_version(self, version: ConfigVersion) -> None:
+        """Report a version in each heartbeat."""
+        self.node.config_version = version
+
+    def set_assignment_epoch(self, epoch: Epoch) -> None:
+        """Report an epoch in each heartbeat."""
+        self.node.assignment_epoch = epoch
 
-    def answer_exchange(
-        self, message: peer_pb2.ExchangeMessage
-    ) -> peer_pb2.ExchangeMessage:
-        """Merge what a peer knows and return what this entry knows."""
-        self.merge(from_messages(message.members))
-        return self._message()
+    def answer_exchange(self, message: Exchange) -> Exchange:
+        """Take a peer's news and return what it lacks."""
+        self._report_version(message.entry, message.config_version)
+        return self.node.answer_exchange(message)
+
+    def answer_heartbeats(self, heartbeats: Iterator[Heartbeat]) -> Iterator[Heartbeat]:
+        """Take heartbeats of one member and answer some of them."""
+        for number, heartbeat in enumerate(heartbeats):
+            if self._stopping:
+                return
+            self._report_version(heartbeat.entry, heartbeat.config_version)
+            self.node.receive_heartbeat(heartbeat)
+            if number % ANSWER_EVERY == 0:
+                yield self.node.heartbeat()
 
     def run(self, stop: threading.Event) -> None:
-        """Exchange with one random peer per interval until stopped."""
+        """Step and publish until stopped."""
         while not stop.is_set():
-            others = self._table.others(MemberState.ALIVE, MemberState.SUSPECT)
-            addresses = [m.peer_address for m in others] or self._seeds
-            if addresses:
-                self._exchange(self._rng.choice(addresses))
-            joined = len(others) >= len(self._seeds)
-            self._clock.wait(stop, EXCHANGE_INTERVAL_S if joined else JOIN_INTERVAL_S)
-
-    def _exchange(self, address: str) -> None:
-        stub = peer_pb2_grpc.MembershipStub(self._channels.channel(address))
-        try:
-            reply = stub.Exchange(self._message(), timeout=CALL_TIMEOUT_S)
-        except grpc.RpcError as error:
-            _LOGGER.info("membership: no exchange with %s: %s", address, error.code())
+            self.node.step()
+            self._publish()
+            self._refresh_keys()
+            self._changed.wait(STEP_INTERVAL_S)
+            if self._changed.is_set():
+                self._changed.clear()
+                self._clock.wait(stop, GATHER_NEWS_S)
+
+    def leave(self) -> None:
+        """Tell everyone that this entry stops."""
+        self.node.leave()
+
+    def stop(self) -> None:
+        """Tell everyone that this entry is gone and end the heartbeats."""
+        self._stopping = True
+        self.node.end()
+        # The calls that carry the news are sent by other threads.
+        self._clock.wait(threading.Event(), ALL_TOLD_S)
+        self._streams.stop()
+
+    def _publish(self) -> None:
+        view = self.node.view()
+        self._streams.follow(self.node.monitors())
+        if view.version == self._published.version:
             return
-        self.merge(from_messages(reply.members))
-
-    def _message(self) -> peer_pb2.ExchangeMessage:
-        with self._lock:
-            members = [to_message(member) for member in self._table.members()]
-        return peer_pb2.ExchangeMessage(
-            entry=self._table.own.entry, members=members, complete=True
-        )
+        before, self._published = self._published, view
+        self._close_channels(before, view)
+        for listener in self._listeners:
+            try:
+                listener(view)
+            except Exception:
+                _LOGGER.exception("membership: a listener failed")
+
+    def _refresh_keys(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._refresh_at_s:
+            self._refresh_at_s = now_s + KEY_REFRESH_S
+            self._channels.refresh_keys()
+
+    def _close_channels(self, before: MembershipView, view: MembershipView) -> None:
+        used = {m.peer_address for m in view.members if m.state != MemberState.LOST}
+        for member in before.alive():
+            if member.peer_address not in used:
+                self._channels.forget(member.peer_address)
+
+    def _report_version(self, entry: EntryId, version: ConfigVersion) -> None:
+        if version != self.node.config_version:
+            for listener in self._ahead:
+                listener(entry, version)
--- a/src/jayshunt/membership/tests/test_table.py
+++ b/src/jayshunt/membership/tests/test_table.py
@@ -30,7 +30,27 @@
     def test_member_refutes_its_own_loss(self) -> None:
         """A live member that others call lost must come back as newer."""
         table = MemberTable(build_member("a", incarnation=3))
-        changed = table.merge(
-            [build_member("a", incarnation=3, state=MemberState.LOST)]
-        )
-        self.assertEqual(changed, [build_member("a", incarnation=4)])
+        lost = build_member("a", incarnation=3, state=MemberState.LOST)
+        changed = table.merge([lost]).changed
+        self.assertEqual(changed, (build_member("a", incarnation=4),))
+
+    def test_forgotten_member_stays_lost_against_old_news(self) -> None:
+        """Old news must not bring back a forgotten member."""
+        table = MemberTable(build_member("a"))
+        alive = build_member("b", incarnation=5)
+        lost = build_member("b", incarnation=5, state=MemberState.LOST)
+        table.merge([alive, lost])
+        table.forget(EntryId("b"))
+        merged = table.merge([alive])
+        self.assertIsNone(table.find(EntryId("b")))
+        self.assertEqual(merged.corrections, (lost,))
+        table.merge([build_member("b", incarnation=6)])
+        self.assertEqual(table.find(EntryId("b")).incarnation, 6)
+
+    def test_old_loss_counts_as_suspicion(self) -> None:
+        """A verdict from the other side of a partition must not end a member."""
+        table = MemberTable(build_member("a"))
+        table.merge([build_member("b")])
+        lost = build_member("b", state=MemberState.LOST)
+        table.merge([lost], doubt_losses=True)
+        self.assertIs(table.find(EntryId("b")).state, MemberState.SUSPECT)
--- a/src/jayshunt/membership/wire.py
+++ b/src/jayshunt/membership/wire.py
@@ -1,8 +1,9 @@
-"""Translate members between the process and the wire."""
+"""Translate membership messages between the process and the wire."""
 
 from collections.abc import Iterable
 
-from jayshunt.ids import ConfigVersion, EntryId, RegionName, ZoneName
+from jayshunt.ids import ConfigVersion, EntryId, Epoch, RegionName, ZoneName
+from jayshunt.membership.messages import Exchange, Heartbeat
 from jayshunt.membership.models import Member, MemberState
 from jayshunt.peers.protocol import peer_pb2
 
@@ -39,7 +40,55 @@
     )
 
 
-def from_messages(messages: Iterable[peer_pb2.MemberMessage]) -> list[Member]:
+def from_messages(
+    messages: Iterable[peer_pb2.MemberMessage],
+) -> tuple[Member, ...]:
     """Return the members whose state this version understands."""
     members = (from_message(message) for message in messages)
-    return [member for member in members if member is not None]
+    return tuple(member for member in members if member is not None)
+
+
+def exchange_to_message(exchange: Exchange) -> peer_pb2.ExchangeMessage:
+    """Return the wire form of an exchange."""
+    return peer_pb2.ExchangeMessage(
+        entry=exchange.entry,
+        members=[to_message(member) for member in exchange.members],
+        config_version=exchange.config_version,
+        complete=exchange.complete,
+        membership_digest=exchange.digest,
+    )
+
+
+def exchange_from_message(message: peer_pb2.ExchangeMessage) -> Exchange:
+    """Return an exchange from its wire form."""
+    return Exchange(
+        EntryId(message.entry),
+        from_messages(message.members),
+        ConfigVersion(message.config_version),
+        message.complete,
+        message.membership_digest,
+    )
+
+
+def heartbeat_to_message(heartbeat: Heartbeat) -> peer_pb2.HeartbeatMessage:
+    """Return the wire form of a heartbeat."""
+    return peer_pb2.HeartbeatMessage(
+        entry=heartbeat.entry,
+        incarnation=heartbeat.incarnation,
+        sequence=heartbeat.sequence,
+        config_version=heartbeat.config_version,
+        assignment_epoch=heartbeat.assignment_epoch,
+        membership_digest=heartbeat.digest,
+    )
+
+
+def heartbeat_from_message(message: peer_pb2.HeartbeatMessage) -> Heartbeat:
+    """Return a heartbeat from its wire form."""
+    return Heartbeat(
+        EntryId(message.entry),
+        message.incarnation,
+        message.sequence,
+        ConfigVersion(message.config_version),
+        Epoch(message.assignment_epoch),
+        message.membership_digest,
+    )
--- a/src/jayshunt/peers/channels.py
+++ b/src/jayshunt/peers/channels.py
@@ -1,6 +1,8 @@
 """Keep one channel to each peer."""
 
 import threading
+import time
+from typing import TypeVar
 
 import grpc
 
@@ -10,8 +12,9 @@
     KEEPALIVE_TIMEOUT_MS,
     MAX_MESSAGE_BYTES,
     RECONNECT_LIMIT_MS,
+    RETIRED_GRACE_S,
 )
-from jayshunt.peers.tls import channel_credentials
+from jayshunt.peers.tls import KeyReader, channel_credentials
 from jayshunt.settings.models import TlsFiles
 
 CHANNEL_OPTIONS = (
@@ -20,48 +23,104 @@
     ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
+    # This is also the time limit of one attempt to connect; the default of 20 s
+    # would delay the return of a peer after a partition.
+    ("grpc.min_reconnect_backoff_ms", RECONNECT_LIMIT_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_LIMIT_MS),
+    # Channels to one address share a connection otherwise, so that a new channel
+    # would not replace a silent connection.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 
+Stub = TypeVar("Stub")
+
 
 class PeerChannels:
     """Own the gRPC channels of this process, one for each peer address."""
 
     def __init__(self, tls: TlsFiles | None) -> None:
         """Start without channels."""
-        self._tls = tls
+        self._reader = None if tls is None else KeyReader(tls)
         self._lock = threading.Lock()
         self._channels: dict[str, grpc.Channel] = {}
+        self._stubs: dict[tuple[str, type], object] = {}
+        self._retired: list[tuple[float, grpc.Channel]] = []
 
     def channel(self, peer_address: str) -> grpc.Channel:
         """Return the channel to a peer; it connects at its first call."""
         with self._lock:
-            channel = self._channels.get(peer_address)
-            if channel is None:
-                channel = self._open(peer_address)
-                self._channels[peer_address] = channel
-            return channel
+            return self._channel(peer_address)
+
+    def stub(self, peer_address: str, stub_class: type[Stub]) -> Stub:
+        """Return a stub on the channel to a peer; it is created once."""
+        with self._lock:
+            key = (peer_address, stub_class)
+            if key not in self._stubs:
+                self._stubs[key] = stub_class(self._channel(peer_address))
+            return self._stubs[key]
+
+    def renew(self, peer_address: str) -> None:
+        """Use a new connection for the next calls; calls in flight end first."""
+        self._close_retired(RETIRED_GRACE_S)
+        with self._lock:
+            channel = self._take(peer_address)
+            if channel is not None:
+                self._retired.append((time.monotonic(), channel))
+
+    def refresh_keys(self) -> bool:
+        """Take replaced key files; new calls use connections with the new keys."""
+        if self._reader is None or not self._reader.refresh():
+            return False
+        with self._lock:
+            addresses = list(self._channels)
+        for address in addresses:
+            self.renew(address)
+        return True
 
     def forget(self, peer_address: str) -> None:
         """Close the channel to a peer that is lost."""
         with self._lock:
-            channel = self._channels.pop(peer_address, None)
+            channel = self._take(peer_address)
         if channel is not None:
             channel.close()
 
     def stop(self) -> None:
         """Close every channel."""
+        self._close_retired(0.0)
         with self._lock:
             channels, self._channels = self._channels, {}
+            self._stubs = {}
         for channel in channels.values():
             channel.close()
 
+    def _channel(self, peer_address: str) -> grpc.Channel:
+        channel = self._channels.get(peer_address)
+        if channel is None:
+            channel = self._open(peer_address)
+            self._channels[peer_address] = channel
+        return channel
+
+    def _take(self, peer_address: str) -> grpc.Channel | None:
+        for key in [key for key in self._stubs if key[0] == peer_address]:
+            del self._stubs[key]
+        return self._channels.pop(peer_address, None)
+
+    def _close_retired(self, grace_s: float) -> None:
+        with self._lock:
+            limit_s = time.monotonic() - grace_s
+            ended = [c for since_s, c in self._retired if since_s <= limit_s]
+            self._retired = [r for r in self._retired if r[0] > limit_s]
+        for channel in ended:
+            channel.close()
+
     def _open(self, peer_address: str) -> grpc.Channel:
         target = f"ipv4:{peer_address}"
-        if self._tls is None:
+        if peer_address.startswith("["):
+            target = f"ipv6:{peer_address}"
+        if self._reader is None:
             return grpc.insecure_channel(target, CHANNEL_OPTIONS)
         return grpc.secure_channel(
-            target, channel_credentials(self._tls), CHANNEL_OPTIONS
+            target, channel_credentials(self._reader.keys), CHANNEL_OPTIONS
         )
 
 
--- a/src/jayshunt/peers/server.py
+++ b/src/jayshunt/peers/server.py
@@ -1,11 +1,13 @@
 """Serve the calls of other entries."""
 
+import ipaddress
 import logging
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import grpc
 
+from jayshunt.errors import JayshuntError
 from jayshunt.peers.const import (
     KEEPALIVE_TIME_MS,
     KEEPALIVE_TIMEOUT_MS,
@@ -13,7 +15,7 @@
     MAX_MESSAGE_BYTES,
     STOP_GRACE_S,
 )
-from jayshunt.peers.tls import server_credentials
+from jayshunt.peers.tls import KeyReader, server_credentials
 from jayshunt.settings.models import TlsFiles
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,9 +41,11 @@
         self._executor = ThreadPoolExecutor(MAX_CALLS_AT_ONCE, "peer")
         self._server = grpc.server(self._executor, options=SERVER_OPTIONS)
         if tls is None:
+            _check_loopback(address)
             self.port = self._server.add_insecure_port(address)
         else:
-            self.port = self._server.add_secure_port(address, server_credentials(tls))
+            credentials = server_credentials(KeyReader(tls))
+            self.port = self._server.add_secure_port(address, credentials)
 
     def add(self, add_service: Callable[[grpc.Server], None]) -> None:
         """Add the service of a slice before the start."""
@@ -55,3 +59,15 @@
         """End the calls in flight within a grace time and stop."""
         self._server.stop(STOP_GRACE_S).wait()
         self._executor.shutdown(wait=False)
+
+
+def _check_loopback(address: str) -> None:
+    """Refuse to serve unauthenticated peers over the network."""
+    host = address.rpartition(":")[0].strip("[]")
+    if not ipaddress.ip_address(host).is_loopback:
+        raise JayshuntError(
+            "peers_unauthenticated",
+            step="peers.listen",
+            peer=address,
+            detail=f"tls.peers is needed to listen on {address}",
+        )
--- a/src/jayshunt/peers/tls.py
+++ b/src/jayshunt/peers/tls.py
@@ -1,23 +1,119 @@
 """Read the keys that authenticate entries to each other."""
 
+import logging
+import ssl
+import threading
+from dataclasses import dataclass
+
 import grpc
 
 from jayshunt.settings.models import TlsFiles
 
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Keys:
+    """Hold the PEM content of the key files."""
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+
+
+class KeyReader:
+    """Read the key files and notice when they were replaced.
+
+    Files are replaced one after another; a set that cannot be read or that does
+    not fit together is refused and the last good one stays in use.
+    """
+
+    def __init__(self, files: TlsFiles) -> None:
+        """Read the files for the first time."""
+        self._files = files
+        self._lock = threading.Lock()
+        self._stamp = self._read_stamp()
+        self._keys = self._read()
+
+    @property
+    def keys(self) -> Keys:
+        """Return the keys in use."""
+        return self._keys
+
+    def refresh(self) -> bool:
+        """Read replaced files; return whether the keys changed."""
+        with self._lock:
+            try:
+                stamp = self._read_stamp()
+                if stamp == self._stamp:
+                    return False
+                keys = self._read()
+                if keys == self._keys:
+                    self._stamp = stamp
+                    return False
+                self._check_pair()
+                if self._read_stamp() != stamp:
+                    raise ValueError("the files are still being replaced")
+            except (OSError, ValueError) as error:
+                _LOGGER.warning("peers: replaced keys are not usable yet: %s", error)
+                return False
+            self._stamp, self._keys = stamp, keys
+        _LOGGER.info("peers: the replaced keys are in use")
+        return True
+
+    def _read_stamp(self) -> tuple:
+        paths = (
+            self._files.certificate_file,
+            self._files.key_file,
+            self._files.authority_file,
+        )
+        stats = [path.stat() for path in paths]
+        return tuple((s.st_mtime_ns, s.st_size, s.st_ino) for s in stats)
 
-def server_credentials(files: TlsFiles) -> grpc.ServerCredentials:
-    """Return credentials that demand a certificate from every client."""
-    return grpc.ssl_server_credentials(
-        [(files.key_file.read_bytes(), files.certificate_file.read_bytes())],
-        root_certificates=files.authority_file.read_bytes(),
-        require_client_auth=True,
+    def _check_pair(self) -> None:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(self._files.certificate_file, self._files.key_file)
+        context.load_verify_locations(self._files.authority_file)
+
+    def _read(self) -> Keys:
+        return Keys(
+            self._files.certificate_file.read_bytes(),
+            self._files.key_file.read_bytes(),
+            self._files.authority_file.read_bytes(),
+        )
+
+
+def server_credentials(reader: KeyReader) -> grpc.ServerCredentials:
+    """Return credentials that demand a certificate from every client.
+
+    Replaced files are taken at the next handshake.
+    """
+
+    used = reader.keys
+
+    def read_again() -> grpc.ServerCertificateConfiguration | None:
+        nonlocal used
+        reader.refresh()
+        if reader.keys == used:
+            return None
+        used = reader.keys
+        return _server_configuration(used)
+
+    return grpc.dynamic_ssl_server_credentials(
+        _server_configuration(used), read_again, True
     )
 
 
-def channel_credentials(files: TlsFiles) -> grpc.ChannelCredentials:
+def channel_credentials(keys: Keys) -> grpc.ChannelCredentials:
     """Return credentials that show the entry's own certificate."""
     return grpc.ssl_channel_credentials(
-        root_certificates=files.authority_file.read_bytes(),
-        private_key=files.key_file.read_bytes(),
-        certificate_chain=files.certificate_file.read_bytes(),
+        root_certificates=keys.authority,
+        private_key=keys.key,
+        certificate_chain=keys.certificate,
+    )
+
+
+def _server_configuration(keys: Keys) -> grpc.ServerCertificateConfiguration:
+    return grpc.ssl_server_certificate_configuration(
+        [(keys.key, keys.certificate)], root_certificates=keys.authority
     )
