--- /dev/null
+++ b/src/jayshunt/jobs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the jobs slice."""
