End waiting store watches when an entry stops

Change: http_client.request takes an abort event that libcurl polls; StoreClient.end_watches sets it before the tasks are stopped.

Conclusion: the stop no longer depends on the watch's wait.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -90,6 +90,7 @@
         _LOGGER.info("entry: stopping, requests in flight end first")
         self.callers.stop()
         self.operators.stop()
+        self.store.end_watches()
         self._tasks.stop()
         self.connections.stop()
 
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -42,12 +42,14 @@
     headers: dict[str, str] | None = None,
     timeout_s: float,
     step: str,
+    abort: threading.Event | None = None,
 ) -> HttpAnswer:
     """Send one request and return the whole answer.
 
     Raise JayshuntError with outcome NOT_RUN if no connection could be made, and
     UNKNOWN if the request may have reached the peer but no whole answer came
-    within `timeout_s` seconds.
+    within `timeout_s` seconds. Setting `abort` ends a waiting call within about
+    a second, the period at which libcurl asks.
     """
     handle = _thread_handle()
     handle.reset()
@@ -68,6 +70,9 @@
     handle.setopt(pycurl.HTTPHEADER, [*sent, "Expect:"])
     if method == "HEAD":
         handle.setopt(pycurl.NOBODY, 1)
+    if abort is not None:
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(abort.is_set()))
     try:
         handle.perform()
     except pycurl.error as error:
--- a/src/jayshunt/store/client.py
+++ b/src/jayshunt/store/client.py
@@ -63,6 +63,7 @@
         self._failures = 0
         self._retry_at_s = 0.0
         self._health = StoreHealth(StoreState.UP, clock.monotonic_s())
+        self._watches_ended = threading.Event()
         self.calls = 0
         self.writes = 0
 
@@ -126,7 +127,11 @@
         """
         query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
         answer = self._call(
-            "store.watch", "GET", f"/watch?{query}", timeout_s=wait_s + CALL_TIMEOUT_S
+            "store.watch",
+            "GET",
+            f"/watch?{query}",
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+            abort=self._watches_ended,
         )
         document = json.loads(answer.body)
         events = tuple(
@@ -135,6 +140,10 @@
         )
         return Revision(document["revision"]), events
 
+    def end_watches(self) -> None:
+        """End waiting watches, so that a stop does not wait for `WATCH_WAIT_S`."""
+        self._watches_ended.set()
+
     def grant_lease(self, ttl_s: float) -> LeaseId:
         """Create a lease that ends `ttl_s` seconds after it was last kept."""
         body = json.dumps({"ttl_s": ttl_s}).encode()
@@ -169,6 +178,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        abort: threading.Event | None = None,
     ) -> HttpAnswer:
         self._admit(step)
         writes = method != "GET"
@@ -182,8 +192,11 @@
                 headers=headers,
                 timeout_s=timeout_s,
                 step=step,
+                abort=abort,
             )
         except JayshuntError as error:
+            if abort is not None and abort.is_set():
+                raise StoreUnavailable(step, self._peer, "the watch ended") from error
             self._failed(str(error))
             if writes and error.outcome is Outcome.UNKNOWN:
                 raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
