--- a/src/jayshunt/store/client.py
+++ b/src/jayshunt/store/client.py
@@ -194,6 +194,8 @@
                 stop=stop,
             )
         except JayshuntError as error:
+            if stop is not None and stop.is_set():
+                raise StoreUnavailable(step, self._peer, "the watch ended") from error
             self._failed(str(error))
             if writes and error.outcome is Outcome.UNKNOWN:
                 raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
