Divide the store's rate and fence writes whose answer was lost

Cause: each process could make 20 calls a second whatever their number, a delayed write could land after it was reported as refused, and concurrent failures of one moment raised the backoff to its limit. A lost write that the read-back does not settle is fenced by a write of the old content. Write ids carry a count, so that an id that was dropped from the document is noticed and reported as unknown. Stale answers are those below the revision seen before the call; they are asked for again.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -15,7 +15,7 @@
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
 from jayshunt.jobs.scheduler import JobScheduler
-from jayshunt.membership.models import Member
+from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
 from jayshunt.operations.application import OperatorApplication
@@ -32,6 +32,7 @@
 from jayshunt.settings.models import EntrySettings
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
+from jayshunt.store.gate import CallShare
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,6 +59,7 @@
             self._own_member(), settings.seeds, self.channels, clock, rng
         )
         self.peer_server.add(MembershipServicer(self.membership).add_to)
+        self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
         self.controller = ZoneController(
@@ -75,6 +77,8 @@
         self.router = Router(
             self._entry, clock, self.config.current, self._broker_of, self.connections
         )
+        # A new controller takes its larger share at its first step.
+        self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
         scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
         self.controller.add_duty(scheduler.step)
         intake = JobIntake(
@@ -114,6 +118,17 @@
         self.peer_server.stop()
         self.channels.stop()
 
+    def _share_store(self, view: MembershipView) -> None:
+        """Divide the store's rate among all entries that may be alive.
+
+        Lost members count until they are forgotten, because they may run on the
+        other side of a partition.
+        """
+        share = CallShare(
+            len(view.members), len(view.zones()), self.controller.holds_lease
+        )
+        self.store.set_share(share)
+
     def _own_member(self) -> Member:
         identity = self._settings.identity
         host, _ = split_address(self._settings.listen.peers)
--- a/src/jayshunt/membership/tests/__init__.py
+++ b/src/jayshunt/membership/tests/__init__.py
@@ -1,1 +1,6 @@
 """Test the membership slice."""
+
+import logging
+
+# Expected warnings would hide the verdict of a test run.
+logging.getLogger("jayshunt").addHandler(logging.NullHandler())
--- a/src/jayshunt/store/client.py
+++ b/src/jayshunt/store/client.py
@@ -12,12 +12,10 @@
 from jayshunt.http_client import HttpAnswer
 from jayshunt.ids import LeaseId, Revision
 from jayshunt.store.const import (
-    BACKOFF_FIRST_S,
-    BACKOFF_LIMIT_S,
-    BURST_CALLS,
     CALL_TIMEOUT_S,
-    MAX_CALLS_PER_S,
     MAX_VALUE_BYTES,
+    STALE_RETRIES,
+    STALE_WAIT_S,
     WATCH_WAIT_S,
 )
 from jayshunt.store.errors import (
@@ -25,7 +23,8 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from jayshunt.store.models import StoredValue, StoreHealth, StoreState, WatchEvent
+from jayshunt.store.gate import CallGate, CallShare
+from jayshunt.store.models import StoredValue, StoreHealth, WatchEvent
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -37,39 +36,40 @@
     """Read and write values with compare-and-swap, leases and watches.
 
     Every value change carries a revision that rises over the whole store. An
-    answer with a revision below the highest one seen is stale and is refused, so
-    that a reader never goes back in time. While the store is down only one call
-    per backoff period goes out and the others fail at once, so that its return
-    meets no stampede.
+    answer with a revision below the highest one seen before its call is stale. It
+    is asked for again and in the end refused, so that a reader never goes back in
+    time. `CallGate` limits the rate and holds calls back during an outage.
     """
 
-    def __init__(
-        self,
-        base_url: str,
-        clock: Clock,
-        rng: random.Random,
-        max_calls_per_s: float = MAX_CALLS_PER_S,
-    ) -> None:
+    def __init__(self, base_url: str, clock: Clock, rng: random.Random) -> None:
         """Start with no connection and the store presumed up."""
         self._base_url = base_url.rstrip("/")
         self._peer = self._base_url.split("//")[-1]
         self._clock = clock
         self._rng = rng
-        self._rate_per_s = max_calls_per_s
         self._lock = threading.Lock()
-        self._tokens = BURST_CALLS
-        self._refilled_s = clock.monotonic_s()
         self._highest = Revision(0)
-        self._failures = 0
-        self._retry_at_s = 0.0
-        self._health = StoreHealth(StoreState.UP, clock.monotonic_s())
-        self.calls = 0
-        self.writes = 0
+        self.stale_answers = 0
+        self.gate = CallGate(self._peer, clock, rng)
 
     @property
     def health(self) -> StoreHealth:
         """Return how the store answers at present."""
-        return self._health
+        return self.gate.health
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls went out."""
+        return self.gate.calls
+
+    @property
+    def writes(self) -> int:
+        """Return how many of the calls were no reads."""
+        return self.gate.writes
+
+    def set_share(self, share: CallShare) -> None:
+        """Limit the calls to a part of what the deployment may make."""
+        self.gate.set_share(share)
 
     def get(self, key: str) -> StoredValue | None:
         """Return the value of a key, or None if it is absent."""
@@ -106,7 +106,9 @@
         )
         if answer.status == 412:
             raise RevisionConflict(key, self._peer)
-        return Revision(json.loads(answer.body)["revision"])
+        revision = Revision(json.loads(answer.body)["revision"])
+        self._saw(revision)
+        return revision
 
     def delete(self, key: str, expected: Revision = ANY_REVISION) -> None:
         """Delete a key if its revision is still the expected one."""
@@ -141,6 +143,7 @@
             WatchEvent(e["key"], e["value"], Revision(e["revision"]))
             for e in document["events"]
         )
+        self._saw(Revision(document["revision"]))
         return Revision(document["revision"]), events
 
     def grant_lease(self, ttl_s: float) -> LeaseId:
@@ -159,14 +162,20 @@
         self._call("store.lease", "DELETE", f"/leases/{quote(lease)}")
 
     def _read(self, step: str, path: str) -> HttpAnswer:
-        answer = self._call(step, "GET", path)
-        revision = Revision(int(answer.headers.get("store-revision", "0")))
+        for _ in range(STALE_RETRIES):
+            before = self._highest
+            answer = self._call(step, "GET", path)
+            revision = Revision(int(answer.headers.get("store-revision", "0")))
+            if revision >= before:
+                self._saw(revision)
+                return answer
+            self.stale_answers += 1
+            self._clock.wait(threading.Event(), self._rng.uniform(0, STALE_WAIT_S))
+        raise StoreUnavailable(step, self._peer, f"stale answer for {path}")
+
+    def _saw(self, revision: Revision) -> None:
         with self._lock:
-            stale = revision < self._highest
             self._highest = max(revision, self._highest)
-        if stale:
-            raise StoreUnavailable(step, self._peer, f"stale answer for {path}")
-        return answer
 
     def _call(
         self,
@@ -179,10 +188,8 @@
         timeout_s: float = CALL_TIMEOUT_S,
         stop: threading.Event | None = None,
     ) -> HttpAnswer:
-        self._admit(step)
         writes = method != "GET"
-        self.calls += 1
-        self.writes += writes
+        round_number = self.gate.admit(step, writes)
         try:
             answer = http_client.request(
                 method,
@@ -196,14 +203,14 @@
         except JayshuntError as error:
             if stop is not None and stop.is_set():
                 raise StoreUnavailable(step, self._peer, "the watch ended") from error
-            self._failed(str(error))
+            self.gate.failed(round_number, str(error))
             if writes and error.outcome is Outcome.UNKNOWN:
                 raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
             raise StoreUnavailable(step, self._peer, error.detail) from error
-        if answer.status >= 500:
-            self._failed(f"status {answer.status}")
+        if answer.status >= 500 or answer.status == 429:
+            self.gate.failed(round_number, f"status {answer.status}")
             raise StoreUnavailable(step, self._peer, f"status {answer.status}")
-        self._succeeded()
+        self.gate.succeeded()
         if answer.status in (200, 404, 412):
             return answer
         raise JayshuntError(
@@ -213,39 +220,6 @@
             detail=f"status {answer.status}: {answer.body[:200]!r}",
         )
 
-    def _admit(self, step: str) -> None:
-        with self._lock:
-            now_s = self._clock.monotonic_s()
-            if now_s < self._retry_at_s:
-                raise StoreUnavailable(step, self._peer, self._health.last_error)
-            earned = (now_s - self._refilled_s) * self._rate_per_s
-            self._tokens = min(BURST_CALLS, self._tokens + earned)
-            self._refilled_s = now_s
-            if self._tokens < 1:
-                raise StoreUnavailable(step, self._peer, "call rate limit reached")
-            self._tokens -= 1
-            if self._failures:
-                # Other callers wait for this one probe.
-                self._retry_at_s = now_s + CALL_TIMEOUT_S
-
-    def _failed(self, error: str) -> None:
-        with self._lock:
-            now_s = self._clock.monotonic_s()
-            limit_s = min(BACKOFF_LIMIT_S, BACKOFF_FIRST_S * 2**self._failures)
-            self._failures = min(self._failures + 1, 16)
-            self._retry_at_s = now_s + self._rng.uniform(0, limit_s)
-            if self._health.state is StoreState.UP:
-                _LOGGER.warning("store: no answer from %s: %s", self._peer, error)
-                self._health = StoreHealth(StoreState.DOWN, now_s, error)
-
-    def _succeeded(self) -> None:
-        with self._lock:
-            self._failures = 0
-            self._retry_at_s = 0.0
-            if self._health.state is StoreState.DOWN:
-                _LOGGER.info("store: %s answers again", self._peer)
-                self._health = StoreHealth(StoreState.UP, self._clock.monotonic_s())
-
 
 def _condition(expected: Revision) -> dict[str, str]:
     if expected == ANY_REVISION:
--- a/src/jayshunt/store/documents.py
+++ b/src/jayshunt/store/documents.py
@@ -3,7 +3,6 @@
 import json
 import random
 import threading
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -19,7 +18,9 @@
 )
 from jayshunt.store.models import StoredValue
 
-SETTLE_ATTEMPTS = 5
+WRITE_IDS = "write_ids"
+SETTLE_ATTEMPTS = 6
+SETTLE_WAIT_S = 0.1
 CONFLICT_WAIT_S = 0.02
 
 Content = dict[str, Any]
@@ -40,10 +41,14 @@
 
 @dataclass(frozen=True)
 class Document:
-    """Hold the content of a document at a revision; None if it is absent."""
+    """Hold the content of a document at a revision; None if it is absent.
+
+    `write_ids` are the last writes, oldest first, each a count and a random part.
+    """
 
     content: Content | None
     revision: Revision
+    write_ids: tuple[str, ...] = ()
 
 
 class DocumentStore:
@@ -51,7 +56,9 @@
 
     Every write adds its own id to the document's `write_ids`. If the answer to a
     write is lost, the document is read back: if the id is there the write took
-    effect, and if the revision moved on without it, it did not.
+    effect, and if the revision moved on without it, it did not. If neither holds,
+    the write may still be on its way, so a write of the old content moves the
+    revision on and the delayed write fails its condition.
     """
 
     def __init__(self, store: KeyValueStore, clock: Clock, rng: random.Random) -> None:
@@ -65,7 +72,11 @@
         stored = self._store.get(key)
         if stored is None:
             return Document(None, ABSENT)
-        return Document(json.loads(stored.value), stored.revision)
+        content = json.loads(stored.value)
+        if set(content) <= {WRITE_IDS}:
+            # Only a settled write made this key; the document was never written.
+            return Document(None, stored.revision, _ids(content))
+        return Document(content, stored.revision, _ids(content))
 
     def update(self, key: str, change: Change) -> Document:
         """Apply a change to the newest content and write it.
@@ -81,40 +92,78 @@
             if content is None:
                 return document
             try:
-                return self._write(key, content, document.revision)
+                return self._write(key, content, document)
             except RevisionConflict:
                 self._pause(CONFLICT_WAIT_S * (attempt + 1))
         raise StoreUnavailable("store.update", key, "too many conflicting writers")
 
-    def _write(self, key: str, content: Content, expected: Revision) -> Document:
-        write_id = uuid.UUID(int=self._rng.getrandbits(128)).hex
-        remembered = [*content.get("write_ids", []), write_id]
-        content = {**content, "write_ids": remembered[-REMEMBERED_WRITE_IDS:]}
-        value = json.dumps(content, separators=(",", ":"), sort_keys=True)
+    def _write(self, key: str, content: Content, before: Document) -> Document:
+        write_id = self._next_id(before)
         try:
-            return Document(content, self._store.put(key, value, expected))
+            return self._put(key, content, before, write_id)
         except StoreOutcomeUnknown as error:
-            return self._settle(key, write_id, expected, error)
+            return self._settle(key, write_id, before, error)
+
+    def _put(
+        self, key: str, content: Content, before: Document, write_id: str
+    ) -> Document:
+        ids = (*before.write_ids, write_id)[-REMEMBERED_WRITE_IDS:]
+        content = {**content, WRITE_IDS: list(ids)}
+        value = json.dumps(content, separators=(",", ":"), sort_keys=True)
+        return Document(content, self._store.put(key, value, before.revision), ids)
 
     def _settle(
-        self, key: str, write_id: str, expected: Revision, error: StoreOutcomeUnknown
+        self, key: str, write_id: str, before: Document, error: StoreOutcomeUnknown
     ) -> Document:
         for attempt in range(SETTLE_ATTEMPTS):
-            self._pause(0.1 * 2**attempt)
+            self._pause(SETTLE_WAIT_S * 2**attempt)
             try:
-                document = self.read(key)
+                found = self.read(key)
             except StoreUnavailable:
                 continue
-            if write_id in (document.content or {}).get("write_ids", []):
-                return document
-            if document.revision != expected:
-                # The revision moved on without this write, so it cannot land.
-                raise RevisionConflict(key, error.peer)
+            if write_id in found.write_ids:
+                return found
+            if found.revision > before.revision:
+                if _remembers(found, before):
+                    raise RevisionConflict(key, error.peer)
+                break
+            if found.revision == before.revision:
+                self._fence(key, before)
         raise error
 
+    def _fence(self, key: str, before: Document) -> None:
+        """Move the revision on, so that a delayed write fails its condition.
+
+        Whether this or the delayed write came first shows at the next read.
+        """
+        try:
+            self._put(key, before.content or {}, before, self._next_id(before))
+        except (RevisionConflict, StoreUnavailable, StoreOutcomeUnknown):
+            return
+
+    def _next_id(self, before: Document) -> str:
+        number = _number(before.write_ids[-1]) + 1 if before.write_ids else 1
+        return f"{number:x}-{self._rng.getrandbits(64):016x}"
+
     def _pause(self, limit_s: float) -> None:
         self._clock.wait(threading.Event(), self._rng.uniform(0, limit_s))
 
 
 def _copy(content: Content | None) -> Content | None:
     return None if content is None else json.loads(json.dumps(content))
+
+
+def _ids(content: Content) -> tuple[str, ...]:
+    return tuple(content.get(WRITE_IDS, ()))
+
+
+def _number(write_id: str) -> int:
+    return int(write_id.partition("-")[0], 16)
+
+
+def _remembers(found: Document, before: Document) -> bool:
+    """Return whether no write after `before` was dropped from the write ids."""
+    if not found.write_ids:
+        return False
+    last = _number(before.write_ids[-1]) if before.write_ids else 0
+    return _number(found.write_ids[0]) <= last + 1
