Merge racing edits, keep history and spread versions between peers

Cause: an accepted configuration was seen only by watching the store, the last of two racing operators won, and nobody could tell who changed what. Change: an edit carries its base version; changes that do not overlap are both kept, a conflict names the other operator and value. config/history holds the changes of each version and a whole document every 20 versions. Versions are announced to six random members, fetched from the announcer and compared with each heartbeat; only the first two entries of a zone by rank watch the store. Unknown keys of a newer program version survive a change by an older one. Interface for the operator paths: ConfigCoordinator.accept_edit(ConfigEdit), check(edit) -> problems, plan(edit) -> changes, conflicts and problems, diff(old, new), history(limit), at_version(version), in_force() -> version or None by entry, add_check(check); checks.budget_check and checks.target_check build checks from injected functions.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -9,6 +9,10 @@
 from jayshunt.admission.broker import Broker
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.peer_service import ConfigurationServicer
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.config.transport import GrpcConfigTransport
+from jayshunt.config.watcher import StoreWatcher
 from jayshunt.errors import JayshuntError
 from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
@@ -55,13 +59,30 @@
         documents = DocumentStore(self.store, clock, rng)
         self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
         self.channels = PeerChannels(settings.tls.peers)
+        own = self._own_member()
         self.membership = MembershipService(
-            self._own_member(), settings.seeds, self.channels, clock, rng
+            own, settings.seeds, self.channels, clock, rng
         )
         self.peer_server.add(MembershipServicer(self.membership).add_to)
         self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
+        self.spreader = ConfigSpreader(
+            own,
+            self.config,
+            GrpcConfigTransport(self.channels),
+            self.membership.view,
+            clock,
+            rng,
+        )
+        self.config_watcher = StoreWatcher(
+            own, self.config, self.store.watch, self.membership.view, clock, rng
+        )
+        self.peer_server.add(ConfigurationServicer(self.config, self.spreader).add_to)
+        self.membership.add_version_listener(self.spreader.hear_version)
+        self.config.add_listener(
+            lambda snapshot: self.membership.set_config_version(snapshot.version)
+        )
         self.controller = ZoneController(
             zone,
             self._entry,
@@ -93,7 +114,8 @@
         for task in (
             self.membership.run,
             self.inventory.run,
-            self.config.run,
+            self.config_watcher.run,
+            self.spreader.run_fetches,
             self.controller.run,
         ):
             self._tasks.start(task)
--- a/src/jayshunt/config/coordinator.py
+++ b/src/jayshunt/config/coordinator.py
@@ -1,33 +1,55 @@
 """Own the version of the configuration that is in force here."""
 
-import hashlib
-import json
 import logging
 import random
 import threading
 from collections.abc import Callable
 
-from pydantic import ValidationError
-
 from jayshunt.clock import Clock
+from jayshunt.config.checks import Check, new_problems
 from jayshunt.config.const import CURRENT_KEY
-from jayshunt.config.models import ConfigDocument, ConfigSnapshot
+from jayshunt.config.content import (
+    build_content,
+    dump_document,
+    pack,
+    raw_document,
+    read_document,
+    read_snapshot,
+    unpack,
+)
+from jayshunt.config.edits import (
+    apply_changes,
+    changes_between,
+    conflict_error,
+    explain_conflict,
+    find_conflicts,
+)
+from jayshunt.config.history import ConfigHistory
+from jayshunt.config.models import (
+    Change,
+    ConfigDocument,
+    ConfigEdit,
+    ConfigSnapshot,
+    EditPlan,
+    HistoryEntry,
+    Problem,
+)
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import ConfigVersion, Revision
-from jayshunt.settings.loader import explain_errors
+from jayshunt.ids import ConfigVersion, EntryId, Revision
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import Content, DocumentStore
+from jayshunt.store.errors import StoreUnavailable
 
 _LOGGER = logging.getLogger(__name__)
 
-RETRY_WAIT_S = 0.5
+MakeEdit = Callable[[ConfigSnapshot], ConfigEdit]
 
 
 class ConfigCoordinator:
-    """Accept changes, watch the store and tell listeners of each new version.
+    """Accept changes and put versions in force.
 
     The version in force only rises: an older or equal snapshot is dropped,
-    whatever source it comes from.
+    whatever source it comes from. Listeners see the versions in this order.
     """
 
     def __init__(
@@ -38,13 +60,15 @@
         rng: random.Random,
     ) -> None:
         """Start with the empty version 0."""
-        self._store = store
         self._documents = documents
         self._clock = clock
-        self._rng = rng
-        self._lock = threading.Lock()
+        self._history = ConfigHistory(store)
+        self._apply_lock = threading.RLock()
         self._current = ConfigSnapshot()
+        self._content: Content | None = None
         self._listeners: list[Callable[[ConfigSnapshot], None]] = []
+        self._checks: list[Check] = []
+        self._ask_entries: Callable[[], dict[EntryId, ConfigVersion | None]] = dict
 
     def current(self) -> ConfigSnapshot:
         """Return the snapshot in force."""
@@ -54,88 +78,232 @@
         """Call a listener with each new snapshot."""
         self._listeners.append(listener)
 
+    def add_check(self, check: Check) -> None:
+        """Reject configurations in which a check finds a new problem."""
+        self._checks.append(check)
+
+    def set_entry_reader(
+        self, reader: Callable[[], dict[EntryId, ConfigVersion | None]]
+    ) -> None:
+        """Give the function that asks every live entry for its version."""
+        self._ask_entries = reader
+
     def apply(self, snapshot: ConfigSnapshot) -> bool:
         """Put a snapshot in force if its version is higher."""
-        with self._lock:
-            if snapshot.version <= self._current.version:
-                return False
-            self._current = snapshot
-        _LOGGER.info("config: version %s is in force", snapshot.version)
-        for listener in self._listeners:
-            listener(snapshot)
-        return True
+        content = build_content(
+            snapshot.version,
+            dump_document(snapshot.document),
+            snapshot.author,
+            snapshot.accepted_s,
+            snapshot.reason,
+        )
+        return self._put_in_force(snapshot, content)
+
+    def apply_content(self, content: Content | None) -> bool:
+        """Put a stored version in force if it is higher; its digest must match."""
+        if content is None or content.get("version", 0) <= self._current.version:
+            return False
+        return self._put_in_force(read_snapshot(content), content)
+
+    def apply_packed(self, packed: bytes) -> bool:
+        """Put what a peer sent in force if its version is higher."""
+        return self.apply_content(unpack(packed))
+
+    def packed(self) -> tuple[ConfigVersion, bytes]:
+        """Return the version in force in the form that peers send each other."""
+        content = self._content
+        if content is None:
+            return ConfigVersion(0), b""
+        return ConfigVersion(content["version"]), pack(content)
 
     def accept(
         self, change: Callable[[ConfigDocument], ConfigDocument], author: str
     ) -> ConfigSnapshot:
-        """Store a change as the next version and put it in force here.
+        """Store a change of the newest document and put it in force here.
 
         Raise StoreUnavailable if nothing was accepted and StoreOutcomeUnknown if
         that could not be settled.
         """
+        return self._accept(
+            lambda before: ConfigEdit(
+                change(before.document), author, base_version=before.version
+            )
+        )
+
+    def accept_edit(self, edit: ConfigEdit) -> ConfigSnapshot:
+        """Store an edited document and put it in force here.
+
+        Changes that others made since the edit's base version stay. Raise
+        JayshuntError with code `config_conflict` if they touch the same settings,
+        `config_rejected` if the result would break a guarantee, and the errors of
+        `accept`.
+        """
+        return self._accept(lambda _: edit)
+
+    def check(self, edit: ConfigEdit) -> list[Problem]:
+        """Return what stands against an edit, without accepting it."""
+        plan = self.plan(edit)
+        conflicts = [
+            Problem(conflict.theirs.name, explain_conflict(conflict))
+            for conflict in plan.conflicts
+        ]
+        return [*conflicts, *plan.problems]
+
+    def plan(self, edit: ConfigEdit) -> EditPlan:
+        """Return what an edit would change and what stands against it."""
+        content = self._newest_content()
+        return self._plan(edit, content)[0]
+
+    def diff(self, old: ConfigVersion, new: ConfigVersion) -> tuple[Change, ...]:
+        """Return the changes that lead from one version to another."""
+        return changes_between(
+            dump_document(self.at_version(old).document),
+            dump_document(self.at_version(new).document),
+        )
+
+    def history(self, limit: int = 20) -> list[HistoryEntry]:
+        """Return who changed what when, newest first."""
+        return self._history.entries(self._newest_content(), limit)
+
+    def at_version(self, version: ConfigVersion) -> ConfigSnapshot:
+        """Return an old version; raise JayshuntError `version_unknown`."""
+        return self._at_version(version, self._newest_content())
+
+    def in_force(self) -> dict[EntryId, ConfigVersion | None]:
+        """Return the version in force on each live entry; None for no answer."""
+        return self._ask_entries()
+
+    def refresh(self) -> Revision:
+        """Read the stored version once and put it in force if it is newer."""
+        document = self._documents.read(CURRENT_KEY)
+        self.apply_content(document.content)
+        return document.revision
 
-        def next_content(content: Content | None) -> Content:
+    def _at_version(
+        self, version: ConfigVersion, content: Content | None
+    ) -> ConfigSnapshot:
+        newest = content["version"] if content else 0
+        if not 0 <= version <= newest:
+            raise JayshuntError(
+                "version_unknown",
+                step="config.history",
+                detail=f"there is no version {version}; the newest is {newest}",
+            )
+        if version == newest:
+            return read_snapshot(content)
+        if version == 0:
+            return ConfigSnapshot()
+        document = self._history.document_at(content, version)
+        return ConfigSnapshot(version=version, document=document)
+
+    def _put_in_force(self, snapshot: ConfigSnapshot, content: Content) -> bool:
+        # Listeners run under the lock; two sources that deliver versions at the
+        # same time would otherwise let a listener see the older one last.
+        with self._apply_lock:
+            if snapshot.version <= self._current.version:
+                return False
+            self._current, self._content = snapshot, content
+            _LOGGER.info(
+                "config: version %s is in force, digest %s",
+                snapshot.version,
+                snapshot.digest[:12],
+            )
+            for listener in self._listeners:
+                try:
+                    listener(snapshot)
+                except Exception:
+                    _LOGGER.exception("config: a listener failed")
+        return True
+
+    def _accept(self, make_edit: MakeEdit) -> ConfigSnapshot:
+        def next_content(content: Content | None) -> Content | None:
             before = read_snapshot(content)
-            document = change(before.document)
-            return snapshot_content(
+            if before.version < self._current.version:
+                raise StoreUnavailable(
+                    "config.accept", CURRENT_KEY, "the store returned an old version"
+                )
+            edit = make_edit(before)
+            plan, document = self._plan(edit, content)
+            self._refuse(plan, content)
+            if not plan.changes:
+                return None
+            if content is not None:
+                # The entry of the last version may be missing if the process that
+                # accepted it ended; its changes are overwritten below.
+                self._history.record(content)
+            return build_content(
                 ConfigVersion(before.version + 1),
                 document,
-                author,
+                edit.author,
                 self._clock.now_s(),
+                edit.reason,
+                plan.changes,
             )
 
         written = self._documents.update(CURRENT_KEY, next_content)
-        snapshot = read_snapshot(written.content)
-        self.apply(snapshot)
-        return snapshot
+        self.apply_content(written.content)
+        if written.content is not None:
+            self._record(written.content)
+        return read_snapshot(written.content)
 
-    def refresh(self) -> Revision:
-        """Read the stored version once and put it in force if it is newer."""
-        document = self._documents.read(CURRENT_KEY)
-        self.apply(read_snapshot(document.content))
-        return document.revision
+    def _record(self, content: Content) -> None:
+        try:
+            self._history.record(content)
+        except JayshuntError as error:
+            _LOGGER.warning("config: the history entry is written later: %s", error)
+
+    def _plan(self, edit: ConfigEdit, content: Content | None) -> tuple[EditPlan, dict]:
+        before = read_snapshot(content)
+        base_version = before.version
+        if edit.base_version is not None:
+            base_version = edit.base_version
+        base = before.document
+        if base_version != before.version:
+            base = self._at_version(base_version, content).document
+        mine = changes_between(dump_document(base), dump_document(edit.document))
+        theirs = changes_between(dump_document(base), dump_document(before.document))
+        conflicts = find_conflicts(mine, theirs)
+        wanted = [c for c in mine if c not in theirs]
+        document = apply_changes(raw_document(content), wanted)
+        problems = () if conflicts else self._problems(before.document, document)
+        return EditPlan(base_version, tuple(wanted), conflicts, problems), document
+
+    def _problems(self, before: ConfigDocument, raw: dict) -> tuple[Problem, ...]:
+        try:
+            document = read_document(raw)
+        except JayshuntError as error:
+            # Each change was valid alone, but not together with the others.
+            return (Problem("document", error.detail),)
+        return new_problems(self._checks, before, document)
+
+    def _refuse(self, plan: EditPlan, content: Content | None) -> None:
+        if plan.conflicts:
+            raise conflict_error(
+                plan.conflicts, self._authors(plan.base_version, content)
+            )
+        if plan.problems:
+            detail = "; ".join(f"{p.path}: {p.detail}" for p in plan.problems)
+            raise JayshuntError("config_rejected", step="config.check", detail=detail)
+
+    def _authors(
+        self, base_version: ConfigVersion, content: Content | None
+    ) -> dict[tuple[str, ...], str]:
+        newest = content["version"] if content else 0
+        entries = self._history.entries(content, newest - base_version)
+        return {
+            change.path: f"{entry.author} (version {entry.version})"
+            for entry in reversed(entries)
+            for change in entry.changes
+        }
 
-    def run(self, stop: threading.Event) -> None:
-        """Watch the store until stopped."""
-        revision = None
-        while not stop.is_set():
-            try:
-                if revision is None:
-                    revision = self.refresh()
-                revision, events = self._store.watch(CURRENT_KEY, revision, stop=stop)
-                for event in events:
-                    if event.value is not None:
-                        self.apply(read_snapshot(json.loads(event.value)))
-            except JayshuntError:
-                revision = None
-                self._clock.wait(stop, self._rng.uniform(0, RETRY_WAIT_S))
-
-
-def snapshot_content(
-    version: ConfigVersion, document: ConfigDocument, author: str, accepted_s: float
-) -> Content:
-    """Return the stored form of a version."""
-    body = document.model_dump(mode="json")
-    text = json.dumps(body, sort_keys=True, separators=(",", ":"))
-    return {
-        "version": version,
-        "digest": hashlib.sha256(text.encode()).hexdigest(),
-        "document": body,
-        "author": author,
-        "accepted_s": accepted_s,
-    }
-
-
-def read_snapshot(content: Content | None) -> ConfigSnapshot:
-    """Return the snapshot of a stored version; version 0 if there is none."""
-    if content is None:
-        return ConfigSnapshot()
-    try:
-        fields = {k: v for k, v in content.items() if k != "write_ids"}
-        return ConfigSnapshot.model_validate(fields)
-    except ValidationError as error:
-        raise JayshuntError(
-            "config_unreadable",
-            step="config.read",
-            detail="; ".join(explain_errors(error)),
-        ) from error
+    def _newest_content(self) -> Content | None:
+        """Return the stored version, or the one in force if the store is down."""
+        try:
+            document = self._documents.read(CURRENT_KEY)
+        except StoreUnavailable:
+            return self._content
+        if document.content is None:
+            return self._content
+        if document.content["version"] < self._current.version:
+            return self._content
+        return document.content
--- /dev/null
+++ b/src/jayshunt/config/edits.py
@@ -0,0 +1,106 @@
+"""Compare documents and bring changes of several operators together."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from jayshunt.config.models import ABSENT, Change, Conflict
+from jayshunt.errors import JayshuntError
+
+Tree = dict[str, Any]
+
+
+def changes_between(before: Tree, after: Tree) -> tuple[Change, ...]:
+    """Return the smallest changes that lead from one document to another."""
+    return tuple(_compare((), before, after))
+
+
+def apply_changes(document: Tree, changes: Iterable[Change]) -> Tree:
+    """Return a document with changes; keys that no change names stay as they are.
+
+    This keeps keys that only a newer version of the program understands.
+    """
+    result = _copy(document)
+    for change in changes:
+        parent = result
+        for key in change.path[:-1]:
+            parent = parent.setdefault(key, {})
+        if change.after is ABSENT:
+            parent.pop(change.path[-1], None)
+        else:
+            parent[change.path[-1]] = _copy(change.after)
+    return result
+
+
+def undo_changes(document: Tree, changes: Iterable[Change]) -> Tree:
+    """Return the document before changes."""
+    undone = [Change(c.path, c.after, c.before) for c in changes]
+    return apply_changes(document, reversed(undone))
+
+
+def find_conflicts(
+    mine: Iterable[Change], theirs: Iterable[Change]
+) -> tuple[Conflict, ...]:
+    """Return the changes of two operators that touch the same setting.
+
+    Two changes to the same value of the same setting are no conflict.
+    """
+    theirs = tuple(theirs)
+    return tuple(
+        Conflict(own, other)
+        for own in mine
+        for other in theirs
+        if _overlap(own.path, other.path)
+        and (own.path, own.after) != (other.path, other.after)
+    )
+
+
+def conflict_error(
+    conflicts: Iterable[Conflict], by: dict[tuple[str, ...], str]
+) -> JayshuntError:
+    """Return an error that names what the other operators changed."""
+    lines = [explain_conflict(c, by.get(c.theirs.path)) for c in conflicts]
+    return JayshuntError(
+        "config_conflict", step="config.merge", detail="; ".join(lines)
+    )
+
+
+def explain_conflict(conflict: Conflict, author: str | None = None) -> str:
+    """Return what the other operator changed and what this change wants."""
+    theirs = conflict.theirs
+    return (
+        f"{theirs.name}: {author or 'another operator'} changed it from "
+        f"{show(theirs.before)} to {show(theirs.after)}; this change wants "
+        f"{show(conflict.mine.after)}"
+    )
+
+
+def show(value: Any) -> str:
+    """Return a short text for a value."""
+    if value is ABSENT:
+        return "nothing"
+    text = str(value)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def _compare(path: tuple[str, ...], before: Any, after: Any) -> Iterator[Change]:
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        if before != after:
+            yield Change(path, before, after)
+        return
+    for key in sorted({*before, *after}):
+        yield from _compare(
+            (*path, key), before.get(key, ABSENT), after.get(key, ABSENT)
+        )
+
+
+def _overlap(one: tuple[str, ...], other: tuple[str, ...]) -> bool:
+    length = min(len(one), len(other))
+    return one[:length] == other[:length]
+
+
+def _copy(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _copy(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_copy(item) for item in value]
+    return value
--- a/src/jayshunt/config/models.py
+++ b/src/jayshunt/config/models.py
@@ -1,7 +1,8 @@
 """Describe the operators' configuration."""
 
+from dataclasses import dataclass
 from enum import Enum
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
@@ -113,3 +114,92 @@
     document: ConfigDocument = ConfigDocument()
     author: str = ""
     accepted_s: float = 0.0
+    reason: str = ""
+
+
+class Absent(Enum):
+    """Mark a setting that does not exist; None is a value of its own."""
+
+    ABSENT = "absent"
+
+
+ABSENT = Absent.ABSENT
+
+
+@dataclass(frozen=True)
+class Change:
+    """Tell how one setting changed; the path leads to it from the document."""
+
+    path: tuple[str, ...]
+    before: Any
+    after: Any
+
+    @property
+    def name(self) -> str:
+        """Return the path as operators write it."""
+        return ".".join(self.path)
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the stored form; an absent side has no key."""
+        sides = {"before": self.before, "after": self.after}
+        kept = {key: value for key, value in sides.items() if value is not ABSENT}
+        return {"path": list(self.path), **kept}
+
+    @staticmethod
+    def from_json(content: dict[str, Any]) -> "Change":
+        """Return a change from its stored form."""
+        return Change(
+            tuple(content["path"]),
+            content.get("before", ABSENT),
+            content.get("after", ABSENT),
+        )
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """Pair two changes of different operators to the same setting."""
+
+    mine: Change
+    theirs: Change
+
+
+@dataclass(frozen=True)
+class Problem:
+    """Explain why a configuration would break a guarantee."""
+
+    path: str
+    detail: str
+
+
+@dataclass(frozen=True)
+class ConfigEdit:
+    """Hold a document that an operator edited and the version it was based on.
+
+    `base_version` None stands for the version in force when the edit arrives.
+    """
+
+    document: ConfigDocument
+    author: str
+    base_version: ConfigVersion | None = None
+    reason: str = ""
+
+
+@dataclass(frozen=True)
+class EditPlan:
+    """Tell what an edit would change and what stands against it."""
+
+    base_version: ConfigVersion
+    changes: tuple[Change, ...]
+    conflicts: tuple[Conflict, ...]
+    problems: tuple[Problem, ...]
+
+
+@dataclass(frozen=True)
+class HistoryEntry:
+    """Tell who changed what when; `accepted_s` is wall time in seconds."""
+
+    version: ConfigVersion
+    author: str
+    accepted_s: float
+    reason: str
+    changes: tuple[Change, ...]
--- /dev/null
+++ b/src/jayshunt/config/peer_service.py
@@ -0,0 +1,30 @@
+"""Answer configuration calls of other entries."""
+
+import grpc
+
+from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.config.transport import from_message, to_message
+from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+
+
+class ConfigurationServicer(peer_pb2_grpc.ConfigurationServicer):
+    """Pass calls of other entries to the configuration."""
+
+    def __init__(self, coordinator: ConfigCoordinator, spreader: ConfigSpreader):
+        """Serve one configuration."""
+        self._coordinator = coordinator
+        self._spreader = spreader
+
+    def add_to(self, server: grpc.Server) -> None:
+        """Register with a server."""
+        peer_pb2_grpc.add_ConfigurationServicer_to_server(self, server)
+
+    def NoticeConfig(self, request: peer_pb2.ConfigNotice, context):
+        """Take a notice and say which version is in force here."""
+        return to_message(self._spreader.receive(from_message(request)))
+
+    def FetchConfig(self, request: peer_pb2.ConfigNotice, context):
+        """Return the version in force here."""
+        version, content = self._coordinator.packed()
+        return peer_pb2.ConfigContent(version=version, content=content)
--- /dev/null
+++ b/src/jayshunt/config/spreader.py
@@ -0,0 +1,160 @@
+"""Spread versions between entries."""
+
+import logging
+import random
+import threading
+from collections.abc import Callable
+
+from jayshunt.clock import Clock
+from jayshunt.config.const import (
+    NOTICE_FAN_OUT,
+    NOTICE_TIMEOUT_S,
+    REMIND_INTERVAL_S,
+    RETRY_WAIT_S,
+)
+from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.messages import Notice
+from jayshunt.config.models import ConfigSnapshot
+from jayshunt.config.transport import ConfigTransport
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import ConfigVersion, EntryId
+from jayshunt.membership.models import Member, MembershipView
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ConfigSpreader:
+    """Announce each new version and fetch the versions that peers announce.
+
+    A notice carries no content. Whoever is behind fetches from the peer that
+    announced the version, puts it in force and announces it in turn.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        coordinator: ConfigCoordinator,
+        transport: ConfigTransport,
+        read_view: Callable[[], MembershipView],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Announce what the coordinator puts in force."""
+        self._own = own
+        self._coordinator = coordinator
+        self._transport = transport
+        self._read_view = read_view
+        self._clock = clock
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._wanted: dict[str, ConfigVersion] = {}
+        self._reminded_s: dict[EntryId, float] = {}
+        self._wake = threading.Event()
+        coordinator.add_listener(self._announce)
+        coordinator.set_entry_reader(self.ask_entries)
+
+    def receive(self, notice: Notice) -> Notice:
+        """Take a peer's notice and return which version is in force here."""
+        if notice.version > self._coordinator.current().version:
+            self._want(notice.version, notice.peer_address)
+        return self._notice()
+
+    def hear_version(self, entry: EntryId, version: ConfigVersion) -> None:
+        """Take the version that a heartbeat or an exchange reports."""
+        own_version = self._coordinator.current().version
+        if version == own_version:
+            return
+        member = self._read_view().find(entry)
+        if member is None:
+            return
+        if version > own_version:
+            self._want(version, member.peer_address)
+        elif self._may_remind(entry):
+            self._notify(member.peer_address)
+
+    def ask_entries(self) -> dict[EntryId, ConfigVersion | None]:
+        """Return the version in force on each live entry; None for no answer."""
+        others = [m for m in self._read_view().alive() if m.entry != self._own.entry]
+        versions: dict[EntryId, ConfigVersion | None] = {m.entry: None for m in others}
+        versions[self._own.entry] = self._coordinator.current().version
+        left = threading.Semaphore(0)
+
+        def take(entry: EntryId, reply: Notice | None) -> None:
+            versions[entry] = None if reply is None else reply.version
+            left.release()
+
+        for member in others:
+            self._transport.notify(
+                member.peer_address,
+                self._notice(),
+                lambda reply, entry=member.entry: take(entry, reply),
+            )
+        for _ in others:
+            left.acquire(timeout=2 * NOTICE_TIMEOUT_S)
+        return dict(versions)
+
+    def run_fetches(self, stop: threading.Event) -> None:
+        """Fetch what peers announced until stopped."""
+        while not stop.is_set():
+            self._wake.wait(RETRY_WAIT_S)
+            self._wake.clear()
+            self.fetch_wanted()
+
+    def fetch_wanted(self) -> None:
+        """Fetch from those that announced a higher version, the highest first."""
+        while True:
+            source = self._next_source()
+            if source is None:
+                return
+            try:
+                content = self._transport.fetch(source, self._notice())
+                self._coordinator.apply_packed(content)
+            except JayshuntError as error:
+                _LOGGER.info("config: no version from %s: %s", source, error)
+
+    def _want(self, version: ConfigVersion, address: str) -> None:
+        with self._lock:
+            known = self._wanted.get(address, ConfigVersion(0))
+            self._wanted[address] = max(known, version)
+        self._wake.set()
+
+    def _next_source(self) -> str | None:
+        own_version = self._coordinator.current().version
+        with self._lock:
+            ahead = {a: v for a, v in self._wanted.items() if v > own_version}
+            self._wanted = ahead
+            if not ahead:
+                return None
+            highest = max(ahead.values())
+            best = sorted(a for a, v in ahead.items() if v == highest)
+            source = self._rng.choice(best)
+            # A source that fails is asked again when it announces again.
+            del ahead[source]
+            return source
+
+    def _announce(self, _snapshot: ConfigSnapshot) -> None:
+        others = [m for m in self._read_view().alive() if m.entry != self._own.entry]
+        for member in self._rng.sample(others, min(NOTICE_FAN_OUT, len(others))):
+            self._notify(member.peer_address)
+
+    def _notify(self, address: str) -> None:
+        def take(reply: Notice | None) -> None:
+            if reply and reply.version > self._coordinator.current().version:
+                self._want(reply.version, address)
+
+        self._transport.notify(address, self._notice(), take)
+
+    def _may_remind(self, entry: EntryId) -> bool:
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            last_s = self._reminded_s.get(entry, float("-inf"))
+            if now_s - last_s < REMIND_INTERVAL_S:
+                return False
+            self._reminded_s[entry] = now_s
+            return True
+
+    def _notice(self) -> Notice:
+        current = self._coordinator.current()
+        return Notice(
+            self._own.entry, current.version, current.digest, self._own.peer_address
+        )
--- a/src/jayshunt/membership/node.py
+++ b/src/jayshunt/membership/node.py
@@ -69,6 +69,7 @@
         self._recontact_at_s = now_s
         self._compared_s = now_s
         self._on_change: Callable[[], None] = lambda: None
+        self._on_version: Callable[[EntryId, ConfigVersion], None] = lambda *_: None
         self.config_version = ConfigVersion(0)
         self.assignment_epoch = Epoch(0)
 
@@ -80,6 +81,12 @@
         """Call a handler when there is something to tell others."""
         self._on_change = handler
 
+    def set_version_handler(
+        self, handler: Callable[[EntryId, ConfigVersion], None]
+    ) -> None:
+        """Call a handler with the configuration version that a reply reports."""
+        self._on_version = handler
+
     def monitors(self) -> tuple[Member, ...]:
         """Return the members to which this one sends heartbeats."""
         return () if self._ended else self._ring.monitors_of(self._table.own)
@@ -296,6 +303,7 @@
                 if reply.complete and reply.digest != self._table.digest():
                     complete = self._complete(missing)
                     self._transport.exchange(address, complete, self._take_corrections)
+            self._on_version(reply.entry, reply.config_version)
 
         message = replace(self._message(), digest=self._table.digest())
         self._transport.exchange(address, message, take)
--- a/src/jayshunt/membership/service.py
+++ b/src/jayshunt/membership/service.py
@@ -42,6 +42,7 @@
         self._streams = HeartbeatStreams(self.node, channels, clock)
         self._changed = threading.Event()
         self.node.set_change_handler(self._changed.set)
+        self.node.set_version_handler(self._report_version)
         self._published = self.node.view()
         self._listeners: list[Callable[[MembershipView], None]] = []
         self._ahead: list[Callable[[EntryId, ConfigVersion], None]] = []
