--- /dev/null
+++ b/src/jayshunt/config/tests/__init__.py
@@ -0,0 +1,6 @@
+"""Test the configuration slice."""
+
+import logging
+
+# Expected warnings would hide the verdict of a test run.
+logging.getLogger("jayshunt").addHandler(logging.NullHandler())
--- /dev/null
+++ b/src/jayshunt/config/tests/builders.py
@@ -0,0 +1,123 @@
+"""Build coordinators on a fake store and a network of them."""
+
+import random
+from collections.abc import Callable
+
+from jayshunt.clock import ManualClock
+from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.messages import Notice
+from jayshunt.config.models import ConfigDocument, ConfigEdit
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import ConfigVersion
+from jayshunt.membership.models import Member, MembershipView, MemberState
+from jayshunt.membership.tests.builders import build_member
+from jayshunt.store.documents import DocumentStore
+from jayshunt.store.tests.builders import FakeStore
+
+
+def build_document(**targets_ms: int) -> ConfigDocument:
+    """Return a document with one class per keyword."""
+    return ConfigDocument.model_validate(
+        {
+            "pools": {"desk": {}},
+            "classes": {
+                name: {"pool": "desk", "target_ms": target_ms}
+                for name, target_ms in targets_ms.items()
+            },
+        }
+    )
+
+
+def build_coordinator(store: FakeStore, seed: int = 1) -> ConfigCoordinator:
+    """Return a coordinator on a fake store."""
+    clock, rng = ManualClock(), random.Random(seed)
+    return ConfigCoordinator(store, DocumentStore(store, clock, rng), clock, rng)
+
+
+def build_edit(
+    document: ConfigDocument, base: int | None = None, author: str = "ama"
+) -> ConfigEdit:
+    """Return an edit."""
+    version = None if base is None else ConfigVersion(base)
+    return ConfigEdit(document, author, version)
+
+
+def add_class(name: str) -> Callable[[ConfigDocument], ConfigDocument]:
+    """Return a change that adds one class."""
+
+    def change(document: ConfigDocument) -> ConfigDocument:
+        content = document.model_dump(mode="json")
+        content["pools"].setdefault("desk", {})
+        content["classes"][name] = {"pool": "desk", "target_ms": 100}
+        return ConfigDocument.model_validate(content)
+
+    return change
+
+
+class FakePeers:
+    """Connect spreaders directly; members in `silent` do not answer."""
+
+    def __init__(self, count: int, store: FakeStore, seed: int = 1) -> None:
+        """Create members that know each other."""
+        rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.silent: set[str] = set()
+        self.deaf: set[str] = set()
+        self.members = [build_member(f"e{number:02}") for number in range(count)]
+        self.coordinators: dict[str, ConfigCoordinator] = {}
+        self.spreaders: dict[str, ConfigSpreader] = {}
+        for member in self.members:
+            coordinator = build_coordinator(store, rng.getrandbits(32))
+            self.coordinators[member.entry] = coordinator
+            self.spreaders[member.entry] = ConfigSpreader(
+                member, coordinator, self, self.view, self.clock, rng
+            )
+
+    def view(self) -> MembershipView:
+        """Return all members as alive."""
+        return MembershipView(1, tuple(self.members))
+
+    def notify(self, address: str, notice: Notice, on_reply: Callable) -> None:
+        """Deliver a notice and its reply."""
+        if address in self.silent or address in self.deaf:
+            on_reply(None)
+            return
+        on_reply(self.spreaders[address].receive(notice))
+
+    def fetch(self, address: str, notice: Notice) -> bytes:
+        """Return a peer's version."""
+        if address in self.silent:
+            raise JayshuntError("peer_unreachable", step="config.fetch", peer=address)
+        return self.coordinators[address].packed()[1]
+
+    def settle(self) -> None:
+        """Let every member fetch until nobody fetches any more."""
+        for _ in range(len(self.members)):
+            for entry, spreader in self.spreaders.items():
+                if entry not in self.silent:
+                    spreader.fetch_wanted()
+
+    def beat(self) -> None:
+        """Let every member report its version to the next one."""
+        for number, member in enumerate(self.members):
+            monitor = self.members[(number + 1) % len(self.members)]
+            if member.entry in self.silent or monitor.entry in self.silent:
+                continue
+            version = self.coordinators[member.entry].current().version
+            self.spreaders[monitor.entry].hear_version(member.entry, version)
+        self.clock.advance(1.0)
+        self.settle()
+
+    def versions(self) -> set[int]:
+        """Return the versions in force on members that answer."""
+        return {
+            coordinator.current().version
+            for entry, coordinator in self.coordinators.items()
+            if entry not in self.silent
+        }
+
+    def lose(self, member: Member) -> None:
+        """Take a member out."""
+        self.silent.add(member.entry)
+        assert member.state is MemberState.ALIVE
--- /dev/null
+++ b/src/jayshunt/config/tests/test_spreader.py
@@ -0,0 +1,76 @@
+"""Test that versions reach every entry."""
+
+import unittest
+
+from jayshunt.config.tests.builders import FakePeers, add_class
+from jayshunt.ids import EntryId
+from jayshunt.store.tests.builders import FakeStore
+
+
+class SpreadTest(unittest.TestCase):
+    """Guard the roll-out between peers."""
+
+    def setUp(self) -> None:
+        """Create sixty entries."""
+        self.store = FakeStore()
+        self.peers = FakePeers(60, self.store)
+
+    def accept(self, entry: str, name: str) -> int:
+        """Accept a change at one entry."""
+        coordinator = self.peers.coordinators[entry]
+        return coordinator.accept(add_class(name), "ama").version
+
+    def test_store_that_fails_after_the_accept_does_not_stop_the_roll_out(
+        self,
+    ) -> None:
+        """An accepted version must reach every entry without the store."""
+        self.accept("e00", "quotes")
+        self.store.down = True
+        self.peers.settle()
+        self.peers.beat()
+        self.assertEqual(self.peers.versions(), {1})
+
+    def test_entry_that_missed_every_notice_learns_from_a_heartbeat(self) -> None:
+        """An entry that no notice reached must not stay behind."""
+        self.peers.deaf.add("e07")
+        self.accept("e00", "quotes")
+        self.peers.settle()
+        self.assertEqual(self.peers.versions(), {0, 1})
+        self.peers.deaf.clear()
+        self.peers.beat()
+        self.assertEqual(self.peers.versions(), {1})
+
+    def test_fetch_goes_to_another_peer_when_one_fails(self) -> None:
+        """A peer that dies after its notice must not hold up the others."""
+        self.accept("e00", "quotes")
+        self.peers.lose(self.peers.members[0])
+        for entry in ("e01", "e02"):
+            coordinator = self.peers.coordinators[entry]
+            coordinator.apply_packed(self.peers.coordinators["e00"].packed()[1])
+        self.peers.settle()
+        for _ in range(3):
+            self.peers.beat()
+        self.assertEqual(self.peers.versions(), {1})
+
+    def test_entries_without_an_answer_are_named(self) -> None:
+        """An operator who waits must learn where the version is not in force."""
+        self.accept("e00", "quotes")
+        self.peers.settle()
+        self.peers.beat()
+        self.peers.lose(self.peers.members[9])
+        versions = self.peers.coordinators["e00"].in_force()
+        missing = [entry for entry, version in versions.items() if version != 1]
+        self.assertEqual(missing, [EntryId("e09")])
+
+    def test_paused_entry_with_an_old_version_brings_nobody_back(self) -> None:
+        """A process that resumes with an old version must catch up."""
+        self.accept("e00", "quotes")
+        self.peers.settle()
+        self.peers.silent.add("e05")
+        for number in range(3):
+            self.accept("e01", f"trips{number}")
+            self.peers.settle()
+        self.peers.silent.clear()
+        for _ in range(2):
+            self.peers.beat()
+        self.assertEqual(self.peers.versions(), {4})
--- a/src/jayshunt/store/tests/builders.py
+++ b/src/jayshunt/store/tests/builders.py
@@ -19,7 +19,8 @@
     `down` refuses every call; `lose_answers` counts writes that take effect
     without an answer; `drop_writes` counts writes that get lost before they take
     effect, also without an answer; `delay_writes` counts writes that get no answer
-    and reach the store only when `deliver` is called.
+    and reach the store only when `deliver` is called. `stale` makes reads return
+    the value of that many changes ago.
     """
 
     def __init__(self) -> None:
@@ -32,6 +33,8 @@
         self.delay_writes = 0
         self.delayed: list[tuple[str, str, Revision]] = []
         self.puts = 0
+        self.stale = 0
+        self._history: dict[str, list[StoredValue]] = {}
 
     def deliver(self) -> int:
         """Let the delayed writes arrive; return how many took effect."""
@@ -49,8 +52,15 @@
         """Return the value of a key."""
         if self.down:
             raise StoreUnavailable("store.get", "fake", "down")
+        if self.stale and key in self._history:
+            older = self._history[key]
+            return older[max(0, len(older) - 1 - self.stale)]
         return self.values.get(key)
 
+    def delete(self, key: str, expected: Revision = Revision(-1)) -> None:
+        """Delete a key."""
+        self.values.pop(key, None)
+
     def put(
         self, key: str, value: str, expected: Revision, lease: LeaseId | None = None
     ) -> Revision:
@@ -70,6 +80,7 @@
             raise RevisionConflict(key, "fake")
         self.revision += 1
         self.values[key] = StoredValue(key, value, Revision(self.revision))
+        self._history.setdefault(key, []).append(self.values[key])
         if self.lose_answers > 0:
             self.lose_answers -= 1
             raise StoreOutcomeUnknown("store.put", "fake", "lost")
