Read only what changed in the platform's list

Cause: each entry read the whole list every 2 s; at 1,600 workers of about 250 bytes that would be about 200 KB/s per entry against a limit of 3 KB/s. Change: a poll names the version of the last list and gets only what changed; a platform that does not know the version returns the whole list. Listed entries become seeds of the membership.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -66,6 +66,9 @@
         self.peer_server.add(MembershipServicer(self.membership).add_to)
         self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
+        self.inventory.add_listener(
+            lambda listed: self.membership.add_seeds(listed.entries)
+        )
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
         self.spreader = ConfigSpreader(
             own,
--- /dev/null
+++ b/src/jayshunt/config/diagnostics.py
@@ -0,0 +1,18 @@
+"""Report the state of the configuration."""
+
+from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.watcher import StoreWatcher
+
+
+def describe(coordinator: ConfigCoordinator, watcher: StoreWatcher) -> dict:
+    """Return the version in force and how it is kept up to date."""
+    snapshot = coordinator.current()
+    return {
+        "version": snapshot.version,
+        "digest": snapshot.digest,
+        "author": snapshot.author,
+        "accepted_s": snapshot.accepted_s,
+        "reason": snapshot.reason,
+        "watches_store": watcher.is_watcher(),
+        "has_read_store": watcher.has_read,
+    }
--- /dev/null
+++ b/src/jayshunt/inventory/diagnostics.py
@@ -0,0 +1,14 @@
+"""Report the platform's list as it was last read."""
+
+from jayshunt.inventory.poller import InventoryPoller
+
+
+def describe(poller: InventoryPoller, now_s: float) -> dict:
+    """Return the age and size of the list; `now_s` is wall time."""
+    current = poller.current
+    return {
+        "age_s": round(now_s - current.as_of_s, 3),
+        "vms": len(current.vms),
+        "entry_addresses": list(current.entries),
+        "last_error": poller.last_error,
+    }
--- a/src/jayshunt/inventory/models.py
+++ b/src/jayshunt/inventory/models.py
@@ -35,7 +35,11 @@
 
 @dataclass(frozen=True)
 class VmList:
-    """Hold the list as of a wall time in seconds."""
+    """Hold the list as of a wall time in seconds.
+
+    `entries` are the peers' addresses of entry VMs that the platform lists.
+    """
 
     as_of_s: float = 0.0
     vms: dict[VmId, ListedVm] = field(default_factory=dict)
+    entries: tuple[str, ...] = ()
--- a/src/jayshunt/inventory/poller.py
+++ b/src/jayshunt/inventory/poller.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import random
 import threading
 from collections.abc import Callable
 
@@ -23,6 +24,10 @@
         """Start with an empty list."""
         self._url = base_url.rstrip("/")
         self._clock = clock
+        self._rng = random.Random()
+        self._version = 0
+        self._entries: dict[str, str] = {}
+        self.last_error = ""
         self._current = VmList()
         self._listeners: list[Callable[[VmList], None]] = []
 
@@ -40,25 +45,50 @@
         while not stop.is_set():
             try:
                 self.poll()
+                self.last_error = ""
             except JayshuntError as error:
-                _LOGGER.warning("inventory: no list: %s", error)
-            self._clock.wait(stop, POLL_INTERVAL_S)
+                if not self.last_error:
+                    _LOGGER.warning("inventory: no list: %s", error)
+                self.last_error = str(error)
+            # Random waits keep the polls of entries that started together apart.
+            self._clock.wait(stop, POLL_INTERVAL_S * self._rng.uniform(0.8, 1.2))
 
     def poll(self) -> None:
-        """Read the list once; an older one than the last is dropped."""
+        """Read what changed since the last list.
+
+        A list that is older than the last one is dropped. A platform that does not
+        know the version of the last list returns the whole list.
+        """
         step = "inventory.list"
         answer = http_client.request(
-            "GET", f"{self._url}/vms", timeout_s=CALL_TIMEOUT_S, step=step
+            "GET",
+            f"{self._url}/vms?since={self._version}",
+            timeout_s=CALL_TIMEOUT_S,
+            step=step,
         )
         if answer.status != 200:
             raise JayshuntError(
                 "inventory_unavailable", step=step, peer=self._url.split("//")[-1]
             )
-        content = json.loads(answer.body)
+        self.take(json.loads(answer.body))
+
+    def take(self, content: dict) -> None:
+        """Take an answer of the platform."""
         if content["as_of_s"] <= self._current.as_of_s:
             return
-        vms = [_listed(item) for item in content["vms"] if item["kind"] in KINDS]
-        self._current = VmList(content["as_of_s"], {vm.vm: vm for vm in vms})
+        items = content["vms"]
+        vms = {vm.vm: vm for vm in map(_listed, items) if vm is not None}
+        entries = {i["id"]: i["address"] for i in items if i["kind"] == ENTRY_KIND}
+        if content.get("since") == self._version and self._version:
+            gone = {*content["removed"], *(item["id"] for item in items)}
+            kept = {k: v for k, v in self._current.vms.items() if k not in gone}
+            vms = {**kept, **vms} if gone else self._current.vms
+            kept = {k: v for k, v in self._entries.items() if k not in gone}
+            entries = {**kept, **entries}
+        self._version = content.get("version", 0)
+        self._entries = entries
+        addresses = tuple(sorted(entries.values()))
+        self._current = VmList(content["as_of_s"], vms, addresses)
         for listener in self._listeners:
             listener(self._current)
 
@@ -77,9 +107,12 @@
 
 
 KINDS = frozenset(kind.value for kind in VmKind)
+ENTRY_KIND = "entry"
 
 
-def _listed(item: dict) -> ListedVm:
+def _listed(item: dict) -> ListedVm | None:
+    if item["kind"] not in KINDS:
+        return None
     return ListedVm(
         vm=VmId(item["id"]),
         address=item["address"],
--- /dev/null
+++ b/src/jayshunt/inventory/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the inventory slice."""
--- a/src/jayshunt/membership/node.py
+++ b/src/jayshunt/membership/node.py
@@ -130,6 +130,13 @@
                     self._compared_s = now_s
                     self._compare_with(known.peer_address)
 
+    def silences(self) -> dict[EntryId, float | None]:
+        """Return for how many seconds each monitored member was not heard."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            monitored = self._ring.monitored_by(self._table.own)
+            return {m.entry: self._watch.silence_s(m.entry, now_s) for m in monitored}
+
     def answer_probe(self, entry: EntryId) -> float | None:
         """Return for how many seconds a member was not heard; None if unknown."""
         with self._lock:
--- a/src/jayshunt/peers/channels.py
+++ b/src/jayshunt/peers/channels.py
@@ -46,6 +46,16 @@
         self._stubs: dict[tuple[str, type], object] = {}
         self._retired: list[tuple[float, grpc.Channel]] = []
 
+    @property
+    def authenticated(self) -> bool:
+        """Return whether channels show and demand certificates."""
+        return self._reader is not None
+
+    def addresses(self) -> list[str]:
+        """Return the addresses that have a channel."""
+        with self._lock:
+            return sorted(self._channels)
+
     def channel(self, peer_address: str) -> grpc.Channel:
         """Return the channel to a peer; it connects at its first call."""
         with self._lock:
--- a/src/jayshunt_standins/inventory.py
+++ b/src/jayshunt_standins/inventory.py
@@ -26,8 +26,9 @@
 class InventoryStandIn(StandInServer):
     """List VMs as they were `lag_s` seconds ago; drain and reboot on request.
 
-    `GET /vms` lists, `POST /vms/<id>/drain` marks a VM as leaving, `POST
-    /vms/<id>/reboot` restarts it. `PUT /standin/vms/<id>` changes a VM.
+    `GET /vms` lists, with `since` only what changed after that version of the list.
+    `POST /vms/<id>/drain` marks a VM as leaving, `POST /vms/<id>/reboot` restarts
+    it. `PUT /standin/vms/<id>` changes a VM.
     """
 
     def __init__(self, vms: list[ListedVm], lag_s: float = 5.0, port: int = 0) -> None:
@@ -56,7 +57,7 @@
         parts = call.path.strip("/").split("/")
         match call.method, parts:
             case "GET", ["vms"]:
-                return self._list()
+                return self._list(int(call.query.get("since", 0)))
             case "POST", ["vms", vm_id, "drain"] if vm_id in self._vms:
                 self.change(vm_id, state="leaving")
                 return Reply(202, {})
@@ -78,10 +79,19 @@
         self._vms = vms
         self._versions.append((time.monotonic(), vms))
 
-    def _list(self) -> Reply:
+    def _list(self, since: int) -> Reply:
         with self._lock:
             seen_s = time.monotonic() - self.lag_s
-            old = [v for v in self._versions if v[0] <= seen_s]
-            vms = (old or self._versions)[-1 if old else 0][1]
-            listed = [asdict(vm) for vm in vms.values()]
-        return Reply(200, {"as_of_s": time.time() - self.lag_s, "vms": listed})
+            known = sum(1 for v in self._versions if v[0] <= seen_s)
+            version = max(1, known)
+            vms = self._versions[version - 1][1]
+            before = self._versions[since - 1][1] if 0 < since <= version else {}
+            changed = [asdict(vm) for vm in vms.values() if before.get(vm.id) != vm]
+        content = {
+            "as_of_s": time.time() - self.lag_s,
+            "version": version,
+            "since": since if before else 0,
+            "vms": changed,
+            "removed": [vm for vm in before if vm not in vms],
+        }
+        return Reply(200, content)
