--- a/src/jayshunt/membership/node.py
+++ b/src/jayshunt/membership/node.py
@@ -155,9 +155,19 @@
         """Tell everyone that this entry stops; it still serves what it holds."""
         self._announce(MemberState.LEAVING)
 
+    @property
+    def own(self) -> Member:
+        """Return the own record."""
+        return self._table.own
+
+    def silence(self) -> None:
+        """Take and tell nothing any more, as a process that died."""
+        self._ended = True
+
     def end(self) -> None:
         """Tell everyone that this entry is gone, as the last step of a stop."""
-        self._announce(MemberState.LOST)
+        if not self._ended:
+            self._announce(MemberState.LOST)
         self._ended = True
 
     def step(self) -> None:
--- /dev/null
+++ b/src/jayshunt_measure/node_host.py
@@ -0,0 +1,103 @@
+"""Run several control nodes in one process, driven by lines on standard input."""
+
+import json
+import os
+import resource
+import socket
+import sys
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from jayshunt.errors import JayshuntError
+from jayshunt_measure.control_node import ControlNode, NodePlan
+from jayshunt_measure.traffic import TrafficCounter
+
+MAX_ACCEPTS = 32
+
+
+class NodeHost:
+    """Carry out commands and write events as JSON lines."""
+
+    def __init__(self) -> None:
+        """Start without nodes."""
+        self._nodes: dict[str, ControlNode] = {}
+        self._lock = threading.Lock()
+        self._traffic = TrafficCounter().start()
+        self._executor = ThreadPoolExecutor(MAX_ACCEPTS)
+        self._hole = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        port = self._hole.getsockname()[1]
+        self._black_hole = f"127.0.0.1:{port}"
+
+    def run(self) -> None:
+        """Read commands until the input ends."""
+        for line in sys.stdin:
+            command = json.loads(line)
+            getattr(self, f"do_{command.pop('do')}")(**command)
+
+    def do_start(self, plan: dict) -> None:
+        """Start a node."""
+        plan["seeds"] = tuple(plan["seeds"])
+        node = ControlNode(NodePlan(**plan), self.report, self._black_hole)
+        self._nodes[node.plan.entry] = node
+        node.start()
+        self.report({"event": "started", "entry": node.plan.entry})
+
+    def do_stop(self, entry: str, orderly: bool) -> None:
+        """Stop a node."""
+        self._nodes.pop(entry).stop(orderly)
+        self.report({"event": "stopped", "entry": entry})
+
+    def do_cut(self, entry: str, addresses: list[str]) -> None:
+        """Cut a node off from peers."""
+        self._nodes[entry].channels.cut(frozenset(addresses))
+
+    def do_accept(self, entry: str, name: str, quota: float) -> None:
+        """Let an operator change the configuration at a node."""
+        self._executor.submit(self._accept, entry, name, quota)
+
+    def do_stats(self, mark: str) -> None:
+        """Report what this process has used so far."""
+        traffic = self._traffic.total()
+        pages = int(open("/proc/self/statm").read().split()[1])
+        self.report(
+            {
+                "event": "stats",
+                "mark": mark,
+                "nodes": len(self._nodes),
+                "cpu_s": time.process_time(),
+                "payload_bytes": traffic.payload_bytes,
+                "wire_bytes": traffic.wire_bytes,
+                "segments": traffic.segments,
+                "rss_bytes": pages * resource.getpagesize(),
+                "threads": threading.active_count(),
+                "store_calls": sum(n.store.calls for n in self._nodes.values()),
+                "store_writes": sum(n.store.writes for n in self._nodes.values()),
+            }
+        )
+
+    def report(self, event: dict) -> None:
+        """Write one event with the system's monotonic time."""
+        line = json.dumps({**event, "at_s": time.monotonic()}) + "\n"
+        with self._lock:
+            sys.stdout.write(line)
+            sys.stdout.flush()
+
+    def _accept(self, entry: str, name: str, quota: float) -> None:
+        started_s = time.monotonic()
+        event = {"event": "accepted", "entry": entry, "name": name, "quota": quota}
+        event["started_s"] = started_s
+        try:
+            snapshot = self._nodes[entry].accept(name, quota)
+            event.update(version=snapshot.version, digest=snapshot.digest)
+        except JayshuntError as error:
+            event.update(event="refused", outcome=error.outcome.value, code=error.code)
+        self.report(event)
+
+
+if __name__ == "__main__":
+    try:
+        NodeHost().run()
+    finally:
+        # Nodes have many threads in calls; nothing is left to write.
+        os._exit(0)
--- /dev/null
+++ b/src/jayshunt_measure/node_hosts.py
@@ -0,0 +1,172 @@
+"""Start hosts of control nodes and collect their events."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import asdict, replace
+from pathlib import Path
+
+from jayshunt_measure.certificates import Authority
+from jayshunt_measure.control_node import NodePlan
+from jayshunt_measure.testbed import free_ports
+from jayshunt_standins.relay import Relay
+from jayshunt_standins.server import LOOPBACK
+from jayshunt_standins.store import StoreStandIn
+
+WAIT_LIMIT_S = 30.0
+
+
+class Host:
+    """Own one process of nodes."""
+
+    def __init__(self, take: Callable[[dict], None]) -> None:
+        """Start the process; `take` gets each of its events."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "jayshunt_measure.node_host"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        self._take = take
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def send(self, **command: object) -> None:
+        """Send one command."""
+        try:
+            self.process.stdin.write(json.dumps(command) + "\n")
+            self.process.stdin.flush()
+        except BrokenPipeError:
+            return
+
+    def stop(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
+
+    def _read(self) -> None:
+        for line in self.process.stdout:
+            self._take(json.loads(line))
+
+
+class NodeHosts:
+    """Own a store, its relays per zone and the hosts of one run."""
+
+    def __init__(self) -> None:
+        """Start the store."""
+        self._folder = tempfile.TemporaryDirectory(prefix="jayshunt-")
+        self._authority = Authority(Path(self._folder.name))
+        self.store = StoreStandIn()
+        self.store.start()
+        self.relays: dict[str, Relay] = {}
+        self.hosts: list[Host] = []
+        self.events: list[dict] = []
+        self._changed = threading.Condition()
+        self.plans: dict[str, NodePlan] = {}
+        self._host_of: dict[str, Host] = {}
+
+    def plan(
+        self, count: int, zones: int, regions: int, watch_only: bool = False
+    ) -> list[NodePlan]:
+        """Plan nodes spread over zones; the first three are everyone's seeds."""
+        addresses = [f"{LOOPBACK}:{port}" for port in free_ports(count)]
+        plans = []
+        for number, address in enumerate(addresses):
+            zone = f"z{number % zones:02}"
+            if zone not in self.relays:
+                self.relays[zone] = Relay(self.store.address).start()
+            keys = self._authority.issue(f"e{number:03}")
+            plans.append(
+                NodePlan(
+                    f"e{number:03}",
+                    zone,
+                    f"r{number % zones % regions}",
+                    address,
+                    tuple(addresses[:3]),
+                    f"http://{self.relays[zone].address}",
+                    str(keys.certificate_file),
+                    str(keys.key_file),
+                    str(keys.authority_file),
+                    watch_only,
+                )
+            )
+        return plans
+
+    def start(self, plans: list[NodePlan]) -> Host:
+        """Start nodes in one new process."""
+        host = Host(self._take)
+        self.hosts.append(host)
+        for plan in plans:
+            self.plans[plan.entry] = plan
+            self._host_of[plan.entry] = host
+            host.send(do="start", plan=asdict(plan))
+        return host
+
+    def restart(self, entry: str) -> None:
+        """Start a node again that was stopped."""
+        plan = replace(self.plans[entry])
+        self._host_of[entry].send(do="start", plan=asdict(plan))
+
+    def host_of(self, entry: str) -> Host:
+        """Return the host of a node."""
+        return self._host_of[entry]
+
+    def partition(self, zone: str) -> None:
+        """Cut a zone off from the other zones and from the store."""
+        inside = {p.address for p in self.plans.values() if p.zone == zone}
+        outside = {p.address for p in self.plans.values() if p.zone != zone}
+        for entry, plan in self.plans.items():
+            cut = outside if plan.zone == zone else inside
+            self._host_of[entry].send(do="cut", entry=entry, addresses=sorted(cut))
+        self.relays[zone].silence()
+
+    def heal(self, zone: str) -> None:
+        """Connect a zone again."""
+        for entry in self.plans:
+            self._host_of[entry].send(do="cut", entry=entry, addresses=[])
+        self.relays[zone].restore()
+
+    def stats(self, mark: str) -> list[dict]:
+        """Return what each host has used so far."""
+        for host in self.hosts:
+            host.send(do="stats", mark=mark)
+        self.wait(lambda: len(self._marked(mark)) >= len(self.hosts), 10)
+        return self._marked(mark)
+
+    def wait(
+        self, condition: Callable[[], bool], limit_s: float = WAIT_LIMIT_S
+    ) -> bool:
+        """Wait until a condition on the events holds; return whether it does."""
+        end_s = time.monotonic() + limit_s
+        with self._changed:
+            while not condition():
+                left_s = end_s - time.monotonic()
+                if left_s <= 0:
+                    return False
+                self._changed.wait(min(left_s, 0.1))
+        return True
+
+    def find(self, event: str) -> list[dict]:
+        """Return the events of one kind so far."""
+        return [item for item in list(self.events) if item["event"] == event]
+
+    def stop(self) -> None:
+        """End everything."""
+        for host in self.hosts:
+            host.stop()
+        for relay in self.relays.values():
+            relay.stop()
+        self.store.stop()
+        self._folder.cleanup()
+
+    def _marked(self, mark: str) -> list[dict]:
+        return [item for item in self.find("stats") if item["mark"] == mark]
+
+    def _take(self, event: dict) -> None:
+        with self._changed:
+            self.events.append(event)
+            self._changed.notify_all()
--- /dev/null
+++ b/src/jayshunt_measure/traffic.py
@@ -0,0 +1,100 @@
+"""Count the bytes of this process's TCP connections."""
+
+import os
+import socket
+import struct
+import threading
+from dataclasses import dataclass
+
+# Offsets in the kernel's struct tcp_info: bytes acknowledged and received (64 bit),
+# then segments out and in (32 bit).
+BYTES_OFFSET = 120
+SEGMENTS_OFFSET = 136
+TCP_INFO_BYTES = 256
+# IP and TCP headers with the timestamp option.
+HEADER_BYTES = 52
+SAMPLE_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """Hold bytes and segments sent and received."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    segments: int = 0
+
+    def __add__(self, other: "Traffic") -> "Traffic":
+        """Return the sum."""
+        return Traffic(
+            self.sent_bytes + other.sent_bytes,
+            self.received_bytes + other.received_bytes,
+            self.segments + other.segments,
+        )
+
+    @property
+    def payload_bytes(self) -> int:
+        """Return what TCP carried, TLS and HTTP/2 framing included."""
+        return self.sent_bytes + self.received_bytes
+
+    @property
+    def wire_bytes(self) -> int:
+        """Return the payload with the headers of every segment."""
+        return self.payload_bytes + HEADER_BYTES * self.segments
+
+
+class TrafficCounter:
+    """Sample the kernel's counters of every connection, open or closed."""
+
+    def __init__(self) -> None:
+        """Start with no connection."""
+        self._last: dict[int, Traffic] = {}
+        self._closed = Traffic()
+        self._lock = threading.Lock()
+
+    def start(self) -> "TrafficCounter":
+        """Sample until the process ends."""
+        threading.Thread(target=self._run, daemon=True).start()
+        return self
+
+    def total(self) -> Traffic:
+        """Return the bytes of all connections so far."""
+        self.sample()
+        with self._lock:
+            return sum(self._last.values(), self._closed)
+
+    def sample(self) -> None:
+        """Read the counters of the open connections."""
+        found: dict[int, Traffic] = {}
+        for name in os.listdir("/proc/self/fd"):
+            try:
+                link = os.readlink(f"/proc/self/fd/{name}")
+                if link.startswith("socket:["):
+                    found[int(link[8:-1])] = _read(int(name))
+            except OSError:
+                continue
+        with self._lock:
+            for inode in set(self._last) - set(found):
+                self._closed += self._last.pop(inode)
+            self._last.update(found)
+
+    def _run(self) -> None:
+        pause = threading.Event()
+        while True:
+            self.sample()
+            pause.wait(SAMPLE_INTERVAL_S)
+
+
+def _read(descriptor: int) -> Traffic:
+    duplicate = socket.socket(fileno=os.dup(descriptor))
+    try:
+        if duplicate.type != socket.SOCK_STREAM or duplicate.family == socket.AF_UNIX:
+            return Traffic()
+        info = duplicate.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    finally:
+        duplicate.close()
+    if len(info) < SEGMENTS_OFFSET + 8:
+        return Traffic()
+    acked, received = struct.unpack_from("=QQ", info, BYTES_OFFSET)
+    out, into = struct.unpack_from("=II", info, SEGMENTS_OFFSET)
+    return Traffic(acked, received, out + into)
