--- a/src/jayshunt/store/client.py
+++ b/src/jayshunt/store/client.py
@@ -63,7 +63,6 @@
         self._failures = 0
         self._retry_at_s = 0.0
         self._health = StoreHealth(StoreState.UP, clock.monotonic_s())
-        self._watches_ended = threading.Event()
         self.calls = 0
         self.writes = 0
 
@@ -118,12 +117,16 @@
             raise RevisionConflict(key, self._peer)
 
     def watch(
-        self, prefix: str, after: Revision, wait_s: float = WATCH_WAIT_S
+        self,
+        prefix: str,
+        after: Revision,
+        wait_s: float = WATCH_WAIT_S,
+        stop: threading.Event | None = None,
     ) -> tuple[Revision, tuple[WatchEvent, ...]]:
         """Wait for changes below a prefix after a revision.
 
         Return the revision to continue from and the changes, none if `wait_s`
-        seconds passed without one.
+        seconds passed without one. The wait is given up when `stop` is set.
         """
         query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
         answer = self._call(
@@ -131,7 +134,7 @@
             "GET",
             f"/watch?{query}",
             timeout_s=wait_s + CALL_TIMEOUT_S,
-            abort=self._watches_ended,
+            stop=stop,
         )
         document = json.loads(answer.body)
         events = tuple(
@@ -140,10 +143,6 @@
         )
         return Revision(document["revision"]), events
 
-    def end_watches(self) -> None:
-        """End waiting watches, so that a stop does not wait for `WATCH_WAIT_S`."""
-        self._watches_ended.set()
-
     def grant_lease(self, ttl_s: float) -> LeaseId:
         """Create a lease that ends `ttl_s` seconds after it was last kept."""
         body = json.dumps({"ttl_s": ttl_s}).encode()
@@ -178,7 +177,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-        abort: threading.Event | None = None,
+        stop: threading.Event | None = None,
     ) -> HttpAnswer:
         self._admit(step)
         writes = method != "GET"
@@ -192,10 +191,10 @@
                 headers=headers,
                 timeout_s=timeout_s,
                 step=step,
-                abort=abort,
+                stop=stop,
             )
         except JayshuntError as error:
-            if abort is not None and abort.is_set():
+            if stop is not None and stop.is_set():
                 raise StoreUnavailable(step, self._peer, "the watch ended") from error
             self._failed(str(error))
             if writes and error.outcome is Outcome.UNKNOWN:
