--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -9,8 +9,19 @@
 from jayshunt.admission.broker import Broker
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.peer_service import ConfigurationServicer
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.config.transport import GrpcConfigTransport
+from jayshunt.config.watcher import StoreWatcher
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, VmId, ZoneName
+from jayshunt.ids import (
+    ClassName,
+    EntryId,
+    PoolName,
+    RegionName,
+    VmId,
+    ZoneName,
+)
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
@@ -19,13 +30,16 @@
 from jayshunt.maintenance.probes import HealthProbes
 from jayshunt.maintenance.reporting import ZoneReporter
 from jayshunt.maintenance.runner import MaintenanceRunner
+from jayshunt.membership.models import Member, MembershipView
+from jayshunt.membership.peer_service import MembershipServicer
+from jayshunt.membership.service import MembershipService
 from jayshunt.operations.application import OperatorApplication
 from jayshunt.operations.class_statistics import ClassStatistics
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
-from jayshunt.pools.models import Assignment, VmKind
+from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
 from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
 from jayshunt.pools.registry import EntryRegistry
 from jayshunt.routing.connections import UpstreamConnections
@@ -33,10 +47,12 @@
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
 from jayshunt.serving.http_server import HttpServer
-from jayshunt.settings.models import EntrySettings
+from jayshunt.serving.limits import OPERATOR_LIMITS, caller_limits
+from jayshunt.serving.tls import ReloadingTls
+from jayshunt.settings.models import EntrySettings, ServerTlsFiles
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
-from jayshunt.store.models import StoreState
+from jayshunt.store.gate import CallShare
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,19 +73,46 @@
         self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
+        self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
+        self.channels = PeerChannels(settings.tls.peers)
+        own = self._own_member()
+        self.membership = MembershipService(
+            own, settings.seeds, self.channels, clock, rng
+        )
+        self.peer_server.add(MembershipServicer(self.membership).add_to)
+        self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
+        self.inventory.add_listener(
+            lambda listed: self.membership.add_seeds(listed.entries)
+        )
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
+        self.spreader = ConfigSpreader(
+            own,
+            self.config,
+            GrpcConfigTransport(self.channels),
+            self.membership.view,
+            clock,
+            rng,
+        )
+        self.config_watcher = StoreWatcher(
+            own, self.config, self.store.watch, self.membership.view, clock, rng
+        )
+        self.peer_server.add(ConfigurationServicer(self.config, self.spreader).add_to)
+        self.membership.add_version_listener(self.spreader.hear_version)
+        self.config.add_listener(
+            lambda snapshot: self.membership.set_config_version(snapshot.version)
+        )
         self._brokers: dict[PoolName, Broker] = {}
         self._brokers_lock = threading.Lock()
-        self.channels = PeerChannels(settings.tls.peers)
-        self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
-        self.controller = self._zone_controller(zone, documents)
+        self.controller = self._zone_controller(zone, own, documents)
         self.maintenance = self._maintenance(zone, documents)
         self.statistics = ClassStatistics(clock)
         self.connections = UpstreamConnections(clock)
         self.router = Router(
             self._entry, clock, self.config.current, self._broker_of, self.connections
         )
+        # A new controller takes its larger share at its first step.
+        self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
         scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
         self.controller.add_duty(scheduler.step)
         intake = JobIntake(
@@ -80,9 +123,15 @@
 
     def start(self) -> None:
         """Start every part; callers are served last."""
-        for task in (self.inventory.run, self.config.run, self.controller.run):
-            self._tasks.start(task)
         self.peer_server.start()
+        for task in (
+            self.membership.run,
+            self.inventory.run,
+            self.config_watcher.run,
+            self.spreader.run_fetches,
+            self.controller.run,
+        ):
+            self._tasks.start(task)
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
@@ -95,23 +144,24 @@
     def stop(self) -> None:
         """Serve what was accepted to its end, then stop every part."""
         _LOGGER.info("entry: stopping, requests in flight end first")
+        self.membership.leave()
         self.callers.stop()
         self.operators.stop()
         self._tasks.stop()
         self.connections.stop()
+        self._probes.stop()
+        self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
-        self._probes.stop()
 
     def _zone_controller(
-        self, zone: ZoneName, documents: DocumentStore
+        self, zone: ZoneName, own: Member, documents: DocumentStore
     ) -> ZoneController:
-        incarnation = int(self._clock.now_s() * 1000)
         self.registry = EntryRegistry(
             zone,
             self._entry,
-            incarnation,
-            self._settings.listen.peers,
+            own.incarnation,
+            own.peer_address,
             self.store,
             self._clock,
         )
@@ -133,6 +183,10 @@
             self._clock,
             self.registry,
             RecordPusher(self.channels, service).push,
+            lambda: [
+                EntryRegistration(m.entry, m.incarnation, m.peer_address, 0.0)
+                for m in self.membership.view().alive(zone)
+            ],
         )
 
     def _maintenance(
@@ -169,19 +223,42 @@
             brokers = tuple(self._brokers.values())
         return sum(broker.in_flight(vm) for broker in brokers)
 
+    def _share_store(self, view: MembershipView) -> None:
+        """Divide the store's rate among all entries that may be alive.
+
+        Lost members count until they are forgotten, because they may run on the
+        other side of a partition.
+        """
+        share = CallShare(
+            len(view.members), len(view.zones()), self.controller.holds_lease
+        )
+        self.store.set_share(share)
+
+    def _own_member(self) -> Member:
+        identity = self._settings.identity
+        host, _ = split_address(self._settings.listen.peers)
+        return Member(
+            entry=self._entry,
+            zone=ZoneName(identity.zone),
+            region=RegionName(identity.region),
+            peer_address=f"{host}:{self.peer_server.port}",
+            # The wall time makes a restarted process newer than its predecessor.
+            incarnation=int(self._clock.now_s() * 1000),
+            program_version=__version__,
+        )
+
     def _caller_server(
         self, settings: EntrySettings, jobs: JobApplication
     ) -> HttpServer:
-        application = CallerApplication(
-            self._send, jobs.answer, settings.limits.max_body_bytes
-        )
+        application = CallerApplication(self._send, jobs.answer)
         host, port = split_address(settings.listen.callers)
         return HttpServer(
             host,
             port,
             application,
-            settings.limits.max_connections,
-            settings.limits.read_timeout_ms / 1000,
+            caller_limits(settings.limits),
+            self._tls_of(settings.tls.callers),
+            self._clock,
         )
 
     def _operator_server(self, settings: EntrySettings) -> HttpServer:
@@ -193,7 +270,17 @@
             self._is_ready,
         )
         host, port = split_address(settings.listen.operators)
-        return HttpServer(host, port, application, 32, 10.0)
+        return HttpServer(
+            host,
+            port,
+            application,
+            OPERATOR_LIMITS,
+            self._tls_of(settings.tls.operators),
+            self._clock,
+        )
+
+    def _tls_of(self, files: ServerTlsFiles | None) -> ReloadingTls | None:
+        return None if files is None else ReloadingTls(files, self._clock)
 
     def _send(self, request: CallerRequest) -> CallerAnswer:
         started_s = self._clock.monotonic_s()
@@ -235,10 +322,8 @@
         return PoolName(work_class.pool)
 
     def _is_ready(self) -> bool:
-        if not self.config.current().version or not self.controller.record.epoch:
-            return False
-        # Without the store an entry cannot register, but it serves through others.
-        return self.controller.may_broker or self.store.health.state is StoreState.DOWN
+        in_force = self.config.current().version and self.controller.record.epoch
+        return bool(in_force) and not self.callers.draining
 
     def _status(self) -> dict:
         config = self.config.current()
@@ -249,6 +334,10 @@
             "config_version": config.version,
             "store": self.store.health.state.value,
             "is_controller": self.controller.holds_lease,
+            "members": {
+                member.entry: member.state.value
+                for member in self.membership.view().members
+            },
             "classes": [
                 {**asdict(status), "is_met": status.is_met}
                 for status in self.statistics.status(config)
--- a/src/jayshunt/maintenance/reporting.py
+++ b/src/jayshunt/maintenance/reporting.py
@@ -7,7 +7,7 @@
 from jayshunt.maintenance.const import ORPHAN_PERMIT_S, REPORT_REFRESH_S
 from jayshunt.maintenance.models import Budget, PoolMember, ZoneReport
 from jayshunt.maintenance.permits import PermitLedger
-from jayshunt.pools.models import AssignmentRecord, AssignmentState, VmKind
+from jayshunt.pools.models import AssignmentRecord, AssignmentState
 
 
 class ZoneReporter:
@@ -71,7 +71,7 @@
     """Return the report of one pool in a zone."""
     members, down = {}, {}
     for vm, assignment in record.assignments.items():
-        if assignment.pool != pool or assignment.kind is VmKind.ENTRY:
+        if assignment.pool != pool:
             continue
         kind = assignment.kind.value
         members[vm] = PoolMember(vm, record.zone, assignment.rack, kind)
--- a/src/jayshunt/maintenance/waves.py
+++ b/src/jayshunt/maintenance/waves.py
@@ -9,7 +9,7 @@
 from jayshunt.maintenance.budget import availability, members_of
 from jayshunt.maintenance.const import HOLD_S, MAX_WIDTH, STOP_FAILURES
 from jayshunt.maintenance.models import Budget, WaveProgress, WaveState, WaveStatus
-from jayshunt.pools.models import Assignment, AssignmentState, VmKind
+from jayshunt.pools.models import Assignment, AssignmentState
 
 
 @dataclass(frozen=True)
@@ -41,8 +41,6 @@
 
     A rack group names one rack, or all racks whose names begin with it and "-".
     """
-    if assignment.kind is VmKind.ENTRY:
-        return False
     match stop.scope:
         case "pool":
             return assignment.pool == stop.target
--- a/src/jayshunt/pools/drain.py
+++ b/src/jayshunt/pools/drain.py
@@ -10,7 +10,6 @@
     AssignmentRecord,
     AssignmentState,
     EntryRegistration,
-    VmKind,
 )
 
 Registered = list[tuple[EntryRegistration, Revision]]
@@ -90,15 +89,14 @@
         now_s: float,
     ) -> list[tuple[EntryId, Revision]]:
         """Return the entries to remove."""
-        names_entries = any(vm.kind is VmKind.ENTRY for vm in listed.vms.values())
         quiet, gone = {}, []
         for registration, revision in registered:
             entry = registration.entry
             done = acknowledged.get(entry)
             answered = done and done.incarnation == registration.incarnation
-            is_listed = VmId(entry) in listed.vms
+            is_listed = registration.peer_address in listed.entries
             too_old = listed.as_of_s <= registration.registered_s
-            if answered or is_listed or too_old or not names_entries:
+            if answered or is_listed or too_old or not listed.entries:
                 continue
             quiet[entry] = self._quiet_since_s.get(entry, now_s)
             if now_s - quiet[entry] >= QUIET_PERIOD_S:
--- a/src/jayshunt/pools/models.py
+++ b/src/jayshunt/pools/models.py
@@ -12,7 +12,6 @@
 
     UPSTREAM = "upstream"
     WORKER = "worker"
-    ENTRY = "entry"
 
 
 class AssignmentState(Enum):
--- a/src/jayshunt/pools/tests/builders.py
+++ b/src/jayshunt/pools/tests/builders.py
@@ -124,6 +124,7 @@
             zone.clock,
             self.registry,
             zone.push,
+            zone.peers,
         )
 
     def grantable(self, pool: PoolName) -> list[VmId]:
@@ -146,6 +147,7 @@
         self.clock = ManualClock()
         self.store = LeasingStore(self.clock)
         self.entries: dict[str, FakeEntry] = {}
+        self.listed_entries: set[str] = set()
         self.listed = VmList(
             self.clock.now_s(),
             {
@@ -171,29 +173,28 @@
 
     def list_entry(self, name: str) -> None:
         """List the VM of an entry."""
-        vm = ListedVm(
-            VmId(name),
-            name,
-            ZONE,
-            RackName(""),
-            VmKind.ENTRY,
-            ListedState.LIVE,
-        )
-        self.relist({**self.listed.vms, vm.vm: vm})
+        self.listed_entries.add(name)
+        self.relist(self.listed.vms)
 
     def unlist(self, name: str) -> None:
         """Drop a VM from the platform's list."""
+        self.listed_entries.discard(name)
         self.relist({k: v for k, v in self.listed.vms.items() if k != name})
 
     def relist(self, vms: dict[VmId, ListedVm]) -> None:
         """Publish a newer list."""
-        self.listed = VmList(max(self.clock.now_s(), self.listed.as_of_s + 0.1), vms)
+        as_of_s = max(self.clock.now_s(), self.listed.as_of_s + 0.1)
+        self.listed = VmList(as_of_s, vms, tuple(sorted(self.listed_entries)))
 
     def mark(self, vm: str, state: ListedState) -> None:
         """List a VM as live or leaving."""
         vms = self.listed.vms
         self.relist({**vms, VmId(vm): replace(vms[VmId(vm)], state=state)})
 
+    def peers(self) -> list[EntryRegistration]:
+        """Return all entries, registered or not."""
+        return [entry.registry.own for entry in self.entries.values()]
+
     def push(self, own: EntryRegistration, entries, record) -> dict:
         """Deliver a record to the entries that are not paused."""
         names = {own.entry, *(e.entry for e in entries)}
