--- /dev/null
+++ b/src/jayshunt_measure/fleet_model.py
@@ -0,0 +1,137 @@
+"""Run a capacity policy over a script of demand and failures."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jayshunt_measure.fleet_script import Outage, Script
+
+SPARE = -1
+RELEASED = -2
+
+
+@dataclass
+class FleetState:
+    """Hold which pool each VM serves; SPARE is the shared buffer.
+
+    A RELEASED VM is given back for other use and costs no buffer. `ready_s` is
+    the time from which a moved VM serves.
+    """
+
+    script: Script
+    pool: list[int]
+    ready_s: list[float]
+    down: list[int]
+    backlog: list[float]
+    now_s: float = 0.0
+    moves: int = 0
+
+    def members(self, pool: int) -> list[int]:
+        """Return the VMs of a pool that are up."""
+        return self.by_pool.get(pool, [])
+
+    def refresh(self) -> None:
+        """Index the VMs that are up by pool."""
+        self.by_pool: dict[int, list[int]] = {}
+        for vm, pool in enumerate(self.pool):
+            if not self.down[vm]:
+                self.by_pool.setdefault(pool, []).append(vm)
+
+    def move(self, vm: int, pool: int) -> None:
+        """Move a VM; into service it takes a drain and a reboot.
+
+        Moves to and from the buffer count as moves, since the buffer is a pool.
+        A release or its return counts with the move that goes with it.
+        """
+        before, size = self.pool[vm], self.script.size
+        if before == pool:
+            return
+        if RELEASED not in (before, pool) or pool >= 0:
+            self.moves += 1
+        drain_s = size.drain_s if before >= 0 else 0.0
+        self.pool[vm] = pool
+        self.ready_s[vm] = self.now_s + drain_s + (size.reboot_s if pool >= 0 else 0)
+
+
+Policy = Callable[[FleetState, list[float]], None]
+
+
+@dataclass
+class FleetResult:
+    """Hold what a policy achieved."""
+
+    met: float = 0.0
+    arrived: float = 0.0
+    buffer_vm_s: float = 0.0
+    moves: int = 0
+    plan_s: list[float] = field(default_factory=list)
+
+    @property
+    def target_met_ratio(self) -> float:
+        """Return the part of the work that was served within its target."""
+        return self.met / self.arrived if self.arrived else 1.0
+
+    def buffer_core_hours(self, cores: int) -> float:
+        """Return the core-hours that were held and idle."""
+        return self.buffer_vm_s * cores / 3600
+
+
+def run_policy(
+    script: Script, policy: Policy, initial: list[int], outages: tuple[Outage, ...]
+) -> FleetResult:
+    """Serve the demand first come, first served in each pool."""
+    size = script.size
+    total = len(script.pool_of)
+    state = FleetState(
+        script, list(initial), [0.0] * total, [0] * total, [0.0] * size.pools
+    )
+    events = sorted(
+        [(o.from_s, 1, o.vm) for o in outages] + [(o.to_s, -1, o.vm) for o in outages]
+    )
+    queues: list[deque] = [deque() for _ in range(size.pools)]
+    result, position, step_s = FleetResult(), 0, size.step_s
+    state.refresh()
+    for rates in script.rates:
+        state.now_s += step_s
+        changed = False
+        while position < len(events) and events[position][0] <= state.now_s:
+            _, change, vm = events[position]
+            state.down[vm] += change
+            position, changed = position + 1, True
+        if changed:
+            state.refresh()
+        policy(state, rates)
+        held = sum(len(v) for p, v in state.by_pool.items() if p != RELEASED)
+        busy = 0.0
+        for pool, queue in enumerate(queues):
+            work = rates[pool] * step_s
+            result.arrived += work
+            queue.append((state.now_s, work))
+            state.backlog[pool] += work
+            ready = sum(state.ready_s[vm] <= state.now_s for vm in state.members(pool))
+            served, met = serve(queue, ready * step_s, state.now_s, size.target_s)
+            state.backlog[pool] -= served
+            result.met += met
+            busy += served
+        result.buffer_vm_s += max(0.0, held * step_s - busy)
+    result.moves = state.moves
+    return result
+
+
+def serve(
+    queue: deque, capacity: float, now_s: float, target_s: float
+) -> tuple[float, float]:
+    """Serve a queue in order; return the work served and that within target."""
+    served = met = 0.0
+    while queue and capacity > 1e-9:
+        arrived_s, work = queue[0]
+        part = min(work, capacity)
+        capacity -= part
+        served += part
+        if now_s - arrived_s <= target_s:
+            met += part
+        if part >= work - 1e-9:
+            queue.popleft()
+        else:
+            queue[0] = (arrived_s, work - part)
+    return served, met
