--- a/src/jayshunt/maintenance/reporting.py
+++ b/src/jayshunt/maintenance/reporting.py
@@ -1,13 +1,13 @@
 """Report a zone's members and down VMs to the budgets of its pools."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from jayshunt.clock import Clock
 from jayshunt.ids import Epoch, PoolName, VmId, ZoneName
 from jayshunt.maintenance.const import ORPHAN_PERMIT_S, REPORT_REFRESH_S
 from jayshunt.maintenance.models import Budget, PoolMember, ZoneReport
 from jayshunt.maintenance.permits import PermitLedger
-from jayshunt.pools.models import AssignmentRecord, AssignmentState
+from jayshunt.pools.models import Assignment, AssignmentRecord, AssignmentState
 
 
 class ZoneReporter:
@@ -34,9 +34,11 @@
     def step(self, record: AssignmentRecord, fence: Epoch) -> None:
         """Write due reports and give back permits that nothing uses."""
         now_s, failing = self._clock.now_s(), self._failing()
-        pools = {a.pool for a in record.assignments.values() if a.pool}
-        for pool in sorted(pools | set(self._written)):
-            report = zone_report(record, pool, failing, fence, now_s)
+        by_pool: dict[PoolName, list[Assignment]] = {p: [] for p in self._written}
+        for assignment in record.assignments.values():
+            by_pool.setdefault(assignment.pool, []).append(assignment)
+        for pool, assignments in sorted(by_pool.items()):
+            report = zone_report(record.zone, assignments, failing, fence, now_s)
             before = self._written.get(pool)
             if before is not None and _is_current(before, report):
                 continue
@@ -62,24 +64,22 @@
 
 
 def zone_report(
-    record: AssignmentRecord,
-    pool: PoolName,
+    zone: ZoneName,
+    assignments: Iterable[Assignment],
     failing: dict[VmId, str],
     fence: Epoch,
     now_s: float,
 ) -> ZoneReport:
-    """Return the report of one pool in a zone."""
+    """Return the report on the assignments of one pool in a zone."""
     members, down = {}, {}
-    for vm, assignment in record.assignments.items():
-        if assignment.pool != pool:
-            continue
-        kind = assignment.kind.value
-        members[vm] = PoolMember(vm, record.zone, assignment.rack, kind)
+    for assignment in assignments:
+        vm, kind = assignment.vm, assignment.kind.value
+        members[vm] = PoolMember(vm, zone, assignment.rack, kind)
         if assignment.state is not AssignmentState.SERVING:
             down[vm] = f"{assignment.state.value}: {assignment.reason}"
         elif vm in failing:
             down[vm] = failing[vm]
-    return ZoneReport(record.zone, fence, now_s, members, down)
+    return ZoneReport(zone, fence, now_s, members, down)
 
 
 def _is_current(before: ZoneReport, report: ZoneReport) -> bool:
--- a/src/jayshunt/maintenance/tests/test_permits.py
+++ b/src/jayshunt/maintenance/tests/test_permits.py
@@ -54,7 +54,11 @@
         """Report the members of a zone and what failed there."""
         failing = {vm: "failed" for vm in self.failed}
         report = zone_report(
-            self.records[zone], DESK, failing, Epoch(fence), self.clock.now_s()
+            ZoneName(zone),
+            self.records[zone].assignments.values(),
+            failing,
+            Epoch(fence),
+            self.clock.now_s(),
         )
         self._try(lambda: self.ledgers[zone, fence].report(DESK, report))
 
--- /dev/null
+++ b/src/jayshunt_measure/fleet.py
@@ -0,0 +1,104 @@
+"""Measure buffer, moves, maintenance and job placement of a whole fleet."""
+
+import json
+import time
+from typing import Annotated
+
+import typer
+
+from jayshunt.config.models import Measure
+from jayshunt_measure.fleet_bound import (
+    bound_buffer_vm_s,
+    bound_met_ratio,
+    bound_moves,
+)
+from jayshunt_measure.fleet_jobs import JobsRun
+from jayshunt_measure.fleet_maintenance import FleetMaintenance
+from jayshunt_measure.fleet_model import run_policy
+from jayshunt_measure.fleet_policies import (
+    PlannedPolicy,
+    greedy_policy,
+    static_policy,
+)
+from jayshunt_measure.fleet_script import DAY_S, FleetSize, Script, build_script
+
+MEASURES = {"tetteh": Measure.BUFFER_COST, "tee": Measure.MOVES}
+# The larger size runs four weeks; its steps are a minute and its bursts minutes.
+LARGE_WORKERS = 200
+
+
+def fleet(
+    seed: Annotated[int, typer.Option(help="Seed of demand and failures.")] = 1,
+    deployment: Annotated[str, typer.Option(help="tetteh or tee.")] = "tetteh",
+    workers: Annotated[int, typer.Option(min=10, help="Workers of the fleet.")] = 40,
+    as_json: Annotated[bool, typer.Option("--json")] = False,
+) -> None:
+    """Compare the capacity plan with both baselines and the bound."""
+    if deployment not in MEASURES:
+        raise typer.BadParameter("deployment must be tetteh or tee")
+    started_s = time.monotonic()
+    size = fleet_size(deployment, workers)
+    fields = measure(size, MEASURES[deployment], seed)
+    fields["seconds"] = round(time.monotonic() - started_s, 1)
+    for name, value in fields.items():
+        typer.echo(f"{name:<32}{value:>14}")
+    if as_json:
+        typer.echo(json.dumps(fields))
+
+
+def fleet_size(deployment: str, workers: int) -> FleetSize:
+    """Return the size of a deployment, or the two-year size for many workers."""
+    memory_gib = 256 if deployment == "tetteh" else 128
+    if workers < LARGE_WORKERS:
+        return FleetSize(4, 5, max(2, workers // 5), memory_gib, 120.0, DAY_S, 5)
+    # 41 pools in 15 zones; steps of a minute, so targets are longer as well.
+    return FleetSize(15, 41, workers // 41, memory_gib, 1440.0, 28 * DAY_S, 60)
+
+
+def measure(size: FleetSize, weigh_first: Measure, seed: int) -> dict[str, float]:
+    """Run maintenance, capacity and jobs, and return every field."""
+    script = build_script(size, seed)
+    upkeep = FleetMaintenance(script).run()
+    large = size.pools > 5
+    jobs = JobsRun(size, 260 if large else 20, 3800 if large else 0, seed).run(
+        120.0 if large else 900.0
+    )
+    fields = {
+        "budget_violations": upkeep.budget_violations,
+        "double_owned": upkeep.double_owned,
+        "jobs_lost": jobs.jobs_lost,
+        "jobs_run_twice": jobs.jobs_run_twice,
+    }
+    outages = (*script.outages, *upkeep.outages)
+    fields.update(_compare(script, weigh_first, outages))
+    fields.update(
+        maintained_ratio=round(upkeep.maintained_ratio, 4),
+        urgent_start_p99_ms=round(percentile(jobs.urgent_waits_ms, 0.99), 1),
+        plan_p99_ms=round(percentile(jobs.plan_ms, 0.99), 2),
+        store_writes_per_s_peak=upkeep.store_writes_per_s_peak,
+        unplaced_runnable_jobs=jobs.unplaced_runnable_jobs,
+    )
+    return fields
+
+
+def _compare(script: Script, weigh_first: Measure, outages: tuple) -> dict[str, float]:
+    planned = PlannedPolicy(weigh_first)
+    policies = {"": planned, "_static": static_policy, "_greedy": greedy_policy}
+    fields: dict[str, float] = {}
+    for suffix, policy in policies.items():
+        result = run_policy(script, policy, script.pool_of, outages)
+        buffer = round(result.buffer_vm_s * 64 / 3600)
+        fields[f"buffer_core_hours{suffix}"] = buffer
+        fields[f"moves{suffix}"] = result.moves
+        fields[f"target_met_ratio{suffix}"] = round(result.target_met_ratio, 4)
+    fields["buffer_core_hours_bound"] = round(bound_buffer_vm_s(script) * 64 / 3600)
+    fields["moves_bound"] = bound_moves(script)
+    fields["target_met_ratio_bound"] = round(bound_met_ratio(script), 4)
+    fields["capacity_plan_p99_ms"] = round(percentile(planned.plan_s, 0.99) * 1000, 2)
+    return fields
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return a percentile, 0 if there are no values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
--- a/src/jayshunt_measure/fleet_maintenance.py
+++ b/src/jayshunt_measure/fleet_maintenance.py
@@ -20,7 +20,10 @@
 from jayshunt_measure.fleet_script import Outage, Script
 
 ACTIVE_STEP_S = 20.0
-IDLE_STEP_S = 300.0
+# While a wave runs anywhere, idle zones refresh their reports as in the product.
+IDLE_STEP_S = 60.0
+# With every wave done, only failures change anything.
+QUIET_STEP_S = 21_600.0
 
 
 class MemoryStore:
@@ -155,6 +158,7 @@
         result = MaintenanceResult()
         offset_s = ACTIVE_STEP_S / len(self.zones)
         due = {n: 2.0 + n * offset_s for n in range(len(self.zones))}
+        busy = dict.fromkeys(due, True)
         events = self._events()
         down_since: dict[VmId, float] = {}
         while True:
@@ -164,7 +168,8 @@
                 break
             if events and events[0][0] <= now_s:
                 self._fail(events.pop(0), result)
-                due = {n: min(at, now_s + n * offset_s) for n, at in due.items()}
+                if any(busy.values()):
+                    due = {n: min(at, now_s + n * offset_s) for n, at in due.items()}
                 continue
             self.clock.advance(max(0.0, now_s - self.clock.now_s()))
             self.listed = VmList(now_s, self.listed.vms)
@@ -172,7 +177,9 @@
             active = zone.step()
             statuses = zone.runner.statuses
             active = active or any(status.remaining for status in statuses)
-            due[number] = now_s + (ACTIVE_STEP_S if active else IDLE_STEP_S)
+            busy[number] = active
+            idle_s = IDLE_STEP_S if any(busy.values()) else QUIET_STEP_S
+            due[number] = now_s + (ACTIVE_STEP_S if active else idle_s)
             self._note(zone, down_since, result, now_s)
         records = [zone.record for zone in self.zones]
         owned = Counter(vm for record in records for vm in record.assignments)
--- a/src/jayshunt_measure/fleet_model.py
+++ b/src/jayshunt_measure/fleet_model.py
@@ -71,10 +71,6 @@
         """Return the part of the work that was served within its target."""
         return self.met / self.arrived if self.arrived else 1.0
 
-    def buffer_core_hours(self, cores: int) -> float:
-        """Return the core-hours that were held and idle."""
-        return self.buffer_vm_s * cores / 3600
-
 
 def run_policy(
     script: Script, policy: Policy, initial: list[int], outages: tuple[Outage, ...]
--- a/src/jayshunt_measure/fleet_script.py
+++ b/src/jayshunt_measure/fleet_script.py
@@ -21,7 +21,7 @@
     zones: int
     pools: int
     workers: int
-    cores: int
+    memory_gib: int
     target_s: float
     duration_s: int
     step_s: int
