Bring the cost of a node under its limits and make it constant

Change: heartbeats get no answers; a monitor that hears nothing probes the member itself, which then reconnects. The bandwidth probe is off. News, exchanges and configuration notices go to eight contacts chosen by rendezvous hashing.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -75,6 +75,7 @@
             self.config,
             GrpcConfigTransport(self.channels),
             self.membership.view,
+            self.membership.node.news_targets,
             clock,
             rng,
         )
--- a/src/jayshunt/config/const.py
+++ b/src/jayshunt/config/const.py
@@ -7,8 +7,8 @@
 CHECKPOINT_EVERY = 20
 HISTORY_KEPT = 1_000
 
-# A version is announced to this many random members by each member that gets it.
-# Members that all announcements miss (e^-6) learn of it from a heartbeat.
+# Each member announces a new version to this many contacts and to the next member
+# on the ring. Members that all announcements miss learn of it from a heartbeat.
 NOTICE_FAN_OUT = 6
 WATCHERS_PER_ZONE = 2
 FETCH_TIMEOUT_S = 0.8
--- a/src/jayshunt/config/spreader.py
+++ b/src/jayshunt/config/spreader.py
@@ -36,6 +36,7 @@
         coordinator: ConfigCoordinator,
         transport: ConfigTransport,
         read_view: Callable[[], MembershipView],
+        choose_targets: Callable[[int], list[Member]],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -44,6 +45,7 @@
         self._coordinator = coordinator
         self._transport = transport
         self._read_view = read_view
+        self._choose_targets = choose_targets
         self._clock = clock
         self._rng = rng
         self._lock = threading.Lock()
@@ -133,8 +135,7 @@
             return source
 
     def _announce(self, _snapshot: ConfigSnapshot) -> None:
-        others = [m for m in self._read_view().alive() if m.entry != self._own.entry]
-        for member in self._rng.sample(others, min(NOTICE_FAN_OUT, len(others))):
+        for member in self._choose_targets(NOTICE_FAN_OUT):
             self._notify(member.peer_address)
 
     def _notify(self, address: str) -> None:
--- a/src/jayshunt/config/tests/builders.py
+++ b/src/jayshunt/config/tests/builders.py
@@ -60,7 +60,7 @@
 
     def __init__(self, count: int, store: FakeStore, seed: int = 1) -> None:
         """Create members that know each other."""
-        rng = random.Random(seed)
+        rng = self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.silent: set[str] = set()
         self.deaf: set[str] = set()
@@ -71,13 +71,17 @@
             coordinator = build_coordinator(store, rng.getrandbits(32))
             self.coordinators[member.entry] = coordinator
             self.spreaders[member.entry] = ConfigSpreader(
-                member, coordinator, self, self.view, self.clock, rng
+                member, coordinator, self, self.view, self.choose, self.clock, rng
             )
 
     def view(self) -> MembershipView:
         """Return all members as alive."""
         return MembershipView(1, tuple(self.members))
 
+    def choose(self, count: int) -> list[Member]:
+        """Return random members."""
+        return self.rng.sample(self.members, count)
+
     def notify(self, address: str, notice: Notice, on_reply: Callable) -> None:
         """Deliver a notice and its reply."""
         if address in self.silent or address in self.deaf:
--- a/src/jayshunt/membership/const.py
+++ b/src/jayshunt/membership/const.py
@@ -37,9 +37,12 @@
 # Lost members are contacted again so that both sides of a healed partition meet.
 RECONTACT_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 1.0
-# News is forwarded to this many random members and to the next one on the ring.
-# Random targets alone miss some members (e^-3 with three); each of those gets the
-# news from its predecessor.
+# News and configuration notices go to members of this set, which stays the same
+# while its members live.
+CONTACTS = 8
+# News is forwarded to this many contacts and to the next member on the ring. Random
+# targets alone miss some members (e^-3 with three); each of those gets the news from
+# its predecessor.
 NEWS_FAN_OUT = 3
 # While news spreads, digests differ for a moment; only a lasting difference
 # starts an exchange.
@@ -50,8 +53,7 @@
 FORGET_AFTER_S = 600.0
 MAX_FORGOTTEN = 1024
 
-# The monitor answers every fourth heartbeat. The sender replaces a stream that got
-# no answer for this long; a silent connection does not end by itself.
-ANSWER_EVERY = 4
-STREAM_SILENT_S = 5.0
 STREAM_RETRY_S = 0.5
+# A monitor that hears nothing repeats its probe each PROBE_INTERVAL_S; a new stream
+# gets this long to be heard before it is replaced again.
+RENEW_INTERVAL_S = 3.0
--- a/src/jayshunt/membership/grpc_transport.py
+++ b/src/jayshunt/membership/grpc_transport.py
@@ -18,8 +18,9 @@
 class GrpcTransport:
     """Send each call without waiting; a gRPC thread passes the reply on."""
 
-    def __init__(self, channels: PeerChannels) -> None:
+    def __init__(self, own: EntryId, channels: PeerChannels) -> None:
         """Send over the channels of this process."""
+        self._own = own
         self._channels = channels
 
     def exchange(self, address: str, message: Exchange, on_reply: OnExchange) -> None:
@@ -38,7 +39,7 @@
     def probe(self, address: str, entry: EntryId, on_reply: OnProbe) -> None:
         """Ask a monitor for how many seconds it has not heard a member."""
         stub = self._channels.stub(address, peer_pb2_grpc.MembershipStub)
-        request = peer_pb2.ProbeRequest(entry=entry)
+        request = peer_pb2.ProbeRequest(entry=entry, asker=self._own)
         call = stub.Probe.future(request, timeout=PROBE_TIMEOUT_S)
 
         def done(ended: grpc.Future) -> None:
--- a/src/jayshunt/membership/node.py
+++ b/src/jayshunt/membership/node.py
@@ -25,6 +25,7 @@
 )
 from jayshunt.membership.messages import Exchange, Heartbeat
 from jayshunt.membership.models import Member, MembershipView, MemberState
+from jayshunt.membership.ranking import contacts_of
 from jayshunt.membership.ring import IN_RING, Ring
 from jayshunt.membership.table import MemberTable
 from jayshunt.membership.transport import MembershipTransport
@@ -57,6 +58,7 @@
         self._lock = threading.RLock()
         self._view = MembershipView(1, self._table.members())
         self._ring = Ring(self._view.members)
+        self._contacts: list[Member] = []
         self._watch = HeartbeatWatch()
         self._news: dict[EntryId, Member] = {}
         self._since_s: dict[EntryId, float] = {}
@@ -91,6 +93,15 @@
         """Return the members to which this one sends heartbeats."""
         return () if self._ended else self._ring.monitors_of(self._table.own)
 
+    def news_targets(self, count: int) -> list[Member]:
+        """Return some contacts and the next member on the ring."""
+        with self._lock:
+            targets = self._sample(self._contacts, count)
+            follower = self._ring.follower(self._table.own)
+            if follower is not None and follower not in targets:
+                targets.append(follower)
+            return targets
+
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Learn further addresses at which a member may be."""
         with self._lock:
@@ -138,8 +149,10 @@
             return {m.entry: self._watch.silence_s(m.entry, now_s) for m in monitored}
 
     def answer_probe(self, entry: EntryId) -> float | None:
-        """Return for how many seconds a member was not heard; None if unknown."""
+        """Return for how many seconds a member was not heard; None if never."""
         with self._lock:
+            if entry == self._table.own.entry:
+                return 0.0
             return self._watch.silence_s(entry, self._clock.monotonic_s())
 
     def answer_exchange(self, message: Exchange) -> Exchange:
@@ -207,6 +220,7 @@
                 _LOGGER.info("membership: %s is %s", member.entry, member.state.value)
         self._view = MembershipView(self._view.version + 1, self._table.members())
         self._ring = Ring(self._view.members)
+        self._contacts = contacts_of(self._table.own.entry, self._reachable())
         self._watch.follow(self._ring.monitored_by(self._table.own), now_s)
         self._on_change()
 
@@ -252,9 +266,9 @@
                 if self._clock.monotonic_s() - asked_s <= 2 * PROBE_TIMEOUT_S:
                     self._watch.vouch(member.entry, asked_s - silence_s)
 
-        for monitor in self._ring.monitors_of(member):
-            if monitor.entry != self._table.own.entry:
-                self._transport.probe(monitor.peer_address, member.entry, take)
+        for asked in (member, *self._ring.monitors_of(member)):
+            if asked.entry != self._table.own.entry:
+                self._transport.probe(asked.peer_address, member.entry, take)
 
     def _age(self, now_s: float) -> None:
         for entry, since_s in list(self._since_s.items()):
@@ -281,19 +295,14 @@
         if not self._news:
             return
         news, self._news = tuple(self._news.values()), {}
-        targets = self._sample(self._reachable(), NEWS_FAN_OUT)
-        follower = self._ring.follower(self._table.own)
-        if follower is not None and follower not in targets:
-            targets.append(follower)
-        for member in targets:
+        for member in self.news_targets(NEWS_FAN_OUT):
             self._tell(member.peer_address, news)
 
     def _exchange_when_due(self, now_s: float) -> None:
         if now_s < self._exchange_at_s:
             return
-        reachable = self._reachable()
-        addresses = [m.peer_address for m in reachable] or self._seeds
-        joined = bool(reachable) or not self._seeds
+        addresses = [m.peer_address for m in self._contacts] or self._seeds
+        joined = bool(self._contacts) or not self._seeds
         # Random intervals keep entries that started together apart.
         interval_s = EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2)
         self._exchange_at_s = now_s + (interval_s if joined else JOIN_INTERVAL_S)
--- a/src/jayshunt/membership/peer_service.py
+++ b/src/jayshunt/membership/peer_service.py
@@ -10,7 +10,6 @@
     exchange_from_message,
     exchange_to_message,
     heartbeat_from_message,
-    heartbeat_to_message,
 )
 from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
 
@@ -28,13 +27,12 @@
 
     def Heartbeat(self, request_iterator: Iterator[peer_pb2.HeartbeatMessage], context):
         """Take the heartbeats of one member."""
-        heartbeats = map(heartbeat_from_message, request_iterator)
         try:
-            for answer in self._service.answer_heartbeats(heartbeats):
-                yield heartbeat_to_message(answer)
+            self._service.take_heartbeats(map(heartbeat_from_message, request_iterator))
         except grpc.RpcError:
             # The sender ended its stream.
-            return
+            pass
+        return iter(())
 
     def Exchange(self, request: peer_pb2.ExchangeMessage, context):
         """Take a peer's news and return what it lacks."""
@@ -43,7 +41,9 @@
 
     def Probe(self, request: peer_pb2.ProbeRequest, context):
         """Say for how long a member was not heard."""
-        silence_s = self._service.node.answer_probe(EntryId(request.entry))
+        silence_s = self._service.answer_probe(
+            EntryId(request.entry), EntryId(request.asker)
+        )
         if silence_s is None:
             return peer_pb2.ProbeReply(heard=False)
         return peer_pb2.ProbeReply(heard=True, silent_ms=max(0, int(silence_s * 1000)))
--- a/src/jayshunt/membership/ranking.py
+++ b/src/jayshunt/membership/ranking.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
+from jayshunt.ids import EntryId
+from jayshunt.membership.const import CONTACTS
 from jayshunt.membership.models import Member
 
 
@@ -15,5 +17,15 @@
     return sorted(members, key=lambda member: _weight(duty, member), reverse=True)
 
 
+def contacts_of(entry: EntryId, members: Iterable[Member]) -> list[Member]:
+    """Return the members with which one member exchanges news.
+
+    The same few members over time keep the connections of a process constant in
+    number; random members would lead to a connection to every other one.
+    """
+    others = [member for member in members if member.entry != entry]
+    return rank_members(f"contact/{entry}", others)[:CONTACTS]
+
+
 def _weight(duty: str, member: Member) -> bytes:
     return blake2b(f"{duty}|{member.entry}".encode(), digest_size=8).digest()
--- a/src/jayshunt/membership/service.py
+++ b/src/jayshunt/membership/service.py
@@ -3,11 +3,11 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 from jayshunt.clock import Clock
 from jayshunt.ids import ConfigVersion, EntryId, Epoch
-from jayshunt.membership.const import ANSWER_EVERY, STEP_INTERVAL_S
+from jayshunt.membership.const import STEP_INTERVAL_S
 from jayshunt.membership.grpc_transport import GrpcTransport
 from jayshunt.membership.messages import Exchange, Heartbeat
 from jayshunt.membership.models import Member, MembershipView, MemberState
@@ -38,7 +38,9 @@
         self._own = own
         self._clock = clock
         self._channels = channels
-        self.node = MemberNode(own, seeds, GrpcTransport(channels), clock, rng)
+        self.node = MemberNode(
+            own, seeds, GrpcTransport(own.entry, channels), clock, rng
+        )
         self._streams = HeartbeatStreams(self.node, channels, clock)
         self._changed = threading.Event()
         self.node.set_change_handler(self._changed.set)
@@ -80,15 +82,25 @@
         self._report_version(message.entry, message.config_version)
         return self.node.answer_exchange(message)
 
-    def answer_heartbeats(self, heartbeats: Iterator[Heartbeat]) -> Iterator[Heartbeat]:
-        """Take heartbeats of one member and answer some of them."""
-        for number, heartbeat in enumerate(heartbeats):
+    def take_heartbeats(self, heartbeats: Iterable[Heartbeat]) -> None:
+        """Take the heartbeats of one member until its stream ends."""
+        for heartbeat in heartbeats:
             if self._stopping:
                 return
             self._report_version(heartbeat.entry, heartbeat.config_version)
             self.node.receive_heartbeat(heartbeat)
-            if number % ANSWER_EVERY == 0:
-                yield self.node.heartbeat()
+
+    def answer_probe(self, entry: EntryId, asker: EntryId) -> float | None:
+        """Return for how many seconds a member was not heard; None if never.
+
+        A probe for this entry itself comes from a monitor that does not hear it,
+        although calls in the other direction work.
+        """
+        if entry == self._own.entry:
+            monitor = self.view().find(asker)
+            if monitor is not None:
+                self._streams.renew(monitor.peer_address)
+        return self.node.answer_probe(entry)
 
     def run(self, stop: threading.Event) -> None:
         """Step and publish until stopped."""
@@ -115,9 +127,9 @@
 
     def _publish(self) -> None:
         view = self.node.view()
-        self._streams.follow(self.node.monitors())
         if view.version == self._published.version:
             return
+        self._streams.follow(self.node.monitors())
         before, self._published = self._published, view
         self._close_channels(before, view)
         for listener in self._listeners:
--- a/src/jayshunt/membership/streams.py
+++ b/src/jayshunt/membership/streams.py
@@ -10,12 +10,12 @@
 from jayshunt.membership.const import (
     HEARTBEAT_INTERVAL_S,
     MONITORS,
+    RENEW_INTERVAL_S,
     STREAM_RETRY_S,
-    STREAM_SILENT_S,
 )
 from jayshunt.membership.models import Member
 from jayshunt.membership.node import MemberNode
-from jayshunt.membership.wire import heartbeat_from_message, heartbeat_to_message
+from jayshunt.membership.wire import heartbeat_to_message
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
 from jayshunt.tasks import TaskGroup
@@ -35,73 +35,94 @@
         self._channels = channels
         self._clock = clock
         self._tasks = TaskGroup("heartbeat", MAX_STREAMS)
-        self._streams: dict[str, threading.Event] = {}
+        self._lock = threading.Lock()
+        self._streams: dict[str, _Stream] = {}
 
     def follow(self, monitors: Iterable[Member]) -> None:
         """Send to exactly these monitors."""
         addresses = {member.peer_address for member in monitors}
-        for address in set(self._streams) - addresses:
-            self._streams.pop(address).set()
-        for address in addresses - set(self._streams):
-            ended = threading.Event()
-            self._streams[address] = ended
-            self._tasks.start(lambda _, a=address, e=ended: self._send(a, e))
+        with self._lock:
+            ended = [self._streams.pop(a) for a in set(self._streams) - addresses]
+            added = [
+                _Stream(address, self._node, self._channels, self._clock)
+                for address in addresses - set(self._streams)
+            ]
+            self._streams.update({stream.address: stream for stream in added})
+        for stream in ended:
+            stream.end()
+        for stream in added:
+            self._tasks.start(stream.run)
+
+    def renew(self, address: str) -> None:
+        """Use a new connection to a monitor that does not hear this process."""
+        with self._lock:
+            stream = self._streams.get(address)
+        if stream is not None:
+            stream.renew()
 
     def stop(self) -> None:
         """End every stream."""
         self.follow(())
         self._tasks.stop()
 
-    def _send(self, address: str, ended: threading.Event) -> None:
-        while not ended.is_set():
-            stream = _Stream(self._node, self._clock, ended)
-            stub = self._channels.stub(address, peer_pb2_grpc.MembershipStub)
-            try:
-                stream.run(stub)
-            except grpc.RpcError as error:
-                if ended.is_set():
-                    return
-                _LOGGER.debug("membership: heartbeats to %s: %s", address, error)
-            if stream.was_silent:
-                _LOGGER.info("membership: %s is silent, reconnecting", address)
-                self._channels.renew(address)
-            self._clock.wait(ended, STREAM_RETRY_S)
-
 
 class _Stream:
-    """Send heartbeats over one call until it ends or gets no answers."""
+    """Send heartbeats to one address until it is ended.
 
-    def __init__(self, node: MemberNode, clock: Clock, ended: threading.Event) -> None:
-        """Start as if an answer just came."""
+    Answers are not awaited. A thread that waits for answers in gRPC wakes ten times
+    a second, and a monitor that hears nothing says so with a probe.
+    """
+
+    def __init__(
+        self, address: str, node: MemberNode, channels: PeerChannels, clock: Clock
+    ) -> None:
+        """Send to one address."""
+        self.address = address
         self._node = node
+        self._channels = channels
         self._clock = clock
-        self._ended = ended
-        self._answered_s = clock.monotonic_s()
+        self._ended = threading.Event()
         self._call: grpc.Call | None = None
-        self._finished = threading.Event()
-        self.was_silent = False
-
-    def run(self, stub: peer_pb2_grpc.MembershipStub) -> None:
-        """Read answers until the call ends."""
-        try:
-            self._call = stub.Heartbeat(self._messages())
-            for answer in self._call:
-                self._answered_s = self._clock.monotonic_s()
-                self._node.receive_heartbeat(heartbeat_from_message(answer))
-        finally:
-            self._finished.set()
-
-    def _messages(self) -> Iterator[peer_pb2.HeartbeatMessage]:
-        while not self._finished.is_set():
-            yield heartbeat_to_message(self._node.heartbeat())
-            if self._clock.wait(self._ended, HEARTBEAT_INTERVAL_S):
-                self._cancel()
-                return
-            if self._clock.monotonic_s() - self._answered_s > STREAM_SILENT_S:
-                self.was_silent = True
-                self._cancel()
-                return
+        self._opened_s = 0.0
+
+    def run(self, _stop: threading.Event) -> None:
+        """Open the stream again and again until it is ended."""
+        while not self._ended.is_set():
+            finished = threading.Event()
+            stub = self._channels.stub(self.address, peer_pb2_grpc.MembershipStub)
+            self._opened_s = self._clock.monotonic_s()
+            try:
+                self._call = stub.Heartbeat(self._messages(finished))
+                self._call.add_done_callback(lambda _, f=finished: f.set())
+                finished.wait()
+            except (grpc.RpcError, ValueError) as error:
+                # A channel that is closed meanwhile raises ValueError.
+                _LOGGER.debug("membership: heartbeats to %s: %s", self.address, error)
+            finally:
+                finished.set()
+            self._clock.wait(self._ended, STREAM_RETRY_S)
+
+    def renew(self) -> None:
+        """Open the stream on a new connection unless that was just done."""
+        if self._clock.monotonic_s() - self._opened_s < RENEW_INTERVAL_S:
+            return
+        _LOGGER.info("membership: %s hears nothing, reconnecting", self.address)
+        self._channels.renew(self.address)
+        self._cancel()
+
+    def end(self) -> None:
+        """End the stream."""
+        self._ended.set()
+        self._cancel()
 
     def _cancel(self) -> None:
         if self._call is not None:
             self._call.cancel()
+
+    def _messages(
+        self, finished: threading.Event
+    ) -> Iterator[peer_pb2.HeartbeatMessage]:
+        while not finished.is_set():
+            yield heartbeat_to_message(self._node.heartbeat())
+            if self._clock.wait(self._ended, HEARTBEAT_INTERVAL_S):
+                return
--- a/src/jayshunt/peers/channels.py
+++ b/src/jayshunt/peers/channels.py
@@ -27,6 +27,8 @@
     # would delay the return of a peer after a partition.
     ("grpc.min_reconnect_backoff_ms", RECONNECT_LIMIT_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_LIMIT_MS),
+    # Peers exchange small messages; probing the bandwidth costs a ping for each.
+    ("grpc.http2.bdp_probe", 0),
     # Channels to one address share a connection otherwise, so that a new channel
     # would not replace a silent connection.
     ("grpc.use_local_subchannel_pool", 1),
--- a/src/jayshunt/peers/server.py
+++ b/src/jayshunt/peers/server.py
@@ -22,6 +22,7 @@
 
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
--- a/src/jayshunt_measure/control_node.py
+++ b/src/jayshunt_measure/control_node.py
@@ -139,7 +139,13 @@
     def _wire_spreader(self, own: Member, clock, rng: random.Random) -> None:
         transport = GrpcConfigTransport(self.channels)
         self.spreader = ConfigSpreader(
-            own, self.config, transport, self.membership.view, clock, rng
+            own,
+            self.config,
+            transport,
+            self.membership.view,
+            self.membership.node.news_targets,
+            clock,
+            rng,
         )
         self.server.add(ConfigurationServicer(self.config, self.spreader).add_to)
         self.membership.add_version_listener(self.spreader.hear_version)
