--- a/src/jayshunt_measure/control_node.py
+++ b/src/jayshunt_measure/control_node.py
@@ -9,12 +9,12 @@
 from jayshunt import __version__
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
-from jayshunt.config.models import ConfigDocument, ConfigSnapshot
+from jayshunt.config.models import ConfigDocument, ConfigEdit, ConfigSnapshot
 from jayshunt.config.peer_service import ConfigurationServicer
 from jayshunt.config.spreader import ConfigSpreader
 from jayshunt.config.transport import GrpcConfigTransport
 from jayshunt.config.watcher import StoreWatcher
-from jayshunt.ids import EntryId, RegionName, ZoneName
+from jayshunt.ids import ConfigVersion, EntryId, RegionName, ZoneName
 from jayshunt.membership.models import Member, MembershipView, MemberState
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
@@ -136,6 +136,21 @@
 
         return self.config.accept(change, f"operator-{self.plan.entry}")
 
+    def edit(self, base: int, name: str, quota_cores: float) -> ConfigSnapshot:
+        """Set the quota of one team in a document read at a base version."""
+        document = self.config.at_version(ConfigVersion(base)).document
+        content = document.model_dump(mode="json")
+        content["teams"][name] = {"quota_cores": quota_cores}
+        edited = ConfigDocument.model_validate(content)
+        author = f"operator-{self.plan.entry}"
+        edit = ConfigEdit(edited, author, ConfigVersion(base))
+        return self.config.accept_edit(edit)
+
+    def load(self, document: dict) -> ConfigSnapshot:
+        """Replace the whole document."""
+        loaded = ConfigDocument.model_validate(document)
+        return self.config.accept(lambda _: loaded, "operator")
+
     def _wire_spreader(self, own: Member, clock, rng: random.Random) -> None:
         transport = GrpcConfigTransport(self.channels)
         self.spreader = ConfigSpreader(
--- a/src/jayshunt_measure/node_host.py
+++ b/src/jayshunt_measure/node_host.py
@@ -56,6 +56,14 @@
         """Let an operator change the configuration at a node."""
         self._executor.submit(self._accept, entry, name, quota)
 
+    def do_edit(self, entry: str, base: int, name: str, quota: float) -> None:
+        """Let an operator send an edit that is based on an older version."""
+        self._executor.submit(self._accept, entry, name, quota, base)
+
+    def do_load(self, entry: str, document: dict) -> None:
+        """Load a whole document at a node."""
+        self._nodes[entry].load(document)
+
     def do_stats(self, mark: str) -> None:
         """Report what this process has used so far."""
         traffic = self._traffic.total()
@@ -83,12 +91,19 @@
             sys.stdout.write(line)
             sys.stdout.flush()
 
-    def _accept(self, entry: str, name: str, quota: float) -> None:
+    def _accept(
+        self, entry: str, name: str, quota: float, base: int | None = None
+    ) -> None:
         started_s = time.monotonic()
         event = {"event": "accepted", "entry": entry, "name": name, "quota": quota}
+        event["base"] = base
         event["started_s"] = started_s
         try:
-            snapshot = self._nodes[entry].accept(name, quota)
+            node = self._nodes[entry]
+            if base is None:
+                snapshot = node.accept(name, quota)
+            else:
+                snapshot = node.edit(base, name, quota)
             event.update(version=snapshot.version, digest=snapshot.digest)
         except JayshuntError as error:
             event.update(event="refused", outcome=error.outcome.value, code=error.code)
--- a/src/jayshunt_measure/node_hosts.py
+++ b/src/jayshunt_measure/node_hosts.py
@@ -12,10 +12,10 @@
 
 from jayshunt_measure.certificates import Authority
 from jayshunt_measure.control_node import NodePlan
+from jayshunt_measure.recording_store import RecordingStore
 from jayshunt_measure.testbed import free_ports
 from jayshunt_standins.relay import Relay
 from jayshunt_standins.server import LOOPBACK
-from jayshunt_standins.store import StoreStandIn
 
 WAIT_LIMIT_S = 30.0
 
@@ -60,7 +60,7 @@
         """Start the store."""
         self._folder = tempfile.TemporaryDirectory(prefix="jayshunt-")
         self._authority = Authority(Path(self._folder.name))
-        self.store = StoreStandIn()
+        self.store = RecordingStore()
         self.store.start()
         self.relays: dict[str, Relay] = {}
         self.hosts: list[Host] = []
--- /dev/null
+++ b/src/jayshunt_measure/rollout_verdict.py
@@ -0,0 +1,125 @@
+"""Judge a roll-out from what the store took and what the nodes applied."""
+
+import time
+from collections import defaultdict
+
+from jayshunt_measure.node_hosts import NodeHosts
+
+# A version that is not in force at the end counts with this time.
+NEVER_MS = 60_000.0
+
+
+class Window:
+    """Remember which nodes were cut off, and when they were connected again."""
+
+    def __init__(self) -> None:
+        """Start with no cut."""
+        self.cuts: list[tuple[frozenset[str], float, float]] = []
+        self._open: tuple[frozenset[str], float] | None = None
+
+    def begin_cut(self, entries: set[str]) -> None:
+        """Note that nodes are cut off."""
+        self._open = (frozenset(entries), time.monotonic())
+
+    def end_cut(self) -> None:
+        """Note that they are connected again."""
+        entries, since_s = self._open
+        self.cuts.append((entries, since_s, time.monotonic()))
+        self._open = None
+
+    def reachable_s(self, entry: str, at_s: float) -> float:
+        """Return from when on a node could learn of a version."""
+        for entries, since_s, until_s in self.cuts:
+            if entry in entries and since_s <= at_s <= until_s:
+                return until_s
+        return at_s
+
+
+def rollout_times_ms(hosts: NodeHosts, window: Window, after: int) -> list[float]:
+    """Return the time from accept to in force everywhere of each later version."""
+    applied = defaultdict(list)
+    for event in hosts.find("applied"):
+        applied[event["entry"]].append(event)
+    lives = _lives(hosts)
+    times = []
+    for stored in hosts.store.versions:
+        if stored.version <= after:
+            continue
+        worst_ms = 0.0
+        for entry in hosts.plans:
+            from_s = window.reachable_s(entry, stored.at_s)
+            from_s = _running_from_s(lives[entry], from_s)
+            seen = [
+                e["at_s"]
+                for e in applied[entry]
+                if e["version"] >= stored.version and e["at_s"] >= stored.at_s
+            ]
+            took_ms = (min(seen) - from_s) * 1000 if seen else NEVER_MS
+            worst_ms = max(worst_ms, took_ms)
+        times.append(worst_ms)
+    return times
+
+
+def count_faults(hosts: NodeHosts) -> dict[str, int]:
+    """Return the counts that must be 0."""
+    stored = {(v.version, v.digest) for v in hosts.store.versions}
+    teams = hosts.store.teams()
+    accepted = hosts.find("accepted")
+    refused = [e for e in hosts.find("refused") if e["outcome"] == "not_run"]
+    accepted_pairs = {(e["name"], e["quota"]) for e in accepted}
+    return {
+        "reverted": _reverted(hosts),
+        "accepted_lost": sum(
+            teams.get(e["name"]) != e["quota"]
+            or (e["version"], e["digest"]) not in stored
+            for e in accepted
+        ),
+        "applied_not_accepted": sum(
+            (e["version"], e["digest"]) not in stored for e in hosts.find("applied")
+        )
+        + sum(
+            teams.get(e["name"]) == e["quota"]
+            and (e["name"], e["quota"]) not in accepted_pairs
+            for e in refused
+        ),
+        "conflicts_unnoticed": _unnoticed(accepted),
+        "not_in_force": _behind(hosts),
+    }
+
+
+def _reverted(hosts: NodeHosts) -> int:
+    reverted = 0
+    highest: dict[str, int] = {}
+    for event in hosts.find("applied"):
+        # A restarted node that first applies an older version counts as well.
+        if event["version"] < highest.get(event["entry"], 0):
+            reverted += 1
+        highest[event["entry"]] = event["version"]
+    return reverted
+
+
+def _unnoticed(accepted: list[dict]) -> int:
+    raced = defaultdict(set)
+    for event in accepted:
+        if event["base"] is not None:
+            raced[(event["base"], event["name"])].add(event["quota"])
+    return sum(len(quotas) - 1 for quotas in raced.values())
+
+
+def _behind(hosts: NodeHosts) -> int:
+    versions = {e["entry"]: e["version"] for e in hosts.find("applied")}
+    newest = hosts.store.newest
+    return sum(versions.get(entry) != newest for entry in hosts.plans)
+
+
+def _lives(hosts: NodeHosts) -> dict[str, list[float]]:
+    lives = defaultdict(list)
+    for event in hosts.find("started"):
+        lives[event["entry"]].append(event["at_s"])
+    return lives
+
+
+def _running_from_s(starts: list[float], at_s: float) -> float:
+    """Return the start of the process that follows if one follows at once."""
+    later = [s for s in starts if at_s < s < at_s + 3.0]
+    return later[-1] if later else at_s
