--- /dev/null
+++ b/src/jayshunt/admission/backlog.py
@@ -0,0 +1,125 @@
+"""Keep waiting requests in the order of their deadlines."""
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jayshunt.admission.const import BUCKET_COUNT, BUCKET_WIDTH_MS
+from jayshunt.admission.messages import PermitReply, PermitRequest
+
+
+@dataclass(eq=False)
+class Waiter:
+    """Hold one request that waits; times are monotonic seconds."""
+
+    request: PermitRequest
+    on_reply: Callable[[PermitReply], None]
+    arrived_s: float
+    deadline_s: float
+    run_ms: float
+    covered: bool
+    bucket: int = 0
+    waiting: bool = True
+
+
+class Backlog:
+    """Order waiters by deadline, earliest first, at a constant cost each.
+
+    Waiters are grouped into buckets by deadline. A Fenwick tree over the buckets
+    gives the work that is due before a deadline in 11 steps, however many wait.
+    Deadlines past the ring share its last bucket, which is due after all others.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._tree = [0.0] * (BUCKET_COUNT + 1)
+        self._buckets: dict[int, deque[Waiter]] = {}
+        self._order: list[int] = []
+        self._base = 0
+        self.count = 0
+        self.work_ms = 0.0
+
+    def add(self, waiter: Waiter, now_s: float) -> None:
+        """Add one waiter."""
+        if self.count == 0:
+            self._restart(now_s)
+        waiter.bucket = self._bucket_of(waiter.deadline_s)
+        bucket = self._buckets.get(waiter.bucket)
+        if bucket is None:
+            bucket = self._buckets[waiter.bucket] = deque()
+            heapq.heappush(self._order, waiter.bucket)
+        bucket.append(waiter)
+        self.count += 1
+        self._count_work(waiter.bucket, waiter.run_ms)
+
+    def first(self) -> Waiter | None:
+        """Return the waiter that is due first, without removing it."""
+        while self._order:
+            bucket = self._buckets[self._order[0]]
+            while bucket and not bucket[0].waiting:
+                bucket.popleft()
+            if bucket:
+                return bucket[0]
+            del self._buckets[heapq.heappop(self._order)]
+        return None
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take one waiter out; its place is cleaned up when it comes first."""
+        if not waiter.waiting:
+            return
+        waiter.waiting = False
+        self.count -= 1
+        self._count_work(waiter.bucket, -waiter.run_ms)
+
+    def work_until(self, deadline_s: float) -> float:
+        """Return the work in milliseconds that is due up to a deadline."""
+        position = self._bucket_of(deadline_s) - self._base + 1
+        total = 0.0
+        while position > 0:
+            total += self._tree[position]
+            position -= position & -position
+        return max(0.0, total)
+
+    def waiters(self) -> list[Waiter]:
+        """Return all waiters, earliest deadline first."""
+        return [
+            waiter
+            for number in sorted(self._buckets)
+            for waiter in self._buckets[number]
+            if waiter.waiting
+        ]
+
+    def _bucket_of(self, deadline_s: float) -> int:
+        number = math.floor(deadline_s * 1000 / BUCKET_WIDTH_MS)
+        return min(max(number, self._base), self._base + BUCKET_COUNT - 1)
+
+    def _count_work(self, bucket: int, change_ms: float) -> None:
+        self.work_ms = max(0.0, self.work_ms + change_ms)
+        position = bucket - self._base + 1
+        while position <= BUCKET_COUNT:
+            self._tree[position] += change_ms
+            position += position & -position
+
+    def _restart(self, now_s: float) -> None:
+        self._tree = [0.0] * (BUCKET_COUNT + 1)
+        self._buckets.clear()
+        self._order.clear()
+        self._base = math.floor(now_s * 1000 / BUCKET_WIDTH_MS)
+        self.work_ms = 0.0
+
+    def restart_if_old(self, now_s: float) -> None:
+        """Move the ring's start to now once half of it has passed.
+
+        A queue that never runs empty would otherwise end up in the last bucket.
+        The cost is one pass over the waiters every ten seconds.
+        """
+        current = math.floor(now_s * 1000 / BUCKET_WIDTH_MS)
+        if current - self._base < BUCKET_COUNT // 2:
+            return
+        waiters = self.waiters()
+        self._restart(now_s)
+        self.count = 0
+        for waiter in waiters:
+            self.add(waiter, now_s)
--- a/src/jayshunt/admission/broker.py
+++ b/src/jayshunt/admission/broker.py
@@ -2,131 +2,383 @@
 
 import itertools
 import threading
-from collections.abc import Callable
+import uuid
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
+from jayshunt.admission.admission_queue import AdmissionQueue
+from jayshunt.admission.backlog import Waiter
 from jayshunt.admission.const import (
-    DEFAULT_RUN_MS,
-    LEARNING_RATE,
+    PAUSE_LIMIT_S,
     PERMIT_TTL_FACTOR,
-    QUEUE_LIMIT,
+    UNKNOWN_DEFAULT_MS,
+    UNKNOWN_MINIMUM_MS,
+    UNKNOWN_RUN_FACTOR,
 )
+from jayshunt.admission.instances import HealthReport, InstanceState, PoolInstances
 from jayshunt.admission.messages import (
     HeldPermit,
+    LearnedClass,
     PermitGranted,
     PermitRefused,
+    PermitReply,
     PermitRequest,
     PermitResult,
     SendOutcome,
+    unused,
 )
+from jayshunt.admission.models import BrokerSnapshot
+from jayshunt.admission.pending import PendingCall
+from jayshunt.admission.permit_table import PermitTable
+from jayshunt.admission.refusals import RefusalPolicy
+from jayshunt.admission.run_times import RunTimes
+from jayshunt.admission.usual_shares import UsualShares
 from jayshunt.clock import Clock
-from jayshunt.ids import ClassName, EntryId, PermitId, PoolName, VmId
+from jayshunt.ids import EntryId, PermitId, PoolName, VmId
 from jayshunt.pools.models import Assignment
 
+OnReply = Callable[[PermitReply], None]
+Replies = list[tuple[Waiter, PermitReply]]
+FAILURES = frozenset(
+    {SendOutcome.FAILED, SendOutcome.TIMED_OUT, SendOutcome.CONNECT_FAILED}
+)
+
 
 class Broker:
-    """Count slots in use per instance and refuse what cannot end in time."""
+    """Grant slots by deadline and refuse at once what cannot end in time.
+
+    Replies are delivered outside of the lock, on the thread that caused them.
+    A broker without `granting` lets requests wait until `adopt` is called.
+    """
 
     def __init__(
         self,
         pool: PoolName,
         entry: EntryId,
         clock: Clock,
-        list_instances: Callable[[], tuple[Assignment, ...]],
         slots_per_instance: Callable[[], int],
+        granting: bool = True,
     ) -> None:
         """Start with no permit granted."""
-        self._pool = pool
-        self._entry = entry
+        self.pool = pool
         self._clock = clock
-        self._list_instances = list_instances
         self._slots = slots_per_instance
-        self._changed = threading.Condition()
-        self._held: dict[PermitId, HeldPermit] = {}
-        self._in_use: dict[VmId, int] = {}
-        self._waiting = 0
-        self._run_ms: dict[ClassName, float] = {}
+        self._lock = threading.Lock()
+        self.instances = PoolInstances()
+        self.run_times = RunTimes()
+        self.shares = UsualShares()
+        self._queue = AdmissionQueue(self.shares)
+        self._permits = PermitTable(self.instances)
+        self.refusals = RefusalPolicy(self._queue, self._permits)
+        self.check_soon: set[VmId] = set()
+        self._slots_seen = 0
+        self._released_early: set[PermitId] = set()
+        self._ticked_s = clock.monotonic_s()
+        self._granting = granting
+        self._ended: PermitRefused | None = None
+        # Ids stay unique across restarts of the entry.
+        self._prefix = f"{entry}-{uuid.uuid4().hex[:8]}"
         self._numbers = itertools.count(1)
 
-    def acquire(self, request: PermitRequest) -> PermitGranted | PermitRefused:
-        """Return a permit, or a refusal as soon as the deadline is out of reach."""
-        arrived_s = self._clock.monotonic_s()
-        run_ms = self._run_ms.get(request.work_class, DEFAULT_RUN_MS)
-        latest_s = arrived_s + (request.remaining_ms - run_ms) / 1000
-        with self._changed:
-            refusal = self._refuse_early(request, run_ms)
-            if refusal:
-                return refusal
-            self._waiting += 1
-            try:
-                return self._wait_for_slot(request, arrived_s, latest_s)
-            finally:
-                self._waiting -= 1
+    def submit(self, request: PermitRequest, on_reply: OnReply) -> Waiter | None:
+        """Reply at once, or return the waiter of a request that was queued."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            reply = self._admit(request, on_reply, now_s)
+        if isinstance(reply, Waiter):
+            return reply
+        on_reply(reply)
+        return None
+
+    def acquire(self, call: PendingCall) -> None:
+        """Block until the call is decided."""
+        request = call.request
+
+        def on_reply(reply: PermitReply) -> None:
+            if not call.decide(reply) and isinstance(reply, PermitGranted):
+                self.release(unused(reply, request.work_class))
+
+        waiter = self.submit(request, on_reply)
+        if waiter is None:
+            return
+        call.queue()
+        if not call.wait_decision(request.remaining_ms / 1000):
+            late = "no slot came free in time"
+            call.decide(PermitRefused("deadline_passed", 0.5, late))
+        self.cancel(waiter)
+
+    def cancel(self, waiter: Waiter) -> bool:
+        """Take a request out of the queue; False if it was decided already."""
+        with self._lock:
+            if not waiter.waiting:
+                return False
+            self._drop(waiter)
+            return True
 
     def release(self, result: PermitResult) -> None:
         """Give a slot back and learn from the outcome."""
-        with self._changed:
-            held = self._held.pop(result.permit, None)
-            if held is None:
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            permit = self._permits.find(result.permit)
+            if permit is None:
+                if not self._granting:
+                    self._released_early.add(result.permit)
                 return
-            self._in_use[held.vm] -= 1
+            held = permit.held
             if result.outcome is SendOutcome.ANSWERED:
-                before = self._run_ms.get(held.work_class, result.duration_ms)
-                change = LEARNING_RATE * (result.duration_ms - before)
-                self._run_ms[held.work_class] = before + change
-            self._changed.notify()
+                self.run_times.learn(held.work_class, held.vm, result.duration_ms)
+                self.instances.record(held.vm, False, now_s)
+            elif result.outcome in FAILURES:
+                self.instances.record(held.vm, True, now_s)
+            if result.closing:
+                self.check_soon.add(held.vm)
+            # The instance may still work on a request that timed out, so its
+            # slot stays counted until the permit expires.
+            if result.outcome is not SendOutcome.TIMED_OUT:
+                self._permits.end(result.permit)
+            replies = self._dispatch(now_s)
+        _deliver(replies)
+
+    def report_health(self, vm: VmId, report: HealthReport) -> None:
+        """Take in the result of a health check."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self.instances.report(vm, report, now_s)
+            replies = self._dispatch(now_s)
+        _deliver(replies)
+
+    def set_instances(self, assignments: tuple[Assignment, ...]) -> None:
+        """Take the instances that serve; none of the others is granted again."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self.instances.update(assignments, now_s)
+            replies = self._dispatch(now_s)
+        _deliver(replies)
+
+    def adopt(
+        self,
+        held: Iterable[HeldPermit],
+        learned: Iterable[LearnedClass],
+        unreachable: bool,
+    ) -> None:
+        """Take over from a predecessor and start to grant.
+
+        With an entry unreachable, every slot that no known permit uses may be in
+        use by a request of that entry, until such a request has ended.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for item in learned:
+                self.run_times.adopt(item.work_class, item.run_ms)
+                self.shares.adopt(item.work_class, item.usual_slots, now_s)
+            for item in held:
+                if item.permit in self._released_early:
+                    continue
+                run_ms = self.run_times.of_class(item.work_class)
+                self._permits.add(item, run_ms, now_s)
+            if unreachable:
+                self._block_unknown(now_s)
+            self._released_early.clear()
+            self._ticked_s = now_s
+            self._granting = True
+            replies = self._dispatch(now_s)
+        _deliver(replies)
+
+    def end(self, code: str, detail: str) -> tuple[HeldPermit, ...]:
+        """Stop to grant, refuse every waiter and return the held permits."""
+        refusal = PermitRefused(code, 0.1, detail)
+        with self._lock:
+            self._ended = refusal
+            self._granting = False
+            waiters = self._queue.waiters()
+            for waiter in waiters:
+                self._queue.remove(waiter)
+        _deliver([(waiter, refusal) for waiter in waiters])
+        return self.held_permits()
+
+    def tick(self) -> bool:
+        """Expire permits, find stuck slots and refuse what lost its chance.
+
+        Return False if this broker must recover before it grants again.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._check_pause(now_s)
+            self._ticked_s = now_s
+            self._permits.check(now_s)
+            self._queue.restart_if_old(now_s)
+            if 0 < self.refusals.blocked_until_s <= now_s:
+                self.refusals.blocked_until_s = 0.0
+                for state in self.instances.states.values():
+                    state.blocked = 0
+            replies = self._dispatch(now_s)
+            replies += self._shed(now_s)
+            granting = self._granting
+        _deliver(replies)
+        return granting
 
     def held_permits(self) -> tuple[HeldPermit, ...]:
-        """Return the permits that are not released."""
-        with self._changed:
-            return tuple(self._held.values())
+        """Return the permits that are not released, with their remaining time."""
+        with self._lock:
+            return self._permits.held(self._clock.monotonic_s())
+
+    def learned(self) -> tuple[LearnedClass, ...]:
+        """Return what a successor should start from."""
+        with self._lock:
+            usual = self.shares.usual_slots(self._clock.monotonic_s())
+            return tuple(
+                LearnedClass(name, run_ms, usual.get(name, 0.0))
+                for name, run_ms in self.run_times.classes().items()
+            )
 
     def in_flight(self, vm: VmId) -> int:
         """Return the number of slots in use on an instance."""
-        with self._changed:
-            return self._in_use.get(vm, 0)
-
-    def _refuse_early(
-        self, request: PermitRequest, run_ms: float
-    ) -> PermitRefused | None:
-        instances = self._list_instances()
-        if not instances:
-            return PermitRefused("no_instance", 1.0, f"{self._pool} has no instance")
-        slots = self._slots() * len(instances)
-        wait_ms = max(0, sum(self._in_use.values()) + self._waiting + 1 - slots)
-        wait_ms = wait_ms * run_ms / slots
-        if self._waiting >= QUEUE_LIMIT or wait_ms + run_ms > request.remaining_ms:
-            return PermitRefused(
-                "overloaded",
-                max(0.1, wait_ms / 1000),
-                f"{request.work_class} would end after its target",
+        with self._lock:
+            state = self.instances.find(vm)
+            return state.in_use if state else 0
+
+    def snapshot(self) -> BrokerSnapshot:
+        """Return the state for the dump."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            slots = self._slots()
+            return BrokerSnapshot(
+                self._granting,
+                len(self._queue),
+                slots * len(self.instances.states),
+                self.instances.slots_now(slots, now_s),
+                self.run_times.classes(),
+                self.shares.usual_slots(now_s),
+                self.shares.recent_slots(now_s),
+                dict(self.refusals.counts),
+                {vm: replace(s) for vm, s in self.instances.states.items()},
             )
-        return None
 
-    def _wait_for_slot(
-        self, request: PermitRequest, arrived_s: float, latest_s: float
-    ) -> PermitGranted | PermitRefused:
-        while True:
-            instance = self._least_used(request.excluded)
-            now_s = self._clock.monotonic_s()
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def _admit(
+        self, request: PermitRequest, on_reply: OnReply, now_s: float
+    ) -> Waiter | PermitGranted | PermitRefused:
+        if self._ended is not None:
+            return self._ended
+        self._check_pause(now_s)
+        run_ms = self.run_times.of_class(request.work_class)
+        slots = self.instances.slots_now(self._slots(), now_s)
+        if not slots and self._granting:
+            return self.refusals.refuse(
+                request, "no_instance", 1.0, f"no instance of {self.pool} takes work"
+            )
+        # A request that another zone sent here has no usual share in this zone.
+        covered = request.attempt > 0 or (
+            not request.spilled
+            and self.shares.offer(request.work_class, run_ms / 1000, slots, now_s)
+        )
+        deadline_s = now_s + request.remaining_ms / 1000
+        waiter = Waiter(request, on_reply, now_s, deadline_s, run_ms, covered)
+        if self._granting and not len(self._queue):
+            instance = self._free_instance(request, now_s)
             if instance is not None:
-                return self._grant(request, instance, (now_s - arrived_s) * 1000)
-            if now_s >= latest_s:
-                return PermitRefused("overloaded", 0.5, "no slot came free in time")
-            self._changed.wait(latest_s - now_s)
-
-    def _least_used(self, excluded: tuple[VmId, ...]) -> Assignment | None:
-        free = [
-            a
-            for a in self._list_instances()
-            if a.vm not in excluded and self._in_use.get(a.vm, 0) < self._slots()
-        ]
-        return min(free, key=lambda a: self._in_use.get(a.vm, 0), default=None)
+                return self._grant(waiter, instance, now_s)
+        refusal = (
+            self.refusals.refuse_early(waiter, slots, now_s) if self._granting else None
+        )
+        if refusal is not None:
+            self._give_back_share(waiter)
+            return refusal
+        self._queue.add(waiter, now_s)
+        return waiter
+
+    def _shed(self, now_s: float) -> Replies:
+        slots = self.instances.slots_now(self._slots(), now_s)
+        lost, self._slots_seen = slots < self._slots_seen, slots
+        if not self._granting or not (lost or slots == 0):
+            return []
+        replies: Replies = []
+        for waiter, refusal in self.refusals.lost_chances(slots, now_s):
+            self._drop(waiter)
+            replies.append((waiter, refusal))
+        return replies
+
+    def _drop(self, waiter: Waiter) -> None:
+        self._queue.remove(waiter)
+        self._give_back_share(waiter)
+
+    def _give_back_share(self, waiter: Waiter) -> None:
+        if waiter.covered and waiter.request.attempt == 0:
+            self.shares.give_back(waiter.request.work_class, waiter.run_ms / 1000)
+
+    def _check_pause(self, now_s: float) -> None:
+        """Stop to grant after a pause, in which another entry may have taken over."""
+        if now_s - self._ticked_s > PAUSE_LIMIT_S:
+            self._granting = False
+
+    def _dispatch(self, now_s: float) -> Replies:
+        self._check_pause(now_s)
+        granted: Replies = []
+        while self._granting:
+            waiter = self._queue.next(now_s)
+            if waiter is None:
+                break
+            instance = self._free_instance(waiter.request, now_s)
+            if instance is None:
+                break
+            self._queue.remove(waiter)
+            if waiter.deadline_s <= now_s:
+                refusal = self.refusals.refuse(
+                    waiter.request, "deadline_passed", 0.5, "no slot came free in time"
+                )
+                granted.append((waiter, refusal))
+                continue
+            granted.append((waiter, self._grant(waiter, instance, now_s)))
+        return granted
+
+    def _free_instance(
+        self, request: PermitRequest, now_s: float
+    ) -> InstanceState | None:
+        """Return the least loaded instance, one that did not fail the request."""
+        slots = self._slots()
+        best, best_load = None, (True, 0.0)
+        for vm, state in self.instances.states.items():
+            limit = state.limit(slots, now_s) - state.blocked
+            if state.in_use >= limit:
+                continue
+            load = (state.in_use + 1) / limit * self.run_times.slowness(vm)
+            key = (vm in request.excluded, load)
+            if best is None or key < best_load:
+                best, best_load = state, key
+        return best
 
     def _grant(
-        self, request: PermitRequest, instance: Assignment, waited_ms: float
+        self, waiter: Waiter, instance: InstanceState, now_s: float
     ) -> PermitGranted:
-        permit = PermitId(f"{self._entry}-{next(self._numbers)}")
-        ttl_ms = PERMIT_TTL_FACTOR * request.remaining_ms
-        self._held[permit] = HeldPermit(permit, instance.vm, request.work_class, ttl_ms)
-        self._in_use[instance.vm] = self._in_use.get(instance.vm, 0) + 1
-        return PermitGranted(permit, instance.vm, instance.address, ttl_ms, waited_ms)
+        vm = instance.assignment.vm
+        permit = PermitId(f"{self._prefix}-{next(self._numbers)}")
+        ttl_ms = PERMIT_TTL_FACTOR * (waiter.deadline_s - now_s) * 1000
+        held = HeldPermit(permit, vm, waiter.request.work_class, ttl_ms)
+        self._permits.add(held, waiter.run_ms, now_s)
+        return PermitGranted(
+            permit,
+            vm,
+            instance.assignment.address,
+            ttl_ms,
+            (now_s - waiter.arrived_s) * 1000,
+            waiter.run_ms * self.run_times.slowness(vm),
+        )
+
+    def _block_unknown(self, now_s: float) -> None:
+        known_ms = self.run_times.classes().values()
+        block_ms = UNKNOWN_DEFAULT_MS
+        if known_ms:
+            longest_ms = max(known_ms)
+            block_ms = max(UNKNOWN_MINIMUM_MS, UNKNOWN_RUN_FACTOR * longest_ms)
+        self.refusals.blocked_until_s = now_s + block_ms / 1000
+        for state in self.instances.states.values():
+            state.blocked = max(0, self._slots() - state.in_use)
+
+
+def _deliver(replies: Replies) -> None:
+    for waiter, reply in replies:
+        waiter.on_reply(reply)
--- /dev/null
+++ b/src/jayshunt/admission/broker_client.py
@@ -0,0 +1,188 @@
+"""Ask the broker on another entry for permits, over one stream."""
+
+import itertools
+import logging
+import queue
+import threading
+from collections.abc import Iterator
+
+import grpc
+
+from jayshunt.admission.const import (
+    DOWN_S,
+    REPLY_LIMIT_MS,
+    REPLY_LIMIT_RATIO,
+    REPLY_MINIMUM_MS,
+    SILENT_LIMIT_S,
+)
+from jayshunt.admission.messages import (
+    PermitGranted,
+    PermitQueued,
+    PermitRefused,
+    PermitReply,
+    PermitResult,
+    unused,
+)
+from jayshunt.admission.outbox import drain
+from jayshunt.admission.pending import PendingCall
+from jayshunt.admission.wire import acquire_message, read_reply, result_message
+from jayshunt.clock import Clock
+from jayshunt.ids import PoolName, ZoneName
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+
+_LOGGER = logging.getLogger(__name__)
+
+LATE = PermitRefused("deadline_passed", 0.5, "no slot came free in time")
+
+
+class BrokerClient:
+    """Own the stream to one peer; it opens at the first request."""
+
+    def __init__(
+        self, peer: str, zone: ZoneName, clock: Clock, channels: PeerChannels
+    ) -> None:
+        """Start without a stream; `peer` is IP:PORT."""
+        self._peer = peer
+        self._zone = zone
+        self._clock = clock
+        self._channels = channels
+        self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, PendingCall] = {}
+        self._outbox: queue.SimpleQueue | None = None
+        self._stream: grpc.Call | None = None
+        self._silent_since_s: float | None = None
+        self._down_until_s = 0.0
+
+    def is_down(self) -> bool:
+        """Return whether the peer refuses connections or leaves a request open."""
+        since_s = self._silent_since_s
+        if since_s is None:
+            return self._clock.monotonic_s() < self._down_until_s
+        if self._clock.monotonic_s() - since_s > SILENT_LIMIT_S:
+            # The next request opens a new stream, which shows whether only the
+            # connection is silent.
+            self._close(self._outbox)
+            return False
+        return True
+
+    def acquire(self, call: PendingCall) -> None:
+        """Block until the call is decided.
+
+        The decision is None if the broker does not reply or the stream ends.
+        """
+        number = self._send_call(call)
+        remaining_ms = call.request.remaining_ms
+        limit_ms = min(REPLY_LIMIT_MS, REPLY_LIMIT_RATIO * remaining_ms)
+        if not call.wait_reply(max(REPLY_MINIMUM_MS, limit_ms) / 1000):
+            self._silent_since_s = self._clock.monotonic_s()
+            call.decide(None)
+        elif not call.wait_decision(remaining_ms / 1000):
+            call.decide(LATE)
+        with self._lock:
+            if number in self._calls and self._outbox is not None:
+                pool = call.request.pool
+                self._outbox.put(peer_pb2.CancelRequest(pool=pool, call=number))
+
+    def release(self, pool: PoolName, results: list[PermitResult]) -> None:
+        """Give permits back; nothing is sent if the stream has ended."""
+        outbox = self._outbox
+        if outbox is not None:
+            outbox.put(
+                peer_pb2.ReleaseRequest(
+                    pool=pool, results=[result_message(r) for r in results]
+                )
+            )
+
+    def reconnect(self) -> None:
+        """Connect at the next call without the channel's backoff."""
+        self._down_until_s = 0.0
+        if self._outbox is None:
+            self._channels.forget(self._peer)
+
+    def void(self, pool: PoolName, zone: ZoneName) -> None:
+        """End the calls for a pool of a zone, whose broker was replaced."""
+        if zone != self._zone:
+            return
+        with self._lock:
+            calls = [c for c in self._calls.values() if c.request.pool == pool]
+        for call in calls:
+            call.decide(None)
+
+    def stop(self) -> None:
+        """End the stream."""
+        self._close(self._outbox)
+
+    def _send_call(self, call: PendingCall) -> int:
+        with self._lock:
+            if self._outbox is None:
+                self._open()
+            number = next(self._numbers)
+            self._calls[number] = call
+            self._outbox.put(acquire_message(number, call.request))
+            return number
+
+    def _open(self) -> None:
+        outbox: queue.SimpleQueue = queue.SimpleQueue()
+        stub = peer_pb2_grpc.AdmissionStub(self._channels.channel(self._peer))
+        stream = stub.Permits(_batches(outbox))
+        self._outbox, self._stream = outbox, stream
+        threading.Thread(
+            target=self._read, args=(stream, outbox), name="permits", daemon=True
+        ).start()
+
+    def _read(self, stream: grpc.Call, outbox: queue.SimpleQueue) -> None:
+        try:
+            for message in stream:
+                self._silent_since_s = None
+                for reply in message.replies:
+                    self._take_reply(reply.call, read_reply(reply))
+        except grpc.RpcError as error:
+            _LOGGER.info("admission: stream to %s ended: %s", self._peer, error.code())
+            self._down_until_s = self._clock.monotonic_s() + DOWN_S
+        finally:
+            self._close(outbox)
+
+    def _take_reply(self, number: int, reply: PermitReply) -> None:
+        with self._lock:
+            if isinstance(reply, PermitQueued):
+                call = self._calls.get(number)
+                if call is not None:
+                    call.queue()
+                return
+            call = self._calls.pop(number, None)
+        if call is None or call.decide(reply):
+            return
+        if isinstance(reply, PermitGranted):
+            self.release(call.request.pool, [unused(reply, call.request.work_class)])
+
+    def _close(self, outbox: queue.SimpleQueue | None) -> None:
+        with self._lock:
+            if outbox is None or self._outbox is not outbox:
+                return
+            calls, self._calls = self._calls, {}
+            stream, self._stream, self._outbox = self._stream, None, None
+            self._silent_since_s = None
+        outbox.put(None)
+        if stream is not None:
+            stream.cancel()
+        for call in calls.values():
+            call.decide(None)
+
+
+def _batches(outbox: queue.SimpleQueue) -> Iterator[peer_pb2.PermitsFromEntry]:
+    """Yield what waits in the outbox, several messages at once under load."""
+    while True:
+        batch = peer_pb2.PermitsFromEntry()
+        for item in drain(outbox):
+            match item:
+                case None:
+                    return
+                case peer_pb2.AcquireRequest():
+                    batch.acquire.append(item)
+                case peer_pb2.ReleaseRequest():
+                    batch.release.append(item)
+                case peer_pb2.CancelRequest():
+                    batch.cancel.append(item)
+        yield batch
--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -1,6 +1,94 @@
 """Name the limits of admission."""
 
+# A queue longer than this adds memory, not completed work: admitted requests
+# already wait for most of their slack.
 QUEUE_LIMIT = 512
 DEFAULT_RUN_MS = 20.0
 LEARNING_RATE = 0.1
+# An instance that is this much slower than the class's mean is never counted as
+# slower still, so that one late answer does not exclude it.
+MAX_SLOWNESS = 8.0
+
+# An upstream may go on with a request after its caller's deadline, so its slot
+# stays counted for as long again.
 PERMIT_TTL_FACTOR = 2.0
+
+# Predicted waiting is scaled up before it is compared with the slack. Without
+# the reserve, the loss of a quarter of the slots makes admitted requests late.
+WAIT_RESERVE = 1.3
+RUN_RESERVE = 1.25
+
+# Deadlines are grouped by this width; within a bucket order is by arrival.
+BUCKET_WIDTH_MS = 10.0
+# 2,048 buckets of 10 ms cover 20 s; later deadlines share one last bucket.
+BUCKET_COUNT = 2048
+
+USUAL_WINDOW_S = 120.0
+RECENT_WINDOW_S = 0.5
+# Slot-seconds that a class may save up, as a time at its usual rate. A longer
+# time lets one class delay the admitted excess of another for as long.
+SHARE_DEPTH_S = 0.5
+# Usual shares are scaled to this part of the slots when they add up to more.
+SHARE_LIMIT_RATIO = 0.95
+
+SLOW_START_S = 3.0
+EJECT_CONSECUTIVE = 4
+EJECT_WINDOW = 20
+EJECT_FAILED_RATIO = 0.5
+EJECT_BASE_S = 2.0
+EJECT_LIMIT_S = 30.0
+MAX_EJECTED_RATIO = 0.5
+
+HEALTH_INTERVAL_S = 1.0
+HEALTH_TIMEOUT_MS = 800
+HEALTH_PATH = "/healthz"
+HEALTH_FAILURES = 2
+
+TICK_S = 0.05
+# A broker that did not run for this long may have been replaced. It is under
+# the 1.6 s after which membership suspects an entry and the next one takes over.
+PAUSE_LIMIT_S = 1.0
+# A permit that was not used within this time is given back: a new broker counts
+# the permits of an entry that was paused as free after their run time.
+
+# A broker answers each request at once, if only that it is queued.
+REPLY_LIMIT_MS = 150.0
+REPLY_LIMIT_RATIO = 0.08
+REPLY_MINIMUM_MS = 25.0
+SPILL_CLOSED_S = 0.1
+RECOVER_TIMEOUT_S = 0.25
+# Slots that an unreachable entry may use are counted as free after this many
+# learned run times of the slowest class: an entry that ended sends nothing more,
+# and one that was paused gives back permits that it did not use in time.
+UNKNOWN_RUN_FACTOR = 4.0
+UNKNOWN_MINIMUM_MS = 200.0
+UNKNOWN_DEFAULT_MS = 1000.0
+CONNECT_PROBE_S = 0.1
+
+# After a loss of slots, queued requests are refused only within this part of
+# their time after arrival, and only if they miss their deadline by this part.
+SHED_WITHIN_RATIO = 0.08
+SHED_LATE_RATIO = 0.25
+
+# A broker that lost its duty to another entry refuses with this code; the
+# serving entry then asks the other one.
+NOT_BROKER = "not_broker"
+# Messages that wait for a stream are sent together up to this number.
+STREAM_BATCH = 64
+# After this time without any reply a stream is closed and opened anew.
+SILENT_LIMIT_S = 1.0
+PEER_THREADS = 16
+RANKINGS_KEPT = 1024
+MAX_BROKERS_ASKED = 3
+# An entry that found that it is not its turn does not look again for this time.
+NOT_MINE_S = 0.1
+# With these codes another zone may still serve the request.
+SPILL_CODES = frozenset(
+    {"overloaded", "no_instance", "queue_full", "broker_unavailable"}
+)
+# Another zone is asked only while a refusal would still be early.
+SPILL_WITHIN_RATIO = 0.06
+DOWN_S = 0.1
+
+# Time between two looks at which instances must be checked.
+HEALTH_STEP_S = 0.1
--- /dev/null
+++ b/src/jayshunt/admission/directory.py
@@ -0,0 +1,290 @@
+"""Find the broker of each pool, and be one where it is this entry's turn."""
+
+import logging
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from jayshunt.admission.broker import Broker
+from jayshunt.admission.broker_client import BrokerClient
+from jayshunt.admission.const import (
+    MAX_BROKERS_ASKED,
+    NOT_BROKER,
+    NOT_MINE_S,
+    PEER_THREADS,
+    SPILL_CLOSED_S,
+    SPILL_CODES,
+    SPILL_WITHIN_RATIO,
+    TICK_S,
+)
+from jayshunt.admission.messages import (
+    PermitGranted,
+    PermitRefused,
+    PermitRequest,
+    PermitResult,
+    RecoveredPermits,
+)
+from jayshunt.admission.own_permits import OwnPermits
+from jayshunt.admission.pending import PendingCall
+from jayshunt.admission.takeover import Takeover
+from jayshunt.clock import Clock
+from jayshunt.ids import ClassName, EntryId, PoolName, RequestId, VmId, ZoneName
+from jayshunt.membership.models import Member, MembershipView
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.pools.models import Assignment
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class BrokerDirectory:
+    """Own this entry's brokers and its streams to the brokers on other entries."""
+
+    def __init__(
+        self,
+        entry: EntryId,
+        zone: ZoneName,
+        clock: Clock,
+        read_view: Callable[[], MembershipView],
+        channels: PeerChannels,
+        list_instances: Callable[[PoolName], tuple[Assignment, ...]],
+        slots_of: Callable[[PoolName], int],
+    ) -> None:
+        """Start without brokers; `slots_of` gives the slots of an instance."""
+        self._entry = entry
+        self._zone = zone
+        self._clock = clock
+        self._read_view = read_view
+        self._channels = channels
+        self._list_instances = list_instances
+        self._slots_of = slots_of
+        self._lock = threading.Lock()
+        self._brokers: dict[PoolName, Broker] = {}
+        self._recovering: set[PoolName] = set()
+        self._not_mine_until_s: dict[PoolName, float] = {}
+        self._closed_until_s: dict[tuple[ZoneName, PoolName, ClassName], float] = {}
+        self._clients: dict[str, BrokerClient] = {}
+        self._executor = ThreadPoolExecutor(PEER_THREADS, "takeover")
+        self._stopping = False
+        self._pending: dict[RequestId, PendingCall] = {}
+        self.permits = OwnPermits(clock)
+        self.takeover = Takeover(entry, zone, read_view, channels)
+
+    def acquire(self, request: PermitRequest) -> PermitGranted | PermitRefused:
+        """Ask the own zone's broker, then those of other zones while it is early."""
+        started_s = self._clock.monotonic_s()
+        end_s = started_s + request.remaining_ms / 1000
+        reply = self._acquire_in(self._zone, request, end_s)
+        if isinstance(reply, PermitGranted) or reply.code not in SPILL_CODES:
+            return reply
+        spill_end_s = started_s + SPILL_WITHIN_RATIO * request.remaining_ms / 1000
+        for zone in self._read_view().zones():
+            now_s = self._clock.monotonic_s()
+            key = (zone, request.pool, request.work_class)
+            closed_s = self._closed_until_s.get(key, 0.0)
+            if zone == self._zone or now_s < closed_s or now_s > spill_end_s:
+                continue
+            other = self._acquire_in(zone, replace(request, spilled=True), end_s)
+            if isinstance(other, PermitGranted):
+                return other
+            self._closed_until_s[key] = self._clock.monotonic_s() + SPILL_CLOSED_S
+        return reply
+
+    def release(self, result: PermitResult) -> None:
+        """Give a permit back to the broker that counts it."""
+        own = self.permits.pop(result.permit)
+        if own is None:
+            return
+        if own.broker.entry != self._entry:
+            self._client(own.broker).release(own.pool, [result])
+            return
+        broker = self.brokers().get(own.pool)
+        if broker is not None:
+            broker.release(result)
+
+    def cancel(self, request: RequestId) -> bool:
+        """Take back a request that waits for a permit; nothing of it ran."""
+        with self._lock:
+            call = self._pending.get(request)
+        if call is None:
+            return False
+        return call.decide(PermitRefused("cancelled", 0.0, "the caller gave it up"))
+
+    def own_broker(self, pool: PoolName) -> Broker | None:
+        """Return this entry's broker of a pool, or None if it has no turn.
+
+        A new broker lets requests wait until it has collected what is held.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            broker = self._brokers.get(pool)
+            if broker is not None:
+                return broker
+            if self._stopping or now_s < self._not_mine_until_s.get(pool, 0.0):
+                return None
+            broker = Broker(
+                pool,
+                self._entry,
+                self._clock,
+                lambda: self._slots_of(pool),
+                granting=False,
+            )
+            self._brokers[pool] = broker
+        broker.set_instances(self._list_instances(pool))
+        self._start_takeover(pool, broker)
+        return broker
+
+    def recover(self, pool: PoolName, new_broker: EntryId) -> RecoveredPermits:
+        """Hand a pool of this zone over to a new broker.
+
+        Requests that wait for a grant of the predecessor ask again, because the
+        new broker would not know of a grant that is still under way.
+        """
+        with self._lock:
+            broker = self._brokers.pop(pool, None)
+            clients = dict(self._clients)
+        member = self._read_view().find(new_broker)
+        for address, client in clients.items():
+            if member is None or address != member.peer_address:
+                client.void(pool, self._zone)
+        held = {}
+        learned = ()
+        if broker is not None:
+            learned = broker.learned()
+            ended = broker.end(NOT_BROKER, f"{new_broker} takes over")
+            held = {item.permit: item for item in ended}
+            _LOGGER.info("admission: %s takes over pool %s", new_broker, pool)
+        for item in self.permits.hand_over(pool, self._zone, member):
+            held.setdefault(item.permit, item)
+        if member is not None:
+            self._client(member).reconnect()
+        return RecoveredPermits(tuple(held.values()), learned)
+
+    def apply_assignments(self) -> None:
+        """Give every broker its serving instances at once."""
+        for pool, broker in self.brokers().items():
+            broker.set_instances(self._list_instances(pool))
+
+    def brokers(self) -> dict[PoolName, Broker]:
+        """Return the brokers that run on this entry."""
+        with self._lock:
+            return dict(self._brokers)
+
+    def in_flight(self, vm: VmId) -> int:
+        """Return the requests on a VM that this entry sent or granted."""
+        granted = sum(b.in_flight(vm) for b in self.brokers().values())
+        return max(granted, self.permits.on_vm(vm))
+
+    def run(self, stop: threading.Event) -> None:
+        """Step the brokers until stopped."""
+        while not stop.is_set():
+            self.step()
+            self._clock.wait(stop, TICK_S)
+
+    def step(self) -> None:
+        """Step each broker once and drop permits that expired."""
+        for pool, broker in self.brokers().items():
+            broker.set_instances(self._list_instances(pool))
+            if not broker.tick():
+                self._start_takeover(pool, broker)
+        self.permits.expire()
+
+    def stop(self) -> None:
+        """Give up every broker, so that waiting requests ask the next entry."""
+        with self._lock:
+            self._stopping = True
+            brokers, self._brokers = self._brokers, {}
+            clients = list(self._clients.values())
+        for broker in brokers.values():
+            broker.end(NOT_BROKER, f"{self._entry} stops")
+        for client in clients:
+            client.stop()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        self.takeover.stop()
+
+    def _acquire_in(
+        self, zone: ZoneName, request: PermitRequest, end_s: float
+    ) -> PermitGranted | PermitRefused:
+        ranked = self.takeover.ranked(zone, request.pool)[:MAX_BROKERS_ASKED]
+        # The second round reaches a broker that took over during the first.
+        for member in [*ranked, *ranked]:
+            remaining_ms = (end_s - self._clock.monotonic_s()) * 1000
+            if remaining_ms <= 0:
+                break
+            request = replace(request, remaining_ms=remaining_ms)
+            call = self._ask(member, request)
+            reply = call.decision
+            if call.queued:
+                # It was admitted once, so that the next broker must not refuse.
+                request = replace(request, attempt=max(1, request.attempt))
+            if reply is None:
+                continue
+            if isinstance(reply, PermitGranted):
+                self.permits.add(reply, request.work_class, request.pool, zone, member)
+                return reply
+            if reply.code != NOT_BROKER:
+                return reply
+        return PermitRefused(
+            "broker_unavailable", 0.5, f"no broker of {request.pool} in {zone} answers"
+        )
+
+    def _ask(self, member: Member, request: PermitRequest) -> PendingCall:
+        call = PendingCall(request)
+        with self._lock:
+            self._pending[request.request] = call
+        if member.entry != self._entry:
+            client = self._client(member)
+            if not client.is_down():
+                client.acquire(call)
+        elif member.zone == self._zone:
+            broker = self.own_broker(request.pool)
+            if broker is not None:
+                broker.acquire(call)
+        with self._lock:
+            self._pending.pop(request.request, None)
+        return call
+
+    def _client(self, member: Member) -> BrokerClient:
+        with self._lock:
+            client = self._clients.get(member.peer_address)
+            if client is None:
+                client = BrokerClient(
+                    member.peer_address, member.zone, self._clock, self._channels
+                )
+                self._clients[member.peer_address] = client
+            return client
+
+    def _start_takeover(self, pool: PoolName, broker: Broker) -> None:
+        with self._lock:
+            if pool in self._recovering or self._stopping:
+                return
+            self._recovering.add(pool)
+        self._executor.submit(self._take_over, pool, broker)
+
+    def _take_over(self, pool: PoolName, broker: Broker) -> None:
+        try:
+            if not self.takeover.is_own_turn(pool):
+                with self._lock:
+                    self._not_mine_until_s[pool] = (
+                        self._clock.monotonic_s() + NOT_MINE_S
+                    )
+                    if self._brokers.get(pool) is broker:
+                        del self._brokers[pool]
+                broker.end(NOT_BROKER, "it is the turn of another entry")
+                return
+            answers, missing = self.takeover.collect(pool)
+            held = [item for answer in answers for item in answer.held]
+            held += self.permits.hand_over(pool, self._zone, self._own_member())
+            learned = [item for answer in answers for item in answer.learned]
+            broker.adopt(held, learned, unreachable=bool(missing))
+            _LOGGER.info(
+                "admission: broker of pool %s, %d permits held", pool, len(held)
+            )
+        except Exception:
+            _LOGGER.exception("admission: takeover of pool %s failed", pool)
+        finally:
+            with self._lock:
+                self._recovering.discard(pool)
+
+    def _own_member(self) -> Member | None:
+        return self._read_view().find(self._entry)
--- /dev/null
+++ b/src/jayshunt/admission/instances.py
@@ -0,0 +1,170 @@
+"""Track the slots and the health of each instance of a pool in one zone."""
+
+import logging
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from jayshunt.admission.const import (
+    EJECT_BASE_S,
+    EJECT_CONSECUTIVE,
+    EJECT_FAILED_RATIO,
+    EJECT_LIMIT_S,
+    EJECT_WINDOW,
+    HEALTH_FAILURES,
+    MAX_EJECTED_RATIO,
+    SLOW_START_S,
+)
+from jayshunt.ids import VmId
+from jayshunt.pools.models import Assignment
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class HealthReport(Enum):
+    """Name the results of one health check."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    FAILING = "failing"
+
+
+@dataclass
+class InstanceState:
+    """Hold what a broker knows of one instance.
+
+    `ramp_from_s` is the time at which a slow start began, `ejected_until_s` the
+    earliest time of a readmission; each is None when it does not apply.
+    """
+
+    assignment: Assignment
+    in_use: int = 0
+    stuck: int = 0
+    leaving: bool = False
+    failed_checks: int = 0
+    ramp_from_s: float | None = None
+    ejected_until_s: float | None = None
+    ejections: int = 0
+    consecutive: int = 0
+    outcomes: deque = field(default_factory=lambda: deque(maxlen=EJECT_WINDOW))
+    blocked: int = 0
+    reason: str = ""
+
+    @property
+    def takes_work(self) -> bool:
+        """Return whether the instance may get new work."""
+        return not self.leaving and self.ejected_until_s is None
+
+    def limit(self, slots: int, now_s: float) -> int:
+        """Return the slots that may be used now."""
+        if not self.takes_work:
+            return 0
+        if self.ramp_from_s is None:
+            return slots
+        ratio = (now_s - self.ramp_from_s) / SLOW_START_S
+        if ratio >= 1:
+            self.ramp_from_s = None
+            return slots
+        return max(1, int(slots * ratio))
+
+    def is_failing(self) -> bool:
+        """Return whether the latest outcomes call for an ejection."""
+        if self.consecutive >= EJECT_CONSECUTIVE:
+            return True
+        full = len(self.outcomes) == EJECT_WINDOW
+        return full and sum(self.outcomes) >= EJECT_FAILED_RATIO * EJECT_WINDOW
+
+
+class PoolInstances:
+    """Own the instance states of one pool; the broker holds its lock around it."""
+
+    def __init__(self) -> None:
+        """Start without instances."""
+        self.states: dict[VmId, InstanceState] = {}
+        self._gone: dict[VmId, InstanceState] = {}
+        self._started = False
+
+    def update(self, assignments: tuple[Assignment, ...], now_s: float) -> None:
+        """Take the serving instances; one that is new starts slowly.
+
+        An instance that left keeps its count of used slots, so that one that
+        comes back is not given more than it has.
+        """
+        listed = {a.vm: a for a in assignments}
+        for vm in [vm for vm in self.states if vm not in listed]:
+            self._gone[vm] = self.states.pop(vm)
+        for vm, assignment in listed.items():
+            state = self.states.get(vm)
+            if state is not None:
+                state.assignment = assignment
+                continue
+            gone = self._gone.pop(vm, None)
+            state = InstanceState(assignment, in_use=gone.in_use if gone else 0)
+            if self._started:
+                state.ramp_from_s = now_s
+            self.states[vm] = state
+        self._gone = {vm: s for vm, s in self._gone.items() if s.in_use > 0}
+        self._started = self._started or bool(listed)
+
+    def find(self, vm: VmId) -> InstanceState | None:
+        """Return an instance that serves or that still has slots in use."""
+        return self.states.get(vm) or self._gone.get(vm)
+
+    def record(self, vm: VmId, failed: bool, now_s: float) -> None:
+        """Take in one outcome and eject the instance if it fails too often."""
+        state = self.states.get(vm)
+        if state is None:
+            return
+        state.outcomes.append(failed)
+        state.consecutive = state.consecutive + 1 if failed else 0
+        if state.ejected_until_s is None and state.is_failing():
+            self._eject(state, "requests fail", now_s)
+        if not failed and state.ramp_from_s is None:
+            state.ejections = 0
+
+    def report(self, vm: VmId, report: HealthReport, now_s: float) -> None:
+        """Take in the result of a health check."""
+        state = self.states.get(vm)
+        if state is None:
+            return
+        if (report is HealthReport.LEAVING) != state.leaving:
+            state.leaving = not state.leaving
+            verb = "leaves" if state.leaving else "came back"
+            _LOGGER.info("admission: instance %s %s", vm, verb)
+            if not state.leaving:
+                state.ramp_from_s = now_s
+        if report is HealthReport.FAILING:
+            state.failed_checks += 1
+            if state.ejected_until_s is None and state.failed_checks >= HEALTH_FAILURES:
+                self._eject(state, "health checks fail", now_s)
+            return
+        state.failed_checks = 0
+        if state.ejected_until_s is not None and now_s >= state.ejected_until_s:
+            state.ejected_until_s = None
+            state.ramp_from_s = now_s
+            state.consecutive = 0
+            state.outcomes.clear()
+            _LOGGER.info("admission: instance %s readmitted, slow start", vm)
+
+    def slots_now(self, slots: int, now_s: float) -> int:
+        """Return the slots that can do work, without those that are stuck."""
+        return sum(
+            max(0, state.limit(slots, now_s) - state.stuck)
+            for state in self.states.values()
+        )
+
+    def _eject(self, state: InstanceState, reason: str, now_s: float) -> None:
+        ejected = sum(s.ejected_until_s is not None for s in self.states.values())
+        if ejected + 1 > MAX_EJECTED_RATIO * len(self.states):
+            state.reason = f"{reason}, kept: half of the pool is ejected already"
+            return
+        pause_s = min(EJECT_LIMIT_S, EJECT_BASE_S * 2**state.ejections)
+        state.ejections += 1
+        state.ejected_until_s = now_s + pause_s
+        state.reason = reason
+        _LOGGER.warning(
+            "admission: instance %s ejected for %.1f s: %s",
+            state.assignment.vm,
+            pause_s,
+            reason,
+        )
--- a/src/jayshunt/admission/messages.py
+++ b/src/jayshunt/admission/messages.py
@@ -11,7 +11,8 @@
     """Ask for one slot of a pool.
 
     `remaining_ms` is the time until the request's deadline; no clock is shared
-    between entries. `excluded` names instances that already failed this request.
+    between entries. `excluded` names instances that already failed this request,
+    `attempt` counts from 0, and `spilled` marks a request of another zone.
     """
 
     request: RequestId
@@ -20,6 +21,8 @@
     entry: EntryId
     remaining_ms: float
     excluded: tuple[VmId, ...] = ()
+    attempt: int = 0
+    spilled: bool = False
 
 
 @dataclass(frozen=True)
@@ -27,6 +30,7 @@
     """Allow one request on one instance until the permit is released.
 
     The broker counts the slot as used for `ttl_ms` if no release arrives.
+    `expected_ms` is the learned run time of the class on the instance.
     """
 
     permit: PermitId
@@ -34,6 +38,7 @@
     address: str
     ttl_ms: float
     waited_ms: float
+    expected_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -45,6 +50,16 @@
     detail: str
 
 
+@dataclass(frozen=True)
+class PermitQueued:
+    """Tell that a request waits; a grant or a refusal follows."""
+
+    expected_wait_ms: float
+
+
+PermitReply = PermitGranted | PermitRefused | PermitQueued
+
+
 class SendOutcome(Enum):
     """Say how the work under a permit ended."""
 
@@ -52,19 +67,24 @@
     FAILED = "failed"
     TIMED_OUT = "timed_out"
     NOT_SENT = "not_sent"
+    CONNECT_FAILED = "connect_failed"
     CANCELLED = "cancelled"
 
 
 @dataclass(frozen=True)
 class PermitResult:
-    """Give a permit back with what the broker learns from."""
+    """Give a permit back with what the broker learns from.
+
+    `closing` tells that the instance announced to close its connection, which
+    one that leaves does; the broker then checks its health at once.
+    """
 
     permit: PermitId
     vm: VmId
     work_class: ClassName
     outcome: SendOutcome
     duration_ms: float
-    leaving: bool = False
+    closing: bool = False
 
 
 @dataclass(frozen=True)
@@ -75,3 +95,27 @@
     vm: VmId
     work_class: ClassName
     ttl_ms: float
+
+
+@dataclass(frozen=True)
+class LearnedClass:
+    """Tell a new broker what its predecessor learned of a class."""
+
+    work_class: ClassName
+    run_ms: float
+    usual_slots: float
+
+
+@dataclass(frozen=True)
+class RecoveredPermits:
+    """Hold the answer of one entry to a new broker."""
+
+    held: tuple[HeldPermit, ...] = ()
+    learned: tuple[LearnedClass, ...] = ()
+
+
+def unused(granted: PermitGranted, work_class: ClassName) -> PermitResult:
+    """Return the result of a permit under which nothing was sent."""
+    return PermitResult(
+        granted.permit, granted.vm, work_class, SendOutcome.NOT_SENT, 0.0
+    )
--- /dev/null
+++ b/src/jayshunt/admission/refusals.py
@@ -0,0 +1,87 @@
+"""Decide which requests are refused, and count the refusals."""
+
+from jayshunt.admission.admission_queue import AdmissionQueue
+from jayshunt.admission.backlog import Waiter
+from jayshunt.admission.const import (
+    QUEUE_LIMIT,
+    RUN_RESERVE,
+    SHED_LATE_RATIO,
+    SHED_WITHIN_RATIO,
+    WAIT_RESERVE,
+)
+from jayshunt.admission.messages import PermitRefused, PermitRequest
+from jayshunt.admission.permit_table import PermitTable
+
+
+class RefusalPolicy:
+    """Refuse what cannot end in time; the broker holds its lock around it."""
+
+    def __init__(self, queue: AdmissionQueue, permits: PermitTable) -> None:
+        """Start with no refusal counted."""
+        self._queue = queue
+        self._permits = permits
+        self.blocked_until_s = 0.0
+        self.counts: dict[tuple[str, str], int] = {}
+
+    def refuse(
+        self, request: PermitRequest, code: str, retry_after_s: float, detail: str
+    ) -> PermitRefused:
+        """Count one refusal and return it."""
+        key = (request.work_class, code)
+        self.counts[key] = self.counts.get(key, 0) + 1
+        return PermitRefused(code, retry_after_s, detail)
+
+    def refuse_early(
+        self, waiter: Waiter, slots: int, now_s: float
+    ) -> PermitRefused | None:
+        """Refuse a new request if it would end after its deadline."""
+        request = waiter.request
+        if len(self._queue) >= QUEUE_LIMIT:
+            return self.refuse(request, "queue_full", 0.5, "the queue is full")
+        # A request that failed on an instance was admitted once already.
+        if request.attempt > 0:
+            return None
+        late_ms = self.late_ms(waiter, slots, now_s)
+        if late_ms <= 0:
+            return None
+        return self._overloaded(waiter, late_ms)
+
+    def late_ms(self, waiter: Waiter, slots: int, now_s: float) -> float:
+        """Return by how much a request would miss its deadline, with reserves."""
+        running_ms = self._permits.running_ms
+        wait_ms = self._queue.predict_wait_ms(waiter, slots, running_ms, now_s)
+        wait_ms += max(0.0, self.blocked_until_s - now_s) * 1000
+        need_ms = wait_ms * WAIT_RESERVE + waiter.run_ms * RUN_RESERVE
+        return need_ms - (waiter.deadline_s - now_s) * 1000
+
+    def lost_chances(
+        self, slots: int, now_s: float
+    ) -> list[tuple[Waiter, PermitRefused]]:
+        """Refuse queued requests after slots were lost, while that is early.
+
+        A request that waited longer than the early part of its time stays: a
+        late refusal is worth less to its caller than an answer at the deadline.
+        With no slot left every request is refused, so that it may try elsewhere.
+        """
+        return [
+            (waiter, self._overloaded(waiter, late_ms))
+            for waiter in self._queue.waiters()
+            if waiter.request.attempt == 0 or slots == 0
+            if (late_ms := self._lost_by_ms(waiter, slots, now_s)) > 0
+        ]
+
+    def _lost_by_ms(self, waiter: Waiter, slots: int, now_s: float) -> float:
+        remaining_ms = waiter.request.remaining_ms
+        if slots == 0:
+            return remaining_ms
+        if (now_s - waiter.arrived_s) * 1000 > SHED_WITHIN_RATIO * remaining_ms:
+            return 0.0
+        return self.late_ms(waiter, slots, now_s) - SHED_LATE_RATIO * remaining_ms
+
+    def _overloaded(self, waiter: Waiter, late_ms: float) -> PermitRefused:
+        return self.refuse(
+            waiter.request,
+            "overloaded",
+            max(0.1, late_ms / 1000),
+            f"{waiter.request.work_class} would miss its target by {late_ms:.0f} ms",
+        )
--- /dev/null
+++ b/src/jayshunt/admission/run_times.py
@@ -0,0 +1,51 @@
+"""Learn how long a class runs on each instance."""
+
+from jayshunt.admission.const import DEFAULT_RUN_MS, LEARNING_RATE, MAX_SLOWNESS
+from jayshunt.ids import ClassName, VmId
+
+
+class RunTimes:
+    """Keep a moving mean per class and a slowness factor per instance.
+
+    A table of every pair would learn each pair too slowly to be of use.
+    """
+
+    def __init__(self) -> None:
+        """Start without knowledge."""
+        self._class_ms: dict[ClassName, float] = {}
+        self._slowness: dict[VmId, float] = {}
+
+    def learn(self, work_class: ClassName, vm: VmId, duration_ms: float) -> None:
+        """Take in the duration of one answered request."""
+        mean_ms = self._class_ms.get(work_class)
+        if mean_ms is None:
+            self._class_ms[work_class] = duration_ms
+            return
+        ratio = min(MAX_SLOWNESS, duration_ms / max(mean_ms, 0.1))
+        factor = self._slowness.get(vm, 1.0)
+        self._slowness[vm] = factor + LEARNING_RATE * (ratio - factor)
+        self._class_ms[work_class] = mean_ms + LEARNING_RATE * (duration_ms - mean_ms)
+
+    def adopt(self, work_class: ClassName, run_ms: float) -> None:
+        """Take the predecessor's mean unless an own one is known."""
+        self._class_ms.setdefault(work_class, run_ms)
+
+    def of_class(self, work_class: ClassName) -> float:
+        """Return the expected run time in milliseconds."""
+        return self._class_ms.get(work_class, DEFAULT_RUN_MS)
+
+    def knows(self, work_class: ClassName) -> bool:
+        """Return whether a duration of the class was seen."""
+        return work_class in self._class_ms
+
+    def slowness(self, vm: VmId) -> float:
+        """Return how much slower than the mean an instance is."""
+        return self._slowness.get(vm, 1.0)
+
+    def forget(self, vm: VmId) -> None:
+        """Drop what was learned of an instance that left or restarts."""
+        self._slowness.pop(vm, None)
+
+    def classes(self) -> dict[ClassName, float]:
+        """Return a copy of the means in milliseconds."""
+        return dict(self._class_ms)
--- /dev/null
+++ b/src/jayshunt/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the admission slice."""
--- /dev/null
+++ b/src/jayshunt/admission/tests/test_backlog.py
@@ -0,0 +1,67 @@
+"""Test the order and the cost of waiting requests."""
+
+import random
+import unittest
+
+from jayshunt.admission.backlog import Backlog, Waiter
+from jayshunt.admission.tests.builders import request
+
+
+def waiter(deadline_s: float, run_ms: float = 10.0) -> Waiter:
+    """Return a waiter with a deadline."""
+    return Waiter(request(), print, 0.0, deadline_s, run_ms, True)
+
+
+class BacklogTest(unittest.TestCase):
+    """Test the bucketed backlog against a plain list."""
+
+    def test_work_until_matches_a_plain_sum(self) -> None:
+        """A wrong sum refuses requests that could be served, or admits others."""
+        rng = random.Random(7)
+        backlog, waiting = Backlog(), []
+        for _ in range(300):
+            item = waiter(round(rng.uniform(0, 19.9), 2) + 0.005)
+            backlog.add(item, 0.0)
+            waiting.append(item)
+            if rng.random() < 0.4:
+                gone = waiting.pop(rng.randrange(len(waiting)))
+                backlog.remove(gone)
+        for deadline_s in (0.505, 5.005, 12.345, 19.995):
+            expected = sum(w.run_ms for w in waiting if w.deadline_s <= deadline_s)
+            self.assertAlmostEqual(backlog.work_until(deadline_s), expected)
+        self.assertEqual(backlog.count, len(waiting))
+
+    def test_far_deadlines_are_last(self) -> None:
+        """A deadline past the ring must not be mistaken for an early one."""
+        backlog = Backlog()
+        far, near = waiter(600.0), waiter(1.0)
+        backlog.add(far, 0.0)
+        backlog.add(near, 0.0)
+        self.assertIs(backlog.first(), near)
+        backlog.remove(near)
+        self.assertIs(backlog.first(), far)
+        self.assertEqual(backlog.work_until(1.0), 0.0)
+
+    def test_queue_that_never_empties_keeps_its_order(self) -> None:
+        """Deadlines that passed the end of the ring would all count as equal."""
+        backlog = Backlog()
+        kept = waiter(31.0)
+        backlog.add(kept, 0.0)
+        backlog.restart_if_old(15.0)
+        early = waiter(25.0)
+        backlog.add(early, 15.0)
+        self.assertIs(backlog.first(), early)
+        self.assertEqual(backlog.work_until(26.0), 10.0)
+        self.assertEqual(backlog.count, 2)
+
+    def test_wave_of_cancellations_costs_what_it_cancels(self) -> None:
+        """Cancelling a full queue must not scan it for each request."""
+        backlog = Backlog()
+        waiters = [waiter(1.0 + number / 1000) for number in range(512)]
+        for item in waiters:
+            backlog.add(item, 0.0)
+        for item in waiters[:-1]:
+            backlog.remove(item)
+        self.assertIs(backlog.first(), waiters[-1])
+        self.assertEqual(backlog.count, 1)
+        self.assertAlmostEqual(backlog.work_ms, 10.0)
--- /dev/null
+++ b/src/jayshunt/admission/tests/test_broker.py
@@ -0,0 +1,228 @@
+"""Test how a broker grants and refuses."""
+
+import unittest
+
+from jayshunt.admission.broker import Broker
+from jayshunt.admission.const import PAUSE_LIMIT_S
+from jayshunt.admission.instances import HealthReport
+from jayshunt.admission.messages import (
+    HeldPermit,
+    LearnedClass,
+    PermitGranted,
+    PermitRefused,
+    SendOutcome,
+)
+from jayshunt.admission.tests.builders import (
+    POOL,
+    Asked,
+    broker_with,
+    instances,
+    request,
+    result,
+)
+from jayshunt.clock import ManualClock
+from jayshunt.ids import ClassName, EntryId, PermitId, VmId
+
+
+class GrantTest(unittest.TestCase):
+    """Test the count of slots and the order of waiting requests."""
+
+    def setUp(self) -> None:
+        """Start with one instance of two slots."""
+        self.clock = ManualClock()
+        self.broker = broker_with(self.clock, "vm-1", classes=("quotes", "bookings"))
+        self.asked = Asked(self.broker)
+
+    def fill(self) -> list[PermitGranted]:
+        """Take both slots."""
+        return [self.asked.reply(self.asked.ask()) for _ in range(2)]
+
+    def test_slots_never_exceeded(self) -> None:
+        """More permits than slots would overload an instance."""
+        self.fill()
+        third = self.asked.ask()
+        self.assertIsNone(self.asked.reply(third))
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+
+    def test_released_slot_is_granted_at_once(self) -> None:
+        """A freed slot left idle while a request waits loses capacity."""
+        first, _ = self.fill()
+        third = self.asked.ask()
+        self.broker.release(result(first))
+        self.assertIsInstance(self.asked.reply(third), PermitGranted)
+
+    def test_release_counts_once(self) -> None:
+        """A release that arrives twice would free a slot that is in use."""
+        first, _ = self.fill()
+        self.broker.release(result(first))
+        self.broker.release(result(first))
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 1)
+
+    def test_earlier_deadline_goes_first(self) -> None:
+        """Order by arrival makes an urgent request late behind patient ones."""
+        first, _ = self.fill()
+        patient = self.asked.ask(remaining_ms=5000)
+        urgent = self.asked.ask(remaining_ms=600)
+        self.broker.release(result(first))
+        self.assertIsInstance(self.asked.reply(urgent), PermitGranted)
+        self.assertIsNone(self.asked.reply(patient))
+
+    def test_cancelled_request_is_never_granted(self) -> None:
+        """A slot granted to a caller that left is wasted."""
+        first, _ = self.fill()
+        waiter = self.asked.submit(request())
+        self.assertTrue(self.broker.cancel(waiter))
+        self.assertFalse(self.broker.cancel(waiter))
+        self.broker.release(result(first))
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 1)
+
+    def test_timed_out_request_keeps_its_slot(self) -> None:
+        """The instance may go on with the request; its slot is not free."""
+        first, _ = self.fill()
+        self.broker.release(result(first, SendOutcome.TIMED_OUT))
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+        self.clock.advance(0.9)
+        self.broker.tick()
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+        self.clock.advance(0.9)
+        self.broker.tick()
+        self.clock.advance(0.9)
+        self.broker.tick()
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 0)
+
+    def test_retry_avoids_the_instance_that_failed(self) -> None:
+        """An instance that fails fast is the least loaded and draws retries."""
+        self.broker.set_instances(instances("vm-1", "vm-2"))
+        retry = self.asked.ask(excluded=(VmId("vm-1"),), attempt=1)
+        self.assertEqual(self.asked.reply(retry).vm, "vm-2")
+
+    def test_leaving_instance_gets_nothing_but_keeps_its_count(self) -> None:
+        """A count lost at a move grants too many slots when the VM comes back."""
+        self.fill()
+        self.broker.set_instances(())
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+        self.broker.set_instances(instances("vm-1"))
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+        self.assertIsNone(self.asked.reply(self.asked.ask()))
+
+
+class RefusalTest(unittest.TestCase):
+    """Test that refusals are early, and correct."""
+
+    def setUp(self) -> None:
+        """Start with one instance of two slots."""
+        self.clock = ManualClock()
+        self.broker = broker_with(self.clock, "vm-1", classes=("quotes", "bookings"))
+        self.asked = Asked(self.broker)
+
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        """A request refused after it waited cannot be served elsewhere in time."""
+        replies = [self.asked.ask(remaining_ms=300) for _ in range(20)]
+        refused = [r for r in map(self.asked.reply, replies) if r is not None]
+        refused = [r for r in refused if isinstance(r, PermitRefused)]
+        self.assertGreater(len(refused), 10)
+        self.assertEqual({r.code for r in refused}, {"overloaded"})
+        self.assertGreater(min(r.retry_after_s for r in refused), 0)
+
+    def test_pool_without_instance_refuses_at_once(self) -> None:
+        """Waiting for an instance that may never come makes the refusal late."""
+        self.broker.set_instances(())
+        refused = self.asked.reply(self.asked.ask())
+        self.assertEqual(refused.code, "no_instance")
+
+    def test_loss_of_all_instances_refuses_what_waits(self) -> None:
+        """Requests that wait for lost instances could be served elsewhere."""
+        for _ in range(2):
+            self.asked.ask()
+        waiting = self.asked.ask()
+        self.broker.report_health(VmId("vm-1"), HealthReport.LEAVING)
+        self.broker.tick()
+        self.assertIsInstance(self.asked.reply(waiting), PermitRefused)
+
+    def test_burst_of_one_class_leaves_the_others_their_share(self) -> None:
+        """With one queue by arrival, a burst makes every class late."""
+        self._learn_usual_share("bookings")
+        for _ in range(60):
+            self.asked.ask("quotes", 1000)
+        self.assertIsInstance(
+            self.asked.reply(self.asked.ask("quotes", 1000)), PermitRefused
+        )
+        booking = self.asked.ask("bookings", 1000)
+        self.assertNotIsInstance(self.asked.reply(booking), PermitRefused)
+
+    def test_retry_of_an_admitted_request_is_not_refused(self) -> None:
+        """A refusal after the first attempt failed would be late."""
+        for _ in range(60):
+            self.asked.ask(remaining_ms=500)
+        retry = self.asked.ask(remaining_ms=200, attempt=1)
+        self.assertIsNone(self.asked.reply(retry))
+
+    def _learn_usual_share(self, name: str) -> None:
+        for _ in range(100):
+            asked = self.asked.ask(name, 1000)
+            self.clock.advance(0.1)
+            self.broker.release(result(self.asked.reply(asked), work_class=name))
+            self.broker.tick()
+
+
+class TakeoverTest(unittest.TestCase):
+    """Test how a broker starts after another one."""
+
+    def setUp(self) -> None:
+        """Start a broker that does not grant yet."""
+        self.clock = ManualClock()
+        self.broker = Broker(
+            POOL, EntryId("entry-2"), self.clock, lambda: 2, granting=False
+        )
+        self.broker.set_instances(instances("vm-1"))
+        self.asked = Asked(self.broker)
+
+    def held(self, number: int) -> HeldPermit:
+        """Return a permit that a predecessor granted."""
+        return HeldPermit(
+            PermitId(f"old-{number}"), VmId("vm-1"), ClassName("quotes"), 1000.0
+        )
+
+    def test_requests_wait_until_the_takeover_ends(self) -> None:
+        """A grant before the count is known exceeds the slots."""
+        asked = self.asked.ask()
+        self.assertIsNone(self.asked.reply(asked))
+        self.broker.adopt([self.held(1)], [], unreachable=False)
+        self.assertIsInstance(self.asked.reply(asked), PermitGranted)
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+
+    def test_release_during_the_takeover_is_remembered(self) -> None:
+        """A release that overtakes the takeover would leave its slot in use."""
+        early = PermitGranted(PermitId("old-1"), VmId("vm-1"), "", 0, 0)
+        self.broker.release(result(early))
+        self.broker.adopt([self.held(1), self.held(2)], [], unreachable=False)
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 1)
+
+    def test_slots_of_an_unreachable_entry_stay_blocked(self) -> None:
+        """An entry that does not answer may use every slot not known of."""
+        learned = [LearnedClass(ClassName("quotes"), 200.0, 1.0)]
+        self.broker.adopt([self.held(1)], learned, unreachable=True)
+        asked = self.asked.ask(remaining_ms=3000)
+        self.assertIsNone(self.asked.reply(asked))
+        for _ in range(9):
+            self.clock.advance(0.1)
+            self.broker.tick()
+        self.assertIsInstance(self.asked.reply(asked), PermitGranted)
+
+    def test_paused_broker_recovers_before_it_grants(self) -> None:
+        """After a pause another entry may have granted the same slots."""
+        self.broker.adopt([], [], unreachable=False)
+        self.clock.advance(PAUSE_LIMIT_S + 0.5)
+        asked = self.asked.ask()
+        self.assertIsNone(self.asked.reply(asked))
+        self.assertFalse(self.broker.tick())
+        self.broker.adopt([], [], unreachable=False)
+        self.assertIsInstance(self.asked.reply(asked), PermitGranted)
+
+    def test_ended_broker_grants_nothing(self) -> None:
+        """Two brokers of one pool exceed the slots in sum."""
+        self.broker.adopt([], [], unreachable=False)
+        self.asked.ask()
+        self.assertEqual(len(self.broker.end("not_broker", "replaced")), 1)
+        refused = self.asked.reply(self.asked.ask())
+        self.assertEqual(refused.code, "not_broker")
--- /dev/null
+++ b/src/jayshunt/admission/tests/test_directory.py
@@ -0,0 +1,213 @@
+"""Test brokers on several entries over gRPC on loopback."""
+
+import threading
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from jayshunt.admission.const import RECOVER_TIMEOUT_S
+from jayshunt.admission.directory import BrokerDirectory
+from jayshunt.admission.messages import PermitGranted, PermitRefused
+from jayshunt.admission.peer_service import AdmissionService
+from jayshunt.admission.tests.builders import POOL, instances, request, result
+from jayshunt.clock import SystemClock
+from jayshunt.ids import EntryId, VmId, ZoneName
+from jayshunt.membership.models import Member, MembershipView, MemberState
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.server import PeerServer
+from jayshunt.tasks import TaskGroup
+
+SLOTS = 2
+TIME_MS = 4000.0
+
+
+class Entry:
+    """Run the admission part of one entry."""
+
+    def __init__(self, name: str, zone: str, fleet: "Fleet") -> None:
+        """Start the peer server on a free port."""
+        self.name = EntryId(name)
+        self.zone = ZoneName(zone)
+        self.server = PeerServer("127.0.0.1:0", None)
+        self.channels = PeerChannels(None)
+        self.directory = BrokerDirectory(
+            self.name,
+            self.zone,
+            SystemClock(),
+            lambda: fleet.view,
+            self.channels,
+            lambda _: fleet.instances[zone],
+            lambda _: SLOTS,
+        )
+        service = AdmissionService(self.directory.own_broker, self.directory.recover)
+        self.server.add(service.add_to)
+        self.server.start()
+        self._tasks = TaskGroup(name)
+        self._tasks.start(self.directory.run)
+
+    @property
+    def member(self) -> Member:
+        """Return this entry as a member."""
+        return Member(self.name, self.zone, f"127.0.0.1:{self.server.port}", 1)
+
+    def kill(self) -> None:
+        """End as a process that is killed does: nothing is handed over."""
+        self.server._server.stop(None).wait()
+        self.channels.stop()
+        self._tasks.stop()
+
+    def stop(self) -> None:
+        """Stop in order."""
+        self.directory.stop()
+        self.kill()
+
+
+class Fleet:
+    """Hold entries and the view that all of them share."""
+
+    def __init__(self, *names: tuple[str, str]) -> None:
+        """Start the entries, given as name and zone."""
+        zones = {zone for _, zone in names}
+        self.instances = {zone: instances(f"vm-{zone}") for zone in zones}
+        self.view = MembershipView(1)
+        self.entries = {name: Entry(name, zone, self) for name, zone in names}
+        members = tuple(entry.member for entry in self.entries.values())
+        self.view = MembershipView(2, members)
+
+    def mark(self, name: str, state: MemberState) -> None:
+        """Publish a view in which one member has another state."""
+        members = tuple(
+            replace(m, state=state) if m.entry == name else m for m in self.view.members
+        )
+        self.view = MembershipView(self.view.version + 1, members)
+
+    def ranked(self, zone: str) -> list[Entry]:
+        """Return a zone's entries in the order of their turn."""
+        first = next(iter(self.entries.values()))
+        ranked = first.directory.takeover.ranked(ZoneName(zone), POOL)
+        return [self.entries[member.entry] for member in ranked]
+
+    def stop(self) -> None:
+        """Stop every entry."""
+        for entry in self.entries.values():
+            entry.stop()
+
+
+def ask(entry: Entry, **fields) -> PermitGranted | PermitRefused:
+    """Acquire one permit at an entry."""
+    fields.setdefault("remaining_ms", TIME_MS)
+    return entry.directory.acquire(replace(request(**fields), entry=entry.name))
+
+
+class ZoneTest(unittest.TestCase):
+    """Test the entries of one zone."""
+
+    def setUp(self) -> None:
+        """Start three entries."""
+        self.fleet = Fleet(("e1", "north"), ("e2", "north"), ("e3", "north"))
+        self.addCleanup(self.fleet.stop)
+        self.first, self.second, self.third = self.fleet.ranked("north")
+
+    def test_entries_share_the_slots(self) -> None:
+        """Entries that count slots on their own exceed them in sum."""
+        granted = [ask(self.first), ask(self.third)]
+        self.assertEqual({type(g) for g in granted}, {PermitGranted})
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(ask, self.second)
+            self.assertFalse(waiting.done())
+            broker = self.first.directory.brokers()[POOL]
+            self.assertEqual(broker.in_flight(VmId("vm-north")), SLOTS)
+            self.third.directory.release(result(granted[1]))
+            self.assertIsInstance(waiting.result(5), PermitGranted)
+
+    def test_next_entry_takes_over_from_a_dead_broker(self) -> None:
+        """The permits of other entries must be counted by the new broker."""
+        granted = ask(self.third)
+        self.first.kill()
+        again = ask(self.third)
+        self.assertIsInstance(again, PermitGranted)
+        broker = self.second.directory.brokers()[POOL]
+        held = {item.permit for item in broker.held_permits()}
+        self.assertEqual(held, {granted.permit, again.permit})
+
+    def test_next_entry_grants_nothing_while_the_first_lives(self) -> None:
+        """A slow broker that is asked around would be one of two brokers."""
+        ask(self.first)
+        self.assertFalse(self.second.directory.takeover.is_own_turn(POOL))
+        self.fleet.mark(self.first.name, MemberState.SUSPECT)
+        self.assertTrue(self.second.directory.takeover.is_own_turn(POOL))
+
+    def test_waiting_request_moves_to_the_new_broker(self) -> None:
+        """A request that was admitted must not be refused by the successor."""
+        granted = [ask(self.third), ask(self.third)]
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(ask, self.third)
+            self._wait_for_queue(self.first)
+            self.first.directory.stop()
+            self.first.kill()
+            self._wait_for_queue(self.second)
+            self.third.directory.release(result(granted[0]))
+            self.assertIsInstance(waiting.result(5), PermitGranted)
+
+    def test_predecessor_hands_over_when_it_is_replaced(self) -> None:
+        """Views differ for a moment; only one broker may grant then."""
+        self.fleet.mark(self.first.name, MemberState.LEAVING)
+        granted = ask(self.second)
+        self.fleet.mark(self.first.name, MemberState.ALIVE)
+        self.assertIsInstance(ask(self.third), PermitGranted)
+        self.assertEqual(self.second.directory.brokers(), {})
+        broker = self.first.directory.brokers()[POOL]
+        self.assertIn(granted.permit, {h.permit for h in broker.held_permits()})
+
+    def test_cancelled_request_is_refused_and_frees_its_place(self) -> None:
+        """A caller that left must not be granted a slot later."""
+        granted = [ask(self.third), ask(self.third)]
+        cancelled = request(remaining_ms=TIME_MS)
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(self.third.directory.acquire, cancelled)
+            self._wait_for_queue(self.first)
+            self.assertTrue(self.third.directory.cancel(cancelled.request))
+            self.assertEqual(waiting.result(5).code, "cancelled")
+        self._wait_for(lambda: self.first.directory.brokers()[POOL].waiting == 0)
+        self.third.directory.release(result(granted[0]))
+
+    def _wait_for_queue(self, entry: Entry) -> None:
+        self._wait_for(
+            lambda: POOL in entry.directory.brokers()
+            and entry.directory.brokers()[POOL].waiting == 1
+        )
+
+    def _wait_for(self, condition) -> None:
+        passed = threading.Event()
+        for _ in range(500):
+            if condition():
+                return
+            passed.wait(0.01)
+        self.fail("the condition did not come true within 5 s")
+
+
+class SpillTest(unittest.TestCase):
+    """Test requests that other zones serve."""
+
+    def setUp(self) -> None:
+        """Start one entry in each of two zones."""
+        self.fleet = Fleet(("e1", "north"), ("e2", "south"))
+        self.addCleanup(self.fleet.stop)
+        self.north, self.south = self.fleet.entries.values()
+
+    def test_zone_without_instances_uses_the_other(self) -> None:
+        """The loss of a zone's instances must not refuse what others can serve."""
+        self.fleet.instances["north"] = ()
+        granted = ask(self.north)
+        self.assertEqual(granted.vm, "vm-south")
+        broker = self.south.directory.brokers()[POOL]
+        self.assertEqual(broker.in_flight(VmId("vm-south")), 1)
+        self.north.directory.release(result(granted))
+
+    def test_lost_zone_is_refused_early(self) -> None:
+        """A caller that waits for an unreachable zone is refused too late."""
+        self.fleet.instances["north"] = ()
+        self.south.kill()
+        refused = ask(self.north)
+        self.assertEqual(refused.code, "no_instance")
+        self.assertLess(RECOVER_TIMEOUT_S, TIME_MS / 1000)
--- /dev/null
+++ b/src/jayshunt/admission/usual_shares.py
@@ -0,0 +1,115 @@
+"""Learn each class's usual share of a pool's slots."""
+
+import math
+from dataclasses import dataclass
+
+from jayshunt.admission.const import (
+    RECENT_WINDOW_S,
+    SHARE_DEPTH_S,
+    SHARE_LIMIT_RATIO,
+    USUAL_WINDOW_S,
+)
+from jayshunt.ids import ClassName
+
+
+@dataclass
+class ClassShare:
+    """Hold one class's demand in slots and its saved slot-seconds."""
+
+    started_s: float
+    updated_s: float
+    usual_slots: float = 0.0
+    recent_slots: float = 0.0
+    saved_slot_s: float = 0.0
+    adopted_slots: float = 0.0
+
+    def advance(self, now_s: float) -> None:
+        """Let the means decay until now."""
+        passed_s = now_s - self.updated_s
+        if passed_s <= 0:
+            return
+        self.usual_slots *= math.exp(-passed_s / USUAL_WINDOW_S)
+        self.recent_slots *= math.exp(-passed_s / RECENT_WINDOW_S)
+        self.updated_s = now_s
+
+    def usual(self, now_s: float) -> float:
+        """Return the usual demand, corrected for the short time observed."""
+        seen = 1 - math.exp(-max(1.0, now_s - self.started_s) / USUAL_WINDOW_S)
+        if self.adopted_slots:
+            return self.usual_slots + (1 - seen) * self.adopted_slots
+        return self.usual_slots / seen
+
+
+class UsualShares:
+    """Tell requests that a class's usual share covers from its excess.
+
+    Demand is counted in slot-seconds, admitted or refused. The share of a class
+    is a token bucket that fills at its usual demand.
+    """
+
+    def __init__(self) -> None:
+        """Start without knowledge."""
+        self._classes: dict[ClassName, ClassShare] = {}
+
+    def offer(
+        self, work_class: ClassName, work_s: float, slots: float, now_s: float
+    ) -> bool:
+        """Count demand and return whether the usual share covers it."""
+        share = self._classes.get(work_class)
+        if share is None:
+            share = ClassShare(now_s, now_s)
+            self._classes[work_class] = share
+        passed_s = now_s - share.updated_s
+        share.advance(now_s)
+        share.usual_slots += work_s / USUAL_WINDOW_S
+        share.recent_slots += work_s / RECENT_WINDOW_S
+        rate = share.usual(now_s) * self._scale(slots, now_s)
+        depth = max(rate * SHARE_DEPTH_S, work_s)
+        share.saved_slot_s = min(depth, share.saved_slot_s + rate * passed_s)
+        if share.saved_slot_s < work_s:
+            return False
+        share.saved_slot_s -= work_s
+        return True
+
+    def give_back(self, work_class: ClassName, work_s: float) -> None:
+        """Return the slot-seconds of a request that was refused or cancelled."""
+        share = self._classes.get(work_class)
+        if share is not None:
+            share.saved_slot_s += work_s
+
+    def reserved_slots(
+        self, work_class: ClassName, slots: float, now_s: float
+    ) -> float:
+        """Return the slots that the usual shares of other classes use now.
+
+        A share that its class does not use at present is free for excess.
+        """
+        scale = self._scale(slots, now_s)
+        reserved = 0.0
+        for name, share in self._classes.items():
+            if name != work_class:
+                share.advance(now_s)
+                reserved += min(share.usual(now_s) * scale, share.recent_slots)
+        return reserved
+
+    def usual_slots(self, now_s: float) -> dict[ClassName, float]:
+        """Return each class's usual demand in slots."""
+        return {name: share.usual(now_s) for name, share in self._classes.items()}
+
+    def recent_slots(self, now_s: float) -> dict[ClassName, float]:
+        """Return each class's demand of the last moments in slots."""
+        for share in self._classes.values():
+            share.advance(now_s)
+        return {name: share.recent_slots for name, share in self._classes.items()}
+
+    def adopt(self, work_class: ClassName, usual_slots: float, now_s: float) -> None:
+        """Take over what a predecessor learned."""
+        if work_class not in self._classes:
+            share = ClassShare(now_s, now_s)
+            share.adopted_slots = usual_slots
+            share.saved_slot_s = usual_slots * SHARE_DEPTH_S
+            self._classes[work_class] = share
+
+    def _scale(self, slots: float, now_s: float) -> float:
+        total = sum(share.usual(now_s) for share in self._classes.values())
+        return min(1.0, SHARE_LIMIT_RATIO * slots / total) if total > 0 else 1.0
--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -6,7 +6,10 @@
 from dataclasses import asdict
 
 from jayshunt import __version__
-from jayshunt.admission.broker import Broker
+from jayshunt.admission.diagnostics import describe_admission
+from jayshunt.admission.directory import BrokerDirectory
+from jayshunt.admission.health_checks import HealthChecker
+from jayshunt.admission.peer_service import AdmissionService
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.errors import JayshuntError
@@ -15,11 +18,16 @@
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
 from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.membership.models import Member, MembershipView
 from jayshunt.operations.application import OperatorApplication
 from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
 from jayshunt.routing.connections import UpstreamConnections
+from jayshunt.routing.const import HEALTH_CONNECTIONS
+from jayshunt.routing.diagnostics import describe_routing
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
@@ -43,6 +51,8 @@
         self._clock = clock
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
+        own = Member(self._entry, zone, settings.listen.peers, 1)
+        self._own_view = MembershipView(1, (own,))
         self._tasks = TaskGroup("entry")
         self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
@@ -57,12 +67,30 @@
             lambda: self.inventory.current,
             clock,
         )
-        self._brokers: dict[PoolName, Broker] = {}
-        self._brokers_lock = threading.Lock()
+        self.channels = PeerChannels(settings.tls.peers)
+        self.peers = PeerServer(settings.listen.peers, settings.tls.peers)
         self.statistics = ClassStatistics(clock)
-        self.connections = UpstreamConnections(clock)
+        self.brokers = BrokerDirectory(
+            self._entry,
+            zone,
+            clock,
+            self._view,
+            self.channels,
+            self._instances,
+            self._slots_of,
+        )
+        self.health = HealthChecker(self.brokers.brokers, clock)
+        service = AdmissionService(self.brokers.own_broker, self.brokers.recover)
+        self.peers.add(service.add_to)
+        self.controller.add_listener(lambda _: self.brokers.apply_assignments())
+        self.connections = UpstreamConnections(clock, self._idle_limit)
         self.router = Router(
-            self._entry, clock, self.config.current, self._broker_of, self.connections
+            self._entry,
+            clock,
+            self.config.current,
+            self.brokers,
+            self.connections,
+            rng,
         )
         scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
         self.controller.add_duty(scheduler.step)
@@ -76,6 +104,9 @@
         """Start every part; callers are served last."""
         for task in (self.inventory.run, self.config.run, self.controller.run):
             self._tasks.start(task)
+        for task in (self.brokers.run, self.health.run):
+            self._tasks.start(task)
+        self.peers.start()
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
@@ -90,6 +121,9 @@
         _LOGGER.info("entry: stopping, requests in flight end first")
         self.callers.stop()
         self.operators.stop()
+        self.brokers.stop()
+        self.peers.stop()
+        self.channels.stop()
         self._tasks.stop()
         self.connections.stop()
 
@@ -131,21 +165,23 @@
             if request.work_class in self.config.current().document.classes:
                 self.statistics.record(request.work_class, duration_ms, answered)
 
-    def _broker_of(self, pool: PoolName) -> Broker:
-        with self._brokers_lock:
-            broker = self._brokers.get(pool)
-            if broker is None:
-                broker = Broker(
-                    pool,
-                    self._entry,
-                    self._clock,
-                    lambda: self._instances(pool),
-                    lambda: self.config.current()
-                    .document.pools[pool]
-                    .slots_per_instance,
-                )
-                self._brokers[pool] = broker
-            return broker
+    def _view(self) -> MembershipView:
+        return self._own_view
+
+    def _slots_of(self, pool: PoolName) -> int:
+        settings = self.config.current().document.pools.get(pool)
+        if settings is None:
+            return 0
+        return min(settings.slots_per_instance, settings.connections_per_instance)
+
+    def _idle_limit(self) -> int:
+        """Return this entry's share of the connections that permits do not use."""
+        pools = self.config.current().document.pools.values()
+        spare = min(
+            (p.connections_per_instance - p.slots_per_instance for p in pools),
+            default=0,
+        )
+        return max(0, spare - HEALTH_CONNECTIONS) // max(1, len(self._view().alive()))
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
@@ -187,10 +223,8 @@
                 vm: {"pool": a.pool, "state": a.state.value, "reason": a.reason}
                 for vm, a in record.assignments.items()
             },
-            "held_permits": {
-                pool: [asdict(permit) for permit in broker.held_permits()]
-                for pool, broker in self._brokers.items()
-            },
+            "admission": describe_admission(self.brokers),
+            "routing": describe_routing(self.router, self.connections),
         }
 
 
--- a/src/jayshunt/routing/connections.py
+++ b/src/jayshunt/routing/connections.py
@@ -2,6 +2,7 @@
 
 import io
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import pycurl
@@ -13,39 +14,58 @@
     CONNECT_TIMEOUT_MS,
     HOP_BY_HOP,
     IDLE_LIMIT_S,
-    MAX_IDLE_PER_INSTANCE,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_INTERVAL_S,
+    MAX_ANSWER_BYTES,
+    REQUEST_ID_HEADER,
 )
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
 
+# The own headers and those that curl would add by itself.
+CURL_DEFAULTS = ("accept", "user-agent", "content-type")
+
 
 @dataclass
 class Connection:
     """Hold one curl handle, which owns at most one TCP connection."""
 
     handle: pycurl.Curl
-    idle_since_s: float
+    idle_since_s: float = 0.0
+    connected: bool = False
+
+
+@dataclass(frozen=True)
+class UpstreamAnswer:
+    """Hold an answer and whether the instance closes the connection after it."""
+
+    answer: CallerAnswer
+    closing: bool
 
 
 class UpstreamConnections:
     """Send requests over pooled connections.
 
-    A connection on which anything failed is closed, so that a late answer never
-    reaches another request. A request that must not be repeated always gets a
-    new connection: libcurl sends a request again by itself if a reused
-    connection closes before the first byte of the answer.
+    A connection is used by one request at a time and closed after any failure,
+    so that a late answer never reaches another request. A request that must not
+    be repeated always gets a new connection: libcurl sends a request again by
+    itself if a reused connection closes before the first byte of the answer.
+
+    The connections in use are bounded by the permits held; `idle_limit` gives
+    the idle ones that this entry may keep per instance.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, idle_limit: Callable[[], int]) -> None:
         """Start without connections."""
         self._clock = clock
+        self._idle_limit = idle_limit
         self._lock = threading.Lock()
         self._idle: dict[VmId, list[Connection]] = {}
 
     def send(
         self, vm: VmId, address: str, request: CallerRequest, timeout_ms: float
-    ) -> CallerAnswer:
+    ) -> UpstreamAnswer:
         """Send one request to an instance and return the whole answer."""
-        connection = self._take(vm) if request.repeatable else self._new()
+        connection = self._take(vm, request.repeatable)
         lines: list[bytes] = []
         sink = io.BytesIO()
         handle = connection.handle
@@ -53,54 +73,85 @@
         try:
             handle.perform()
         except pycurl.error as error:
-            sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
+            failure = _send_error(error, vm, handle, connection.connected)
             handle.close()
-            raise _send_error(error, vm, sent) from error
+            raise failure from error
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         headers = _answer_headers(lines)
+        if _is_crossed(headers, request):
+            handle.close()
+            raise _crossed(vm)
         closing = any(n == "connection" and "close" in v for n, v in headers)
         if closing:
             handle.close()
         else:
             self._give_back(vm, connection)
         kept = tuple((n, v) for n, v in headers if n not in HOP_BY_HOP)
-        return CallerAnswer(status, kept, sink.getvalue())
+        return UpstreamAnswer(CallerAnswer(status, kept, sink.getvalue()), closing)
+
+    def drop(self, vm: VmId) -> None:
+        """Close the idle connections to an instance that left."""
+        with self._lock:
+            idle = self._idle.pop(vm, [])
+        _close(idle)
+
+    def close_expired(self) -> None:
+        """Close connections that were idle for too long."""
+        oldest_s = self._clock.monotonic_s() - IDLE_LIMIT_S
+        expired: list[Connection] = []
+        with self._lock:
+            for vm, idle in list(self._idle.items()):
+                expired += [c for c in idle if c.idle_since_s < oldest_s]
+                self._idle[vm] = [c for c in idle if c.idle_since_s >= oldest_s]
+                if not self._idle[vm]:
+                    del self._idle[vm]
+        _close(expired)
+
+    def idle_counts(self) -> dict[VmId, int]:
+        """Return the number of idle connections per instance."""
+        with self._lock:
+            return {vm: len(idle) for vm, idle in self._idle.items()}
 
     def stop(self) -> None:
         """Close every idle connection."""
         with self._lock:
             idle, self._idle = self._idle, {}
         for connections in idle.values():
-            for connection in connections:
-                connection.handle.close()
-
-    def _new(self) -> Connection:
-        return Connection(pycurl.Curl(), self._clock.monotonic_s())
+            _close(connections)
 
-    def _take(self, vm: VmId) -> Connection:
+    def _take(self, vm: VmId, repeatable: bool) -> Connection:
+        if not repeatable:
+            return Connection(pycurl.Curl())
         oldest_s = self._clock.monotonic_s() - IDLE_LIMIT_S
         expired: list[Connection] = []
+        found = None
         with self._lock:
             idle = self._idle.get(vm, [])
-            while idle:
+            while idle and found is None:
                 connection = idle.pop()
                 if connection.idle_since_s >= oldest_s:
-                    return connection
-                expired.append(connection)
-        for connection in expired:
-            connection.handle.close()
-        return self._new()
+                    found = connection
+                else:
+                    expired.append(connection)
+        _close(expired)
+        return found or Connection(pycurl.Curl())
 
     def _give_back(self, vm: VmId, connection: Connection) -> None:
         connection.idle_since_s = self._clock.monotonic_s()
+        connection.connected = True
         with self._lock:
             idle = self._idle.setdefault(vm, [])
-            if len(idle) < MAX_IDLE_PER_INSTANCE:
+            if len(idle) < self._idle_limit():
                 idle.append(connection)
                 return
         connection.handle.close()
 
 
+def _close(connections: list[Connection]) -> None:
+    for connection in connections:
+        connection.handle.close()
+
+
 def _prepare(
     handle: pycurl.Curl,
     address: str,
@@ -117,7 +168,11 @@
     handle.setopt(pycurl.MAXCONNECTS, 1)
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_ms)))
+    handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
     handle.setopt(pycurl.TCP_NODELAY, 1)
+    handle.setopt(pycurl.TCP_KEEPALIVE, 1)
+    handle.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    handle.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     handle.setopt(pycurl.PATH_AS_IS, 1)
     handle.setopt(pycurl.HTTP_CONTENT_DECODING, 0)
     handle.setopt(pycurl.WRITEFUNCTION, sink.write)
@@ -128,13 +183,19 @@
         handle.setopt(pycurl.NOBODY, 1)
     if not request.repeatable:
         handle.setopt(pycurl.FRESH_CONNECT, 1)
-    headers = [f"{n}: {v}" for n, v in request.headers if n.lower() not in HOP_BY_HOP]
-    headers.append(f"Jayshunt-Request-Id: {request.request}")
-    names = {n.lower() for n, _ in request.headers}
-    defaults = [f"{n}:" for n in ("Accept", "User-Agent") if n.lower() not in names]
-    if "content-type" not in names:
-        defaults.append("Content-Type:")
-    handle.setopt(pycurl.HTTPHEADER, [*headers, *defaults, "Expect:"])
+    handle.setopt(pycurl.HTTPHEADER, _sent_headers(request))
+
+
+def _sent_headers(request: CallerRequest) -> list[str]:
+    headers = [f"Jayshunt-Request-Id: {request.request}", "Expect:"]
+    names = set()
+    for name, value in request.headers:
+        lower = name.lower()
+        names.add(lower)
+        if lower not in HOP_BY_HOP:
+            # A header without a value needs a semicolon, or curl leaves it out.
+            headers.append(f"{name}: {value}" if value else f"{name};")
+    return headers + [f"{name}:" for name in CURL_DEFAULTS if name not in names]
 
 
 def _answer_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
@@ -150,14 +211,38 @@
     return tuple(headers)
 
 
-def _send_error(error: pycurl.error, vm: VmId, sent: bool) -> JayshuntError:
+def _is_crossed(headers: tuple[tuple[str, str], ...], request: CallerRequest) -> bool:
+    """Return whether an answer names another request than the one sent."""
+    return any(n == REQUEST_ID_HEADER and v != request.request for n, v in headers)
+
+
+def _crossed(vm: VmId) -> JayshuntError:
+    return JayshuntError(
+        "answer_crossed",
+        step="routing.send",
+        peer=vm,
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=1.0,
+        detail="the answer names another request",
+    )
+
+
+def _send_error(
+    error: pycurl.error, vm: VmId, handle: pycurl.Curl, reused: bool
+) -> JayshuntError:
+    """Return the error of a failed send.
+
+    Nothing was sent only if curl counted no byte and made no connection ready,
+    or if its only connection was never used before and it counted no byte.
+    """
     number, text = error.args[0], str(error.args[1])
     timed_out = number == pycurl.E_OPERATION_TIMEDOUT
+    nothing_sent = handle.getinfo(pycurl.REQUEST_SIZE) == 0 and not reused
     return JayshuntError(
         "upstream_timeout" if timed_out else "upstream_failed",
         step="routing.send",
         peer=vm,
-        outcome=Outcome.UNKNOWN if sent else Outcome.NOT_RUN,
+        outcome=Outcome.NOT_RUN if nothing_sent else Outcome.UNKNOWN,
         retry_after_s=1.0,
         detail=text,
     )
--- a/src/jayshunt/routing/router.py
+++ b/src/jayshunt/routing/router.py
@@ -1,7 +1,11 @@
 """Take a request from admission to the whole answer."""
 
 import logging
+import random
+import threading
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
 
 from jayshunt.admission.messages import (
     PermitGranted,
@@ -9,52 +13,107 @@
     PermitRequest,
     PermitResult,
     SendOutcome,
+    unused,
 )
 from jayshunt.clock import Clock
 from jayshunt.config.models import ConfigSnapshot, WorkClass, WorkKind
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import EntryId, PoolName, VmId
+from jayshunt.ids import EntryId, PoolName, RequestId, VmId
+from jayshunt.routing.claims import ClaimStore, NoClaims
 from jayshunt.routing.connections import UpstreamConnections
+from jayshunt.routing.const import (
+    ATTEMPT_RUN_FACTOR,
+    ATTEMPT_TIME_RATIO,
+    BACKOFF_BASE_MS,
+    BACKOFF_LIMIT_MS,
+    FAULT_STATUSES,
+    MAX_ATTEMPTS,
+    MINIMUM_SEND_MS,
+    USE_WITHIN_MS,
+)
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
+from jayshunt.routing.retry_budget import RetryBudget
 
 _LOGGER = logging.getLogger(__name__)
 
-MAX_ATTEMPTS = 3
+
+class PermitSource(Protocol):
+    """Grant and take back permits."""
+
+    def acquire(self, request: PermitRequest) -> PermitGranted | PermitRefused:
+        """Block until a permit is granted or refused."""
+
+    def release(self, result: PermitResult) -> None:
+        """Give a permit back."""
+
+    def cancel(self, request: RequestId) -> bool:
+        """Take back a request that waits; True if nothing of it will run."""
+
+
+@dataclass
+class Progress:
+    """Hold what is known of one caller's request while it is served.
+
+    `failure` is the first failed attempt, `fallback` an answer with a fault
+    status that is returned if no other attempt gives a better one.
+    """
+
+    request: CallerRequest
+    work_class: WorkClass
+    deadline_s: float
+    excluded: tuple[VmId, ...] = ()
+    sent: int = 0
+    claimed: bool = False
+    may_have_run: bool = False
+    failure: JayshuntError | None = None
+    fallback: CallerAnswer | None = None
+    passed: list[str] = field(default_factory=list)
 
 
 class Router:
-    """Serve one request: permit, send, release, and retry where that is safe."""
+    """Serve one request: permit, claim, send, release, and retry where safe."""
 
     def __init__(
         self,
         entry: EntryId,
         clock: Clock,
         config: Callable[[], ConfigSnapshot],
-        broker_of: Callable,
+        permits: PermitSource,
         connections: UpstreamConnections,
+        rng: random.Random,
+        claims: ClaimStore | None = None,
     ) -> None:
-        """Wire the parts; `broker_of(pool)` returns the broker to ask."""
+        """Wire the parts."""
         self._entry = entry
         self._clock = clock
         self._config = config
-        self._broker_of: Callable[[PoolName], object] = broker_of
+        self._permits = permits
         self._connections = connections
+        self._rng = rng
+        self._claims = claims or NoClaims()
+        self._never = threading.Event()
+        self.budget = RetryBudget()
 
     def send(self, request: CallerRequest) -> CallerAnswer:
         """Return the whole answer, or raise JayshuntError with the outcome."""
         work_class = self._find_class(request)
         limit_ms = min(work_class.target_ms, request.timeout_ms or work_class.target_ms)
         deadline_s = self._clock.monotonic_s() + limit_ms / 1000
-        excluded: tuple[VmId, ...] = ()
-        for attempt in range(MAX_ATTEMPTS):
-            permit = self._acquire(request, work_class, deadline_s, excluded)
-            try:
-                return self._send_once(request, permit, work_class, deadline_s)
-            except JayshuntError as error:
-                if not _may_retry(request, error, attempt):
-                    raise
-                excluded = (*excluded, permit.vm)
-        raise AssertionError("the last attempt returns or raises")
+        progress = Progress(request, work_class, deadline_s)
+        self.budget.earn()
+        try:
+            answer = self._serve(progress)
+        except JayshuntError as error:
+            if progress.claimed:
+                self._claims.finish(request, error)
+            raise
+        if progress.claimed:
+            self._claims.finish(request, answer)
+        return answer
+
+    def cancel(self, request: RequestId) -> bool:
+        """Cancel a request that waits for a slot; True if it will never run."""
+        return self._permits.cancel(request)
 
     def _find_class(self, request: CallerRequest) -> WorkClass:
         work_class = self._config().document.classes.get(request.work_class)
@@ -72,76 +131,191 @@
             )
         return work_class
 
-    def _acquire(
-        self,
-        request: CallerRequest,
-        work_class: WorkClass,
-        deadline_s: float,
-        excluded: tuple[VmId, ...],
-    ) -> PermitGranted:
-        remaining_ms = (deadline_s - self._clock.monotonic_s()) * 1000
-        pool = PoolName(work_class.pool)
-        reply = self._broker_of(pool).acquire(
+    def _serve(self, progress: Progress) -> CallerAnswer:
+        while True:
+            granted_s, permit = self._acquire(progress)
+            stored = self._claim(progress, permit)
+            if stored is not None:
+                return stored
+            timeout_ms = self._attempt_ms(progress, permit)
+            if self._is_stale(granted_s) or timeout_ms < MINIMUM_SEND_MS:
+                self._permits.release(unused(permit, progress.request.work_class))
+                if self._remaining_ms(progress) < MINIMUM_SEND_MS:
+                    raise progress.failure or _deadline_passed(permit.vm)
+                continue
+            try:
+                answer = self._send_once(progress, permit, timeout_ms)
+            except JayshuntError as error:
+                self._note_failure(progress, error)
+                if not self._may_retry(progress, error.outcome):
+                    raise self._final_error(progress) from error
+            else:
+                if answer.status not in FAULT_STATUSES:
+                    return answer
+                progress.fallback = answer
+                progress.may_have_run = True
+                if not self._may_retry(progress, Outcome.RAN):
+                    return answer
+            progress.excluded = (*progress.excluded, permit.vm)
+            self._back_off(progress)
+
+    def _acquire(self, progress: Progress) -> tuple[float, PermitGranted]:
+        request = progress.request
+        pool = PoolName(progress.work_class.pool)
+        asked_s = self._clock.monotonic_s()
+        reply = self._permits.acquire(
             PermitRequest(
                 request.request,
                 request.work_class,
                 pool,
                 self._entry,
-                remaining_ms,
-                excluded,
+                self._remaining_ms(progress),
+                progress.excluded,
+                progress.sent,
             )
         )
         match reply:
             case PermitGranted():
-                return reply
+                # The time under way counts: this process may have been paused
+                # while the grant waited in its socket.
+                return asked_s + reply.waited_ms / 1000, reply
             case PermitRefused():
-                raise JayshuntError(
-                    reply.code,
-                    step="admission.acquire",
-                    peer=pool,
-                    retry_after_s=reply.retry_after_s,
-                    detail=reply.detail,
-                )
+                raise self._refused(progress, pool, reply)
         raise AssertionError(f"unexpected reply {reply!r}")
 
+    def _refused(
+        self, progress: Progress, pool: PoolName, refused: PermitRefused
+    ) -> JayshuntError:
+        """Return the error of a refusal; an earlier attempt's outcome stands."""
+        if progress.failure is not None:
+            return self._final_error(progress)
+        return JayshuntError(
+            refused.code,
+            step="admission.acquire",
+            peer=pool,
+            outcome=Outcome.UNKNOWN if progress.may_have_run else Outcome.NOT_RUN,
+            retry_after_s=refused.retry_after_s,
+            detail=refused.detail,
+        )
+
+    def _claim(self, progress: Progress, permit: PermitGranted) -> CallerAnswer | None:
+        if progress.claimed or progress.request.key is None:
+            return None
+        try:
+            stored = self._claims.begin(progress.request)
+        except BaseException:
+            self._permits.release(unused(permit, progress.request.work_class))
+            raise
+        if stored is not None:
+            self._permits.release(unused(permit, progress.request.work_class))
+            return stored
+        progress.claimed = True
+        return None
+
+    def _attempt_ms(self, progress: Progress, permit: PermitGranted) -> float:
+        """Return the time limit of one attempt.
+
+        A repeatable request keeps time for another attempt, because a connection
+        can go silent; a marked request has only this one.
+        """
+        remaining_ms = self._remaining_ms(progress)
+        if not progress.request.repeatable or progress.sent + 1 >= MAX_ATTEMPTS:
+            return remaining_ms
+        limit_ms = max(
+            ATTEMPT_TIME_RATIO * remaining_ms, ATTEMPT_RUN_FACTOR * permit.expected_ms
+        )
+        return min(remaining_ms, limit_ms)
+
     def _send_once(
-        self,
-        request: CallerRequest,
-        permit: PermitGranted,
-        work_class: WorkClass,
-        deadline_s: float,
+        self, progress: Progress, permit: PermitGranted, timeout_ms: float
     ) -> CallerAnswer:
         started_s = self._clock.monotonic_s()
-        outcome = SendOutcome.FAILED
+        outcome, closing = SendOutcome.FAILED, False
+        progress.sent += 1
         try:
-            timeout_ms = (deadline_s - started_s) * 1000
-            answer = self._connections.send(
-                permit.vm, permit.address, request, timeout_ms
+            received = self._connections.send(
+                permit.vm, permit.address, progress.request, timeout_ms
             )
-            failed = answer.status >= 500
-            outcome = SendOutcome.FAILED if failed else SendOutcome.ANSWERED
-            return answer
+            closing = received.closing
+            if received.answer.status not in FAULT_STATUSES:
+                outcome = SendOutcome.ANSWERED
+            return received.answer
         except JayshuntError as error:
             outcome = _outcome_of(error)
             raise
         finally:
             duration_ms = (self._clock.monotonic_s() - started_s) * 1000
-            self._broker_of(PoolName(work_class.pool)).release(
-                PermitResult(
-                    permit.permit, permit.vm, request.work_class, outcome, duration_ms
-                )
+            result = PermitResult(
+                permit.permit,
+                permit.vm,
+                progress.request.work_class,
+                outcome,
+                duration_ms,
+                closing,
             )
+            self._permits.release(result)
+
+    def _note_failure(self, progress: Progress, error: JayshuntError) -> None:
+        progress.failure = progress.failure or error
+        if error.outcome is not Outcome.NOT_RUN:
+            progress.may_have_run = True
+        progress.passed.append(f"{error.peer}: {error.detail}")
+        _LOGGER.info(
+            "routing: attempt %d on %s failed: %s",
+            progress.sent,
+            error.peer,
+            error.detail,
+            extra={"request": progress.request.request},
+        )
+
+    def _final_error(self, progress: Progress) -> JayshuntError:
+        first = progress.failure
+        outcome = Outcome.UNKNOWN if progress.may_have_run else Outcome.NOT_RUN
+        return JayshuntError(
+            first.code,
+            step=first.step,
+            peer=first.peer,
+            outcome=outcome,
+            retry_after_s=first.retry_after_s,
+            detail="; ".join(progress.passed),
+        )
+
+    def _may_retry(self, progress: Progress, outcome: Outcome) -> bool:
+        if outcome is not Outcome.NOT_RUN and not progress.request.repeatable:
+            return False
+        if progress.sent >= MAX_ATTEMPTS:
+            return False
+        if self._remaining_ms(progress) < 2 * BACKOFF_BASE_MS:
+            return False
+        return self.budget.spend()
+
+    def _back_off(self, progress: Progress) -> None:
+        """Wait with full jitter, so that retries of many requests spread out."""
+        limit_ms = min(BACKOFF_LIMIT_MS, BACKOFF_BASE_MS * 2 ** (progress.sent - 1))
+        limit_ms = min(limit_ms, self._remaining_ms(progress) / 4)
+        self._clock.wait(self._never, self._rng.uniform(0, max(0.0, limit_ms)) / 1000)
+
+    def _remaining_ms(self, progress: Progress) -> float:
+        return (progress.deadline_s - self._clock.monotonic_s()) * 1000
+
+    def _is_stale(self, granted_s: float) -> bool:
+        """Return whether a new broker may count the permit's slot as free."""
+        return (self._clock.monotonic_s() - granted_s) * 1000 > USE_WITHIN_MS
+
+
+def _deadline_passed(vm: VmId) -> JayshuntError:
+    return JayshuntError(
+        "deadline_passed",
+        step="routing.send",
+        peer=vm,
+        retry_after_s=0.5,
+        detail="the deadline passed before the request was sent",
+    )
 
 
 def _outcome_of(error: JayshuntError) -> SendOutcome:
     if error.outcome is Outcome.NOT_RUN:
-        return SendOutcome.NOT_SENT
+        return SendOutcome.CONNECT_FAILED
     if error.code == "upstream_timeout":
         return SendOutcome.TIMED_OUT
     return SendOutcome.FAILED
-
-
-def _may_retry(request: CallerRequest, error: JayshuntError, attempt: int) -> bool:
-    if attempt + 1 >= MAX_ATTEMPTS or error.step != "routing.send":
-        return False
-    return request.repeatable or error.outcome is Outcome.NOT_RUN
--- /dev/null
+++ b/src/jayshunt/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the routing slice."""
--- /dev/null
+++ b/src/jayshunt/routing/tests/test_router.py
@@ -0,0 +1,160 @@
+"""Test retries, outcomes and the order of claim and send."""
+
+import unittest
+
+from jayshunt.admission.messages import SendOutcome
+from jayshunt.clock import ManualClock
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.routing.const import RETRY_BUDGET_START, USE_WITHIN_MS
+from jayshunt.routing.messages import CallerAnswer
+from jayshunt.routing.tests.builders import (
+    ANSWER,
+    FakeConnections,
+    FakePermits,
+    caller_request,
+    failure,
+    router_with,
+)
+
+NOT_RUN = Outcome.NOT_RUN
+UNKNOWN = Outcome.UNKNOWN
+
+
+class RetryTest(unittest.TestCase):
+    """Test when a request is sent again."""
+
+    def send(self, connections, request, permits=None, **fields):
+        """Send one request and return the answer or the error."""
+        self.permits = permits or FakePermits()
+        router = router_with(self.permits, connections, **fields)
+        try:
+            return router.send(request)
+        except JayshuntError as error:
+            return error
+
+    def test_marked_request_is_sent_once(self) -> None:
+        """A marked request that may have run must not run again."""
+        connections = FakeConnections(failure(UNKNOWN), ANSWER)
+        error = self.send(connections, caller_request(repeatable=False))
+        self.assertEqual(error.outcome, UNKNOWN)
+        self.assertEqual(len(connections.sent), 1)
+
+    def test_marked_request_is_sent_again_if_nothing_left(self) -> None:
+        """A refused connection ran nothing, so a retry is safe."""
+        connections = FakeConnections(failure(NOT_RUN), ANSWER)
+        answer = self.send(connections, caller_request(repeatable=False))
+        self.assertEqual(answer, ANSWER)
+
+    def test_repeatable_request_goes_to_another_instance(self) -> None:
+        """A retry on the instance that failed would fail again."""
+        connections = FakeConnections(failure(UNKNOWN), ANSWER)
+        self.assertEqual(self.send(connections, caller_request()), ANSWER)
+        self.assertEqual(self.permits.requests[1].excluded, ("vm-0",))
+        self.assertEqual(self.permits.requests[1].attempt, 1)
+
+    def test_refusal_after_a_sent_attempt_is_not_not_run(self) -> None:
+        """A refusal of the retry says nothing of the first attempt, which ran."""
+        connections = FakeConnections(failure(UNKNOWN))
+        permits = FakePermits(refuse_from=1)
+        error = self.send(connections, caller_request(), permits)
+        self.assertEqual(error.outcome, UNKNOWN)
+
+    def test_one_unknown_attempt_makes_the_outcome_unknown(self) -> None:
+        """The last attempt's refused connection must not hide an earlier run."""
+        connections = FakeConnections(
+            failure(UNKNOWN), failure(NOT_RUN), failure(NOT_RUN)
+        )
+        error = self.send(connections, caller_request())
+        self.assertEqual(error.outcome, UNKNOWN)
+
+    def test_fault_answer_is_returned_if_no_retry_helps(self) -> None:
+        """The caller must see the upstream's own answer, not an invented one."""
+        fault = CallerAnswer(500, (), b"broken")
+        connections = FakeConnections(fault, fault, fault)
+        self.assertEqual(self.send(connections, caller_request()), fault)
+
+    def test_budget_bounds_retries(self) -> None:
+        """A failing pool must not get a multiple of its load."""
+        permits = FakePermits()
+        connections = FakeConnections(*[failure(NOT_RUN)] * 400)
+        router = router_with(permits, connections)
+        for _ in range(100):
+            with self.assertRaises(JayshuntError):
+                router.send(caller_request())
+        retries = len(connections.sent) - 100
+        self.assertLessEqual(retries, 0.1 * 100 + RETRY_BUDGET_START)
+
+    def test_silent_attempt_leaves_time_for_another(self) -> None:
+        """One silent connection must not use up a repeatable request's time."""
+        connections = FakeConnections(failure(UNKNOWN, "upstream_timeout"), ANSWER)
+        self.send(connections, caller_request())
+        self.assertLessEqual(connections.sent[0][1], 500)
+        self.assertEqual(self.permits.results[0].outcome, SendOutcome.TIMED_OUT)
+
+    def test_permit_that_waited_too_long_is_not_used(self) -> None:
+        """A new broker may have granted the slot while this entry was paused."""
+        clock = ManualClock()
+        permits = FakePermits()
+        pauses = [USE_WITHIN_MS / 1000 + 0.1]
+        permits.on_grant = lambda: clock.advance(pauses.pop() if pauses else 0)
+        connections = FakeConnections(ANSWER)
+        self.send(connections, caller_request(), permits, clock=clock)
+        self.assertEqual(connections.sent[0][0], "vm-1")
+        self.assertEqual(permits.results[0].outcome, SendOutcome.NOT_SENT)
+
+    def test_every_permit_is_given_back(self) -> None:
+        """A permit that is not given back blocks its slot until it expires."""
+        connections = FakeConnections(failure(UNKNOWN), failure(NOT_RUN), ANSWER)
+        self.send(connections, caller_request())
+        self.assertEqual(len(self.permits.results), len(self.permits.requests))
+
+
+class FakeClaims:
+    """Record the order of claims and refuse if told so."""
+
+    def __init__(self, events: list, refuse: bool = False) -> None:
+        """Write into the given list."""
+        self.events = events
+        self._refuse = refuse
+
+    def begin(self, _request):
+        """Claim, or refuse."""
+        self.events.append("begin")
+        if self._refuse:
+            raise JayshuntError("store_unavailable", step="claims")
+
+    def finish(self, _request, result) -> None:
+        """Record the result."""
+        self.events.append(type(result).__name__)
+
+
+class ClaimTest(unittest.TestCase):
+    """Test the order permit, claim, send, outcome."""
+
+    def test_claim_comes_before_the_send(self) -> None:
+        """A request sent before its claim could run again at another entry."""
+        connections = FakeConnections(failure(NOT_RUN), ANSWER)
+        claims = FakeClaims(connections.events)
+        router_with(FakePermits(), connections, claims=claims).send(
+            caller_request(False, "key")
+        )
+        self.assertEqual(connections.events, ["begin", "send", "send", "CallerAnswer"])
+
+    def test_refused_claim_sends_nothing(self) -> None:
+        """Without a claim nothing protects against a second run."""
+        connections, permits = FakeConnections(ANSWER), FakePermits()
+        claims = FakeClaims(connections.events, refuse=True)
+        router = router_with(permits, connections, claims=claims)
+        with self.assertRaises(JayshuntError):
+            router.send(caller_request(False, "key"))
+        self.assertEqual(connections.events, ["begin"])
+        self.assertEqual(permits.results[0].outcome, SendOutcome.NOT_SENT)
+
+    def test_failure_is_recorded(self) -> None:
+        """A claim left open would refuse the caller's retry for good."""
+        connections = FakeConnections(failure(UNKNOWN))
+        claims = FakeClaims(connections.events)
+        router = router_with(FakePermits(), connections, claims=claims)
+        with self.assertRaises(JayshuntError):
+            router.send(caller_request(False, "key"))
+        self.assertEqual(connections.events, ["begin", "send", "JayshuntError"])
--- a/src/jayshunt_standins/upstream.py
+++ b/src/jayshunt_standins/upstream.py
@@ -61,7 +61,9 @@
         self.peak_slots = 0
         self.peak_connections = 0
         self.ran: list[RanRequest] = []
+        self.received: list[str] = []
         self.leaving_since_s: float | None = None
+        self.answer_headers: dict[str, str] = {}
 
     def set_faults(self, faults: UpstreamFaults) -> None:
         """Change the faults."""
@@ -79,6 +81,7 @@
             state = "leaving" if self.faults.leaving else "serving"
             self.send(handler, Reply(status, {"state": state}))
             return
+        self.received.append(call.headers.get("Jayshunt-Request-Id", ""))
         if self.faults.silent:
             self._stay_silent(call.connection)
         if self.faults.reset_before:
@@ -109,7 +112,7 @@
                 self._in_use -= 1
                 self.ran.append(RanRequest(request, started_s, time.time(), True))
         body = f"{self.name} {request} ".encode() + call.body
-        headers = {"Content-Type": "text/plain"}
+        headers = {"Content-Type": "text/plain", **self.answer_headers}
         if self.faults.leaving:
             headers["Connection"] = "close"
         return Reply(200, body=body, headers=headers)
