--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -13,12 +13,14 @@
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, ZoneName
+from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
 from jayshunt.jobs.scheduler import JobScheduler
-from jayshunt.membership.models import Member, MembershipView
+from jayshunt.membership.models import Member
+from jayshunt.membership.peer_service import MembershipServicer
+from jayshunt.membership.service import MembershipService
 from jayshunt.operations.application import OperatorApplication
 from jayshunt.operations.class_statistics import ClassStatistics
 from jayshunt.peers.channels import PeerChannels
@@ -51,12 +53,16 @@
         self._clock = clock
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
-        own = Member(self._entry, zone, settings.listen.peers, 1)
-        self._own_view = MembershipView(1, (own,))
         self._tasks = TaskGroup("entry")
         self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
+        self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
+        self.channels = PeerChannels(settings.tls.peers)
+        self.membership = MembershipService(
+            self._own_member(), settings.seeds, self.channels, clock, rng
+        )
+        self.peer_server.add(MembershipServicer(self.membership).add_to)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
         self.controller = ZoneController(
@@ -67,21 +73,19 @@
             lambda: self.inventory.current,
             clock,
         )
-        self.channels = PeerChannels(settings.tls.peers)
-        self.peers = PeerServer(settings.listen.peers, settings.tls.peers)
         self.statistics = ClassStatistics(clock)
         self.brokers = BrokerDirectory(
             self._entry,
             zone,
             clock,
-            self._view,
+            self.membership.view,
             self.channels,
             self._instances,
             self._slots_of,
         )
         self.health = HealthChecker(self.brokers.brokers, clock)
         service = AdmissionService(self.brokers.own_broker, self.brokers.recover)
-        self.peers.add(service.add_to)
+        self.peer_server.add(service.add_to)
         self.controller.add_listener(lambda _: self.brokers.apply_assignments())
         self.connections = UpstreamConnections(clock, self._idle_limit)
         self.router = Router(
@@ -102,11 +106,16 @@
 
     def start(self) -> None:
         """Start every part; callers are served last."""
-        for task in (self.inventory.run, self.config.run, self.controller.run):
+        self.peer_server.start()
+        for task in (
+            self.membership.run,
+            self.inventory.run,
+            self.config.run,
+            self.controller.run,
+        ):
             self._tasks.start(task)
         for task in (self.brokers.run, self.health.run):
             self._tasks.start(task)
-        self.peers.start()
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
@@ -122,10 +131,23 @@
         self.callers.stop()
         self.operators.stop()
         self.brokers.stop()
-        self.peers.stop()
-        self.channels.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.peer_server.stop()
+        self.channels.stop()
+
+    def _own_member(self) -> Member:
+        identity = self._settings.identity
+        host, _ = split_address(self._settings.listen.peers)
+        return Member(
+            entry=self._entry,
+            zone=ZoneName(identity.zone),
+            region=RegionName(identity.region),
+            peer_address=f"{host}:{self.peer_server.port}",
+            # The wall time makes a restarted process newer than its predecessor.
+            incarnation=int(self._clock.now_s() * 1000),
+            program_version=__version__,
+        )
 
     def _caller_server(
         self, settings: EntrySettings, jobs: JobApplication
@@ -165,9 +187,6 @@
             if request.work_class in self.config.current().document.classes:
                 self.statistics.record(request.work_class, duration_ms, answered)
 
-    def _view(self) -> MembershipView:
-        return self._own_view
-
     def _slots_of(self, pool: PoolName) -> int:
         settings = self.config.current().document.pools.get(pool)
         if settings is None:
@@ -181,7 +200,8 @@
             (p.connections_per_instance - p.slots_per_instance for p in pools),
             default=0,
         )
-        return max(0, spare - HEALTH_CONNECTIONS) // max(1, len(self._view().alive()))
+        entries = len(self.membership.view().alive())
+        return max(0, spare - HEALTH_CONNECTIONS) // max(1, entries)
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
@@ -204,6 +224,10 @@
             "config_version": config.version,
             "store": self.store.health.state.value,
             "is_controller": self.controller.holds_lease,
+            "members": {
+                member.entry: member.state.value
+                for member in self.membership.view().members
+            },
             "classes": [
                 {**asdict(status), "is_met": status.is_met}
                 for status in self.statistics.status(config)
