Stop an entry in the middle of the demo's load and count strictly

Cause: the demo had no planned stop of an entry, its client sent a request again by itself on a closed connection, and a not_run that ran was not a count of its own.

An entry gets SIGTERM in the middle of the load and is started again.

--- a/src/jayshunt_measure/demo.py
+++ b/src/jayshunt_measure/demo.py
@@ -2,10 +2,11 @@
 
 import json
 import random
+import signal
+import sys
 import time
-from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from typing import Annotated
 
 import typer
@@ -13,67 +14,48 @@
 from jayshunt import http_client
 from jayshunt.config.models import ConfigDocument
 from jayshunt.errors import JayshuntError
+from jayshunt_measure.demo_callers import DemoCaller
+from jayshunt_measure.demo_counts import (
+    MUST_BE_ZERO,
+    DemoCounts,
+    StoppedEntry,
+    count_requests,
+)
 from jayshunt_measure.testbed import Testbed, VmPlan
 
-ZONES = ("north", "north", "south")
 POOLS = ("front-desk", "tastings")
 CALLERS = 16
-START_S = 6.0
 JOB_COUNT = 12
-JOB_WAIT_S = 10.0
-
-
-@dataclass(frozen=True)
-class Sent:
-    """Hold one request and what its caller received."""
-
-    request: str
-    status: int
-    outcome: str
-    whole: bool
-
-
-@dataclass
-class DemoCounts:
-    """Count what callers and upstreams recorded."""
-
-    requests: int = 0
-    answered: int = 0
-    refused_not_run: int = 0
-    unknown: int = 0
-    lost: int = 0
-    run_twice: int = 0
-    wrong_answer: int = 0
-    cut_by_planned_stop: int = 0
-    jobs_accepted: int = 0
-    jobs_finished: int = 0
-    jobs_lost: int = 0
+# Jobs may end until this long before the end, entries stop in the rest.
+STOP_RESERVE_S = 2.0
+JOB_RESERVE_S = 4.0
 
 
 def demo(
-    seconds: Annotated[int, typer.Option(min=10, help="Length of the run.")] = 20,
+    seconds: Annotated[
+        int, typer.Option(min=10, max=600, help="Length with start and stop.")
+    ] = 20,
     seed: Annotated[int, typer.Option(help="Seed of the callers.")] = 1,
     as_json: Annotated[bool, typer.Option("--json")] = False,
 ) -> None:
-    """Run three entries in two zones, requests, jobs, a target and a stop."""
-    end_s = time.monotonic() + seconds - START_S
-    testbed = Testbed(_vms(), {"north": 2, "south": 1}).start()
+    """Run three entries in two zones, requests, jobs, a target and stops."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    end_s = time.monotonic() + seconds
+    testbed = Testbed(_vms(), {"north": 2, "south": 1})
     try:
+        testbed.start()
         testbed.configure(_document())
-        counts = _run(testbed, random.Random(seed), end_s)
+        sent, stopped, jobs = _run(testbed, random.Random(seed), end_s)
+        finished = _finished_jobs(testbed, jobs, end_s - STOP_RESERVE_S)
         status = testbed.operator_call(testbed.entries[0], "GET", "status")
     finally:
         testbed.stop()
-    for name, value in asdict(counts).items():
-        typer.echo(f"{name:<22}{value:>8}")
-    for item in status["classes"]:
-        verdict = "met" if item["is_met"] else "missed"
-        typer.echo(
-            f"class {item['work_class']:<12} target {item['target_ms']} ms "
-            f"p99 {item['p99_ms']:.1f} ms {verdict}"
-        )
-    for name, planned in status["planned_stops"].items():
-        typer.echo(f"planned stop {name}: {planned['scope']} {planned['target']}")
+    # Counted after the stop, so that a run that ends late is seen.
+    ran = [run.request for vm in testbed.upstreams.values() for run in vm.ran]
+    counts = count_requests(sent, ran, [stopped])
+    counts.jobs_accepted, counts.jobs_finished = len(jobs), finished
+    counts.jobs_lost = len(jobs) - finished
+    _print_table(counts, stopped, status)
     if as_json:
         typer.echo(json.dumps(asdict(counts)))
 
@@ -105,91 +87,34 @@
     )
 
 
-def _run(testbed: Testbed, rng: random.Random, end_s: float) -> DemoCounts:
-    jobs = [_submit_job(testbed, number) for number in range(JOB_COUNT)]
-    accepted = [job for job in jobs if job]
-    seeds = [rng.getrandbits(32) for _ in range(CALLERS)]
+def _run(testbed: Testbed, rng: random.Random, end_s: float) -> tuple:
+    jobs = [job for n in range(JOB_COUNT) if (job := _submit_job(testbed, n))]
+    load_end_s = end_s - JOB_RESERVE_S
+    stop_at_s = (time.monotonic() + load_end_s) / 2
+    callers = [
+        DemoCaller(number, testbed, random.Random(rng.getrandbits(32)))
+        for number in range(CALLERS)
+    ]
     with ThreadPoolExecutor(CALLERS + 1) as executor:
-        operator = executor.submit(_operate, testbed)
-        sent = list(
-            executor.map(
-                lambda item: _call_until(testbed, item[0], item[1], end_s),
-                enumerate(seeds),
-            )
-        )
-        operator.result()
-    counts = _count(testbed, [item for items in sent for item in items])
-    counts.jobs_accepted = len(accepted)
-    finished = _finished_jobs(testbed, accepted)
-    counts.jobs_finished = finished
-    counts.jobs_lost = len(accepted) - finished
-    return counts
-
-
-def _operate(testbed: Testbed) -> None:
-    entry = testbed.entries[0]
-    testbed.operator_call(entry, "PUT", "classes/tables/target", {"target_ms": 600})
-    testbed.operator_call(
-        entry, "PUT", "stops/rack-work", {"scope": "pool", "target": "tastings"}
-    )
+        operator = executor.submit(_operate, testbed, stop_at_s)
+        sent = list(executor.map(lambda caller: caller.run(load_end_s), callers))
+        stopped = operator.result()
+    return [item for items in sent for item in items], stopped, jobs
 
 
-def _call_until(testbed: Testbed, caller: int, seed: int, end_s: float) -> list[Sent]:
-    rng = random.Random(seed)
-    sent = []
-    while time.monotonic() < end_s:
-        entry = rng.choice(testbed.entries)
-        work_class = rng.choice(("tables", "tasting"))
-        request = f"demo-{caller}-{len(sent)}"
-        sent.append(_call(entry.callers, work_class, request, rng))
-        time.sleep(rng.uniform(0, 0.05))
-    return sent
-
-
-def _call(address: str, work_class: str, request: str, rng: random.Random) -> Sent:
-    headers = {
-        "Jayshunt-Request-Id": request,
-        "Standin-Work-Ms": str(rng.randint(2, 30)),
-        "Content-Type": "text/plain",
-    }
-    try:
-        answer = http_client.request(
-            "POST",
-            f"http://{address}/v1/classes/{work_class}/book",
-            body=f"body-{request}".encode(),
-            headers=headers,
-            timeout_s=5,
-            step="demo",
-        )
-    except JayshuntError as error:
-        return Sent(request, 0, error.outcome.value, False)
-    if answer.headers.get("content-type") == "application/problem+json":
-        outcome = json.loads(answer.body)["outcome"]
-        return Sent(request, answer.status, outcome, False)
-    whole = answer.body.endswith(f" {request} body-{request}".encode())
-    return Sent(request, answer.status, "ran", whole)
-
-
-def _count(testbed: Testbed, sent: list[Sent]) -> DemoCounts:
-    ran = Counter(
-        item.request for upstream in testbed.upstreams.values() for item in upstream.ran
+def _operate(testbed: Testbed, stop_at_s: float) -> StoppedEntry:
+    """Change a target, declare maintenance, stop an entry and start it again."""
+    first, second = testbed.entries[:2]
+    testbed.operator_call(first, "PUT", "classes/tables/target", {"target_ms": 600})
+    testbed.operator_call(
+        first, "PUT", "stops/rack-work", {"scope": "pool", "target": "tastings"}
     )
-    counts = DemoCounts(requests=len(sent))
-    for item in sent:
-        times = ran[item.request]
-        counts.run_twice += times > 1
-        match item.outcome:
-            case "ran":
-                counts.answered += item.whole
-                counts.wrong_answer += not item.whole or times == 0
-            case "not_run":
-                counts.refused_not_run += 1
-                counts.wrong_answer += times > 0
-            case _:
-                counts.unknown += 1
-                counts.cut_by_planned_stop += item.status == 0
-                counts.lost += item.status == 0
-    return counts
+    time.sleep(max(0.0, stop_at_s - time.monotonic()))
+    asked_s = time.monotonic()
+    testbed.stop_entry(second)
+    stopped = StoppedEntry(second.name, asked_s, time.monotonic())
+    testbed.start_entry(second)
+    return stopped
 
 
 def _submit_job(testbed: Testbed, number: int) -> str | None:
@@ -205,8 +130,7 @@
     return json.loads(answer.body)["job"] if answer.status == 202 else None
 
 
-def _finished_jobs(testbed: Testbed, jobs: list[str]) -> int:
-    end_s = time.monotonic() + JOB_WAIT_S
+def _finished_jobs(testbed: Testbed, jobs: list[str], end_s: float) -> int:
     left = set(jobs)
     while left and time.monotonic() < end_s:
         left = {job for job in left if _job_state(testbed, job) != "finished"}
@@ -217,5 +141,27 @@
 
 def _job_state(testbed: Testbed, job: str) -> str:
     url = f"http://{testbed.entries[-1].callers}/v1/jobs/{job}"
-    answer = http_client.request("GET", url, timeout_s=5, step="demo")
+    try:
+        answer = http_client.request("GET", url, timeout_s=2, step="demo")
+    except JayshuntError:
+        return "unreadable"
     return json.loads(answer.body).get("state", "unreadable")
+
+
+def _print_table(counts: DemoCounts, stopped: StoppedEntry, status: dict) -> None:
+    typer.echo(f"{'count':<22}{'value':>8}  goal")
+    for name, value in asdict(counts).items():
+        goal = "0" if name in MUST_BE_ZERO else ""
+        mark = "  MISSED" if goal and value else ""
+        typer.echo(f"{name:<22}{value:>8}  {goal}{mark}")
+    typer.echo("")
+    for item in status["classes"]:
+        verdict = "met" if item["is_met"] else "missed"
+        typer.echo(
+            f"class {item['work_class']:<12} target {item['target_ms']:>5} ms  "
+            f"p99 {item['p99_ms']:>6.1f} ms  {verdict}"
+        )
+    for name, planned in status["planned_stops"].items():
+        typer.echo(f"planned stop {name}: {planned['scope']} {planned['target']}")
+    took_s = stopped.ended_s - stopped.asked_s
+    typer.echo(f"planned stop of entry {stopped.entry}: ended after {took_s:.1f} s")
--- /dev/null
+++ b/src/jayshunt_measure/demo_counts.py
@@ -0,0 +1,83 @@
+"""Compare what callers received with what upstreams and workers recorded."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from jayshunt_measure.demo_callers import Sent
+
+
+@dataclass(frozen=True)
+class StoppedEntry:
+    """Name an entry that was stopped on purpose; times are monotonic seconds."""
+
+    entry: str
+    asked_s: float
+    ended_s: float
+
+
+@dataclass
+class DemoCounts:
+    """Count what callers and upstreams recorded.
+
+    A `not_run` whose request ran is a false_not_run; an answer to a request that
+    never ran, or that is not the caller's own whole answer, is a wrong_answer. A
+    request without a whole answer is lost, and also cut_by_planned_stop if it was
+    in flight at an entry while that entry stopped.
+    """
+
+    requests: int = 0
+    answered: int = 0
+    refused_not_run: int = 0
+    unknown: int = 0
+    lost: int = 0
+    false_not_run: int = 0
+    run_twice: int = 0
+    wrong_answer: int = 0
+    cut_by_planned_stop: int = 0
+    jobs_accepted: int = 0
+    jobs_finished: int = 0
+    jobs_lost: int = 0
+
+
+MUST_BE_ZERO = (
+    "lost",
+    "false_not_run",
+    "run_twice",
+    "wrong_answer",
+    "cut_by_planned_stop",
+    "jobs_lost",
+)
+
+
+def count_requests(
+    sent: Iterable[Sent], ran: Iterable[str], stopped: Iterable[StoppedEntry]
+) -> DemoCounts:
+    """Return the counts; `ran` has the id of each run at each upstream."""
+    counts = DemoCounts()
+    times = Counter(ran)
+    stops = list(stopped)
+    for item in sent:
+        counts.requests += 1
+        counts.run_twice += times[item.request] > 1
+        if item.status == 0:
+            counts.lost += 1
+            counts.cut_by_planned_stop += any(_is_cut(item, stop) for stop in stops)
+        elif item.outcome == "not_run":
+            counts.refused_not_run += 1
+            counts.false_not_run += times[item.request] > 0
+        elif item.outcome == "unknown":
+            counts.unknown += 1
+        else:
+            right = item.whole and times[item.request] > 0
+            counts.answered += right
+            counts.wrong_answer += not right
+    return counts
+
+
+def _is_cut(item: Sent, stop: StoppedEntry) -> bool:
+    return (
+        item.entry == stop.entry
+        and item.ended_s >= stop.asked_s
+        and item.started_s <= stop.ended_s
+    )
--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -60,6 +60,9 @@
     upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
     workers: dict[str, WorkerStandIn] = field(default_factory=dict)
     entries: list[EntryHandle] = field(default_factory=list)
+    store: StoreStandIn | None = None
+    inventory: InventoryStandIn | None = None
+    _folder: tempfile.TemporaryDirectory | None = None
 
     def start(self) -> "Testbed":
         """Start everything; entries are processes of their own."""
@@ -88,8 +91,14 @@
             self.start_entry(entry)
         return self
 
+    def stop_entry(self, entry: EntryHandle) -> None:
+        """Stop one entry as its platform does and wait for its end."""
+        if entry.process is not None:
+            entry.process.terminate()
+            _wait_end(entry.process)
+
     def stop(self) -> None:
-        """Stop entries and stand-ins."""
+        """Stop entries and stand-ins, also those of a start that failed."""
         for entry in self.entries:
             if entry.process and entry.process.poll() is None:
                 entry.process.terminate()
@@ -98,8 +107,10 @@
                 _wait_end(entry.process)
         servers = [*self.upstreams.values(), *self.workers.values()]
         for server in [*servers, self.store, self.inventory]:
-            server.stop()
-        self._folder.cleanup()
+            if server is not None:
+                server.stop()
+        if self._folder is not None:
+            self._folder.cleanup()
 
     def start_entry(self, entry: EntryHandle) -> None:
         """Start one entry process; its log goes to a file beside its settings."""
--- /dev/null
+++ b/src/jayshunt_measure/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test how measurements count."""
