--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -9,13 +9,17 @@
 from jayshunt.admission.broker import Broker
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.config.peer_service import ConfigurationServicer
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.config.transport import GrpcConfigTransport
+from jayshunt.config.watcher import StoreWatcher
 from jayshunt.errors import JayshuntError
 from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.application import JobApplication
 from jayshunt.jobs.intake import JobIntake
 from jayshunt.jobs.scheduler import JobScheduler
-from jayshunt.membership.models import Member
+from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
 from jayshunt.operations.application import OperatorApplication
@@ -34,6 +38,7 @@
 from jayshunt.settings.models import EntrySettings, ServerTlsFiles
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
+from jayshunt.store.gate import CallShare
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -56,12 +61,33 @@
         documents = DocumentStore(self.store, clock, rng)
         self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
         self.channels = PeerChannels(settings.tls.peers)
+        own = self._own_member()
         self.membership = MembershipService(
-            self._own_member(), settings.seeds, self.channels, clock, rng
+            own, settings.seeds, self.channels, clock, rng
         )
         self.peer_server.add(MembershipServicer(self.membership).add_to)
+        self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
+        self.inventory.add_listener(
+            lambda listed: self.membership.add_seeds(listed.entries)
+        )
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
+        self.spreader = ConfigSpreader(
+            own,
+            self.config,
+            GrpcConfigTransport(self.channels),
+            self.membership.view,
+            clock,
+            rng,
+        )
+        self.config_watcher = StoreWatcher(
+            own, self.config, self.store.watch, self.membership.view, clock, rng
+        )
+        self.peer_server.add(ConfigurationServicer(self.config, self.spreader).add_to)
+        self.membership.add_version_listener(self.spreader.hear_version)
+        self.config.add_listener(
+            lambda snapshot: self.membership.set_config_version(snapshot.version)
+        )
         self.controller = ZoneController(
             zone,
             self._entry,
@@ -77,6 +103,8 @@
         self.router = Router(
             self._entry, clock, self.config.current, self._broker_of, self.connections
         )
+        # A new controller takes its larger share at its first step.
+        self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
         scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
         self.controller.add_duty(scheduler.step)
         intake = JobIntake(
@@ -91,7 +119,8 @@
         for task in (
             self.membership.run,
             self.inventory.run,
-            self.config.run,
+            self.config_watcher.run,
+            self.spreader.run_fetches,
             self.controller.run,
         ):
             self._tasks.start(task)
@@ -107,13 +136,26 @@
     def stop(self) -> None:
         """Serve what was accepted to its end, then stop every part."""
         _LOGGER.info("entry: stopping, requests in flight end first")
+        self.membership.leave()
         self.callers.stop()
         self.operators.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
 
+    def _share_store(self, view: MembershipView) -> None:
+        """Divide the store's rate among all entries that may be alive.
+
+        Lost members count until they are forgotten, because they may run on the
+        other side of a partition.
+        """
+        share = CallShare(
+            len(view.members), len(view.zones()), self.controller.holds_lease
+        )
+        self.store.set_share(share)
+
     def _own_member(self) -> Member:
         identity = self._settings.identity
         host, _ = split_address(self._settings.listen.peers)
