Show classes, pools and processes of all entries to operators

Cause: status and dump covered one entry, class counts kept every sample, and a stop woke idle threads with a half shutdown of their sockets. That cut requests whose first bytes arrived at that moment, and looked like a caller who had gone.

Classes are counted in buckets that can be merged, with the reason for a miss. Metrics are read at the scrape from bounded sets. Samples of buffer, roll-outs and moves are kept in memory. Dumps redact secrets. Operators' edits go through plan and accept_edit. Idle connections wait on an event descriptor besides their socket.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -3,10 +3,8 @@
 import logging
 import random
 import threading
-from dataclasses import asdict
 
 from jayshunt import __version__
-from jayshunt.admission.diagnostics import describe_admission
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
@@ -25,16 +23,16 @@
 from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
-from jayshunt.operations.application import OperatorApplication
-from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.operations.peer_service import OperationsServicer
+from jayshunt.operations.sections import buffer_cores
+from jayshunt.operations.service import OperationsService
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
+from jayshunt.reports import add_reports
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.const import HEALTH_CONNECTIONS
-from jayshunt.routing.diagnostics import describe_routing
-from jayshunt.routing.messages import CallerAnswer, CallerRequest
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
 from jayshunt.serving.http_server import HttpServer
@@ -54,10 +52,10 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         """Create the parts; nothing runs yet."""
-        self._settings = settings
+        self.settings = settings
         clock = SystemClock()
         rng = random.Random()
-        self._clock = clock
+        self.clock = clock
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
         self._tasks = TaskGroup("entry")
@@ -101,7 +99,16 @@
             lambda: self.inventory.current,
             clock,
         )
-        self.statistics = ClassStatistics(clock)
+        self.operations = OperationsService(
+            self._entry,
+            self.config,
+            self.membership.view,
+            self.channels,
+            self._buffer_cores,
+            clock,
+        )
+        self.peer_server.add(OperationsServicer(self.operations.reporter).add_to)
+        self.controller.add_listener(self.operations.samples.take_record)
         self.brokers = BrokerDirectory(
             self._entry,
             zone,
@@ -133,6 +140,7 @@
         )
         self.callers = self._caller_server(settings, JobApplication(intake))
         self.operators = self._operator_server(settings)
+        add_reports(self)
 
     def start(self) -> None:
         """Start every part; callers are served last."""
@@ -145,15 +153,15 @@
             self.controller.run,
         ):
             self._tasks.start(task)
-        for task in (self.brokers.run, self.health.run):
+        for task in (self.brokers.run, self.health.run, self.operations.samples.run):
             self._tasks.start(task)
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
             "entry: %s of zone %s serves callers on %s",
             self._entry,
-            self._settings.identity.zone,
-            self._settings.listen.callers,
+            self.settings.identity.zone,
+            self.settings.listen.callers,
         )
 
     def stop(self) -> None:
@@ -181,22 +189,26 @@
         self.store.set_share(share)
 
     def _own_member(self) -> Member:
-        identity = self._settings.identity
-        host, _ = split_address(self._settings.listen.peers)
+        identity = self.settings.identity
+        host, _ = split_address(self.settings.listen.peers)
         return Member(
             entry=self._entry,
             zone=ZoneName(identity.zone),
             region=RegionName(identity.region),
             peer_address=f"{host}:{self.peer_server.port}",
             # The wall time makes a restarted process newer than its predecessor.
-            incarnation=int(self._clock.now_s() * 1000),
+            incarnation=int(self.clock.now_s() * 1000),
             program_version=__version__,
         )
 
     def _caller_server(
         self, settings: EntrySettings, jobs: JobApplication
     ) -> HttpServer:
-        application = CallerApplication(self._send, jobs.answer)
+        application = CallerApplication(
+            self.operations.measured(self.router.send),
+            jobs.answer,
+            lambda request: self.router.cancel(request.request),
+        )
         host, port = split_address(settings.listen.callers)
         return HttpServer(
             host,
@@ -204,16 +216,12 @@
             application,
             caller_limits(settings.limits),
             self._tls_of(settings.tls.callers),
-            self._clock,
+            self.clock,
         )
 
     def _operator_server(self, settings: EntrySettings) -> HttpServer:
-        application = OperatorApplication(
-            settings.operators.token_file.read_text().strip(),
-            self.config,
-            self._status,
-            self._dump,
-            self._is_ready,
+        application = self.operations.application(
+            settings.operators.token_file.read_text().strip(), self.is_ready
         )
         host, port = split_address(settings.listen.operators)
         return HttpServer(
@@ -222,23 +230,11 @@
             application,
             OPERATOR_LIMITS,
             self._tls_of(settings.tls.operators),
-            self._clock,
+            self.clock,
         )
 
     def _tls_of(self, files: ServerTlsFiles | None) -> ReloadingTls | None:
-        return None if files is None else ReloadingTls(files, self._clock)
-
-    def _send(self, request: CallerRequest) -> CallerAnswer:
-        started_s = self._clock.monotonic_s()
-        answered = False
-        try:
-            answer = self.router.send(request)
-            answered = answer.status < 500
-            return answer
-        finally:
-            duration_ms = (self._clock.monotonic_s() - started_s) * 1000
-            if request.work_class in self.config.current().document.classes:
-                self.statistics.record(request.work_class, duration_ms, answered)
+        return None if files is None else ReloadingTls(files, self.clock)
 
     def _slots_of(self, pool: PoolName) -> int:
         settings = self.config.current().document.pools.get(pool)
@@ -265,45 +261,15 @@
             raise JayshuntError("unknown_class", step="jobs.place", detail=name)
         return PoolName(work_class.pool)
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether callers can be served; False from the start of a stop."""
         in_force = self.config.current().version and self.controller.record.epoch
         return bool(in_force) and not self.callers.draining
 
-    def _status(self) -> dict:
-        config = self.config.current()
-        return {
-            "entry": self._entry,
-            "zone": self._settings.identity.zone,
-            "program_version": __version__,
-            "config_version": config.version,
-            "store": self.store.health.state.value,
-            "is_controller": self.controller.holds_lease,
-            "members": {
-                member.entry: member.state.value
-                for member in self.membership.view().members
-            },
-            "classes": [
-                {**asdict(status), "is_met": status.is_met}
-                for status in self.statistics.status(config)
-            ],
-            "planned_stops": {
-                name: stop.model_dump(mode="json")
-                for name, stop in config.document.planned_stops.items()
-            },
-        }
-
-    def _dump(self) -> dict:
-        record = self.controller.record
-        return {
-            "status": self._status(),
-            "config": self.config.current().model_dump(mode="json"),
-            "assignments": {
-                vm: {"pool": a.pool, "state": a.state.value, "reason": a.reason}
-                for vm, a in record.assignments.items()
-            },
-            "admission": describe_admission(self.brokers),
-            "routing": describe_routing(self.router, self.connections),
-        }
+    def _buffer_cores(self) -> float:
+        return buffer_cores(
+            self.config.current(), self.controller.record, self.inventory.current
+        )
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/jayshunt/operations/application.py
+++ b/src/jayshunt/operations/application.py
@@ -3,20 +3,37 @@
 import hmac
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import asdict
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 from pydantic import ValidationError
+from werkzeug.exceptions import HTTPException
 from werkzeug.wrappers import Request, Response
 
 from jayshunt.config.coordinator import ConfigCoordinator
-from jayshunt.config.models import ConfigDocument, PlannedStop
+from jayshunt.config.edits import explain_conflict, show
+from jayshunt.config.models import (
+    Change,
+    ConfigDocument,
+    ConfigEdit,
+    EditPlan,
+    PlannedStop,
+)
 from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import ConfigVersion
+from jayshunt.operations.deployment import DeploymentReader
+from jayshunt.operations.edits import stop_edit, target_edit, withdraw_edit
+from jayshunt.operations.metrics import EntryMetrics
+from jayshunt.operations.reporter import EntryReporter
+from jayshunt.operations.samples import ReportSamples
 from jayshunt.serving.problems import problem_response
 from jayshunt.settings.loader import explain_errors
 
 _LOGGER = logging.getLogger(__name__)
 
+OPERATOR_PREFIX = "/v1/operator/"
+
 
 class OperatorApplication:
     """Route operators' paths; a WSGI application."""
@@ -25,38 +42,34 @@
         self,
         token: str,
         config: ConfigCoordinator,
-        read_status: Callable[[], dict],
-        read_dump: Callable[[], dict],
+        reporter: EntryReporter,
+        deployment: DeploymentReader,
+        samples: ReportSamples,
+        metrics: EntryMetrics,
         is_ready: Callable[[], bool],
     ) -> None:
         """Wire the parts."""
         self._token = token
         self._config = config
-        self._read_status = read_status
-        self._read_dump = read_dump
+        self._reporter = reporter
+        self._deployment = deployment
+        self._samples = samples
+        self._metrics = metrics
         self._is_ready = is_ready
 
-    def __call__(self, environ: dict, start_response: Callable):
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
-        request = Request(environ)
         try:
-            response = self._answer(request)
+            response = self._answer(Request(environ))
         except ValidationError as error:
-            problem = JayshuntError(
-                "config_rejected",
-                step="operations.check",
-                detail="; ".join(explain_errors(error)),
-            )
-            response = problem_response(problem)
+            response = _problem("config_rejected", "; ".join(explain_errors(error)))
         except JayshuntError as error:
             response = problem_response(error)
+        except (HTTPException, ValueError) as error:
+            response = _problem("bad_request", str(error))
         except Exception:
             _LOGGER.exception("operations: a call failed inside")
-            response = problem_response(
-                JayshuntError(
-                    "internal_error", step="operations", outcome=Outcome.UNKNOWN
-                )
-            )
+            response = _problem("internal_error", "", Outcome.UNKNOWN)
         return response(environ, start_response)
 
     def _answer(self, request: Request) -> Response:
@@ -65,34 +78,17 @@
                 return Response("ok\n")
             case "/readyz":
                 ready = self._is_ready()
-                return Response(
-                    "ready\n" if ready else "not ready\n", 200 if ready else 503
-                )
+                text = "ready\n" if ready else "not ready\n"
+                return Response(text, 200 if ready else 503)
             case "/metrics":
-                return Response(generate_latest(), content_type=CONTENT_TYPE_LATEST)
+                return Response(self._metrics.text(), content_type=CONTENT_TYPE_LATEST)
         self._authorize(request)
-        match request.method, request.path.removeprefix("/v1/operator/").split("/"):
-            case "GET", ["status"]:
-                return _response(self._read_status())
-            case "GET", ["dump"]:
-                return _response(self._read_dump())
-            case "GET", ["config"]:
-                return _response(self._config.current().model_dump(mode="json"))
-            case "PUT", ["config"]:
-                document = ConfigDocument.model_validate_json(request.get_data())
-                return self._accept(request, lambda _: document)
-            case "PUT", ["classes", name, "target"]:
-                return self._accept(
-                    request, _target_change(name, json.loads(request.get_data()))
-                )
-            case "PUT", ["stops", name]:
-                stop = PlannedStop.model_validate_json(request.get_data())
-                return self._accept(request, _stop_change(name, stop))
-        raise JayshuntError(
-            "not_found",
-            step="operations.path",
-            detail=f"{request.method} {request.path}",
-        )
+        if not request.path.startswith(OPERATOR_PREFIX):
+            raise _not_found(request)
+        parts = request.path.removeprefix(OPERATOR_PREFIX).split("/")
+        if request.method == "GET":
+            return _response(self._read(request, parts))
+        return _response(self._change(request, parts))
 
     def _authorize(self, request: Request) -> None:
         given = request.headers.get("Authorization", "")
@@ -103,35 +99,98 @@
                 detail="a bearer token is needed",
             )
 
-    def _accept(self, request: Request, change: Callable) -> Response:
-        author = request.headers.get("Jayshunt-Author", "operator")
-        snapshot = self._config.accept(change, author)
-        return _response({"version": snapshot.version, "accepted": True})
-
-
-def _target_change(name: str, fields: dict) -> Callable:
-    def change(document: ConfigDocument) -> ConfigDocument:
-        content = document.model_dump(mode="json")
-        if name not in content["classes"]:
-            raise JayshuntError(
-                "unknown_class",
-                step="operations.target",
-                detail=f"there is no class {name!r}",
-            )
-        content["classes"][name].update(fields)
-        return ConfigDocument.model_validate(content)
-
-    return change
-
-
-def _stop_change(name: str, stop: PlannedStop) -> Callable:
-    def change(document: ConfigDocument) -> ConfigDocument:
-        content = document.model_dump(mode="json")
-        content["planned_stops"][name] = stop.model_dump(mode="json")
-        return ConfigDocument.model_validate(content)
-
-    return change
-
-
-def _response(content: dict) -> Response:
-    return Response(json.dumps(content) + "\n", mimetype="application/json")
+    def _read(self, request: Request, parts: list[str]) -> object:
+        everywhere = request.args.get("scope") != "entry"
+        match parts:
+            case ["status"]:
+                reader = self._deployment if everywhere else self._reporter
+                return reader.status()
+            case ["dump"]:
+                reader = self._deployment if everywhere else self._reporter
+                return reader.dump()
+            case ["report"]:
+                return self._samples.content()
+            case ["config"]:
+                return self._show(request.args.get("version", type=int))
+            case ["config", "history"]:
+                limit = request.args.get("limit", 20, type=int)
+                return {"history": [_entry(e) for e in self._config.history(limit)]}
+            case ["config", "diff"]:
+                old, new = (ConfigVersion(int(request.args[k])) for k in ("from", "to"))
+                return {"changes": _changes(self._config.diff(old, new))}
+            case ["config", "in_force"]:
+                return {"in_force": self._config.in_force()}
+        raise _not_found(request)
+
+    def _change(self, request: Request, parts: list[str]) -> object:
+        author = request.headers.get("Jayshunt-Author", "operator")[:64]
+        reason = request.args.get("reason", "")[:200]
+        before = self._config.current()
+        match request.method, parts:
+            case "PUT", ["config"]:
+                document = ConfigDocument.model_validate_json(request.get_data())
+                base = request.args.get("base_version", type=int)
+                edit = ConfigEdit(document, author, base, reason)
+            case "PUT", ["classes", name, "target"]:
+                fields = json.loads(request.get_data())
+                edit = target_edit(before, name, fields, author, reason)
+            case "PUT", ["stops", name]:
+                stop = PlannedStop.model_validate_json(request.get_data())
+                edit = stop_edit(before, name, stop, author, reason)
+            case "DELETE", ["stops", name]:
+                edit = withdraw_edit(before, name, author, reason)
+            case _:
+                raise _not_found(request)
+        if request.args.get("dry_run") == "1":
+            return _plan(self._config.plan(edit))
+        snapshot = self._config.accept_edit(edit)
+        _LOGGER.info("operations: %s made version %s", author, snapshot.version)
+        return {"version": snapshot.version, "accepted": True}
+
+    def _show(self, version: int | None) -> dict:
+        if version is None:
+            return self._config.current().model_dump(mode="json")
+        snapshot = self._config.at_version(ConfigVersion(version))
+        return snapshot.model_dump(mode="json")
+
+
+def _changes(changes: Iterable[Change]) -> list[dict]:
+    return [
+        {"name": c.name, "before": show(c.before), "after": show(c.after)}
+        for c in changes
+    ]
+
+
+def _entry(entry) -> dict:
+    return {
+        "version": entry.version,
+        "author": entry.author,
+        "accepted_s": entry.accepted_s,
+        "reason": entry.reason,
+        "changes": _changes(entry.changes),
+    }
+
+
+def _plan(plan: EditPlan) -> dict:
+    return {
+        "base_version": plan.base_version,
+        "changes": _changes(plan.changes),
+        "conflicts": [explain_conflict(conflict) for conflict in plan.conflicts],
+        "problems": [asdict(problem) for problem in plan.problems],
+    }
+
+
+def _not_found(request: Request) -> JayshuntError:
+    return JayshuntError(
+        "not_found", step="operations.path", detail=f"{request.method} {request.path}"
+    )
+
+
+def _problem(code: str, detail: str, outcome: Outcome = Outcome.NOT_RUN) -> Response:
+    error = JayshuntError(code, step="operations", outcome=outcome, detail=detail)
+    return problem_response(error)
+
+
+def _response(content: object) -> Response:
+    text = json.dumps(content, default=str) + "\n"
+    return Response(text, mimetype="application/json")
--- a/src/jayshunt/operations/class_statistics.py
+++ b/src/jayshunt/operations/class_statistics.py
@@ -1,66 +1,191 @@
 """Measure each class against its target."""
 
+import math
 import threading
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from jayshunt.clock import Clock
 from jayshunt.config.models import ConfigSnapshot, WorkKind
 from jayshunt.ids import ClassName
-from jayshunt.operations.models import ClassStatus
+from jayshunt.operations.const import (
+    BUCKET_COUNT,
+    BUCKET_GROWTH,
+    FIRST_BUCKET_MS,
+    MAX_REFUSAL_CODES,
+    MET_RATIO,
+    SLICE_S,
+    WINDOW_S,
+)
+from jayshunt.operations.models import ClassCounts, ClassStatus
 
-WINDOW_S = 60.0
-MAX_SAMPLES = 5_000
+_GROWTH_LOG = math.log(BUCKET_GROWTH)
 
 
-@dataclass(frozen=True)
-class Sample:
-    """Hold the end of one request."""
+@dataclass
+class Totals:
+    """Count requests over a time."""
+
+    requests: int = 0
+    met: int = 0
+    sum_ms: float = 0.0
+    buckets: Counter[int] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+
+    def add(self, duration_ms: float, met: bool, refusal: str | None) -> None:
+        """Count one request."""
+        self.requests += 1
+        if refusal is None:
+            self.met += met
+            self.sum_ms += duration_ms
+            self.buckets[bucket_of(duration_ms)] += 1
+            return
+        known = refusal in self.refused or len(self.refused) < MAX_REFUSAL_CODES
+        self.refused[refusal if known else "other"] += 1
 
-    ended_s: float
-    duration_ms: float
-    answered: bool
+    def merge(self, other: "Totals") -> None:
+        """Add the counts of another time."""
+        self.requests += other.requests
+        self.met += other.met
+        self.sum_ms += other.sum_ms
+        self.buckets.update(other.buckets)
+        self.refused.update(other.refused)
 
 
 @dataclass
 class ClassWindow:
-    """Hold the last requests of a class."""
+    """Hold the counts of a class: the last minute in slices, and since the start."""
 
-    samples: deque[Sample] = field(default_factory=lambda: deque(maxlen=MAX_SAMPLES))
+    slices: deque[tuple[int, Totals]] = field(
+        default_factory=lambda: deque(maxlen=int(WINDOW_S / SLICE_S))
+    )
+    total: Totals = field(default_factory=Totals)
 
 
 class ClassStatistics:
-    """Own the request samples of the last minute."""
+    """Own the counts of each class in bounded memory."""
 
     def __init__(self, clock: Clock) -> None:
-        """Start without samples."""
+        """Start without counts."""
         self._clock = clock
         self._lock = threading.Lock()
         self._windows: dict[ClassName, ClassWindow] = {}
 
-    def record(self, work_class: ClassName, duration_ms: float, answered: bool) -> None:
-        """Add the end of one request."""
-        sample = Sample(self._clock.monotonic_s(), duration_ms, answered)
+    def record(
+        self,
+        work_class: ClassName,
+        duration_ms: float,
+        target_ms: float,
+        refusal: str | None = None,
+    ) -> None:
+        """Add the end of one request; `refusal` is the code of its error."""
+        met = duration_ms <= target_ms
+        number = int(self._clock.monotonic_s() // SLICE_S)
         with self._lock:
             window = self._windows.setdefault(work_class, ClassWindow())
-            window.samples.append(sample)
-
-    def status(self, config: ConfigSnapshot) -> list[ClassStatus]:
-        """Return the state of each request class."""
-        return [
-            self._class_status(name, work_class.target_ms)
-            for name, work_class in sorted(config.document.classes.items())
-            if work_class.kind is WorkKind.REQUEST
-        ]
-
-    def _class_status(self, name: ClassName, target_ms: int) -> ClassStatus:
-        oldest_s = self._clock.monotonic_s() - WINDOW_S
+            if not window.slices or window.slices[-1][0] != number:
+                window.slices.append((number, Totals()))
+            window.slices[-1][1].add(duration_ms, met, refusal)
+            window.total.add(duration_ms, met, refusal)
+
+    def counts(self, config: ConfigSnapshot) -> list[ClassCounts]:
+        """Return the last minute of each request class."""
+        oldest = (self._clock.monotonic_s() - WINDOW_S) // SLICE_S
+        result = []
+        for name, work_class in sorted(config.document.classes.items()):
+            if work_class.kind is not WorkKind.REQUEST:
+                continue
+            recent = Totals()
+            with self._lock:
+                window = self._windows.get(name, ClassWindow())
+                for number, totals in window.slices:
+                    if number > oldest:
+                        recent.merge(totals)
+            result.append(
+                ClassCounts(
+                    name,
+                    work_class.target_ms,
+                    recent.requests,
+                    recent.met,
+                    dict(recent.buckets),
+                    dict(recent.refused),
+                )
+            )
+        return result
+
+    def totals(self) -> dict[ClassName, Totals]:
+        """Return the counts since the start."""
+        result: dict[ClassName, Totals] = {}
         with self._lock:
-            window = self._windows.get(name, ClassWindow())
-            samples = [s for s in window.samples if s.ended_s >= oldest_s]
-        answered = sorted(s.duration_ms for s in samples if s.answered)
-        met = sum(1 for duration_ms in answered if duration_ms <= target_ms)
-        p99_ms = answered[int(0.99 * (len(answered) - 1))] if answered else 0.0
-        return ClassStatus(
-            name, target_ms, len(samples), met, len(samples) - len(answered), p99_ms
+            for name, window in self._windows.items():
+                result[name] = Totals()
+                result[name].merge(window.total)
+        return result
+
+
+def merge_status(counts: Iterable[ClassCounts]) -> list[ClassStatus]:
+    """Return the status of each class over the counts of all entries."""
+    merged: dict[ClassName, tuple[int, Totals]] = {}
+    for item in counts:
+        _, totals = merged.setdefault(item.work_class, (item.target_ms, Totals()))
+        totals.merge(
+            Totals(
+                item.requests,
+                item.met,
+                0.0,
+                Counter(item.buckets),
+                Counter(item.refused),
+            )
         )
+    return [
+        _class_status(name, target_ms, totals)
+        for name, (target_ms, totals) in sorted(merged.items())
+    ]
+
+
+def bucket_of(duration_ms: float) -> int:
+    """Return the number of the bucket of a duration."""
+    if duration_ms <= FIRST_BUCKET_MS:
+        return 0
+    number = math.ceil(math.log(duration_ms / FIRST_BUCKET_MS) / _GROWTH_LOG)
+    return min(number, BUCKET_COUNT - 1)
+
+
+def bucket_limit_ms(number: int) -> float:
+    """Return the longest duration of a bucket."""
+    return FIRST_BUCKET_MS * BUCKET_GROWTH**number
+
+
+def percentile_ms(buckets: dict[int, int], ratio: float) -> float:
+    """Return the limit of the bucket that holds a percentile; 0 without answers."""
+    wanted = ratio * sum(buckets.values())
+    seen = 0
+    for number in sorted(buckets):
+        seen += buckets[number]
+        if seen >= wanted:
+            return bucket_limit_ms(number)
+    return 0.0
+
+
+def _class_status(name: ClassName, target_ms: int, totals: Totals) -> ClassStatus:
+    refused = sum(totals.refused.values())
+    is_met = totals.met >= MET_RATIO * totals.requests
+    return ClassStatus(
+        name,
+        target_ms,
+        totals.requests,
+        totals.met,
+        refused,
+        round(percentile_ms(totals.buckets, 0.99), 1),
+        is_met,
+        "" if is_met else _explain(totals, refused),
+    )
+
+
+def _explain(totals: Totals, refused: int) -> str:
+    late = totals.requests - refused - totals.met
+    parts = [f"{count} {code}" for code, count in totals.refused.most_common(3)]
+    if late:
+        parts.append(f"{late} answered late")
+    return f"of {totals.requests}: " + ", ".join(parts)
--- /dev/null
+++ b/src/jayshunt/operations/deployment.py
@@ -0,0 +1,169 @@
+"""Read status and dumps of all entries."""
+
+import json
+import logging
+import threading
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+
+import grpc
+
+from jayshunt.clock import Clock
+from jayshunt.ids import EntryId
+from jayshunt.membership.models import Member, MembershipView, MemberState
+from jayshunt.operations.class_statistics import merge_status
+from jayshunt.operations.const import PEER_TIMEOUT_S
+from jayshunt.operations.models import ClassCounts
+from jayshunt.operations.reporter import EntryReporter
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+
+_LOGGER = logging.getLogger(__name__)
+
+OnReport = Callable[[dict | None, str], None]
+Ask = Callable[[str, str, OnReport], None]
+
+
+@dataclass
+class Collected:
+    """Hold what the entries reported, and why some did not."""
+
+    reports: dict[EntryId, dict] = field(default_factory=dict)
+    missing: dict[EntryId, str] = field(default_factory=dict)
+
+
+class DeploymentReader:
+    """Ask every known entry at once and wait a bounded time for the answers."""
+
+    def __init__(
+        self,
+        entry: EntryId,
+        reporter: EntryReporter,
+        view: Callable[[], MembershipView],
+        ask: Ask,
+        clock: Clock,
+    ) -> None:
+        """Wire the parts; `ask(address, kind, on_report)` must not wait."""
+        self._entry = entry
+        self._reporter = reporter
+        self._view = view
+        self._ask = ask
+        self._clock = clock
+
+    def status(self) -> dict:
+        """Return classes, pools, waves and processes over all entries."""
+        collected = self.collect("status", self._reporter.status())
+        return summarize(self._entry, collected)
+
+    def dump(self) -> dict:
+        """Return the dump of each entry."""
+        collected = self.collect("dump", self._reporter.dump())
+        return {"entries": collected.reports, "missing": collected.missing}
+
+    def collect(self, kind: str, own: dict) -> Collected:
+        """Return the reports of all entries that answer in time."""
+        collected = Collected({self._entry: own})
+        members = [m for m in self._view().members if m.entry != self._entry]
+        asked = [member for member in members if member.state is not MemberState.LOST]
+        collected.missing.update(
+            {m.entry: "lost" for m in members if m.state is MemberState.LOST}
+        )
+        changed = threading.Condition()
+        for member in asked:
+            self._ask(member.peer_address, kind, _taker(collected, changed, member))
+        end_s = self._clock.monotonic_s() + PEER_TIMEOUT_S
+        with changed:
+            while len(collected.reports) + len(collected.missing) <= len(members):
+                left_s = end_s - self._clock.monotonic_s()
+                if left_s <= 0:
+                    break
+                changed.wait(left_s)
+            late = {
+                m.entry: f"no answer in {PEER_TIMEOUT_S} s"
+                for m in asked
+                if m.entry not in collected.reports
+            }
+            return Collected(
+                dict(collected.reports), {**late, **dict(collected.missing)}
+            )
+
+
+def summarize(entry: EntryId, collected: Collected) -> dict:
+    """Return one status for the deployment from the reports of its entries."""
+    reports = collected.reports
+    own = reports[entry]
+    counts = [
+        _read_counts(item)
+        for report in reports.values()
+        for item in _rows(report, "classes")
+    ]
+    return {
+        "entry": entry,
+        "config_version": own.get("process", {}).get("config_version"),
+        "store": own.get("process", {}).get("store"),
+        "classes": [asdict(status) for status in merge_status(counts)],
+        "job_classes": _newest(reports, "job_classes", "work_class"),
+        "pools": _newest(reports, "pools", "pool"),
+        "waves": _newest(reports, "waves", "wave"),
+        "planned_stops": own.get("planned_stops", {}),
+        "processes": [
+            {"entry": name, **report.get("process", {})}
+            for name, report in sorted(reports.items())
+        ],
+        "missing": collected.missing,
+    }
+
+
+def ask_over_grpc(channels: PeerChannels, own: EntryId) -> Ask:
+    """Return a function that asks an entry for its report without waiting."""
+
+    def ask(address: str, kind: str, on_report: OnReport) -> None:
+        stub = channels.stub(address, peer_pb2_grpc.OperationsStub)
+        method = stub.GetStatus if kind == "status" else stub.GetDump
+        call = method.future(peer_pb2.ReportRequest(entry=own), timeout=PEER_TIMEOUT_S)
+
+        def done(ended: grpc.Future) -> None:
+            if ended.cancelled():
+                on_report(None, "cancelled")
+            elif error := ended.exception():
+                on_report(None, getattr(error, "details", lambda: str(error))() or "")
+            else:
+                on_report(json.loads(ended.result().content), "")
+
+        call.add_done_callback(done)
+
+    return ask
+
+
+def _taker(collected: Collected, changed: threading.Condition, member: Member):
+    def take(report: dict | None, problem: str) -> None:
+        with changed:
+            if report is None:
+                collected.missing[member.entry] = problem or "no answer"
+            else:
+                collected.reports[member.entry] = report
+            changed.notify_all()
+
+    return take
+
+
+def _newest(reports: dict[EntryId, dict], section: str, name: str) -> list[dict]:
+    """Return rows of a section; of one zone, those with the highest epoch."""
+    rows: dict[tuple, dict] = {}
+    for report in reports.values():
+        for row in _rows(report, section):
+            place = (row.get(name), row.get("zone", ""))
+            known = rows.get(place)
+            if known is None or row.get("epoch", 0) > known.get("epoch", 0):
+                rows[place] = row
+    return [rows[place] for place in sorted(rows, key=str)]
+
+
+def _rows(report: dict, section: str) -> list[dict]:
+    rows = report.get(section, [])
+    return rows if isinstance(rows, list) else []
+
+
+def _read_counts(item: dict) -> ClassCounts:
+    buckets = {int(number): count for number, count in item["buckets"].items()}
+    return ClassCounts(**{**item, "buckets": buckets})
--- /dev/null
+++ b/src/jayshunt/operations/peer_service.py
@@ -0,0 +1,32 @@
+"""Answer other entries that collect reports for an operator."""
+
+import json
+
+import grpc
+
+from jayshunt.operations.reporter import EntryReporter
+from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+
+
+class OperationsServicer(peer_pb2_grpc.OperationsServicer):
+    """Return the reports of this entry."""
+
+    def __init__(self, reporter: EntryReporter) -> None:
+        """Serve one reporter."""
+        self._reporter = reporter
+
+    def add_to(self, server: grpc.Server) -> None:
+        """Register with a server."""
+        peer_pb2_grpc.add_OperationsServicer_to_server(self, server)
+
+    def GetStatus(self, request: peer_pb2.ReportRequest, context):
+        """Return the status of this entry."""
+        return _reply(self._reporter.status())
+
+    def GetDump(self, request: peer_pb2.ReportRequest, context):
+        """Return the dump of this entry, without secrets."""
+        return _reply(self._reporter.dump())
+
+
+def _reply(content: dict) -> peer_pb2.ReportReply:
+    return peer_pb2.ReportReply(content=json.dumps(content, default=str).encode())
--- /dev/null
+++ b/src/jayshunt/operations/service.py
@@ -0,0 +1,88 @@
+"""Hold the parts of this slice for one entry."""
+
+from collections.abc import Callable
+
+from jayshunt.clock import Clock
+from jayshunt.config.coordinator import ConfigCoordinator
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import EntryId
+from jayshunt.membership.models import MembershipView
+from jayshunt.operations.application import OperatorApplication
+from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.operations.deployment import DeploymentReader, ask_over_grpc
+from jayshunt.operations.metrics import EntryMetrics
+from jayshunt.operations.reporter import EntryReporter
+from jayshunt.operations.samples import ReportSamples
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.routing.messages import CallerAnswer, CallerRequest
+
+Send = Callable[[CallerRequest], CallerAnswer]
+
+
+class OperationsService:
+    """Measure classes and answer operators; other slices add their sections."""
+
+    def __init__(
+        self,
+        entry: EntryId,
+        config: ConfigCoordinator,
+        view: Callable[[], MembershipView],
+        channels: PeerChannels,
+        read_buffer_cores: Callable[[], float],
+        clock: Clock,
+    ) -> None:
+        """Wire the parts."""
+        self._config = config
+        self._clock = clock
+        self.reporter = EntryReporter()
+        self.statistics = ClassStatistics(clock)
+        self.samples = ReportSamples(clock, read_buffer_cores)
+        self.metrics = EntryMetrics(self.statistics)
+        self._deployment = DeploymentReader(
+            entry, self.reporter, view, ask_over_grpc(channels, entry), clock
+        )
+        config.add_listener(self.samples.take_config)
+
+    def application(
+        self, token: str, is_ready: Callable[[], bool]
+    ) -> OperatorApplication:
+        """Return the WSGI application of the operators' port."""
+        return OperatorApplication(
+            token,
+            self._config,
+            self.reporter,
+            self._deployment,
+            self.samples,
+            self.metrics,
+            is_ready,
+        )
+
+    def measured(self, send: Send) -> Send:
+        """Return a router's `send` that counts each request's end by class."""
+
+        def send_measured(request: CallerRequest) -> CallerAnswer:
+            started_s = self._clock.monotonic_s()
+            refusal: str | None = "internal_error"
+            try:
+                answer = send(request)
+                refusal = "upstream_error" if answer.status >= 500 else None
+                return answer
+            except JayshuntError as error:
+                refusal = error.code
+                raise
+            finally:
+                self._record(request, started_s, refusal)
+
+        return send_measured
+
+    def _record(
+        self, request: CallerRequest, started_s: float, refusal: str | None
+    ) -> None:
+        # A class that is not configured must not become a label of a metric.
+        work_class = self._config.current().document.classes.get(request.work_class)
+        if work_class is None or work_class.target_ms is None:
+            return
+        duration_ms = (self._clock.monotonic_s() - started_s) * 1000
+        self.statistics.record(
+            request.work_class, duration_ms, work_class.target_ms, refusal
+        )
--- /dev/null
+++ b/src/jayshunt/operations/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test what operators read."""
--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -49,6 +49,7 @@
         held: HeldBodies,
         clock: Clock,
         is_draining: Callable[[], bool],
+        end_of_idle: int = -1,
         scheme: str = "http",
     ) -> None:
         """Start with no request read."""
@@ -56,18 +57,13 @@
         self._client = client
         self._application = application
         self._limits = limits
-        self._stream = CallerStream(connection, clock)
+        self._stream = CallerStream(connection, clock, end_of_idle)
         self._budget = BodyBudget(held)
         self._is_draining = is_draining
         self._scheme = scheme
         self._current: Cancellation | None = None
         self.served = 0
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no byte of a next request has arrived."""
-        return self._stream.waits_for_request
-
     @property
     def is_serving(self) -> bool:
         """Return whether a request was read and is not answered yet."""
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -1,6 +1,7 @@
 """Accept callers' connections within limits and serve each on a thread."""
 
 import logging
+import os
 import socket
 import ssl
 import threading
@@ -16,7 +17,6 @@
 from jayshunt.serving.connection import REASONS, Application, CallerConnection
 from jayshunt.serving.const import (
     ACCEPT_POLL_S,
-    IDLE_CHECK_S,
     REFUSAL_THREADS,
     REFUSALS_WAITING,
 )
@@ -65,6 +65,7 @@
         self._open: dict[socket.socket, CallerConnection | None] = {}
         self._all_closed = threading.Condition(self._lock)
         self._stopping = threading.Event()
+        self._end_of_idle = os.eventfd(0)
         self.counts: Counter[str] = Counter()
 
     @property
@@ -72,6 +73,11 @@
         """Return whether the server has begun to stop."""
         return self._stopping.is_set()
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are open."""
+        return self._admitted.total
+
     def start(self) -> None:
         """Start to accept connections."""
         self._watcher.start()
@@ -91,11 +97,14 @@
         self.shutdown()
         self._accept_waiting()
         self.server_close()
+        # It stays readable, so that a connection that waits later ends as well.
+        os.eventfd_write(self._end_of_idle, 1)
         if not self._wait_closed(self._limits.drain_timeout_s):
             self._end_all()
         self._watcher.stop()
         self._executor.shutdown(wait=True)
         self._refusals.shutdown(wait=True)
+        os.close(self._end_of_idle)
 
     def get_request(self) -> tuple[socket.socket, tuple]:
         """Accept one connection."""
@@ -163,6 +172,7 @@
             self._held,
             self._clock,
             self._stopping.is_set,
+            self._end_of_idle,
             "http" if connection is plain else "https",
         )
         with self._lock:
@@ -205,12 +215,6 @@
             connection.setblocking(True)
             self.process_request(connection, address)
 
-    def _end_idle(self) -> None:
-        """Wake threads that wait for a next request; bytes that arrived are read."""
-        for connection, served in self._open.items():
-            if served is not None and served.is_idle:
-                _shut_down(connection, socket.SHUT_RD)
-
     def _wait_closed(self, timeout_s: float) -> bool:
         end_s = self._clock.monotonic_s() + timeout_s
         with self._lock:
@@ -218,9 +222,7 @@
                 left_s = end_s - self._clock.monotonic_s()
                 if left_s <= 0:
                     return False
-                # Repeated, because a connection may begin to wait at any time.
-                self._end_idle()
-                self._all_closed.wait(min(left_s, IDLE_CHECK_S))
+                self._all_closed.wait(left_s)
         return True
 
     def _end_all(self) -> None:
--- a/src/jayshunt/serving/stream.py
+++ b/src/jayshunt/serving/stream.py
@@ -1,6 +1,7 @@
 """Read from and write to one caller's connection within deadlines."""
 
 import re
+import select
 import socket
 import ssl
 
@@ -30,12 +31,22 @@
     caller who sends one byte at a time holds a thread no longer than others.
     """
 
-    def __init__(self, connection: socket.socket, clock: Clock) -> None:
-        """Start with no byte read."""
+    def __init__(
+        self, connection: socket.socket, clock: Clock, end_of_idle: int = -1
+    ) -> None:
+        """Start with no byte read.
+
+        A wait for a request ends when the file descriptor `end_of_idle` becomes
+        readable. Shutting the socket down instead would cut a request whose first
+        bytes arrive at that moment, and looks as if its caller had gone.
+        """
         self._connection = connection
         self._clock = clock
         self._buffer = bytearray()
-        self.waits_for_request = False
+        self._idle_poll = select.poll()
+        self._idle_poll.register(connection.fileno(), select.POLLIN)
+        if end_of_idle >= 0:
+            self._idle_poll.register(end_of_idle, select.POLLIN)
 
     def read_head(self, idle_timeout_s: float, head_timeout_s: float) -> bytes:
         """Return the next head without its empty line.
@@ -119,13 +130,17 @@
             return
 
     def _wait_for_request(self, idle_timeout_s: float) -> None:
-        self.waits_for_request = True
+        pending = isinstance(self._connection, ssl.SSLSocket) and (
+            self._connection.pending()
+        )
+        if not pending:
+            ready = self._idle_poll.poll(idle_timeout_s * 1000)
+            if all(number != self._connection.fileno() for number, _ in ready):
+                raise ConnectionClosed
         try:
             self._fill(self._clock.monotonic_s() + idle_timeout_s)
         except TimeoutError as error:
             raise ConnectionClosed from error
-        finally:
-            self.waits_for_request = False
 
     def _check_partial_head(self) -> None:
         if len(self._buffer) >= MAX_HEAD_BYTES:
