Add the operators' commands to the command line

Cause: operators could only set targets and declare stops through one entry, and could neither try a change nor see the whole deployment.

--- a/src/jayshunt/cli/main.py
+++ b/src/jayshunt/cli/main.py
@@ -1,44 +1,45 @@
 """Define the commands of jayshunt."""
 
-import getpass
-import json
-import os
 import signal
 import sys
 import threading
+import tomllib
+from enum import Enum
 from pathlib import Path
 from typing import Annotated
 
 import typer
+from typer.completion import completion_init, get_completion_script
 
 from jayshunt import __version__
-from jayshunt.cli.const import ExitCode
-from jayshunt.cli.operator_client import OperatorClient
+from jayshunt.cli import config_commands, status_commands
+from jayshunt.cli.const import EXIT_CODE_HELP, ExitCode
+from jayshunt.config.models import ConfigDocument
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.logs import LogFormat, configure_logging
-from jayshunt.settings.loader import InvalidFile, load_settings
+from jayshunt.settings.loader import InvalidFile, load_settings, load_toml
+
+EPILOG = "Exit codes: " + " ".join(
+    f"{code.value} {text}" for code, text in EXIT_CODE_HELP.items()
+)
 
 app = typer.Typer(
     name="jayshunt",
     help="Manage fleet capacity and maintenance for shared upstreams.",
+    epilog=EPILOG,
     no_args_is_help=True,
     pretty_exceptions_enable=False,
+    # The library's installer starts a child process; see `completion`.
+    add_completion=False,
 )
 
-Address = Annotated[
-    str,
-    typer.Option(
-        "--entry",
-        envvar="JAYSHUNT_ENTRY",
-        help="Operator address of an entry, IP:PORT.",
-    ),
-]
-TokenFile = Annotated[
-    Path,
-    typer.Option(
-        "--token-file", envvar="JAYSHUNT_TOKEN_FILE", help="File with the token."
-    ),
-]
+
+class Shell(Enum):
+    """Name the shells with completion."""
+
+    BASH = "bash"
+    ZSH = "zsh"
+    FISH = "fish"
 
 
 def _show_version(value: bool) -> None:
@@ -51,10 +52,12 @@
 def options(
     version: Annotated[
         bool,
-        typer.Option("--version", callback=_show_version, is_eager=True),
+        typer.Option(
+            "--version", callback=_show_version, is_eager=True, help="Show the version."
+        ),
     ] = False,
 ) -> None:
-    """Take the options that belong to no command."""
+    """Manage fleet capacity and maintenance for shared upstreams."""
 
 
 @app.command()
@@ -77,78 +80,66 @@
 
 
 @app.command()
-def check(file: Annotated[Path, typer.Argument(help="Settings file.")]) -> None:
-    """Check a settings file and explain each mistake."""
-    load_settings(file)
-    typer.echo(f"{file}: no mistakes")
-
-
-@app.command()
-def target(
-    work_class: Annotated[str, typer.Argument(metavar="CLASS")],
-    address: Address,
-    token_file: TokenFile,
-    answer_within_ms: Annotated[int | None, typer.Option(min=1)] = None,
-    wait_at_most_s: Annotated[float | None, typer.Option(min=0)] = None,
+def check(
+    files: Annotated[
+        list[Path], typer.Argument(help="Settings or configuration files.")
+    ],
 ) -> None:
-    """Set the target of a class."""
-    fields = {"target_ms": answer_within_ms, "max_wait_s": wait_at_most_s}
-    given = {name: value for name, value in fields.items() if value is not None}
-    if not given:
-        raise typer.BadParameter("give --answer-within-ms or --wait-at-most-s")
-    result = _client(address, token_file).call(
-        "PUT", f"classes/{work_class}/target", given
-    )
-    typer.echo(f"accepted as version {result['version']}")
+    """Check files and explain each mistake; settings have a table `identity`."""
+    problems = [problem for file in files if (problem := _check_file(file))]
+    for problem in problems:
+        typer.echo(problem.detail, err=True)
+    if problems:
+        raise typer.Exit(ExitCode.INVALID_FILE)
 
 
 @app.command()
-def stop(
-    name: Annotated[str, typer.Argument(help="Name of the planned stop.")],
-    address: Address,
-    token_file: TokenFile,
-    scope: Annotated[str, typer.Option(help="pool, zone, rack_group or every_vm.")],
-    of: Annotated[str, typer.Option(help="Name of the pool, zone or group.")] = "",
-    reason: Annotated[str, typer.Option()] = "",
+def completion(
+    shell: Annotated[Shell, typer.Argument(help="bash, zsh or fish.")],
 ) -> None:
-    """Declare a planned stop."""
-    fields = {"scope": scope, "target": of, "reason": reason}
-    result = _client(address, token_file).call("PUT", f"stops/{name}", fields)
-    typer.echo(f"accepted as version {result['version']}")
-
-
-@app.command()
-def status(
-    address: Address,
-    token_file: TokenFile,
-    as_json: Annotated[bool, typer.Option("--json")] = False,
-) -> None:
-    """Show whether each class is met."""
-    result = _client(address, token_file).call("GET", "status")
-    if as_json:
-        typer.echo(json.dumps(result))
-        return
-    typer.echo(f"configuration {result['config_version']}, store {result['store']}")
-    for item in result["classes"]:
-        verdict = "met" if item["is_met"] else "MISSED"
-        typer.echo(
-            f"{item['work_class']:<24} target {item['target_ms']:>6} ms  "
-            f"p99 {item['p99_ms']:>8.1f} ms  {item['met']}/{item['requests']} {verdict}"
+    """Print the completion script of a shell, to be read by its start file."""
+    typer.echo(
+        get_completion_script(
+            prog_name="jayshunt", complete_var="_JAYSHUNT_COMPLETE", shell=shell.value
         )
-    for name, planned in result["planned_stops"].items():
-        typer.echo(f"planned stop {name}: {planned['scope']} {planned['target']}")
+    )
 
 
-@app.command()
-def dump(address: Address, token_file: TokenFile) -> None:
-    """Print the whole state of an entry as JSON."""
-    result = _client(address, token_file).call("GET", "dump")
-    typer.echo(json.dumps(result, indent=2))
+for command in (
+    config_commands.apply,
+    config_commands.diff,
+    config_commands.history,
+    config_commands.show,
+    config_commands.target,
+    config_commands.stop,
+    status_commands.status,
+    status_commands.dump,
+    status_commands.report,
+):
+    app.command()(command)
 
 
-def _client(address: str, token_file: Path) -> OperatorClient:
-    author = os.environ.get("JAYSHUNT_AUTHOR") or getpass.getuser()
-    return OperatorClient(address, token_file.read_text().strip(), author)
+def _check_file(file: Path) -> InvalidFile | None:
+    try:
+        if _is_settings(file):
+            load_settings(file)
+            kind = "settings"
+        else:
+            load_toml(file, ConfigDocument)
+            kind = "configuration"
+    except InvalidFile as error:
+        return error
+    typer.echo(f"{file}: {kind} without mistakes")
+    return None
+
+
+def _is_settings(file: Path) -> bool:
+    try:
+        content = tomllib.loads(file.read_text())
+    except (OSError, ValueError):
+        # The loader explains the mistake.
+        return True
+    return bool({"identity", "listen", "platform"} & content.keys())
 
 
 def exit_code_of(error: JayshuntError) -> ExitCode:
@@ -157,6 +148,8 @@
         return ExitCode.INVALID_FILE
     if error.outcome is Outcome.UNKNOWN:
         return ExitCode.UNKNOWN
+    if error.code == "config_conflict":
+        return ExitCode.CONFLICT
     if error.code == "peer_unreachable":
         return ExitCode.UNREACHABLE
     return ExitCode.REFUSED
@@ -164,14 +157,16 @@
 
 def main() -> None:
     """Run the command line and turn errors into exit codes."""
+    completion_init()
     try:
-        app()
+        app(prog_name="jayshunt")
     except JayshuntError as error:
         sys.stderr.write(f"{error.detail}\n")
-        sys.stderr.write(
-            f"code={error.code} step={error.step} peer={error.peer} "
-            f"outcome={error.outcome.value}\n"
-        )
+        if not isinstance(error, InvalidFile):
+            sys.stderr.write(
+                f"code={error.code} step={error.step} peer={error.peer} "
+                f"outcome={error.outcome.value}\n"
+            )
         sys.exit(exit_code_of(error))
 
 
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -3,6 +3,7 @@
 import io
 import threading
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pycurl
 
@@ -43,6 +44,7 @@
     timeout_s: float,
     step: str,
     stop: threading.Event | None = None,
+    authority_file: Path | None = None,
 ) -> HttpAnswer:
     """Send one request and return the whole answer.
 
@@ -71,6 +73,8 @@
     if body is not None:
         handle.setopt(pycurl.POSTFIELDS, body)
     handle.setopt(pycurl.HTTPHEADER, [*sent, "Expect:"])
+    if authority_file is not None:
+        handle.setopt(pycurl.CAINFO, str(authority_file))
     if method == "HEAD":
         handle.setopt(pycurl.NOBODY, 1)
     try:
