--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -9,16 +9,21 @@
 from jayshunt.admission.broker import Broker
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
-from jayshunt.ids import EntryId, PoolName, ZoneName
+from jayshunt.config.peer_service import ConfigurationServicer
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.config.transport import GrpcConfigTransport
+from jayshunt.config.watcher import StoreWatcher
+from jayshunt.ids import EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
-from jayshunt.jobs.application import JobApplication
-from jayshunt.jobs.intake import JobIntake
-from jayshunt.jobs.scheduler import JobScheduler
-from jayshunt.jobs.shards import ZoneJobs
-from jayshunt.jobs.worker_client import WorkerClient
-from jayshunt.jobs.workers import WorkerTable
+from jayshunt.jobs.diagnostics import describe as describe_jobs
+from jayshunt.jobs.service import JobService
+from jayshunt.membership.models import Member, MembershipView
+from jayshunt.membership.peer_service import MembershipServicer
+from jayshunt.membership.service import MembershipService
 from jayshunt.operations.application import OperatorApplication
 from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
 from jayshunt.routing.connections import UpstreamConnections
@@ -26,9 +31,12 @@
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
 from jayshunt.serving.http_server import HttpServer
-from jayshunt.settings.models import EntrySettings
+from jayshunt.serving.limits import OPERATOR_LIMITS, caller_limits
+from jayshunt.serving.tls import ReloadingTls
+from jayshunt.settings.models import EntrySettings, ServerTlsFiles
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
+from jayshunt.store.gate import CallShare
 from jayshunt.store.group_commit import GroupCommitter
 from jayshunt.store.models import StoreState
 from jayshunt.tasks import TaskGroup
@@ -50,8 +58,35 @@
         self._tasks = TaskGroup("entry")
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
+        self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
+        self.channels = PeerChannels(settings.tls.peers)
+        own = self._own_member()
+        self.membership = MembershipService(
+            own, settings.seeds, self.channels, clock, rng
+        )
+        self.peer_server.add(MembershipServicer(self.membership).add_to)
+        self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
+        self.inventory.add_listener(
+            lambda listed: self.membership.add_seeds(listed.entries)
+        )
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
+        self.spreader = ConfigSpreader(
+            own,
+            self.config,
+            GrpcConfigTransport(self.channels),
+            self.membership.view,
+            clock,
+            rng,
+        )
+        self.config_watcher = StoreWatcher(
+            own, self.config, self.store.watch, self.membership.view, clock, rng
+        )
+        self.peer_server.add(ConfigurationServicer(self.config, self.spreader).add_to)
+        self.membership.add_version_listener(self.spreader.hear_version)
+        self.config.add_listener(
+            lambda snapshot: self.membership.set_config_version(snapshot.version)
+        )
         self.controller = ZoneController(
             zone,
             self._entry,
@@ -67,27 +102,35 @@
         self.router = Router(
             self._entry, clock, self.config.current, self._broker_of, self.connections
         )
+        # A new controller takes its larger share at its first step.
+        self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
         self.commits = GroupCommitter(documents, clock, self._is_store_up)
-        self.scheduler = self._job_scheduler(zone, documents)
-        intake = JobIntake(
-            zone,
+        self.jobs = JobService(
+            own,
             documents,
             self.commits,
             self.config.current,
+            lambda: self.controller.record,
+            lambda: self.controller.term,
+            self.membership.view,
+            self.channels,
             clock,
             rng,
-            lambda _zone, shards: self.scheduler.notice(shards),
         )
-        self.callers = self._caller_server(settings, JobApplication(intake))
+        self.peer_server.add(self.jobs.servicer.add_to)
+        self.callers = self._caller_server(settings)
         self.operators = self._operator_server(settings)
 
     def start(self) -> None:
         """Start every part; callers are served last."""
+        self.peer_server.start()
         for task in (
+            self.membership.run,
             self.inventory.run,
-            self.config.run,
+            self.config_watcher.run,
+            self.spreader.run_fetches,
             self.controller.run,
-            self.scheduler.run,
+            *self.jobs.tasks,
         ):
             self._tasks.start(task)
         self.operators.start()
@@ -102,37 +145,50 @@
     def stop(self) -> None:
         """Serve what was accepted to its end, then stop every part."""
         _LOGGER.info("entry: stopping, requests in flight end first")
+        self.membership.leave()
         self.callers.stop()
         self.operators.stop()
         self._tasks.stop()
         self.connections.stop()
         self.commits.stop()
+        self.membership.stop()
+        self.peer_server.stop()
+        self.channels.stop()
 
-    def _job_scheduler(self, zone: ZoneName, documents: DocumentStore) -> JobScheduler:
-        wake = threading.Event()
-        return JobScheduler(
-            ZoneJobs(zone, documents, self.commits, self._clock),
-            WorkerTable(WorkerClient(), self._clock, wake.set),
-            self.config.current,
-            lambda: self.controller.record,
-            lambda: self.controller.term,
-            self._clock,
-            wake,
+    def _share_store(self, view: MembershipView) -> None:
+        """Divide the store's rate among all entries that may be alive.
+
+        Lost members count until they are forgotten, because they may run on the
+        other side of a partition.
+        """
+        share = CallShare(
+            len(view.members), len(view.zones()), self.controller.holds_lease
         )
+        self.store.set_share(share)
 
-    def _caller_server(
-        self, settings: EntrySettings, jobs: JobApplication
-    ) -> HttpServer:
-        application = CallerApplication(
-            self._send, jobs.answer, settings.limits.max_body_bytes
+    def _own_member(self) -> Member:
+        identity = self._settings.identity
+        host, _ = split_address(self._settings.listen.peers)
+        return Member(
+            entry=self._entry,
+            zone=ZoneName(identity.zone),
+            region=RegionName(identity.region),
+            peer_address=f"{host}:{self.peer_server.port}",
+            # The wall time makes a restarted process newer than its predecessor.
+            incarnation=int(self._clock.now_s() * 1000),
+            program_version=__version__,
         )
+
+    def _caller_server(self, settings: EntrySettings) -> HttpServer:
+        application = CallerApplication(self._send, self.jobs.application.answer)
         host, port = split_address(settings.listen.callers)
         return HttpServer(
             host,
             port,
             application,
-            settings.limits.max_connections,
-            settings.limits.read_timeout_ms / 1000,
+            caller_limits(settings.limits),
+            self._tls_of(settings.tls.callers),
+            self._clock,
         )
 
     def _operator_server(self, settings: EntrySettings) -> HttpServer:
@@ -144,7 +200,17 @@
             self._is_ready,
         )
         host, port = split_address(settings.listen.operators)
-        return HttpServer(host, port, application, 32, 10.0)
+        return HttpServer(
+            host,
+            port,
+            application,
+            OPERATOR_LIMITS,
+            self._tls_of(settings.tls.operators),
+            self._clock,
+        )
+
+    def _tls_of(self, files: ServerTlsFiles | None) -> ReloadingTls | None:
+        return None if files is None else ReloadingTls(files, self._clock)
 
     def _send(self, request: CallerRequest) -> CallerAnswer:
         started_s = self._clock.monotonic_s()
@@ -181,7 +247,8 @@
         return self.store.health.state is StoreState.UP
 
     def _is_ready(self) -> bool:
-        return bool(self.config.current().version and self.controller.record.epoch)
+        in_force = self.config.current().version and self.controller.record.epoch
+        return bool(in_force) and not self.callers.draining
 
     def _status(self) -> dict:
         config = self.config.current()
@@ -192,6 +259,10 @@
             "config_version": config.version,
             "store": self.store.health.state.value,
             "is_controller": self.controller.holds_lease,
+            "members": {
+                member.entry: member.state.value
+                for member in self.membership.view().members
+            },
             "classes": [
                 {**asdict(status), "is_met": status.is_met}
                 for status in self.statistics.status(config)
@@ -215,6 +286,7 @@
                 pool: [asdict(permit) for permit in broker.held_permits()]
                 for pool, broker in self._brokers.items()
             },
+            "jobs": describe_jobs(self.jobs.scheduler),
         }
 
 
--- a/src/jayshunt/jobs/decisions.py
+++ b/src/jayshunt/jobs/decisions.py
@@ -1,9 +1,10 @@
-"""Describe what the scheduler decided."""
+"""Describe what the scheduler decided and what it knows."""
 
 from dataclasses import dataclass
 
-from jayshunt.ids import JobId
-from jayshunt.jobs.models import JobState
+from jayshunt.ids import Epoch, JobId, PoolName, WorkerId
+from jayshunt.jobs.models import Job, JobState
+from jayshunt.jobs.sizes import Size
 
 
 @dataclass(frozen=True)
@@ -14,3 +15,27 @@
     at_s: float
     state: JobState
     reason: str
+
+
+@dataclass(frozen=True)
+class WorkerView:
+    """Describe one worker to operators."""
+
+    worker: WorkerId
+    pool: PoolName
+    answers: bool
+    is_serving: bool
+    is_quarantined: bool
+    jobs: int
+
+
+@dataclass(frozen=True)
+class SchedulerView:
+    """Hold what a scheduler knows at one moment."""
+
+    epoch: Epoch
+    open_jobs: tuple[Job, ...]
+    waiting_reasons: dict[JobId, str]
+    decisions: tuple[Decision, ...]
+    workers: tuple[WorkerView, ...]
+    learned: dict[str, Size]
--- a/src/jayshunt/jobs/scheduler.py
+++ b/src/jayshunt/jobs/scheduler.py
@@ -15,7 +15,7 @@
     SCHEDULE_INTERVAL_S,
     SHARDS_PER_ZONE,
 )
-from jayshunt.jobs.decisions import Decision
+from jayshunt.jobs.decisions import Decision, SchedulerView, WorkerView
 from jayshunt.jobs.following import JobFollower
 from jayshunt.jobs.models import Job, JobState
 from jayshunt.jobs.orders import group_by_worker, orders_for
@@ -70,6 +70,35 @@
         """Return the fencing epoch of the current term, or 0."""
         return self._epoch
 
+    @property
+    def schedules(self) -> bool:
+        """Return whether this entry schedules its zone's jobs at present."""
+        return self._term is not None
+
+    def view(self) -> SchedulerView:
+        """Return what is known, for diagnostics."""
+        now_s = self._clock.monotonic_s()
+        open_jobs = tuple(self._jobs.open_jobs()) if self.schedules else ()
+        held = group_by_worker(open_jobs)
+        return SchedulerView(
+            self._epoch if self.schedules else Epoch(0),
+            open_jobs,
+            dict(self.waiting_reasons),
+            tuple(self.decisions),
+            tuple(
+                WorkerView(
+                    s.worker,
+                    s.pool,
+                    s.answers,
+                    s.is_serving,
+                    self.health.is_quarantined(s.worker, now_s),
+                    len(held.get(s.worker, ())),
+                )
+                for s in list(self._table.statuses.values())
+            ),
+            dict(self.learner.estimates()),
+        )
+
     def run(self, stop: threading.Event) -> None:
         """Step until stopped, at once after a notice."""
         while not stop.is_set():
