Claim requests with an idempotency key before they are sent

Cause: a marked request that was retried at another entry with the same key ran again, since no entry knew of the other's attempt.

Change: idempotency/claims.py writes a claim by group commit between permit and send, wired into the router.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -2,17 +2,22 @@
 
 import logging
 import random
-import threading
 from dataclasses import asdict
 
 from jayshunt import __version__
-from jayshunt.admission.broker import Broker
+from jayshunt.admission.diagnostics import describe_admission
+from jayshunt.admission.directory import BrokerDirectory
+from jayshunt.admission.health_checks import HealthChecker
+from jayshunt.admission.peer_service import AdmissionService
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.config.peer_service import ConfigurationServicer
 from jayshunt.config.spreader import ConfigSpreader
 from jayshunt.config.transport import GrpcConfigTransport
 from jayshunt.config.watcher import StoreWatcher
+from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
+from jayshunt.idempotency.diagnostics import describe as describe_claims
+from jayshunt.idempotency.models import Holder
 from jayshunt.ids import EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.diagnostics import describe as describe_jobs
@@ -27,6 +32,8 @@
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
 from jayshunt.routing.connections import UpstreamConnections
+from jayshunt.routing.const import HEALTH_CONNECTIONS
+from jayshunt.routing.diagnostics import describe_routing
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
@@ -95,16 +102,37 @@
             lambda: self.inventory.current,
             clock,
         )
-        self._brokers: dict[PoolName, Broker] = {}
-        self._brokers_lock = threading.Lock()
         self.statistics = ClassStatistics(clock)
-        self.connections = UpstreamConnections(clock)
+        self.brokers = BrokerDirectory(
+            self._entry,
+            zone,
+            clock,
+            self.membership.view,
+            self.channels,
+            self._instances,
+            self._slots_of,
+        )
+        self.health = HealthChecker(self.brokers.brokers, clock)
+        service = AdmissionService(self.brokers.own_broker, self.brokers.recover)
+        self.peer_server.add(service.add_to)
+        self.controller.add_listener(lambda _: self.brokers.apply_assignments())
+        self.connections = UpstreamConnections(clock, self._idle_limit)
+        self.commits = GroupCommitter(documents, clock, self._is_store_up)
+        holder = Holder(self._entry, own.incarnation)
+        self.claims = ClaimStore(
+            holder, self.commits, holder_is_gone(self.membership.view), clock
+        )
         self.router = Router(
-            self._entry, clock, self.config.current, self._broker_of, self.connections
+            self._entry,
+            clock,
+            self.config.current,
+            self.brokers,
+            self.connections,
+            rng,
+            self.claims,
         )
         # A new controller takes its larger share at its first step.
         self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
-        self.commits = GroupCommitter(documents, clock, self._is_store_up)
         self.jobs = JobService(
             own,
             documents,
@@ -131,8 +159,11 @@
             self.spreader.run_fetches,
             self.controller.run,
             *self.jobs.tasks,
+            self.claims.run,
         ):
             self._tasks.start(task)
+        for task in (self.brokers.run, self.health.run):
+            self._tasks.start(task)
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
@@ -148,6 +179,7 @@
         self.membership.leave()
         self.callers.stop()
         self.operators.stop()
+        self.brokers.stop()
         self._tasks.stop()
         self.connections.stop()
         self.commits.stop()
@@ -224,21 +256,21 @@
             if request.work_class in self.config.current().document.classes:
                 self.statistics.record(request.work_class, duration_ms, answered)
 
-    def _broker_of(self, pool: PoolName) -> Broker:
-        with self._brokers_lock:
-            broker = self._brokers.get(pool)
-            if broker is None:
-                broker = Broker(
-                    pool,
-                    self._entry,
-                    self._clock,
-                    lambda: self._instances(pool),
-                    lambda: self.config.current()
-                    .document.pools[pool]
-                    .slots_per_instance,
-                )
-                self._brokers[pool] = broker
-            return broker
+    def _slots_of(self, pool: PoolName) -> int:
+        settings = self.config.current().document.pools.get(pool)
+        if settings is None:
+            return 0
+        return min(settings.slots_per_instance, settings.connections_per_instance)
+
+    def _idle_limit(self) -> int:
+        """Return this entry's share of the connections that permits do not use."""
+        pools = self.config.current().document.pools.values()
+        spare = min(
+            (p.connections_per_instance - p.slots_per_instance for p in pools),
+            default=0,
+        )
+        entries = len(self.membership.view().alive())
+        return max(0, spare - HEALTH_CONNECTIONS) // max(1, entries)
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
@@ -282,11 +314,10 @@
                 vm: {"pool": a.pool, "state": a.state.value, "reason": a.reason}
                 for vm, a in record.assignments.items()
             },
-            "held_permits": {
-                pool: [asdict(permit) for permit in broker.held_permits()]
-                for pool, broker in self._brokers.items()
-            },
+            "admission": describe_admission(self.brokers),
+            "routing": describe_routing(self.router, self.connections),
             "jobs": describe_jobs(self.jobs.scheduler),
+            "idempotency": describe_claims(self.claims),
         }
 
 
