--- a/src/jayshunt/jobs/following.py
+++ b/src/jayshunt/jobs/following.py
@@ -71,16 +71,18 @@
         self, job: Job, status: WorkerStatus, epoch: Epoch, now_s: float
     ) -> Job | None:
         report = status.reports.get(task_of(job))
-        if report is not None:
+        # That an attempt ran is old news once its worker stopped answering.
+        runs = report is not None and report.state is TaskState.RUNNING
+        if report is not None and (status.answers or not runs):
             return self._after_report(job, report, now_s)
         if status.answers and status.boot != job.boot:
             return transitions.after_restart(job)
-        if status.in_flight or (status.answers and must_start(job, status)):
+        if status.is_ordering or (status.answers and must_start(job, status)):
             return None
         if status.answers:
             return transitions.before_start(job, f"{job.worker} did not start it")
         # This scheduler wrote the placement, so it knows every order for it.
-        if job.epoch == epoch and task_of(job) not in status.sent:
+        if not runs and job.epoch == epoch and task_of(job) not in status.sent:
             return transitions.before_start(job, f"{job.worker} was not reached")
         if now_s < status.leases_end_s:
             return None
--- a/src/jayshunt/jobs/workers.py
+++ b/src/jayshunt/jobs/workers.py
@@ -35,7 +35,9 @@
 
     `leases_end_s` is the time at which every lease on the worker has surely ended,
     unless it is renewed. `boot` is empty until the worker first answered. `sent`
-    holds the attempts whose start order may have arrived.
+    holds the attempts whose start order may have arrived. `is_ordering` says that
+    the call in flight may start or renew something; a mere question may not, and
+    a silent worker is asked nearly all the time.
     """
 
     worker: WorkerId
@@ -51,6 +53,7 @@
     failures: int = 0
     due_s: float = 0.0
     in_flight: bool = False
+    is_ordering: bool = False
     ordered: frozenset = frozenset()
     sequence: int = 0
     sent: set[TaskId] = field(default_factory=set)
@@ -138,6 +141,7 @@
         if not status.answers:
             orders = WorkerOrders()
         status.in_flight = True
+        status.is_ordering = bool(orders.renew or orders.start)
         status.sequence += 1
         fence = Fence(epoch, status.sequence)
         self._executor.submit(self._call, status.worker, status.address, fence, orders)
@@ -151,7 +155,7 @@
             status = self.statuses.get(result.worker)
             if status is None:
                 continue
-            status.in_flight = False
+            status.in_flight = status.is_ordering = False
             if result.answer is not None:
                 self._take_answer(status, result.orders, result.answer)
             else:
