--- /dev/null
+++ b/src/jayshunt/idempotency/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the idempotency slice."""
