--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -15,9 +15,13 @@
 from jayshunt.config.watcher import StoreWatcher
 from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
 from jayshunt.idempotency.models import Holder
-from jayshunt.ids import EntryId, PoolName, RegionName, ZoneName
+from jayshunt.ids import EntryId, PoolName, RegionName, WorkerId, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.service import JobService
+from jayshunt.maintenance.permits import PermitLedger
+from jayshunt.maintenance.probes import HealthProbes
+from jayshunt.maintenance.reporting import ZoneReporter
+from jayshunt.maintenance.runner import MaintenanceRunner
 from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
@@ -25,9 +29,12 @@
 from jayshunt.operations.sections import buffer_cores
 from jayshunt.operations.service import OperationsService
 from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
-from jayshunt.pools.models import Assignment, VmKind
+from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
+from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
+from jayshunt.pools.registry import EntryRegistry
 from jayshunt.reports import add_reports
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.const import HEALTH_CONNECTIONS
@@ -91,14 +98,8 @@
         self.config.add_listener(
             lambda snapshot: self.membership.set_config_version(snapshot.version)
         )
-        self.controller = ZoneController(
-            zone,
-            self._entry,
-            self.store,
-            documents,
-            lambda: self.inventory.current,
-            clock,
-        )
+        self.controller = self._zone_controller(zone, own, documents)
+        self.maintenance = self._maintenance(zone, documents)
         self.operations = OperationsService(
             self._entry,
             self.config,
@@ -152,6 +153,7 @@
             rng,
         )
         self.peer_server.add(self.jobs.servicer.add_to)
+        self.controller.add_hold(lambda vm: self.jobs.scheduler.drain(WorkerId(vm)))
         self.callers = self._caller_server(settings)
         self.operators = self._operator_server(settings)
         add_reports(self)
@@ -190,10 +192,75 @@
         self._tasks.stop()
         self.connections.stop()
         self.commits.stop()
+        self._probes.stop()
         self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
 
+    def _zone_controller(
+        self, zone: ZoneName, own: Member, documents: DocumentStore
+    ) -> ZoneController:
+        self.registry = EntryRegistry(
+            zone,
+            self._entry,
+            own.incarnation,
+            own.peer_address,
+            self.store,
+            self.clock,
+        )
+        service = AssignmentsService(
+            zone,
+            self.registry.own,
+            lambda record: self.controller.apply(record),
+            lambda vm: self.brokers.in_flight(vm),
+        )
+        self.peer_server.add(
+            lambda server: add_AssignmentsServicer_to_server(service, server)
+        )
+        return ZoneController(
+            zone,
+            self._entry,
+            self.store,
+            documents,
+            lambda: self.inventory.current,
+            self.clock,
+            self.registry,
+            RecordPusher(self.channels, service).push,
+            lambda: [
+                EntryRegistration(m.entry, m.incarnation, m.peer_address, 0.0)
+                for m in self.membership.view().alive(zone)
+            ],
+        )
+
+    def _maintenance(
+        self, zone: ZoneName, documents: DocumentStore
+    ) -> MaintenanceRunner:
+        ledger = PermitLedger(
+            documents,
+            lambda: self.inventory.current,
+            self._min_available_ratio,
+            lambda: self.controller.fencing_epoch,
+            self.clock,
+        )
+        self._probes = HealthProbes()
+        runner = MaintenanceRunner(
+            zone,
+            self.controller,
+            ledger,
+            ZoneReporter(zone, ledger, dict, self.clock),
+            lambda: self.config.current().document,
+            self.inventory.call_vm,
+            self._probes.check,
+            self.clock,
+        )
+        self.controller.add_duty(runner.step)
+        return runner
+
+    def _min_available_ratio(self, pool: PoolName) -> float:
+        configured = self.config.current().document.pools.get(pool)
+        # Nothing of a pool that is not configured may be taken down.
+        return 1.0 if configured is None else configured.min_available_ratio
+
     def _share_store(self, view: MembershipView) -> None:
         """Divide the store's rate among all entries that may be alive.
 
@@ -268,6 +335,8 @@
         return max(0, spare - HEALTH_CONNECTIONS) // max(1, entries)
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
+        if not self.controller.may_broker:
+            return ()
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
 
     def _is_store_up(self) -> bool:
--- a/src/jayshunt/jobs/scheduler.py
+++ b/src/jayshunt/jobs/scheduler.py
@@ -125,8 +125,11 @@
 
         A worker that is not SERVING in the assignment record gets no new job; its
         jobs are checkpointed where the platform can and otherwise run to their
-        end. A caller that empties a worker waits until this returns 0.
+        end. A caller that empties a worker waits until this returns 0. A scheduler
+        that has not read the jobs of its term yet cannot tell, and returns 1.
         """
+        if not self.schedules:
+            return 1
         return sum(1 for job in self._jobs.open_jobs() if job.worker == worker)
 
     def step(self) -> None:
