Measure requests under load and faults

Cause: the serving goals had no measurement.

Change: script/measure serving starts four entries in two zones and upstreams in processes of their own, sends two shapes of five classes that burst in turn, and strikes each fault alone and three pairs. Baselines (by arrival, static split) and the bound are computed from the same arrivals.

--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -3,12 +3,14 @@
 import typer
 
 from jayshunt_measure.demo import demo
+from jayshunt_measure.serving import serving
 from jayshunt_measure.smoke import smoke
 
 app = typer.Typer(
     add_completion=False, pretty_exceptions_enable=False, no_args_is_help=True
 )
 app.command()(demo)
+app.command()(serving)
 app.command()(smoke)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/jayshunt_measure/serving.py
@@ -0,0 +1,230 @@
+"""Measure requests under load and faults against baselines and the bound."""
+
+import json
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Annotated
+
+import typer
+
+from jayshunt_measure.serving_baselines import (
+    MetRatio,
+    Outage,
+    best,
+    fifo,
+    static_split,
+)
+from jayshunt_measure.serving_bed import ServingBed, document, instance_plans
+from jayshunt_measure.serving_cases import ENTRY_STOPPED, Case, Scene, all_cases
+from jayshunt_measure.serving_counts import (
+    Counts,
+    UpstreamRecord,
+    count,
+    met_ratio,
+    quantile,
+)
+from jayshunt_measure.serving_load import Callers, Sent
+from jayshunt_measure.serving_shapes import (
+    INSTANCES_PER_ZONE,
+    SLOTS,
+    TEE,
+    TETTEH,
+    TOTAL_SLOTS,
+    ZONES,
+    Arrival,
+    bursts,
+    calm,
+)
+
+SHAPES = (TETTEH, TEE)
+ENTRIES_PER_ZONE = 2
+# Parts of the run's length; the rest goes into starting and stopping.
+START_PART, CALM_PART, BURST_PART, FAULT_PART = 0.1, 0.05, 0.024, 0.037
+FAULT_FROM, FAULT_UNTIL = 0.2, 0.8
+ALONE_FIELDS = ("refused_late", "false_not_run", "run_twice", "wrong_answer", "lost")
+
+
+@dataclass
+class CaseResult:
+    """Hold one case with its requests and what baselines make of them."""
+
+    case: Case
+    arrivals: list[Arrival]
+    sent: list[Sent]
+    outages: tuple[Outage, ...]
+    cpu_s: float = 0.0
+
+    def bound(self) -> MetRatio:
+        """Return the best any schedule could do."""
+        gone = {s.arrival.number for s in self.sent if s.cancelled}
+        kept = [a for a in self.arrivals if a.number not in gone]
+        return best(kept, TOTAL_SLOTS, self.outages)
+
+
+class ServingRun:
+    """Run the cases one after another on one bed."""
+
+    def __init__(self, bed: ServingBed, seed: int, seconds: float) -> None:
+        """Take a bed that is ready."""
+        self._bed = bed
+        self._seed = seed
+        self._seconds = seconds
+        self.record = UpstreamRecord()
+
+    def calm(self) -> list[Sent]:
+        """Send at a part of the capacity, to see the added latency."""
+        arrivals = calm(TETTEH, CALM_PART * self._seconds, self._seed)
+        return self._send("calm", arrivals, Case("calm", TETTEH), 0)[0]
+
+    def case(self, case: Case, turn: int) -> CaseResult:
+        """Run one case."""
+        part = BURST_PART * case.turns if not case.faults else FAULT_PART
+        seconds = part * self._seconds
+        arrivals = bursts(case.shape, seconds, self._seed + turn, turn, case.turns)
+        before_s = self._bed.cpu_s() if not case.faults else 0.0
+        sent, struck_s, ended_s = self._send(case.name, arrivals, case, turn)
+        used_s = self._bed.cpu_s() - before_s if not case.faults else 0.0
+        self._bed.revive()
+        outages = tuple(
+            Outage(fault.slots_lost, struck_s, ended_s) for fault in case.faults
+        )
+        return CaseResult(case, arrivals, sent, outages, used_s)
+
+    def collect(self) -> None:
+        """Read what the instances recorded."""
+        for vm in self._bed.addresses:
+            self.record.add(vm, self._bed.read_ran(vm))
+
+    def _send(
+        self, name: str, arrivals: list[Arrival], case: Case, turn: int
+    ) -> tuple[list[Sent], float, float]:
+        callers = Callers(name, self._bed.in_rotation, self._seed)
+        scene = Scene(self._bed, case.shape, callers, turn)
+        length_s = arrivals[-1].at_s
+        with ThreadPoolExecutor(1) as executor:
+            faults = executor.submit(_strike, case, scene, length_s)
+            sent = callers.run(arrivals)
+            struck_s, ended_s = faults.result()
+        return sent, struck_s - callers.start_s, ended_s - callers.start_s
+
+
+def _strike(case: Case, scene: Scene, length_s: float) -> tuple[float, float]:
+    if not case.faults:
+        return 0.0, 0.0
+    time.sleep(FAULT_FROM * length_s)
+    struck_s = time.monotonic()
+    for fault in case.faults:
+        fault.begin(scene)
+    time.sleep((FAULT_UNTIL - FAULT_FROM) * length_s)
+    for fault in case.faults:
+        fault.end(scene)
+    return struck_s, time.monotonic()
+
+
+def serving(
+    seed: Annotated[int, typer.Option(help="Seed of the arrivals.")] = 1,
+    seconds: Annotated[int, typer.Option(min=20, help="Length of the run.")] = 50,
+    only: Annotated[str, typer.Option(help="Run only cases with this name.")] = "",
+    as_json: Annotated[bool, typer.Option("--json")] = False,
+) -> None:
+    """Measure targets met, refusals, faults and cost per request."""
+    bed = ServingBed(
+        instance_plans(SHAPES), dict.fromkeys(ZONES, ENTRIES_PER_ZONE)
+    ).start()
+    try:
+        bed.configure(document(SHAPES))
+        bed.wait_members()
+        run = ServingRun(bed, seed, seconds)
+        calm_sent = run.calm()
+        results = [
+            run.case(case, turn)
+            for turn, case in enumerate(all_cases())
+            if only in case.name
+        ]
+        time.sleep(0.5)
+        run.collect()
+    finally:
+        bed.stop()
+    fields = _report(results, calm_sent, run.record)
+    for name, value in fields.items():
+        shown = f"{value:.3f}" if isinstance(value, float) else str(value)
+        typer.echo(f"{name:<36}{shown:>16}")
+    if as_json:
+        typer.echo(json.dumps(fields))
+
+
+def _report(
+    results: list[CaseResult], calm_sent: list[Sent], record: UpstreamRecord
+) -> dict[str, float | int | str]:
+    total = Counts()
+    header = f"{'case':<40}{'requests':>9}{'met':>7}{'bound':>7}{'of it':>7}"
+    typer.echo(f"{header}{'worst':>7}{'refused':>8}{'unknown':>8}{'bad':>5}")
+    worst_name, worst_ratio = "", 1e9
+    for result in results:
+        counts = count(result.sent, record, ENTRY_STOPPED in result.case.faults)
+        total.add(counts)
+        met, bound = met_ratio(result.sent), result.bound()
+        of_bound = met.total / bound.total if bound.total else 1.0
+        if of_bound < worst_ratio:
+            worst_name, worst_ratio = result.case.name, of_bound
+        bad = {n: v for n, v in vars(counts).items() if n in ALONE_FIELDS and v}
+        typer.echo(
+            f"{result.case.name:<40}{counts.requests:>9}{met.total:>7.3f}"
+            f"{bound.total:>7.3f}{of_bound:>7.3f}{_worst_of_bound(met, bound):>7.3f}"
+            f"{counts.refused:>8}{counts.unknown:>8}{sum(bad.values()):>5}"
+            f"  {bad or ''}"
+        )
+    added_ms = [
+        item.latency_ms - record.durations_ms[item.request]
+        for item in calm_sent
+        if item.status == 200 and item.request in record.durations_ms
+    ]
+    total.add(count(calm_sent, record, False))
+    return {
+        **_met_fields([r for r in results if not r.case.faults]),
+        "worst_case": worst_name,
+        "worst_case_of_bound": worst_ratio,
+        **{name: value for name, value in vars(total).items()},
+        "slots_exceeded": sum(record.over_slots.values()),
+        "leaving_last_new_work_ms": record.leaving_last_ms,
+        "retry_amplification_ratio": sum(record.received.values())
+        / max(1, len(record.received)),
+        "added_latency_p50_ms": quantile(added_ms, 0.5),
+        "added_latency_p99_ms": quantile(added_ms, 0.99),
+        "requests_per_cpu_s": sum(len(r.sent) for r in results if not r.case.faults)
+        / max(0.01, sum(r.cpu_s for r in results)),
+    }
+
+
+def _worst_of_bound(met: MetRatio, bound: MetRatio) -> float:
+    return min(
+        (met.by_class[name] / bound.by_class[name] for name in met.by_class),
+        default=1.0,
+    )
+
+
+def _met_fields(results: list[CaseResult]) -> dict[str, float]:
+    """Return the ratios of the cases without fault, weighted by requests."""
+    if not results:
+        return {}
+    instances = len(ZONES) * INSTANCES_PER_ZONE
+    rows = {
+        "": [met_ratio(r.sent) for r in results],
+        "_fifo": [fifo(r.arrivals, instances, SLOTS) for r in results],
+        "_static": [static_split(r.arrivals, TOTAL_SLOTS) for r in results],
+        "_bound": [r.bound() for r in results],
+    }
+    sizes = [len(r.sent) for r in results]
+    fields: dict[str, float] = {}
+    for suffix, ratios in rows.items():
+        weighted = sum(r.total * n for r, n in zip(ratios, sizes, strict=True))
+        fields[f"target_met_ratio{suffix}"] = weighted / max(1, sum(sizes))
+        worst = min(r.worst_class for r in ratios)
+        fields[f"target_met_ratio{suffix}_worst_class"] = worst
+    pairs = zip(rows[""], rows["_bound"], strict=True)
+    fields["target_met_of_bound"] = (
+        fields["target_met_ratio"] / fields["target_met_ratio_bound"]
+    )
+    fields["worst_class_of_bound"] = min(_worst_of_bound(m, b) for m, b in pairs)
+    return fields
--- /dev/null
+++ b/src/jayshunt_measure/serving_baselines.py
@@ -0,0 +1,150 @@
+"""Compute what baselines and the best schedule make of the same arrivals."""
+
+import heapq
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from jayshunt_measure.serving_shapes import Arrival
+
+BIN_S = 0.01
+WORK_LEVELS = 20
+
+
+@dataclass(frozen=True)
+class Outage:
+    """Take some slots away for a time within a case."""
+
+    slots: float
+    from_s: float
+    until_s: float = 1e9
+
+
+@dataclass(frozen=True)
+class MetRatio:
+    """Hold the part of requests that met their target, in total and per class."""
+
+    total: float
+    worst_class: float
+    by_class: dict[str, float]
+
+
+def ratio_of(arrivals: Iterable[Arrival], met: dict[str, float]) -> MetRatio:
+    """Return ratios from the number of met requests per class."""
+    counts: dict[str, int] = defaultdict(int)
+    for arrival in arrivals:
+        counts[arrival.work_class] += 1
+    by_class = {name: min(1.0, met.get(name, 0) / n) for name, n in counts.items()}
+    total = sum(met.values()) / max(1, sum(counts.values()))
+    return MetRatio(total, min(by_class.values(), default=0.0), by_class)
+
+
+def fifo(arrivals: list[Arrival], instances: int, slots: int) -> MetRatio:
+    """Deal requests to the instances in turn; each serves by arrival."""
+    queues: list[list[Arrival]] = [[] for _ in range(instances)]
+    for number, arrival in enumerate(arrivals):
+        queues[number % instances].append(arrival)
+    met: dict[str, float] = defaultdict(float)
+    for queue in queues:
+        _serve_by_arrival(queue, slots, met)
+    return ratio_of(arrivals, met)
+
+
+def static_split(arrivals: list[Arrival], slots: int) -> MetRatio:
+    """Give each class an equal part of all slots; each serves by arrival."""
+    by_class: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in arrivals:
+        by_class[arrival.work_class].append(arrival)
+    met: dict[str, float] = defaultdict(float)
+    for queue in by_class.values():
+        _serve_by_arrival(queue, max(1, slots // len(by_class)), met)
+    return ratio_of(arrivals, met)
+
+
+def _serve_by_arrival(queue: list[Arrival], slots: int, met: dict[str, float]) -> None:
+    """Serve by arrival; a request whose deadline passed while it waited is left.
+
+    This favors the baseline: a plain proxy would spend a slot on it.
+    """
+    free_s = [0.0] * slots
+    heapq.heapify(free_s)
+    for arrival in queue:
+        start_s = max(arrival.at_s, free_s[0])
+        deadline_s = arrival.at_s + arrival.target_ms / 1000
+        if start_s >= deadline_s:
+            continue
+        end_s = start_s + arrival.run_ms / 1000
+        heapq.heapreplace(free_s, end_s)
+        if end_s <= deadline_s:
+            met[arrival.work_class] += 1
+
+
+def best(
+    arrivals: list[Arrival], slots: int, outages: tuple[Outage, ...] = ()
+) -> MetRatio:
+    """Return an upper bound of what any schedule could reach.
+
+    Work may be cut into pieces, moved between slots and split over them, and all
+    arrivals are known beforehand. The amounts of work that can be served then
+    form a polymatroid, so that taking the shortest requests first is optimal;
+    the work served of a set of requests is found by serving the earliest
+    deadline first. The bound of a class is what it could reach alone.
+    """
+    total = _count_served(arrivals, slots, outages)
+    names = {arrival.work_class for arrival in arrivals}
+    alone = {
+        name: _count_served(
+            [a for a in arrivals if a.work_class == name], slots, outages
+        )
+        for name in names
+    }
+    ratios = ratio_of(arrivals, alone)
+    return MetRatio(total / max(1, len(arrivals)), ratios.worst_class, ratios.by_class)
+
+
+def _count_served(
+    arrivals: list[Arrival], slots: int, outages: tuple[Outage, ...]
+) -> float:
+    by_work = sorted(arrivals, key=lambda a: a.run_ms)
+    served_ms, count = 0.0, 0.0
+    size = max(1, -(-len(by_work) // WORK_LEVELS))
+    for end in range(size, len(by_work) + size, size):
+        level = by_work[end - size : end]
+        if not level:
+            break
+        total_ms = _work_served(by_work[:end], slots, outages)
+        shortest_ms = level[0].run_ms
+        count += min(len(level), (total_ms - served_ms) / shortest_ms)
+        served_ms = total_ms
+    return count
+
+
+def _work_served(
+    arrivals: list[Arrival], slots: int, outages: tuple[Outage, ...]
+) -> float:
+    """Return the most work that can be done between arrivals and deadlines."""
+    ordered = sorted(arrivals, key=lambda a: a.at_s)
+    end_s = max((a.at_s + a.target_ms / 1000 for a in ordered), default=0.0)
+    waiting: list[list[float]] = []
+    served_ms, position, now_s = 0.0, 0, 0.0
+    while now_s < end_s:
+        until_s = now_s + BIN_S
+        while position < len(ordered) and ordered[position].at_s < until_s:
+            arrival = ordered[position]
+            deadline_s = arrival.at_s + arrival.target_ms / 1000
+            heapq.heappush(waiting, [deadline_s, position, arrival.run_ms])
+            position += 1
+        lost = sum(o.slots for o in outages if o.from_s <= now_s < o.until_s)
+        left_ms = max(0.0, slots - lost) * BIN_S * 1000
+        while waiting and left_ms > 0:
+            if waiting[0][0] <= now_s:
+                heapq.heappop(waiting)
+                continue
+            done_ms = min(left_ms, waiting[0][2])
+            left_ms -= done_ms
+            served_ms += done_ms
+            waiting[0][2] -= done_ms
+            if waiting[0][2] <= 0:
+                heapq.heappop(waiting)
+        now_s = until_s
+    return served_ms
--- /dev/null
+++ b/src/jayshunt_measure/serving_bed.py
@@ -0,0 +1,199 @@
+"""Run entries, and upstreams in processes of their own, for one measurement."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from jayshunt import http_client
+from jayshunt.config.models import ConfigDocument
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import EntryId, ZoneName
+from jayshunt.membership.models import Member
+from jayshunt.membership.ranking import rank_members
+from jayshunt_measure.serving_shapes import INSTANCES_PER_ZONE, SLOTS, ZONES, Shape
+from jayshunt_measure.testbed import EntryHandle, Testbed, VmPlan
+from jayshunt_standins.inventory import ListedVm
+
+STAND_IN_COMMAND = "from jayshunt_standins.main import main; main()"
+MEMBERS_TIMEOUT_S = 10.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass
+class ServingBed(Testbed):
+    """Keep upstreams out of this process, which sends the requests."""
+
+    rotation: set[str] = field(default_factory=set)
+    addresses: dict[str, str] = field(default_factory=dict)
+    _seen: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+    def start(self) -> "ServingBed":
+        """Start the upstreams of each zone, then everything else."""
+        self._processes = []
+        for zone in ZONES:
+            self._start_upstreams([vm for vm in self.vms if vm.zone == zone])
+        super().start()
+        return self
+
+    def stop(self) -> None:
+        """Stop entries, stand-ins and upstreams."""
+        super().stop()
+        for process in self._processes:
+            process.terminate()
+        for process in self._processes:
+            process.wait()
+
+    def wait_members(self) -> None:
+        """Wait until every entry knows all others."""
+        end_s = time.monotonic() + MEMBERS_TIMEOUT_S
+        for entry in self.entries:
+            while len(self.operator_call(entry, "GET", "status")["members"]) < len(
+                self.entries
+            ):
+                if time.monotonic() > end_s:
+                    raise RuntimeError(f"{entry.name} does not know all entries")
+                time.sleep(0.05)
+            self.rotation.add(entry.name)
+
+    def in_rotation(self) -> list[EntryHandle]:
+        """Return the entries that the platform's balancer uses."""
+        return [entry for entry in self.entries if entry.name in self.rotation]
+
+    def broker_of(self, zone: str, pool: str) -> EntryHandle:
+        """Return the entry whose turn it is to be broker."""
+        members = [
+            Member(EntryId(e.name), ZoneName(e.zone), e.peers, 1)
+            for e in self.entries
+            if e.zone == zone
+        ]
+        first = rank_members(f"broker|{zone}|{pool}", members)[0]
+        return next(e for e in self.entries if e.name == first.entry)
+
+    def signal_entry(self, entry: EntryHandle, number: int) -> None:
+        """Send a signal to one entry's process."""
+        entry.process.send_signal(number)
+
+    def kill_entry(self, entry: EntryHandle) -> None:
+        """End one entry as a crash does; the balancer notices at once."""
+        self.rotation.discard(entry.name)
+        entry.process.kill()
+        entry.process.wait()
+
+    def stop_entry(self, entry: EntryHandle) -> None:
+        """Stop one entry for maintenance."""
+        self.rotation.discard(entry.name)
+        entry.process.send_signal(signal.SIGTERM)
+
+    def revive(self) -> None:
+        """Start every entry that ended and wait until it serves."""
+        ended = [e for e in self.entries if e.name not in self.rotation]
+        for entry in ended:
+            entry.process.wait()
+            self.start_entry(entry)
+        for entry in ended:
+            self.wait_ready(entry)
+        if ended:
+            self.wait_members()
+
+    def set_faults(self, vm: str, **faults: object) -> None:
+        """Set the faults of one instance."""
+        self._call(vm, "PUT", "faults", faults)
+
+    def read_ran(self, vm: str) -> dict:
+        """Return what an instance recorded since the last read."""
+        ran, received = self._seen.get(vm, (0, 0))
+        path = f"ran?since={ran}&received_since={received}"
+        report = self._call(vm, "GET", path)
+        received += len(report["received"])
+        self._seen[vm] = (ran + len(report["ran"]), received)
+        return report
+
+    def cpu_s(self) -> float:
+        """Return the processor time that the entries used so far."""
+        total = 0.0
+        for entry in self.entries:
+            stat = Path(f"/proc/{entry.process.pid}/stat").read_text()
+            fields = stat.rpartition(")")[2].split()
+            total += (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        return total
+
+    def _call(self, vm: str, method: str, path: str, content: object = None) -> dict:
+        answer = http_client.request(
+            method,
+            f"http://{self.addresses[vm]}/standin/{path}",
+            body=None if content is None else json.dumps(content).encode(),
+            timeout_s=5,
+            step="measure",
+        )
+        if answer.status != 200:
+            raise JayshuntError("standin_failed", step="measure", peer=vm)
+        return json.loads(answer.body)
+
+    def _start_upstreams(self, plans: list[VmPlan]) -> None:
+        process = subprocess.Popen(
+            [sys.executable, "-c", STAND_IN_COMMAND, "/dev/stdin"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        process.stdin.write("lag_s = 2.0\n")
+        for plan in plans:
+            process.stdin.write(
+                f'[[vms]]\nid = "{plan.name}"\nzone = "{plan.zone}"\n'
+                f'rack = "{plan.rack}"\nkind = "upstream"\nslots = {plan.slots}\n'
+                f'initial_pool = "{plan.pool}"\n'
+            )
+        process.stdin.close()
+        self._processes.append(process)
+        self.addresses |= json.loads(process.stdout.readline())["vms"]
+
+    def _start_vm(self, plan: VmPlan) -> ListedVm:
+        return ListedVm(
+            id=plan.name,
+            address=self.addresses[plan.name],
+            zone=plan.zone,
+            rack=plan.rack,
+            kind=plan.kind,
+            cpu_cores=64.0,
+            memory_bytes=256 * 2**30,
+            initial_pool=plan.pool,
+        )
+
+
+def instance_plans(shapes: tuple[Shape, ...]) -> list[VmPlan]:
+    """Return the instances of each shape's pool, one rack for each in a zone."""
+    return [
+        VmPlan(
+            f"{shape.pool}-{zone}-{number}",
+            zone,
+            f"{zone}-rack-{number}",
+            "upstream",
+            shape.pool,
+            SLOTS,
+        )
+        for shape in shapes
+        for zone in ZONES
+        for number in range(INSTANCES_PER_ZONE)
+    ]
+
+
+def document(shapes: tuple[Shape, ...]) -> ConfigDocument:
+    """Return the configuration with all classes and pools."""
+    return ConfigDocument.model_validate(
+        {
+            "pools": {
+                shape.pool: {"slots_per_instance": SLOTS, "min_available_ratio": 0.5}
+                for shape in shapes
+            },
+            "classes": {
+                item.name: {"pool": shape.pool, "target_ms": item.target_ms}
+                for shape in shapes
+                for item in shape.classes
+            },
+        }
+    )
--- /dev/null
+++ b/src/jayshunt_measure/serving_cases.py
@@ -0,0 +1,155 @@
+"""Define the cases of the serving measurement and their faults."""
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jayshunt_measure.serving_bed import ServingBed
+from jayshunt_measure.serving_load import Callers
+from jayshunt_measure.serving_shapes import (
+    INSTANCES_PER_ZONE,
+    SLOTS,
+    TEE,
+    TETTEH,
+    ZONES,
+    Shape,
+)
+from jayshunt_standins.store import StoreFaults
+
+LATE_S = 0.3
+WAVE = 100
+
+
+@dataclass
+class Scene:
+    """Hold what a fault acts on."""
+
+    bed: ServingBed
+    shape: Shape
+    callers: Callers
+    turn: int
+
+    @property
+    def zone(self) -> str:
+        """Return the zone in which the fault strikes."""
+        return ZONES[self.turn % len(ZONES)]
+
+    @property
+    def vm(self) -> str:
+        """Return the instance that fails; each case takes another one."""
+        number = self.turn // len(ZONES) % INSTANCES_PER_ZONE
+        return f"{self.shape.pool}-{self.zone}-{number}"
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Describe one fault; `slots_lost` is what it takes from the capacity."""
+
+    name: str
+    begin: Callable[[Scene], None]
+    end: Callable[[Scene], None]
+    slots_lost: float = 0.0
+
+
+@dataclass(frozen=True)
+class Case:
+    """Describe one run of the load with its faults."""
+
+    name: str
+    shape: Shape
+    faults: tuple[Fault, ...] = ()
+    turns: int = 1
+
+
+def _instance_fault(name: str, slots_lost: float = SLOTS, **faults: object) -> Fault:
+    return Fault(
+        name,
+        lambda scene: scene.bed.set_faults(scene.vm, **faults),
+        lambda scene: scene.bed.set_faults(scene.vm),
+        slots_lost,
+    )
+
+
+def _kill_broker(scene: Scene) -> None:
+    entry = scene.bed.broker_of(scene.zone, scene.shape.pool)
+    scene.callers.killed.add(entry.name)
+    scene.bed.kill_entry(entry)
+
+
+def _pause_broker(scene: Scene) -> None:
+    entry = scene.bed.broker_of(scene.zone, scene.shape.pool)
+    scene.bed.rotation.discard(entry.name)
+    scene.bed.signal_entry(entry, signal.SIGSTOP)
+
+
+def _resume_broker(scene: Scene) -> None:
+    entry = scene.bed.broker_of(scene.zone, scene.shape.pool)
+    scene.bed.signal_entry(entry, signal.SIGCONT)
+    scene.bed.rotation.add(entry.name)
+
+
+def _stop_entry(scene: Scene) -> None:
+    scene.bed.stop_entry(scene.bed.broker_of(scene.zone, scene.shape.pool))
+
+
+def _break_store(scene: Scene) -> None:
+    scene.bed.store.faults = StoreFaults(down=True)
+
+
+def _repair_store(scene: Scene) -> None:
+    scene.bed.store.faults = StoreFaults()
+
+
+def _nothing(_scene: Scene) -> None:
+    """End nothing; the bed starts entries again after the case."""
+
+
+SILENT = _instance_fault("connection_silent", silent=True)
+RESET_BEFORE = _instance_fault("reset_before_first_byte", reset_before=True)
+RESET_AFTER = _instance_fault("reset_after_first_byte", reset_after=True)
+ERRORS = _instance_fault("every_answer_an_error", errors=True)
+# A request of 80 ms then holds its slot for 380 ms.
+LATE = _instance_fault("answers_late", 4.0, late_s=LATE_S)
+LEAVING = _instance_fault("upstream_leaving", leaving=True)
+RACK_LOST = _instance_fault("rack_lost", down=True)
+BROKER_KILLED = Fault("broker_killed", _kill_broker, _nothing)
+BROKER_PAUSED = Fault("broker_paused", _pause_broker, _resume_broker)
+ENTRY_STOPPED = Fault("planned_stop", _stop_entry, _nothing)
+STORE_DOWN = Fault("store_down", _break_store, _repair_store)
+CANCEL_WAVE = Fault(
+    "cancel_wave", lambda scene: scene.callers.cancel_wave(WAVE), _nothing
+)
+
+SINGLE = (
+    SILENT,
+    BROKER_KILLED,
+    RESET_BEFORE,
+    RESET_AFTER,
+    BROKER_PAUSED,
+    ERRORS,
+    LATE,
+    ENTRY_STOPPED,
+    LEAVING,
+    STORE_DOWN,
+    RACK_LOST,
+    CANCEL_WAVE,
+)
+PAIRS = (
+    (ERRORS, BROKER_KILLED),
+    (RACK_LOST, ENTRY_STOPPED),
+    (SILENT, CANCEL_WAVE),
+)
+
+
+def all_cases() -> list[Case]:
+    """Return no fault for both shapes, each fault alone, and pairs."""
+    cases = [
+        Case("no_fault_tetteh", TETTEH, turns=len(TETTEH.classes)),
+        Case("no_fault_tee", TEE, turns=len(TEE.classes)),
+    ]
+    shapes = (TETTEH, TEE)
+    faults = [(fault,) for fault in SINGLE] + list(PAIRS)
+    for number, chosen in enumerate(faults):
+        name = "+".join(fault.name for fault in chosen)
+        cases.append(Case(name, shapes[number % 2], chosen))
+    return cases
--- a/src/jayshunt_standins/upstream.py
+++ b/src/jayshunt_standins/upstream.py
@@ -19,7 +19,7 @@
     `silent` keeps connections open and never answers, `reset_before` and
     `reset_after` reset before the work and after half of the answer, `errors`
     answers 500 without work, `late_s` delays each answer, `leaving` answers 503
-    to health checks while work goes on.
+    to health checks while work goes on, `down` resets every connection.
     """
 
     silent: bool = False
@@ -28,6 +28,7 @@
     errors: bool = False
     late_s: float = 0.0
     leaving: bool = False
+    down: bool = False
 
 
 @dataclass(frozen=True)
@@ -37,7 +38,7 @@
     request: str
     started_s: float
     ended_s: float
-    completed: bool
+    leaving: bool = False
 
 
 class UpstreamStandIn(StandInServer):
@@ -45,8 +46,9 @@
 
     The header `Standin-Work-Ms` gives a request's run time. The body of the
     answer repeats the request's id and body, so that a caller can tell whether it
-    is its own. `GET /standin/ran` returns what ran and the most slots and
-    connections ever in use; `PUT /standin/faults` sets the faults.
+    is its own. `GET /standin/ran` returns what ran and the most slots ever in
+    use, `since` and `received_since` skip what was read before; `PUT
+    /standin/faults` sets the faults.
     """
 
     def __init__(self, name: str, slots: int = 8, port: int = 0) -> None:
@@ -59,6 +61,7 @@
         self._in_use = 0
         self._connections: set[int] = set()
         self.peak_slots = 0
+        self.over_slots = 0
         self.peak_connections = 0
         self.ran: list[RanRequest] = []
         self.received: list[str] = []
@@ -76,6 +79,8 @@
         if call.path.startswith("/standin/"):
             self.send(handler, self._control(call))
             return
+        if self.faults.down:
+            _reset(call.connection)
         if call.path == "/healthz":
             status = 503 if self.faults.leaving or self.faults.errors else 200
             state = "leaving" if self.faults.leaving else "serving"
@@ -99,10 +104,11 @@
         self.send(handler, reply)
 
     def _run(self, call: Call) -> Reply:
-        started_s = time.time()
+        started_s, leaving = time.time(), self.faults.leaving
         with self._lock:
             self._in_use += 1
             self.peak_slots = max(self.peak_slots, self._in_use)
+            self.over_slots += self._in_use > self.slots
         try:
             time.sleep(float(call.headers.get("Standin-Work-Ms", 5)) / 1000)
             time.sleep(self.faults.late_s)
@@ -110,7 +116,7 @@
             request = call.headers.get("Jayshunt-Request-Id", "")
             with self._lock:
                 self._in_use -= 1
-                self.ran.append(RanRequest(request, started_s, time.time(), True))
+                self.ran.append(RanRequest(request, started_s, time.time(), leaving))
         body = f"{self.name} {request} ".encode() + call.body
         headers = {"Content-Type": "text/plain", **self.answer_headers}
         if self.faults.leaving:
@@ -125,14 +131,19 @@
     def _control(self, call: Call) -> Reply:
         if call.method == "PUT":
             self.set_faults(UpstreamFaults(**call.json()))
+        since = int(call.query.get("since", 0))
+        received_since = int(call.query.get("received_since", 0))
         with self._lock:
-            ran = [vars(item) for item in self.ran]
+            received = self.received[received_since:]
+            ran = [vars(item) for item in self.ran[since:]]
         return Reply(
             200,
             {
                 "name": self.name,
                 "slots": self.slots,
                 "peak_slots": self.peak_slots,
+                "over_slots": self.over_slots,
+                "received": received,
                 "leaving_since_s": self.leaving_since_s,
                 "ran": ran,
             },
