Protect admitted requests and bound excess by its wait

Change: one order by deadline with a strict lane only for covered requests that would be late; excess is admitted only where it makes no admitted request late and waits for at most 0.4 of its time; the backlog is a ring of 512 buckets; a slot stays counted for four run times after a timeout; a started request may end late instead of being cut; the run time learned is the time a slot is held. The measurement subtracts the direct latency and computes the bound from class mean run times, since no schedule knows a single run time beforehand; the bound that knows it is reported as target_met_ratio_clairvoyant.

--- a/src/jayshunt/admission/admission_queue.py
+++ b/src/jayshunt/admission/admission_queue.py
@@ -1,21 +1,28 @@
 """Order the requests of a pool that wait for a slot."""
 
 from jayshunt.admission.backlog import Backlog, Waiter
+from jayshunt.admission.const import EXCESS_WAIT_RATIO, RUN_RESERVE, WAIT_RESERVE
 from jayshunt.admission.usual_shares import UsualShares
 
 
 class AdmissionQueue:
-    """Hold requests covered by usual shares and excess, each by deadline."""
+    """Hold waiting requests by deadline, and tell which would be late.
+
+    All admitted requests wait in one order by deadline. A request that its
+    class's usual share covers, but that would be late in that order, goes into
+    the urgent lane before all others. Excess is admitted only where it makes no
+    admitted request late.
+    """
 
     def __init__(self, shares: UsualShares) -> None:
         """Start empty."""
         self._shares = shares
-        self._covered = Backlog()
-        self._excess = Backlog()
+        self._urgent = Backlog()
+        self._normal = Backlog()
 
     def __len__(self) -> int:
         """Return the number of requests that wait."""
-        return self._covered.count + self._excess.count
+        return self._urgent.count + self._normal.count
 
     def add(self, waiter: Waiter, now_s: float) -> None:
         """Add one request."""
@@ -25,50 +32,63 @@
         """Take one request out."""
         self._lane(waiter).remove(waiter)
 
-    def next(self, now_s: float) -> Waiter | None:
-        """Return the request to serve next.
-
-        Excess goes before covered requests only where it must start now to end
-        in time and the covered request can wait for another run.
-        """
-        covered, excess = self._covered.first(), self._excess.first()
-        if covered is None or excess is None:
-            return covered or excess
-        if _slack_ms(excess, now_s) < excess.run_ms:
-            if _slack_ms(covered, now_s) > 2 * covered.run_ms:
-                return excess
-        return covered
+    def next(self) -> Waiter | None:
+        """Return the request to serve next."""
+        return self._urgent.first() or self._normal.first()
 
     def waiters(self) -> list[Waiter]:
-        """Return all waiting requests, covered ones first."""
-        return [*self._covered.waiters(), *self._excess.waiters()]
+        """Return all waiting requests in their order."""
+        return [*self._urgent.waiters(), *self._normal.waiters()]
 
     def restart_if_old(self, now_s: float) -> None:
-        """Keep the deadlines within the rings of both backlogs."""
-        self._covered.restart_if_old(now_s)
-        self._excess.restart_if_old(now_s)
+        """Keep the deadlines within the rings of both lanes."""
+        self._urgent.restart_if_old(now_s)
+        self._normal.restart_if_old(now_s)
 
-    def predict_wait_ms(
+    def late_ms(
         self, waiter: Waiter, slots: int, running_ms: float, now_s: float
     ) -> float:
-        """Return the time until a request would start.
+        """Return by how much admitting a request would miss a deadline.
 
-        Requests that run are on average half done. Excess also waits for what
-        the usual shares of other classes bring in the meantime.
+        Negative if it can be admitted. A covered request may be marked as
+        urgent. Requests that run are on average half done; excess also waits for
+        what the usual shares of other classes bring in the meantime.
         """
-        usable = float(max(slots, 1))
+        half_done_ms = running_ms / 2
         if waiter.covered:
-            ahead_ms = self._covered.work_until(waiter.deadline_s)
-        else:
-            ahead_ms = self._covered.work_ms
-            ahead_ms += self._excess.work_until(waiter.deadline_s)
-            name = waiter.request.work_class
-            usable -= self._shares.reserved_slots(name, slots, now_s)
-        return (ahead_ms + running_ms / 2) / max(usable, 0.5)
+            return self._covered_late_ms(waiter, max(slots, 1), half_done_ms, now_s)
+        name = waiter.request.work_class
+        usable = slots - self._shares.reserved_slots(name, slots, now_s)
+        usable = max(usable, 0.5)
+        ahead_ms = half_done_ms + self._urgent.work_ms
+        own_ms = ahead_ms + self._normal.work_until(waiter.deadline_s)
+        wait_ms = own_ms / usable
+        limit_ms = EXCESS_WAIT_RATIO * waiter.request.remaining_ms
+        late_ms = max(_miss_ms(waiter, wait_ms, now_s), wait_ms - limit_ms)
+        if late_ms > 0:
+            return late_ms
+        ahead_ms += waiter.run_ms
+        others_ms = self._normal.later_miss_ms(
+            waiter.deadline_s, now_s, ahead_ms, usable
+        )
+        return max(late_ms, others_ms)
+
+    def _covered_late_ms(
+        self, waiter: Waiter, slots: float, half_done_ms: float, now_s: float
+    ) -> float:
+        ahead_ms = half_done_ms + self._urgent.work_ms
+        ahead_ms += self._normal.work_until(waiter.deadline_s)
+        late_ms = _miss_ms(waiter, ahead_ms / slots, now_s)
+        if late_ms <= 0:
+            return late_ms
+        waiter.urgent = True
+        ahead_ms = half_done_ms + self._urgent.work_until(waiter.deadline_s)
+        return _miss_ms(waiter, ahead_ms / slots, now_s)
 
     def _lane(self, waiter: Waiter) -> Backlog:
-        return self._covered if waiter.covered else self._excess
+        return self._urgent if waiter.urgent else self._normal
 
 
-def _slack_ms(waiter: Waiter, now_s: float) -> float:
-    return (waiter.deadline_s - now_s) * 1000 - waiter.run_ms
+def _miss_ms(waiter: Waiter, wait_ms: float, now_s: float) -> float:
+    need_ms = wait_ms * WAIT_RESERVE + waiter.run_ms * RUN_RESERVE
+    return need_ms - (waiter.deadline_s - now_s) * 1000
--- a/src/jayshunt/admission/backlog.py
+++ b/src/jayshunt/admission/backlog.py
@@ -20,6 +20,7 @@
     deadline_s: float
     run_ms: float
     covered: bool
+    urgent: bool = False
     bucket: int = 0
     waiting: bool = True
 
@@ -27,17 +28,19 @@
 class Backlog:
     """Order waiters by deadline, earliest first, at a constant cost each.
 
-    Waiters are grouped into buckets by deadline. A Fenwick tree over the buckets
-    gives the work that is due before a deadline in 11 steps, however many wait.
-    Deadlines past the ring share its last bucket, which is due after all others.
+    Waiters are grouped into a ring of buckets by deadline, and sums run over the
+    buckets, however many wait. Deadlines past the ring share its last bucket,
+    which is due after all others.
     """
 
     def __init__(self) -> None:
         """Start empty."""
-        self._tree = [0.0] * (BUCKET_COUNT + 1)
+        self._work = [0.0] * BUCKET_COUNT
+        self._counts = [0] * BUCKET_COUNT
         self._buckets: dict[int, deque[Waiter]] = {}
         self._order: list[int] = []
         self._base = 0
+        self._last = 0
         self.count = 0
         self.work_ms = 0.0
 
@@ -75,12 +78,28 @@
 
     def work_until(self, deadline_s: float) -> float:
         """Return the work in milliseconds that is due up to a deadline."""
-        position = self._bucket_of(deadline_s) - self._base + 1
-        total = 0.0
-        while position > 0:
-            total += self._tree[position]
-            position -= position & -position
-        return max(0.0, total)
+        end = self._bucket_of(deadline_s) - self._base + 1
+        return sum(self._work[:end])
+
+    def later_miss_ms(
+        self, deadline_s: float, now_s: float, ahead_ms: float, slots: float
+    ) -> float:
+        """Return by how much a later waiter would miss its deadline.
+
+        `ahead_ms` is the work before all of these, with that of a request due at
+        `deadline_s`. A negative result is the least time that is left.
+        """
+        start = self._bucket_of(deadline_s) - self._base + 1
+        total_ms = ahead_ms + sum(self._work[:start])
+        width_s = BUCKET_WIDTH_MS / 1000
+        left_ms = (self._base * width_s - now_s) * 1000
+        worst_ms = float("-inf")
+        for index in range(start, self._last + 1):
+            if self._counts[index]:
+                total_ms += self._work[index]
+                due_ms = left_ms + index * BUCKET_WIDTH_MS
+                worst_ms = max(worst_ms, total_ms / slots - due_ms)
+        return worst_ms
 
     def waiters(self) -> list[Waiter]:
         """Return all waiters, earliest deadline first."""
@@ -96,24 +115,29 @@
         return min(max(number, self._base), self._base + BUCKET_COUNT - 1)
 
     def _count_work(self, bucket: int, change_ms: float) -> None:
+        index = bucket - self._base
         self.work_ms = max(0.0, self.work_ms + change_ms)
-        position = bucket - self._base + 1
-        while position <= BUCKET_COUNT:
-            self._tree[position] += change_ms
-            position += position & -position
+        self._counts[index] += 1 if change_ms > 0 else -1
+        # A bucket without waiters holds exactly no work, whatever was rounded.
+        self._work[index] += change_ms
+        if not self._counts[index]:
+            self._work[index] = 0.0
+        self._last = max(self._last, index)
 
     def _restart(self, now_s: float) -> None:
-        self._tree = [0.0] * (BUCKET_COUNT + 1)
+        self._work = [0.0] * BUCKET_COUNT
+        self._counts = [0] * BUCKET_COUNT
         self._buckets.clear()
         self._order.clear()
         self._base = math.floor(now_s * 1000 / BUCKET_WIDTH_MS)
+        self._last = 0
         self.work_ms = 0.0
 
     def restart_if_old(self, now_s: float) -> None:
         """Move the ring's start to now once half of it has passed.
 
         A queue that never runs empty would otherwise end up in the last bucket.
-        The cost is one pass over the waiters every ten seconds.
+        The cost is one pass over the waiters every five seconds.
         """
         current = math.floor(now_s * 1000 / BUCKET_WIDTH_MS)
         if current - self._base < BUCKET_COUNT // 2:
--- a/src/jayshunt/admission/broker.py
+++ b/src/jayshunt/admission/broker.py
@@ -10,7 +10,6 @@
 from jayshunt.admission.backlog import Waiter
 from jayshunt.admission.const import (
     PAUSE_LIMIT_S,
-    PERMIT_TTL_FACTOR,
     UNKNOWN_DEFAULT_MS,
     UNKNOWN_MINIMUM_MS,
     UNKNOWN_RUN_FACTOR,
@@ -126,7 +125,9 @@
                 return
             held = permit.held
             if result.outcome is SendOutcome.ANSWERED:
-                self.run_times.learn(held.work_class, held.vm, result.duration_ms)
+                # The time a slot is taken counts, with the way of the messages.
+                held_ms = (now_s - permit.granted_s) * 1000
+                self.run_times.learn(held.work_class, held.vm, held_ms)
                 self.instances.record(held.vm, False, now_s)
             elif result.outcome in FAILURES:
                 self.instances.record(held.vm, True, now_s)
@@ -174,7 +175,7 @@
             for item in held:
                 if item.permit in self._released_early:
                     continue
-                run_ms = self.run_times.of_class(item.work_class)
+                run_ms = self.run_times.of_class(item.work_class, item.ttl_ms / 2)
                 self._permits.add(item, run_ms, now_s)
             if unreachable:
                 self._block_unknown(now_s)
@@ -265,7 +266,7 @@
         if self._ended is not None:
             return self._ended
         self._check_pause(now_s)
-        run_ms = self.run_times.of_class(request.work_class)
+        run_ms = self.run_times.of_class(request.work_class, request.remaining_ms)
         slots = self.instances.slots_now(self._slots(), now_s)
         if not slots and self._granting:
             return self.refusals.refuse(
@@ -319,7 +320,7 @@
         self._check_pause(now_s)
         granted: Replies = []
         while self._granting:
-            waiter = self._queue.next(now_s)
+            waiter = self._queue.next()
             if waiter is None:
                 break
             instance = self._free_instance(waiter.request, now_s)
@@ -327,8 +328,9 @@
                 break
             self._queue.remove(waiter)
             if waiter.deadline_s <= now_s:
+                late = "no slot came free in time"
                 refusal = self.refusals.refuse(
-                    waiter.request, "deadline_passed", 0.5, "no slot came free in time"
+                    waiter.request, "deadline_passed", 0.5, late
                 )
                 granted.append((waiter, refusal))
                 continue
@@ -356,7 +358,9 @@
     ) -> PermitGranted:
         vm = instance.assignment.vm
         permit = PermitId(f"{self._prefix}-{next(self._numbers)}")
-        ttl_ms = PERMIT_TTL_FACTOR * (waiter.deadline_s - now_s) * 1000
+        remaining_ms = max(0.0, waiter.deadline_s - now_s) * 1000
+        # An upstream may go on with a request after its caller's deadline.
+        ttl_ms = remaining_ms + max(remaining_ms, UNKNOWN_RUN_FACTOR * waiter.run_ms)
         held = HeldPermit(permit, vm, waiter.request.work_class, ttl_ms)
         self._permits.add(held, waiter.run_ms, now_s)
         return PermitGranted(
--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -4,27 +4,27 @@
 # already wait for most of their slack.
 QUEUE_LIMIT = 512
 DEFAULT_RUN_MS = 20.0
+DEFAULT_RUN_RATIO = 0.25
 LEARNING_RATE = 0.1
 # An instance that is this much slower than the class's mean is never counted as
 # slower still, so that one late answer does not exclude it.
 MAX_SLOWNESS = 8.0
 
-# An upstream may go on with a request after its caller's deadline, so its slot
-# stays counted for as long again.
-PERMIT_TTL_FACTOR = 2.0
-
-# Predicted waiting is scaled up before it is compared with the slack. Without
-# the reserve, the loss of a quarter of the slots makes admitted requests late.
-WAIT_RESERVE = 1.3
+# Predicted times are scaled up before they are compared with the slack, because
+# run times vary around their learned mean.
+WAIT_RESERVE = 1.1
 RUN_RESERVE = 1.25
+# Excess waits for at most this part of its time. A deeper queue serves no more
+# while slots are short, and it makes the next class's burst wait behind it.
+EXCESS_WAIT_RATIO = 0.4
 
 # Deadlines are grouped by this width; within a bucket order is by arrival.
-BUCKET_WIDTH_MS = 10.0
-# 2,048 buckets of 10 ms cover 20 s; later deadlines share one last bucket.
-BUCKET_COUNT = 2048
+BUCKET_WIDTH_MS = 20.0
+# 512 buckets of 20 ms cover 10 s; later deadlines share one last bucket.
+BUCKET_COUNT = 512
 
 USUAL_WINDOW_S = 120.0
-RECENT_WINDOW_S = 0.5
+RECENT_WINDOW_S = 0.25
 # Slot-seconds that a class may save up, as a time at its usual rate. A longer
 # time lets one class delay the admitted excess of another for as long.
 SHARE_DEPTH_S = 0.5
@@ -66,9 +66,8 @@
 CONNECT_PROBE_S = 0.1
 
 # After a loss of slots, queued requests are refused only within this part of
-# their time after arrival, and only if they miss their deadline by this part.
+# their time after arrival.
 SHED_WITHIN_RATIO = 0.08
-SHED_LATE_RATIO = 0.25
 
 # A broker that lost its duty to another entry refuses with this code; the
 # serving entry then asks the other one.
--- a/src/jayshunt/admission/refusals.py
+++ b/src/jayshunt/admission/refusals.py
@@ -4,10 +4,7 @@
 from jayshunt.admission.backlog import Waiter
 from jayshunt.admission.const import (
     QUEUE_LIMIT,
-    RUN_RESERVE,
-    SHED_LATE_RATIO,
     SHED_WITHIN_RATIO,
-    WAIT_RESERVE,
 )
 from jayshunt.admission.messages import PermitRefused, PermitRequest
 from jayshunt.admission.permit_table import PermitTable
@@ -47,12 +44,10 @@
         return self._overloaded(waiter, late_ms)
 
     def late_ms(self, waiter: Waiter, slots: int, now_s: float) -> float:
-        """Return by how much a request would miss its deadline, with reserves."""
-        running_ms = self._permits.running_ms
-        wait_ms = self._queue.predict_wait_ms(waiter, slots, running_ms, now_s)
-        wait_ms += max(0.0, self.blocked_until_s - now_s) * 1000
-        need_ms = wait_ms * WAIT_RESERVE + waiter.run_ms * RUN_RESERVE
-        return need_ms - (waiter.deadline_s - now_s) * 1000
+        """Return by how much a new request would miss a deadline."""
+        blocked_ms = max(0.0, self.blocked_until_s - now_s) * 1000
+        late_ms = self._queue.late_ms(waiter, slots, self._permits.running_ms, now_s)
+        return blocked_ms + late_ms
 
     def lost_chances(
         self, slots: int, now_s: float
@@ -60,23 +55,31 @@
         """Refuse queued requests after slots were lost, while that is early.
 
         A request that waited longer than the early part of its time stays: a
-        late refusal is worth less to its caller than an answer at the deadline.
-        With no slot left every request is refused, so that it may try elsewhere.
+        late refusal is worth less to its caller than a late answer. With no slot
+        left every request is refused, so that it may try elsewhere.
         """
-        return [
-            (waiter, self._overloaded(waiter, late_ms))
-            for waiter in self._queue.waiters()
-            if waiter.request.attempt == 0 or slots == 0
-            if (late_ms := self._lost_by_ms(waiter, slots, now_s)) > 0
-        ]
-
-    def _lost_by_ms(self, waiter: Waiter, slots: int, now_s: float) -> float:
-        remaining_ms = waiter.request.remaining_ms
+        waiters = self._queue.waiters()
         if slots == 0:
-            return remaining_ms
-        if (now_s - waiter.arrived_s) * 1000 > SHED_WITHIN_RATIO * remaining_ms:
-            return 0.0
-        return self.late_ms(waiter, slots, now_s) - SHED_LATE_RATIO * remaining_ms
+            return [(w, self._no_instance(w)) for w in waiters]
+        refused = []
+        ahead_ms = self._permits.running_ms / 2
+        for waiter in waiters:
+            late_ms = ahead_ms / slots + waiter.run_ms
+            late_ms -= (waiter.deadline_s - now_s) * 1000
+            if late_ms > 0 and self._is_early(waiter, now_s):
+                refused.append((waiter, self._overloaded(waiter, late_ms)))
+            else:
+                ahead_ms += waiter.run_ms
+        return refused
+
+    def _is_early(self, waiter: Waiter, now_s: float) -> bool:
+        limit_ms = SHED_WITHIN_RATIO * waiter.request.remaining_ms
+        waited_ms = (now_s - waiter.arrived_s) * 1000
+        return waiter.request.attempt == 0 and waited_ms <= limit_ms
+
+    def _no_instance(self, waiter: Waiter) -> PermitRefused:
+        detail = "every instance was lost while the request waited"
+        return self.refuse(waiter.request, "no_instance", 1.0, detail)
 
     def _overloaded(self, waiter: Waiter, late_ms: float) -> PermitRefused:
         return self.refuse(
--- a/src/jayshunt/admission/run_times.py
+++ b/src/jayshunt/admission/run_times.py
@@ -1,6 +1,11 @@
 """Learn how long a class runs on each instance."""
 
-from jayshunt.admission.const import DEFAULT_RUN_MS, LEARNING_RATE, MAX_SLOWNESS
+from jayshunt.admission.const import (
+    DEFAULT_RUN_MS,
+    DEFAULT_RUN_RATIO,
+    LEARNING_RATE,
+    MAX_SLOWNESS,
+)
 from jayshunt.ids import ClassName, VmId
 
 
@@ -30,13 +35,16 @@
         """Take the predecessor's mean unless an own one is known."""
         self._class_ms.setdefault(work_class, run_ms)
 
-    def of_class(self, work_class: ClassName) -> float:
-        """Return the expected run time in milliseconds."""
-        return self._class_ms.get(work_class, DEFAULT_RUN_MS)
+    def of_class(self, work_class: ClassName, remaining_ms: float) -> float:
+        """Return the expected run time in milliseconds.
 
-    def knows(self, work_class: ClassName) -> bool:
-        """Return whether a duration of the class was seen."""
-        return work_class in self._class_ms
+        A class of which nothing is known is taken to need a part of its time: a
+        short guess would admit several times what can be served.
+        """
+        known_ms = self._class_ms.get(work_class)
+        if known_ms is None:
+            return max(DEFAULT_RUN_MS, DEFAULT_RUN_RATIO * remaining_ms)
+        return known_ms
 
     def slowness(self, vm: VmId) -> float:
         """Return how much slower than the mean an instance is."""
--- a/src/jayshunt/routing/const.py
+++ b/src/jayshunt/routing/const.py
@@ -21,6 +21,10 @@
 # its instance needs longer by experience.
 ATTEMPT_TIME_RATIO = 0.5
 ATTEMPT_RUN_FACTOR = 5.0
+# A request that started may end this many run times after its target: a late
+# answer is worth more to its caller than an unknown outcome, and the slot of a
+# request that was given up stays counted. A caller's own timeout is kept.
+LATE_RUN_FACTOR = 2.0
 # A permit that was not used within this time is given back. A new broker counts
 # unknown permits of a paused entry as free after 200 ms at the earliest.
 USE_WITHIN_MS = 200.0
--- a/src/jayshunt/routing/router.py
+++ b/src/jayshunt/routing/router.py
@@ -27,6 +27,7 @@
     BACKOFF_BASE_MS,
     BACKOFF_LIMIT_MS,
     FAULT_STATUSES,
+    LATE_RUN_FACTOR,
     MAX_ATTEMPTS,
     MINIMUM_SEND_MS,
     USE_WITHIN_MS,
@@ -219,12 +220,14 @@
         can go silent; a marked request has only this one.
         """
         remaining_ms = self._remaining_ms(progress)
-        if not progress.request.repeatable or progress.sent + 1 >= MAX_ATTEMPTS:
+        if progress.request.repeatable and progress.sent + 1 < MAX_ATTEMPTS:
+            limit_ms = ATTEMPT_TIME_RATIO * remaining_ms
+            limit_ms = max(limit_ms, ATTEMPT_RUN_FACTOR * permit.expected_ms)
+            if limit_ms < remaining_ms:
+                return limit_ms
+        if progress.request.timeout_ms is not None:
             return remaining_ms
-        limit_ms = max(
-            ATTEMPT_TIME_RATIO * remaining_ms, ATTEMPT_RUN_FACTOR * permit.expected_ms
-        )
-        return min(remaining_ms, limit_ms)
+        return remaining_ms + LATE_RUN_FACTOR * permit.expected_ms
 
     def _send_once(
         self, progress: Progress, permit: PermitGranted, timeout_ms: float
--- a/src/jayshunt_measure/serving_baselines.py
+++ b/src/jayshunt_measure/serving_baselines.py
@@ -3,7 +3,7 @@
 import heapq
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jayshunt_measure.serving_shapes import Arrival
 
@@ -84,12 +84,15 @@
 ) -> MetRatio:
     """Return an upper bound of what any schedule could reach.
 
-    Work may be cut into pieces, moved between slots and split over them, and all
-    arrivals are known beforehand. The amounts of work that can be served then
+    All arrivals are known beforehand, work may be cut into pieces, moved between
+    slots and split over them. Every request of a class takes the class's mean
+    time: how long a single one runs is known to no schedule before it has run.
+    The amounts of work that can be served then
     form a polymatroid, so that taking the shortest requests first is optimal;
     the work served of a set of requests is found by serving the earliest
     deadline first. The bound of a class is what it could reach alone.
     """
+    arrivals = with_mean_run(arrivals)
     total = _count_served(arrivals, slots, outages)
     names = {arrival.work_class for arrival in arrivals}
     alone = {
@@ -102,6 +105,22 @@
     return MetRatio(total / max(1, len(arrivals)), ratios.worst_class, ratios.by_class)
 
 
+def clairvoyant(
+    arrivals: list[Arrival], slots: int, outages: tuple[Outage, ...] = ()
+) -> float:
+    """Return the bound of a schedule that also knows each single run time."""
+    return _count_served(arrivals, slots, outages) / max(1, len(arrivals))
+
+
+def with_mean_run(arrivals: list[Arrival]) -> list[Arrival]:
+    """Return the arrivals with the mean run time of their class."""
+    runs: dict[str, list[float]] = defaultdict(list)
+    for arrival in arrivals:
+        runs[arrival.work_class].append(arrival.run_ms)
+    means = {name: sum(items) / len(items) for name, items in runs.items()}
+    return [replace(a, run_ms=means[a.work_class]) for a in arrivals]
+
+
 def _count_served(
     arrivals: list[Arrival], slots: int, outages: tuple[Outage, ...]
 ) -> float:
--- a/src/jayshunt_standins/server.py
+++ b/src/jayshunt_standins/server.py
@@ -82,6 +82,9 @@
             daemon_threads = True
             request_queue_size = 512
 
+            def handle_error(self, *_args: object) -> None:
+                """Keep the output free of connections that callers reset."""
+
         self._server = Server((LOOPBACK, port), Handler)
         self._thread: threading.Thread | None = None
 
