--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -2,41 +2,46 @@
 
 import logging
 import random
-import threading
-from dataclasses import asdict
 
 from jayshunt import __version__
-from jayshunt.admission.diagnostics import describe_admission
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
-from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
+from jayshunt.config.peer_service import ConfigurationServicer
+from jayshunt.config.spreader import ConfigSpreader
+from jayshunt.config.transport import GrpcConfigTransport
+from jayshunt.config.watcher import StoreWatcher
+from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
+from jayshunt.idempotency.models import Holder
+from jayshunt.ids import EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
-from jayshunt.jobs.application import JobApplication
-from jayshunt.jobs.intake import JobIntake
-from jayshunt.jobs.scheduler import JobScheduler
-from jayshunt.membership.models import Member
+from jayshunt.jobs.service import JobService
+from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
-from jayshunt.operations.application import OperatorApplication
-from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.operations.peer_service import OperationsServicer
+from jayshunt.operations.sections import buffer_cores
+from jayshunt.operations.service import OperationsService
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import Assignment, VmKind
+from jayshunt.reports import add_reports
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.const import HEALTH_CONNECTIONS
-from jayshunt.routing.diagnostics import describe_routing
-from jayshunt.routing.messages import CallerAnswer, CallerRequest
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
 from jayshunt.serving.http_server import HttpServer
-from jayshunt.settings.models import EntrySettings
+from jayshunt.serving.limits import OPERATOR_LIMITS, caller_limits
+from jayshunt.serving.tls import ReloadingTls
+from jayshunt.settings.models import EntrySettings, ServerTlsFiles
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
+from jayshunt.store.gate import CallShare
+from jayshunt.store.group_commit import GroupCommitter
+from jayshunt.store.models import StoreState
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -47,24 +52,45 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         """Create the parts; nothing runs yet."""
-        self._settings = settings
+        self.settings = settings
         clock = SystemClock()
         rng = random.Random()
-        self._clock = clock
+        self.clock = clock
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
         self._tasks = TaskGroup("entry")
-        self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
         self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
         self.channels = PeerChannels(settings.tls.peers)
+        own = self._own_member()
         self.membership = MembershipService(
-            self._own_member(), settings.seeds, self.channels, clock, rng
+            own, settings.seeds, self.channels, clock, rng
         )
         self.peer_server.add(MembershipServicer(self.membership).add_to)
+        self.membership.add_listener(self._share_store)
         self.inventory = InventoryPoller(settings.platform.inventory_url, clock)
+        self.inventory.add_listener(
+            lambda listed: self.membership.add_seeds(listed.entries)
+        )
         self.config = ConfigCoordinator(self.store, documents, clock, rng)
+        self.spreader = ConfigSpreader(
+            own,
+            self.config,
+            GrpcConfigTransport(self.channels),
+            self.membership.view,
+            self.membership.node.news_targets,
+            clock,
+            rng,
+        )
+        self.config_watcher = StoreWatcher(
+            own, self.config, self.store.watch, self.membership.view, clock, rng
+        )
+        self.peer_server.add(ConfigurationServicer(self.config, self.spreader).add_to)
+        self.membership.add_version_listener(self.spreader.hear_version)
+        self.config.add_listener(
+            lambda snapshot: self.membership.set_config_version(snapshot.version)
+        )
         self.controller = ZoneController(
             zone,
             self._entry,
@@ -73,7 +99,16 @@
             lambda: self.inventory.current,
             clock,
         )
-        self.statistics = ClassStatistics(clock)
+        self.operations = OperationsService(
+            self._entry,
+            self.config,
+            self.membership.view,
+            self.channels,
+            self._buffer_cores,
+            clock,
+        )
+        self.peer_server.add(OperationsServicer(self.operations.reporter).add_to)
+        self.controller.add_listener(self.operations.samples.take_record)
         self.brokers = BrokerDirectory(
             self._entry,
             zone,
@@ -88,6 +123,11 @@
         self.peer_server.add(service.add_to)
         self.controller.add_listener(lambda _: self.brokers.apply_assignments())
         self.connections = UpstreamConnections(clock, self._idle_limit)
+        self.commits = GroupCommitter(documents, clock, self._is_store_up)
+        holder = Holder(self._entry, own.incarnation)
+        self.claims = ClaimStore(
+            holder, self.commits, holder_is_gone(self.membership.view), clock
+        )
         self.router = Router(
             self._entry,
             clock,
@@ -95,14 +135,26 @@
             self.brokers,
             self.connections,
             rng,
+            self.claims,
         )
-        scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
-        self.controller.add_duty(scheduler.step)
-        intake = JobIntake(
-            zone, documents, self.config.current, clock, rng, self._wake.set
+        # A new controller takes its larger share at its first step.
+        self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
+        self.jobs = JobService(
+            own,
+            documents,
+            self.commits,
+            self.config.current,
+            lambda: self.controller.record,
+            lambda: self.controller.term,
+            self.membership.view,
+            self.channels,
+            clock,
+            rng,
         )
-        self.callers = self._caller_server(settings, JobApplication(intake))
+        self.peer_server.add(self.jobs.servicer.add_to)
+        self.callers = self._caller_server(settings)
         self.operators = self._operator_server(settings)
+        add_reports(self)
 
     def start(self) -> None:
         """Start every part; callers are served last."""
@@ -110,82 +162,94 @@
         for task in (
             self.membership.run,
             self.inventory.run,
-            self.config.run,
+            self.config_watcher.run,
+            self.spreader.run_fetches,
             self.controller.run,
+            *self.jobs.tasks,
+            self.claims.run,
         ):
             self._tasks.start(task)
-        for task in (self.brokers.run, self.health.run):
+        for task in (self.brokers.run, self.health.run, self.operations.samples.run):
             self._tasks.start(task)
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
             "entry: %s of zone %s serves callers on %s",
             self._entry,
-            self._settings.identity.zone,
-            self._settings.listen.callers,
+            self.settings.identity.zone,
+            self.settings.listen.callers,
         )
 
     def stop(self) -> None:
         """Serve what was accepted to its end, then stop every part."""
         _LOGGER.info("entry: stopping, requests in flight end first")
+        self.membership.leave()
         self.callers.stop()
         self.operators.stop()
         self.brokers.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.commits.stop()
+        self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
 
+    def _share_store(self, view: MembershipView) -> None:
+        """Divide the store's rate among all entries that may be alive.
+
+        Lost members count until they are forgotten, because they may run on the
+        other side of a partition.
+        """
+        share = CallShare(
+            len(view.members), len(view.zones()), self.controller.holds_lease
+        )
+        self.store.set_share(share)
+
     def _own_member(self) -> Member:
-        identity = self._settings.identity
-        host, _ = split_address(self._settings.listen.peers)
+        identity = self.settings.identity
+        host, _ = split_address(self.settings.listen.peers)
         return Member(
             entry=self._entry,
             zone=ZoneName(identity.zone),
             region=RegionName(identity.region),
             peer_address=f"{host}:{self.peer_server.port}",
             # The wall time makes a restarted process newer than its predecessor.
-            incarnation=int(self._clock.now_s() * 1000),
+            incarnation=int(self.clock.now_s() * 1000),
             program_version=__version__,
         )
 
-    def _caller_server(
-        self, settings: EntrySettings, jobs: JobApplication
-    ) -> HttpServer:
+    def _caller_server(self, settings: EntrySettings) -> HttpServer:
         application = CallerApplication(
-            self._send, jobs.answer, settings.limits.max_body_bytes
+            self.operations.measured(self.router.send),
+            self.jobs.application.answer,
+            lambda request: self.router.cancel(request.request),
         )
         host, port = split_address(settings.listen.callers)
         return HttpServer(
             host,
             port,
             application,
-            settings.limits.max_connections,
-            settings.limits.read_timeout_ms / 1000,
+            caller_limits(settings.limits),
+            self._tls_of(settings.tls.callers),
+            self.clock,
         )
 
     def _operator_server(self, settings: EntrySettings) -> HttpServer:
-        application = OperatorApplication(
-            settings.operators.token_file.read_text().strip(),
-            self.config,
-            self._status,
-            self._dump,
-            self._is_ready,
+        application = self.operations.application(
+            settings.operators.token_file.read_text().strip(), self.is_ready
         )
         host, port = split_address(settings.listen.operators)
-        return HttpServer(host, port, application, 32, 10.0)
+        return HttpServer(
+            host,
+            port,
+            application,
+            OPERATOR_LIMITS,
+            self._tls_of(settings.tls.operators),
+            self.clock,
+        )
 
-    def _send(self, request: CallerRequest) -> CallerAnswer:
-        started_s = self._clock.monotonic_s()
-        answered = False
-        try:
-            answer = self.router.send(request)
-            answered = answer.status < 500
-            return answer
-        finally:
-            duration_ms = (self._clock.monotonic_s() - started_s) * 1000
-            if request.work_class in self.config.current().document.classes:
-                self.statistics.record(request.work_class, duration_ms, answered)
+    def _tls_of(self, files: ServerTlsFiles | None) -> ReloadingTls | None:
+        return None if files is None else ReloadingTls(files, self.clock)
 
     def _slots_of(self, pool: PoolName) -> int:
         settings = self.config.current().document.pools.get(pool)
@@ -206,50 +270,18 @@
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
 
-    def _pool_of_class(self, name: ClassName) -> PoolName:
-        work_class = self.config.current().document.classes.get(name)
-        if work_class is None:
-            raise JayshuntError("unknown_class", step="jobs.place", detail=name)
-        return PoolName(work_class.pool)
+    def _is_store_up(self) -> bool:
+        return self.store.health.state is StoreState.UP
 
-    def _is_ready(self) -> bool:
-        return bool(self.config.current().version and self.controller.record.epoch)
+    def is_ready(self) -> bool:
+        """Return whether callers can be served; False from the start of a stop."""
+        in_force = self.config.current().version and self.controller.record.epoch
+        return bool(in_force) and not self.callers.draining
 
-    def _status(self) -> dict:
-        config = self.config.current()
-        return {
-            "entry": self._entry,
-            "zone": self._settings.identity.zone,
-            "program_version": __version__,
-            "config_version": config.version,
-            "store": self.store.health.state.value,
-            "is_controller": self.controller.holds_lease,
-            "members": {
-                member.entry: member.state.value
-                for member in self.membership.view().members
-            },
-            "classes": [
-                {**asdict(status), "is_met": status.is_met}
-                for status in self.statistics.status(config)
-            ],
-            "planned_stops": {
-                name: stop.model_dump(mode="json")
-                for name, stop in config.document.planned_stops.items()
-            },
-        }
-
-    def _dump(self) -> dict:
-        record = self.controller.record
-        return {
-            "status": self._status(),
-            "config": self.config.current().model_dump(mode="json"),
-            "assignments": {
-                vm: {"pool": a.pool, "state": a.state.value, "reason": a.reason}
-                for vm, a in record.assignments.items()
-            },
-            "admission": describe_admission(self.brokers),
-            "routing": describe_routing(self.router, self.connections),
-        }
+    def _buffer_cores(self) -> float:
+        return buffer_cores(
+            self.config.current(), self.controller.record, self.inventory.current
+        )
 
 
 def split_address(address: str) -> tuple[str, int]:
--- /dev/null
+++ b/src/jayshunt/jobs/peer_service.py
@@ -0,0 +1,112 @@
+"""Tell the zone's scheduler of new and cancelled jobs."""
+
+import threading
+from collections.abc import Callable, Sequence
+
+import grpc
+
+from jayshunt.clock import Clock
+from jayshunt.ids import ZoneName
+from jayshunt.jobs.const import (
+    GATHER_NOTICES_S,
+    NOTICE_ATTEMPTS,
+    NOTICE_TIMEOUT_S,
+    SCHEDULE_INTERVAL_S,
+)
+from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.membership.models import Member, MembershipView
+from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
+
+
+class JobsServicer(peer_pb2_grpc.JobsServicer):
+    """Pass notices of other entries to the scheduler."""
+
+    def __init__(self, scheduler: JobScheduler) -> None:
+        """Serve one scheduler."""
+        self._scheduler = scheduler
+
+    def add_to(self, server: grpc.Server) -> None:
+        """Register with a server."""
+        peer_pb2_grpc.add_JobsServicer_to_server(self, server)
+
+    def JobsWaiting(self, request: peer_pb2.JobsWaitingNotice, context):
+        """Wake the scheduler if it runs here."""
+        if request.shards:
+            self._scheduler.notice(request.shards)
+        else:
+            self._scheduler.notice()
+        return peer_pb2.JobsWaitingReply()
+
+
+class JobsNotifier:
+    """Send notices to the entries of a zone, one of which is its controller.
+
+    Notices are gathered, so that a wave of cancellations does not send one to
+    every entry for every job. Which entry holds the lease is not known to the
+    others without a call to the store, and a notice to an entry that does not
+    schedule costs less than that call. A lost notice delays a job until the
+    scheduler's next regular reading.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        scheduler: JobScheduler,
+        view: Callable[[], MembershipView],
+        channels: PeerChannels,
+        clock: Clock,
+    ) -> None:
+        """Wire the parts."""
+        self._own = own
+        self._scheduler = scheduler
+        self._view = view
+        self._channels = channels
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pending: dict[ZoneName, set[int]] = {}
+        self._wake = threading.Event()
+
+    def notify(self, zone: ZoneName, shards: Sequence[int]) -> None:
+        """Tell a zone's scheduler that shards changed, without waiting."""
+        if zone == self._own.zone:
+            self._scheduler.notice(shards)
+            if self._scheduler.schedules:
+                return
+        with self._lock:
+            self._pending.setdefault(zone, set()).update(shards)
+        self._wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Send gathered notices until stopped."""
+        while not stop.is_set():
+            if not self._clock.wait(self._wake, SCHEDULE_INTERVAL_S):
+                continue
+            self._clock.wait(stop, GATHER_NOTICES_S)
+            self._wake.clear()
+            self.send()
+
+    def send(self) -> None:
+        """Send what was gathered."""
+        with self._lock:
+            pending, self._pending = self._pending, {}
+        for zone, shards in pending.items():
+            notice = peer_pb2.JobsWaitingNotice(
+                zone=zone, entry=self._own.entry, shards=sorted(shards)
+            )
+            for member in self._view().alive(zone):
+                if member.entry != self._own.entry:
+                    self._send_to(member.peer_address, notice, NOTICE_ATTEMPTS)
+
+    def _send_to(
+        self, address: str, notice: peer_pb2.JobsWaitingNotice, attempts: int
+    ) -> None:
+        stub = self._channels.stub(address, peer_pb2_grpc.JobsStub)
+        call = stub.JobsWaiting.future(notice, timeout=NOTICE_TIMEOUT_S)
+
+        def retry_if_failed(ended: grpc.Future) -> None:
+            failed = ended.cancelled() or ended.exception() is not None
+            if failed and attempts > 1:
+                self._send_to(address, notice, attempts - 1)
+
+        call.add_done_callback(retry_if_failed)
--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -3,6 +3,7 @@
 import typer
 
 from jayshunt_measure.demo import demo
+from jayshunt_measure.rollout import rollout
 from jayshunt_measure.serving import serving
 from jayshunt_measure.smoke import smoke
 
@@ -10,6 +11,7 @@
     add_completion=False, pretty_exceptions_enable=False, no_args_is_help=True
 )
 app.command()(demo)
+app.command()(rollout)
 app.command()(serving)
 app.command()(smoke)
 
