--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -4,6 +4,7 @@
 
 from jayshunt_measure.demo import demo
 from jayshunt_measure.rollout import rollout
+from jayshunt_measure.serving import serving
 from jayshunt_measure.smoke import smoke
 
 app = typer.Typer(
@@ -11,6 +12,7 @@
 )
 app.command()(demo)
 app.command()(rollout)
+app.command()(serving)
 app.command()(smoke)
 
 if __name__ == "__main__":
