Run scenarios of zones that lose the platform or each other

Cause: sections 4.2 and 4.7 of the design say what continues in a zone that is cut off, and no check with real processes showed it.

--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -14,6 +14,7 @@
 from jayshunt.errors import JayshuntError
 from jayshunt_measure.certificates import Authority
 from jayshunt_standins.inventory import InventoryStandIn, ListedVm
+from jayshunt_standins.relay import Relay
 from jayshunt_standins.server import LOOPBACK
 from jayshunt_standins.store import StoreStandIn
 from jayshunt_standins.upstream import UpstreamStandIn
@@ -60,6 +61,8 @@
     upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
     workers: dict[str, WorkerStandIn] = field(default_factory=dict)
     entries: list[EntryHandle] = field(default_factory=list)
+    relays: dict[str, list[Relay]] = field(default_factory=dict)
+    cuttable_zones: tuple[str, ...] = ()
     store: StoreStandIn | None = None
     inventory: InventoryStandIn | None = None
     _folder: tempfile.TemporaryDirectory | None = None
@@ -106,7 +109,8 @@
             if entry.process:
                 _wait_end(entry.process)
         servers = [*self.upstreams.values(), *self.workers.values()]
-        for server in [*servers, self.store, self.inventory]:
+        relays = [relay for pair in self.relays.values() for relay in pair]
+        for server in [*relays, *servers, self.store, self.inventory]:
             if server is not None:
                 server.stop()
         if self._folder is not None:
@@ -185,12 +189,23 @@
             initial_pool=plan.pool,
         )
 
+    def _platform_addresses(self, zone: str) -> tuple[str, str]:
+        """Return store and list as a zone reaches them, over relays if cuttable."""
+        if zone not in self.cuttable_zones:
+            return self.store.address, self.inventory.address
+        if zone not in self.relays:
+            servers = (self.store, self.inventory)
+            self.relays[zone] = [Relay(s.address).start() for s in servers]
+        store, inventory = self.relays[zone]
+        return store.address, inventory.address
+
     def _prepare_entry(
         self, name: str, zone: str, listen: list[str], all_peers: list[str]
     ) -> EntryHandle:
         callers, operators, peers = listen
         seeds = [address for address in all_peers if address != peers]
         keys = self.authority.issue(name)
+        store, inventory = self._platform_addresses(zone)
         settings = Path(self._folder.name) / f"{name}.toml"
         settings.write_text(f"""
 seeds = {json.dumps(seeds)}
@@ -206,8 +221,8 @@
 peers = "{peers}"
 
 [platform]
-store_url = "{self.store.url}"
-inventory_url = "{self.inventory.url}"
+store_url = "http://{store}"
+inventory_url = "http://{inventory}"
 
 [operators]
 token_file = "{self.token_file}"
