Measure what a node costs at the two-year size

Cause: the limits per node and the detection of losses were not measured. Change: script/measure capacity runs 16, 32 and 60 nodes over mutual TLS, counts CPU time and the kernel's bytes of each connection, pauses, kills and cuts nodes, and runs whole entries in zones of 400, 800 and 1,600 workers.

--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -2,6 +2,7 @@
 
 import typer
 
+from jayshunt_measure.capacity import capacity
 from jayshunt_measure.demo import demo
 from jayshunt_measure.rollout import rollout
 from jayshunt_measure.smoke import smoke
@@ -9,6 +10,7 @@
 app = typer.Typer(
     add_completion=False, pretty_exceptions_enable=False, no_args_is_help=True
 )
+app.command()(capacity)
 app.command()(demo)
 app.command()(rollout)
 app.command()(smoke)
--- /dev/null
+++ b/src/jayshunt_measure/capacity.py
@@ -0,0 +1,275 @@
+"""Measure what one node costs at the two-year size."""
+
+import json
+import random
+import signal
+import time
+from dataclasses import asdict, dataclass, field
+from typing import Annotated
+
+import typer
+
+from jayshunt_measure.capacity_entry import EntryCost, measure_entry
+from jayshunt_measure.node_hosts import Host, NodeHosts
+from jayshunt_measure.rollout import full_document, quantile
+
+SIZES = (16, 32, 60)
+NODES_PER_HOST = 8
+ZONES = 15
+REGIONS = 4
+SETTLE_S = 6.0
+STEADY_S = 12.0
+CHANGES = 5
+CHANGES_PER_DAY = 1_400
+PAUSE_S = 1.0
+LOSS_LIMIT_S = 8.0
+PARTITION_S = 10.0
+HEAL_LIMIT_S = 30.0
+
+
+@dataclass
+class SizeCost:
+    """Hold the cost of one node at a number of nodes."""
+
+    nodes: int
+    cpu_ratio: float
+    bytes_per_s: float
+    wire_bytes_per_s: float
+    segments_per_s: float
+    memory_bytes: float
+    store_calls_per_s: float
+
+
+@dataclass
+class CapacityFigures:
+    """Hold the fields of the measurement."""
+
+    control_cpu_ratio: float = 0.0
+    memory_bytes: float = 0.0
+    control_bytes_per_s: float = 0.0
+    loss_detected_p99_ms: float = 0.0
+    false_losses: int = 0
+    converged_after_heal_ms: float = 0.0
+    change_cpu_ms: float = 0.0
+    change_bytes: float = 0.0
+    cpu_ratio_per_node: float = 0.0
+    bytes_per_s_per_node: float = 0.0
+    memory_bytes_per_node: float = 0.0
+    cpu_ratio_per_1000_workers: float = 0.0
+    bytes_per_s_per_1000_workers: float = 0.0
+    memory_bytes_per_1000_workers: float = 0.0
+    sizes: list[SizeCost] = field(default_factory=list)
+    entries: list[EntryCost] = field(default_factory=list)
+
+
+def capacity(
+    seed: Annotated[int, typer.Option(help="Seed of the faults.")] = 1,
+    as_json: Annotated[bool, typer.Option("--json")] = False,
+) -> None:
+    """Measure the cost of a node at several sizes, losses, pauses and a heal."""
+    figures = CapacityFigures()
+    rng = random.Random(seed)
+    for size in SIZES:
+        _with_nodes(size, lambda hosts: _measure_size(figures, hosts, rng))
+    _add_slopes(figures)
+    content = asdict(figures)
+    for name, value in content.items():
+        if not isinstance(value, list):
+            typer.echo(f"{name:<32}{value:>16.6g}")
+    for row in [*figures.sizes, *figures.entries]:
+        cells = (f"{name} {value:.6g}" for name, value in asdict(row).items())
+        typer.echo("  ".join(cells))
+    if as_json:
+        typer.echo(json.dumps(content))
+
+
+def _with_nodes(size: int, action) -> None:
+    hosts = NodeHosts()
+    try:
+        plans = hosts.plan(size, min(ZONES, size // 4), REGIONS)
+        # The last four run alone, so that they can be paused and killed.
+        shared, alone = plans[:-4], plans[-4:]
+        for first in range(0, len(shared), NODES_PER_HOST):
+            hosts.start(shared[first : first + NODES_PER_HOST])
+        for plan in alone:
+            hosts.start([plan])
+        hosts.wait(lambda: len(hosts.find("started")) >= size)
+        if not hosts.wait(lambda: _is_converged(hosts, set(hosts.plans)), HEAL_LIMIT_S):
+            raise RuntimeError(f"{size} nodes did not find each other")
+        entry = plans[0].entry
+        hosts.host_of(entry).send(do="load", entry=entry, document=full_document())
+        _pause(hosts, SETTLE_S)
+        action(hosts)
+    finally:
+        hosts.stop()
+
+
+def _measure_size(
+    figures: CapacityFigures, hosts: NodeHosts, rng: random.Random
+) -> None:
+    shared = [h for h in hosts.hosts if _nodes_of(hosts, h) > 1]
+    cost, _ = _steady(hosts, shared, "steady")
+    figures.sizes.append(cost)
+    if cost.nodes + 4 < max(SIZES):
+        return
+    _measure_changes(figures, hosts, shared)
+    _measure_pauses(figures, hosts, rng)
+    figures.entries = [measure_entry(hosts, workers) for workers in (400, 800, 1_600)]
+    _measure_losses(figures, hosts)
+    _measure_heal(figures, hosts)
+
+
+def _steady(
+    hosts: NodeHosts, shared: list[Host], mark: str
+) -> tuple[SizeCost, dict[str, float]]:
+    before, started_s = hosts.stats(f"{mark}-before", shared), time.monotonic()
+    _pause(hosts, STEADY_S)
+    after = hosts.stats(f"{mark}-after", shared)
+    seconds = time.monotonic() - started_s
+    nodes = sum(item["nodes"] for item in after)
+    spent = {
+        key: sum(i[key] for i in after) - sum(i[key] for i in before)
+        for key in ("cpu_s", "payload_bytes", "wire_bytes", "segments", "store_calls")
+    }
+    rates = {key: value / seconds / nodes for key, value in spent.items()}
+    cost = SizeCost(
+        len(hosts.plans),
+        rates["cpu_s"],
+        rates["payload_bytes"],
+        rates["wire_bytes"],
+        rates["segments"],
+        sum(item["rss_bytes"] for item in after) / nodes,
+        rates["store_calls"],
+    )
+    return cost, spent
+
+
+def _measure_changes(
+    figures: CapacityFigures, hosts: NodeHosts, shared: list[Host]
+) -> None:
+    """Add what a change of the configuration costs each node."""
+    idle, _ = _steady(hosts, shared, "idle")
+    before = hosts.stats("changes-before", shared)
+    started_s = time.monotonic()
+    for number in range(CHANGES):
+        entry = sorted(hosts.plans)[number]
+        host = hosts.host_of(entry)
+        host.send(do="accept", entry=entry, name=f"change-{number}", quota=1.0)
+        hosts.wait(lambda: len(hosts.find("accepted")) > number)
+    _pause(hosts, 2.0)
+    after = hosts.stats("changes-after", shared)
+    seconds = time.monotonic() - started_s
+    nodes = sum(item["nodes"] for item in after)
+
+    def per_change(key: str, idle_rate: float) -> float:
+        spent = sum(i[key] for i in after) - sum(i[key] for i in before)
+        return (spent / nodes - idle_rate * seconds) / CHANGES
+
+    figures.change_cpu_ms = 1000 * per_change("cpu_s", idle.cpu_ratio)
+    figures.change_bytes = per_change("payload_bytes", idle.bytes_per_s)
+
+
+def _measure_pauses(
+    figures: CapacityFigures, hosts: NodeHosts, rng: random.Random
+) -> None:
+    """Pause processes for a second; nobody may be declared lost."""
+    for host in rng.sample(hosts.hosts, 4):
+        host.process.send_signal(signal.SIGSTOP)
+        _pause(hosts, PAUSE_S)
+        host.process.send_signal(signal.SIGCONT)
+        _pause(hosts, 2.0)
+    figures.false_losses = sum(e["state"] == "lost" for e in hosts.find("state"))
+
+
+def _measure_losses(figures: CapacityFigures, hosts: NodeHosts) -> None:
+    """Kill nodes that run alone; every other node must notice."""
+    times = []
+    alone = [h for h in hosts.hosts if _nodes_of(hosts, h) == 1]
+    for host in alone[:4]:
+        entry = next(e for e in hosts.plans if hosts.host_of(e) is host)
+        since_s = time.monotonic()
+        host.process.send_signal(signal.SIGKILL)
+        del hosts.plans[entry]
+        observers = set(hosts.plans)
+
+        def noticed() -> dict[str, float]:
+            return {
+                e["entry"]: e["at_s"]
+                for e in hosts.find("state")
+                if e["about"] == entry and e["state"] == "lost"
+            }
+
+        hosts.wait(lambda: observers <= set(noticed()), LOSS_LIMIT_S)
+        found = noticed()
+        times += [
+            (found.get(o, since_s + LOSS_LIMIT_S) - since_s) * 1000 for o in observers
+        ]
+        hosts.hosts.remove(host)
+    figures.loss_detected_p99_ms = quantile(times, 0.99)
+
+
+def _measure_heal(figures: CapacityFigures, hosts: NodeHosts) -> None:
+    """Cut a zone off, connect it again and wait until all know all."""
+    zone = hosts.plans[min(hosts.plans)].zone
+    hosts.partition(zone)
+    _pause(hosts, PARTITION_S)
+    hosts.heal(zone)
+    healed_s = time.monotonic()
+    healed = hosts.wait(lambda: _is_converged(hosts, set(hosts.plans)), HEAL_LIMIT_S)
+    took_s = time.monotonic() - healed_s if healed else 2 * HEAL_LIMIT_S
+    figures.converged_after_heal_ms = round(took_s * 1000, 1)
+
+
+def _is_converged(hosts: NodeHosts, entries: set[str]) -> bool:
+    alive: dict[str, set[str]] = {entry: set() for entry in entries}
+    for event in hosts.find("state"):
+        if event["entry"] not in alive:
+            continue
+        if event["state"] == "alive":
+            alive[event["entry"]].add(event["about"])
+        else:
+            alive[event["entry"]].discard(event["about"])
+    return all(known >= entries for known in alive.values())
+
+
+def _add_slopes(figures: CapacityFigures) -> None:
+    nodes = [float(cost.nodes) for cost in figures.sizes]
+    workers = [cost.workers / 1000 for cost in figures.entries]
+
+    def per_node(name: str) -> float:
+        return slope(nodes, [getattr(cost, name) for cost in figures.sizes])
+
+    def per_workers(name: str) -> float:
+        return slope(workers, [getattr(cost, name) for cost in figures.entries])
+
+    figures.cpu_ratio_per_node = per_node("cpu_ratio")
+    figures.bytes_per_s_per_node = per_node("bytes_per_s")
+    figures.memory_bytes_per_node = per_node("memory_bytes")
+    figures.cpu_ratio_per_1000_workers = per_workers("cpu_ratio")
+    figures.bytes_per_s_per_1000_workers = per_workers("bytes_per_s")
+    figures.memory_bytes_per_1000_workers = per_workers("memory_bytes")
+    changes_per_s = CHANGES_PER_DAY / 86_400
+    whole = figures.entries[-1]
+    figures.control_cpu_ratio = (
+        whole.cpu_ratio + changes_per_s * figures.change_cpu_ms / 1000
+    )
+    figures.control_bytes_per_s = (
+        whole.bytes_per_s + changes_per_s * figures.change_bytes
+    )
+    figures.memory_bytes = whole.memory_bytes
+
+
+def slope(places: list[float], values: list[float]) -> float:
+    """Return the slope of the line that fits best."""
+    middle, mean = sum(places) / len(places), sum(values) / len(values)
+    spread = sum((place - middle) ** 2 for place in places)
+    products = ((p - middle) * (v - mean) for p, v in zip(places, values, strict=True))
+    return sum(products) / spread
+
+
+def _nodes_of(hosts: NodeHosts, host: Host) -> int:
+    return sum(hosts.host_of(entry) is host for entry in hosts.plans)
+
+
+def _pause(hosts: NodeHosts, seconds: float) -> None:
+    hosts.wait(lambda: False, seconds)
--- a/src/jayshunt_measure/node_host.py
+++ b/src/jayshunt_measure/node_host.py
@@ -8,8 +8,11 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
+from jayshunt.composition import EntryProcess
 from jayshunt.errors import JayshuntError
+from jayshunt.settings.loader import load_settings
 from jayshunt_measure.control_node import ControlNode, NodePlan
 from jayshunt_measure.traffic import TrafficCounter
 
@@ -25,6 +28,7 @@
         self._lock = threading.Lock()
         self._traffic = TrafficCounter().start()
         self._executor = ThreadPoolExecutor(MAX_ACCEPTS)
+        self._full: EntryProcess | None = None
         self._hole = socket.create_server(("127.0.0.1", 0), backlog=1024)
         port = self._hole.getsockname()[1]
         self._black_hole = f"127.0.0.1:{port}"
@@ -43,6 +47,12 @@
         node.start()
         self.report({"event": "started", "entry": node.plan.entry})
 
+    def do_full(self, settings: str) -> None:
+        """Start a whole entry in this process."""
+        self._full = EntryProcess(load_settings(Path(settings)))
+        self._full.start()
+        self.report({"event": "started", "entry": Path(settings).stem})
+
     def do_stop(self, entry: str, orderly: bool) -> None:
         """Stop a node."""
         self._nodes.pop(entry).stop(orderly)
@@ -67,20 +77,21 @@
     def do_stats(self, mark: str) -> None:
         """Report what this process has used so far."""
         traffic = self._traffic.total()
+        nodes = [*self._nodes.values()] + ([self._full] if self._full else [])
         pages = int(open("/proc/self/statm").read().split()[1])
         self.report(
             {
                 "event": "stats",
                 "mark": mark,
-                "nodes": len(self._nodes),
+                "nodes": len(nodes),
                 "cpu_s": time.process_time(),
                 "payload_bytes": traffic.payload_bytes,
                 "wire_bytes": traffic.wire_bytes,
                 "segments": traffic.segments,
                 "rss_bytes": pages * resource.getpagesize(),
                 "threads": threading.active_count(),
-                "store_calls": sum(n.store.calls for n in self._nodes.values()),
-                "store_writes": sum(n.store.writes for n in self._nodes.values()),
+                "store_calls": sum(n.store.calls for n in nodes),
+                "store_writes": sum(n.store.writes for n in nodes),
             }
         )
 
--- a/src/jayshunt_measure/node_hosts.py
+++ b/src/jayshunt_measure/node_hosts.py
@@ -106,6 +106,41 @@
             host.send(do="start", plan=asdict(plan))
         return host
 
+    def start_full(self, plan: NodePlan, inventory_url: str) -> Host:
+        """Start a whole entry in a process of its own."""
+        settings = Path(self._folder.name) / f"{plan.entry}.toml"
+        token = Path(self._folder.name) / "token"
+        token.write_text("loopback-only")
+        settings.write_text(f"""
+seeds = {json.dumps(list(plan.seeds))}
+
+[identity]
+entry = "{plan.entry}"
+zone = "{plan.zone}"
+region = "{plan.region}"
+
+[listen]
+callers = "{LOOPBACK}:0"
+operators = "{LOOPBACK}:0"
+peers = "{plan.address}"
+
+[platform]
+store_url = "{plan.store_url}"
+inventory_url = "{inventory_url}"
+
+[operators]
+token_file = "{token}"
+
+[tls.peers]
+certificate_file = "{plan.certificate_file}"
+key_file = "{plan.key_file}"
+authority_file = "{plan.authority_file}"
+""")
+        host = Host(self._take)
+        self.hosts.append(host)
+        host.send(do="full", settings=str(settings))
+        return host
+
     def restart(self, entry: str) -> None:
         """Start a node again that was stopped."""
         plan = replace(self.plans[entry])
@@ -130,11 +165,12 @@
             self._host_of[entry].send(do="cut", entry=entry, addresses=[])
         self.relays[zone].restore()
 
-    def stats(self, mark: str) -> list[dict]:
-        """Return what each host has used so far."""
-        for host in self.hosts:
+    def stats(self, mark: str, hosts: list[Host] | None = None) -> list[dict]:
+        """Return what hosts have used so far."""
+        asked = self.hosts if hosts is None else hosts
+        for host in asked:
             host.send(do="stats", mark=mark)
-        self.wait(lambda: len(self._marked(mark)) >= len(self.hosts), 10)
+        self.wait(lambda: len(self._marked(mark)) >= len(asked), 10)
         return self._marked(mark)
 
     def wait(
--- a/src/jayshunt_measure/traffic.py
+++ b/src/jayshunt_measure/traffic.py
@@ -13,7 +13,8 @@
 TCP_INFO_BYTES = 256
 # IP and TCP headers with the timestamp option.
 HEADER_BYTES = 52
-SAMPLE_INTERVAL_S = 0.5
+# Each sample reads every descriptor; a shorter interval would show in the CPU time.
+SAMPLE_INTERVAL_S = 5.0
 
 
 @dataclass(frozen=True)
