--- a/src/jayshunt/config/tests/test_spreader.py
+++ b/src/jayshunt/config/tests/test_spreader.py
@@ -3,7 +3,8 @@
 import unittest
 
 from jayshunt.config.tests.builders import FakePeers, add_class
-from jayshunt.ids import EntryId
+from jayshunt.ids import ConfigVersion, EntryId
+from jayshunt.store.errors import StoreUnavailable
 from jayshunt.store.tests.builders import FakeStore
 
 
@@ -62,6 +63,19 @@
         missing = [entry for entry, version in versions.items() if version != 1]
         self.assertEqual(missing, [EntryId("e09")])
 
+    def test_entry_that_starts_without_the_store_asks_its_peers(self) -> None:
+        """A new entry must serve the newest version while the store is down."""
+        self.accept("e00", "quotes")
+        self.accept("e00", "trips")
+        self.store.down = True
+        started = self.peers.coordinators["e05"]
+        with self.assertRaises(StoreUnavailable):
+            started.refresh()
+        self.assertEqual(started.current().version, 0)
+        self.peers.spreaders["e05"].hear_version(EntryId("e00"), ConfigVersion(2))
+        self.peers.spreaders["e05"].fetch_wanted()
+        self.assertEqual(started.current().version, 2)
+
     def test_paused_entry_with_an_old_version_brings_nobody_back(self) -> None:
         """A process that resumes with an old version must catch up."""
         self.accept("e00", "quotes")
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -59,6 +59,8 @@
     lines: list[bytes] = []
     handle.setopt(pycurl.URL, url)
     handle.setopt(pycurl.CUSTOMREQUEST, method)
+    # The default names every library of the build, about 100 bytes in each request.
+    handle.setopt(pycurl.USERAGENT, "jayshunt")
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
--- a/src/jayshunt/store/client.py
+++ b/src/jayshunt/store/client.py
@@ -24,6 +24,7 @@
     StoreUnavailable,
 )
 from jayshunt.store.gate import CallGate, CallShare
+from jayshunt.store.known_values import KnownValues
 from jayshunt.store.models import StoredValue, StoreHealth, WatchEvent
 
 _LOGGER = logging.getLogger(__name__)
@@ -50,6 +51,7 @@
         self._lock = threading.Lock()
         self._highest = Revision(0)
         self.stale_answers = 0
+        self._values = KnownValues()
         self.gate = CallGate(self._peer, clock, rng)
 
     @property
@@ -72,11 +74,21 @@
         self.gate.set_share(share)
 
     def get(self, key: str) -> StoredValue | None:
-        """Return the value of a key, or None if it is absent."""
-        answer = self._read("store.get", f"/kv/{quote(key)}")
+        """Return the value of a key, or None if it is absent.
+
+        A value that did not change since the last read is not sent again.
+        """
+        known = self._values.get(key)
+        headers = None if known is None else {"If-None-Match": f'"{known.revision}"'}
+        answer = self._read("store.get", f"/kv/{quote(key)}", headers)
+        if answer.status == 304 and known is not None:
+            return known
         if answer.status == 404:
+            self._values.drop(key)
             return None
-        return _stored(json.loads(answer.body))
+        stored = _stored(json.loads(answer.body))
+        self._values.keep(stored)
+        return stored
 
     def list(self, prefix: str) -> list[StoredValue]:
         """Return every value below a prefix, in the order of keys."""
@@ -161,10 +173,12 @@
         """End a lease and delete the keys tied to it."""
         self._call("store.lease", "DELETE", f"/leases/{quote(lease)}")
 
-    def _read(self, step: str, path: str) -> HttpAnswer:
+    def _read(
+        self, step: str, path: str, headers: dict[str, str] | None = None
+    ) -> HttpAnswer:
         for _ in range(STALE_RETRIES):
             before = self._highest
-            answer = self._call(step, "GET", path)
+            answer = self._call(step, "GET", path, headers=headers)
             revision = Revision(int(answer.headers.get("store-revision", "0")))
             if revision >= before:
                 self._saw(revision)
@@ -211,7 +225,7 @@
             self.gate.failed(round_number, f"status {answer.status}")
             raise StoreUnavailable(step, self._peer, f"status {answer.status}")
         self.gate.succeeded()
-        if answer.status in (200, 404, 412):
+        if answer.status in (200, 304, 404, 412):
             return answer
         raise JayshuntError(
             "store_refused",
--- a/src/jayshunt/store/const.py
+++ b/src/jayshunt/store/const.py
@@ -24,3 +24,6 @@
 GATHER_S = 0.02
 STALE_RETRIES = 3
 STALE_WAIT_S = 0.05
+# A zone's record, its job shards and the budgets that its controller reads fit in
+# this (record under 100 KB, four shards of at most 900 KB).
+MAX_KNOWN_BYTES = 8 * 1024 * 1024
--- /dev/null
+++ b/src/jayshunt/store/tests/test_client.py
@@ -0,0 +1,69 @@
+"""Test the store's client against the stand-in."""
+
+import random
+import unittest
+
+from jayshunt.clock import SystemClock
+from jayshunt.store.client import ABSENT, StoreClient
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+from jayshunt.store.known_values import KnownValues
+from jayshunt.store.models import StoredValue
+from jayshunt_standins.store import StoreFaults, StoreStandIn
+
+
+class ClientTest(unittest.TestCase):
+    """Guard reads and writes over HTTP."""
+
+    def setUp(self) -> None:
+        """Start a store."""
+        self.store = StoreStandIn()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.client = StoreClient(self.store.url, SystemClock(), random.Random(1))
+
+    def test_changed_value_is_never_served_from_memory(self) -> None:
+        """A reader must see another writer's change at its next read."""
+        first = self.client.put("a", "one", ABSENT)
+        self.assertEqual(self.client.get("a").value, "one")
+        self.assertEqual(self.client.get("a").value, "one")
+        other = StoreClient(self.store.url, SystemClock(), random.Random(2))
+        other.put("a", "two", first)
+        self.assertEqual(self.client.get("a").value, "two")
+        other.delete("a")
+        self.assertIsNone(self.client.get("a"))
+
+    def test_stale_answer_is_asked_for_again(self) -> None:
+        """A value from before an own write must not be returned."""
+        first = self.client.put("a", "one", ABSENT)
+        self.client.put("a", "two", first)
+        self.store.faults = StoreFaults(stale_reads=1)
+        self.assertEqual(self.client.get("a").value, "two")
+        self.assertEqual(self.client.stale_answers, 1)
+        self.store.faults = StoreFaults(stale_reads=9)
+        with self.assertRaises(StoreUnavailable):
+            self.client.get("a")
+
+    def test_lost_answer_of_a_write_is_unknown(self) -> None:
+        """A write without an answer must not be reported as refused."""
+        self.store.faults = StoreFaults(lost_answers=1)
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.client.put("a", "one", ABSENT)
+
+
+class KnownValuesTest(unittest.TestCase):
+    """Guard the memory that read values take."""
+
+    def test_values_stay_within_the_limit(self) -> None:
+        """Many documents must not fill the memory of an entry."""
+        known = KnownValues(limit_bytes=25)
+        for number in range(4):
+            known.keep(StoredValue(f"k{number}", "x" * 10, number))
+        self.assertIsNone(known.get("k1"))
+        self.assertEqual(known.get("k3").value, "x" * 10)
+
+    def test_older_answer_does_not_replace_a_newer_one(self) -> None:
+        """Two reads that cross must leave the newer value."""
+        known = KnownValues()
+        known.keep(StoredValue("a", "new", 2))
+        known.keep(StoredValue("a", "old", 1))
+        self.assertEqual(known.get("a").value, "new")
--- a/src/jayshunt_measure/capacity_entry.py
+++ b/src/jayshunt_measure/capacity_entry.py
@@ -22,12 +22,19 @@
 
     workers: int
     cpu_ratio: float
-    bytes_per_s: float
-    wire_bytes_per_s: float
+    peers_bytes_per_s: float
+    store_bytes_per_s: float
+    list_bytes_per_s: float
+    vms_bytes_per_s: float
     memory_bytes: float
     store_calls_per_s: float
     store_writes_per_s: float
 
+    @property
+    def bytes_per_s(self) -> float:
+        """Return what control costs; checks of VMs serve their callers."""
+        return self.peers_bytes_per_s + self.store_bytes_per_s + self.list_bytes_per_s
+
 
 def measure_entry(hosts: NodeHosts, workers: int) -> EntryCost:
     """Start an entry in a zone of its own share of the workers and let it idle.
@@ -43,6 +50,8 @@
         _list_vms(zone, workers, upstream.address, worker.address), lag_s=0.0
     )
     inventory.start()
+    hosts.services[inventory.address] = "list"
+    hosts.services[upstream.address] = hosts.services[worker.address] = "vms"
     plan = hosts.plan(1, 1, 1)[0]
     known = hosts.plans[min(hosts.plans)]
     seeds = tuple(p.address for p in list(hosts.plans.values())[:3])
@@ -73,8 +82,10 @@
     return EntryCost(
         workers,
         rate("cpu_s"),
-        rate("payload_bytes"),
-        rate("wire_bytes"),
+        rate("peers_bytes"),
+        rate("store_bytes"),
+        rate("list_bytes"),
+        rate("vms_bytes"),
         float(after[0]["rss_bytes"]),
         rate("store_calls"),
         rate("store_writes"),
--- a/src/jayshunt_measure/node_host.py
+++ b/src/jayshunt_measure/node_host.py
@@ -14,7 +14,7 @@
 from jayshunt.errors import JayshuntError
 from jayshunt.settings.loader import load_settings
 from jayshunt_measure.control_node import ControlNode, NodePlan
-from jayshunt_measure.traffic import TrafficCounter
+from jayshunt_measure.traffic import Traffic, TrafficCounter
 
 MAX_ACCEPTS = 32
 
@@ -74,9 +74,16 @@
         """Load a whole document at a node."""
         self._nodes[entry].load(document)
 
-    def do_stats(self, mark: str) -> None:
-        """Report what this process has used so far."""
-        traffic = self._traffic.total()
+    def do_stats(self, mark: str, services: dict[str, str]) -> None:
+        """Report what this process has used so far.
+
+        `services` names the service behind an address; all others are peers.
+        """
+        groups = dict.fromkeys(("peers", *services.values()), 0)
+        traffic = Traffic()
+        for remote, part in self._traffic.by_remote().items():
+            traffic += part
+            groups[services.get(remote, "peers")] += part.payload_bytes
         nodes = [*self._nodes.values()] + ([self._full] if self._full else [])
         pages = int(open("/proc/self/statm").read().split()[1])
         self.report(
@@ -86,6 +93,7 @@
                 "nodes": len(nodes),
                 "cpu_s": time.process_time(),
                 "payload_bytes": traffic.payload_bytes,
+                **{f"{name}_bytes": value for name, value in groups.items()},
                 "wire_bytes": traffic.wire_bytes,
                 "segments": traffic.segments,
                 "rss_bytes": pages * resource.getpagesize(),
--- a/src/jayshunt_measure/node_hosts.py
+++ b/src/jayshunt_measure/node_hosts.py
@@ -68,6 +68,7 @@
         self._changed = threading.Condition()
         self.plans: dict[str, NodePlan] = {}
         self._host_of: dict[str, Host] = {}
+        self.services: dict[str, str] = {self.store.address: "store"}
 
     def plan(
         self, count: int, zones: int, regions: int, watch_only: bool = False
@@ -79,6 +80,7 @@
             zone = f"z{number % zones:02}"
             if zone not in self.relays:
                 self.relays[zone] = Relay(self.store.address).start()
+                self.services[self.relays[zone].address] = "store"
             keys = self._authority.issue(f"e{number:03}")
             plans.append(
                 NodePlan(
@@ -169,7 +171,7 @@
         """Return what hosts have used so far."""
         asked = self.hosts if hosts is None else hosts
         for host in asked:
-            host.send(do="stats", mark=mark)
+            host.send(do="stats", mark=mark, services=self.services)
         self.wait(lambda: len(self._marked(mark)) >= len(asked), 10)
         return self._marked(mark)
 
--- a/src/jayshunt_measure/traffic.py
+++ b/src/jayshunt_measure/traffic.py
@@ -49,8 +49,8 @@
 
     def __init__(self) -> None:
         """Start with no connection."""
-        self._last: dict[int, Traffic] = {}
-        self._closed = Traffic()
+        self._last: dict[int, tuple[str, Traffic]] = {}
+        self._closed: dict[str, Traffic] = {}
         self._lock = threading.Lock()
 
     def start(self) -> "TrafficCounter":
@@ -58,15 +58,18 @@
         threading.Thread(target=self._run, daemon=True).start()
         return self
 
-    def total(self) -> Traffic:
-        """Return the bytes of all connections so far."""
+    def by_remote(self) -> dict[str, Traffic]:
+        """Return the bytes so far by remote address."""
         self.sample()
         with self._lock:
-            return sum(self._last.values(), self._closed)
+            totals = dict(self._closed)
+            for remote, traffic in self._last.values():
+                totals[remote] = totals.get(remote, Traffic()) + traffic
+            return totals
 
     def sample(self) -> None:
         """Read the counters of the open connections."""
-        found: dict[int, Traffic] = {}
+        found: dict[int, tuple[str, Traffic]] = {}
         for name in os.listdir("/proc/self/fd"):
             try:
                 link = os.readlink(f"/proc/self/fd/{name}")
@@ -76,7 +79,8 @@
                 continue
         with self._lock:
             for inode in set(self._last) - set(found):
-                self._closed += self._last.pop(inode)
+                remote, traffic = self._last.pop(inode)
+                self._closed[remote] = self._closed.get(remote, Traffic()) + traffic
             self._last.update(found)
 
     def _run(self) -> None:
@@ -86,16 +90,19 @@
             pause.wait(SAMPLE_INTERVAL_S)
 
 
-def _read(descriptor: int) -> Traffic:
+def _read(descriptor: int) -> tuple[str, Traffic]:
     duplicate = socket.socket(fileno=os.dup(descriptor))
     try:
         if duplicate.type != socket.SOCK_STREAM or duplicate.family == socket.AF_UNIX:
-            return Traffic()
+            return "", Traffic()
+        host, port = duplicate.getpeername()[:2]
         info = duplicate.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     finally:
         duplicate.close()
     if len(info) < SEGMENTS_OFFSET + 8:
-        return Traffic()
+        return "", Traffic()
     acked, received = struct.unpack_from("=QQ", info, BYTES_OFFSET)
     out, into = struct.unpack_from("=II", info, SEGMENTS_OFFSET)
-    return Traffic(acked, received, out + into)
+    return f"{host.removeprefix('::ffff:')}:{port}", Traffic(
+        acked, received, out + into
+    )
--- a/src/jayshunt_standins/store.py
+++ b/src/jayshunt_standins/store.py
@@ -99,6 +99,8 @@
             item = items.get(key)
             if item is None:
                 return Reply(404, {"error": "absent"}, headers=headers)
+            if call.headers.get("If-None-Match") == f'"{item.revision}"':
+                return Reply(304, body=b"", headers=headers)
             return Reply(200, _shown(key, item), headers=headers)
 
     def _write(self, call: Call) -> Reply:
