--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import threading
 
 from jayshunt import __version__
 from jayshunt.admission.directory import BrokerDirectory
@@ -14,12 +13,15 @@
 from jayshunt.config.spreader import ConfigSpreader
 from jayshunt.config.transport import GrpcConfigTransport
 from jayshunt.config.watcher import StoreWatcher
-from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
+from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
+from jayshunt.idempotency.models import Holder
+from jayshunt.ids import EntryId, PoolName, RegionName, WorkerId, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
-from jayshunt.jobs.application import JobApplication
-from jayshunt.jobs.intake import JobIntake
-from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.jobs.service import JobService
+from jayshunt.maintenance.permits import PermitLedger
+from jayshunt.maintenance.probes import HealthProbes
+from jayshunt.maintenance.reporting import ZoneReporter
+from jayshunt.maintenance.runner import MaintenanceRunner
 from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
@@ -27,9 +29,12 @@
 from jayshunt.operations.sections import buffer_cores
 from jayshunt.operations.service import OperationsService
 from jayshunt.peers.channels import PeerChannels
+from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
-from jayshunt.pools.models import Assignment, VmKind
+from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
+from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
+from jayshunt.pools.registry import EntryRegistry
 from jayshunt.reports import add_reports
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.const import HEALTH_CONNECTIONS
@@ -42,6 +47,8 @@
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
 from jayshunt.store.gate import CallShare
+from jayshunt.store.group_commit import GroupCommitter
+from jayshunt.store.models import StoreState
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -59,7 +66,6 @@
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
         self._tasks = TaskGroup("entry")
-        self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
         self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
@@ -92,14 +98,8 @@
         self.config.add_listener(
             lambda snapshot: self.membership.set_config_version(snapshot.version)
         )
-        self.controller = ZoneController(
-            zone,
-            self._entry,
-            self.store,
-            documents,
-            lambda: self.inventory.current,
-            clock,
-        )
+        self.controller = self._zone_controller(zone, own, documents)
+        self.maintenance = self._maintenance(zone, documents)
         self.operations = OperationsService(
             self._entry,
             self.config,
@@ -124,6 +124,11 @@
         self.peer_server.add(service.add_to)
         self.controller.add_listener(lambda _: self.brokers.apply_assignments())
         self.connections = UpstreamConnections(clock, self._idle_limit)
+        self.commits = GroupCommitter(documents, clock, self._is_store_up)
+        holder = Holder(self._entry, own.incarnation)
+        self.claims = ClaimStore(
+            holder, self.commits, holder_is_gone(self.membership.view), clock
+        )
         self.router = Router(
             self._entry,
             clock,
@@ -131,15 +136,25 @@
             self.brokers,
             self.connections,
             rng,
+            self.claims,
         )
         # A new controller takes its larger share at its first step.
         self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
-        scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
-        self.controller.add_duty(scheduler.step)
-        intake = JobIntake(
-            zone, documents, self.config.current, clock, rng, self._wake.set
+        self.jobs = JobService(
+            own,
+            documents,
+            self.commits,
+            self.config.current,
+            lambda: self.controller.record,
+            lambda: self.controller.term,
+            self.membership.view,
+            self.channels,
+            clock,
+            rng,
         )
-        self.callers = self._caller_server(settings, JobApplication(intake))
+        self.peer_server.add(self.jobs.servicer.add_to)
+        self.controller.add_hold(lambda vm: self.jobs.scheduler.drain(WorkerId(vm)))
+        self.callers = self._caller_server(settings)
         self.operators = self._operator_server(settings)
         add_reports(self)
 
@@ -152,6 +167,8 @@
             self.config_watcher.run,
             self.spreader.run_fetches,
             self.controller.run,
+            *self.jobs.tasks,
+            self.claims.run,
         ):
             self._tasks.start(task)
         for task in (self.brokers.run, self.health.run, self.operations.samples.run):
@@ -174,10 +191,76 @@
         self.brokers.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.commits.stop()
+        self._probes.stop()
         self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
 
+    def _zone_controller(
+        self, zone: ZoneName, own: Member, documents: DocumentStore
+    ) -> ZoneController:
+        self.registry = EntryRegistry(
+            zone,
+            self._entry,
+            own.incarnation,
+            own.peer_address,
+            self.store,
+            self.clock,
+        )
+        service = AssignmentsService(
+            zone,
+            self.registry.own,
+            lambda record: self.controller.apply(record),
+            lambda vm: self.brokers.in_flight(vm),
+        )
+        self.peer_server.add(
+            lambda server: add_AssignmentsServicer_to_server(service, server)
+        )
+        return ZoneController(
+            zone,
+            self._entry,
+            self.store,
+            documents,
+            lambda: self.inventory.current,
+            self.clock,
+            self.registry,
+            RecordPusher(self.channels, service).push,
+            lambda: [
+                EntryRegistration(m.entry, m.incarnation, m.peer_address, 0.0)
+                for m in self.membership.view().alive(zone)
+            ],
+        )
+
+    def _maintenance(
+        self, zone: ZoneName, documents: DocumentStore
+    ) -> MaintenanceRunner:
+        ledger = PermitLedger(
+            documents,
+            lambda: self.inventory.current,
+            self._min_available_ratio,
+            lambda: self.controller.fencing_epoch,
+            self.clock,
+        )
+        self._probes = HealthProbes()
+        runner = MaintenanceRunner(
+            zone,
+            self.controller,
+            ledger,
+            ZoneReporter(zone, ledger, dict, self.clock),
+            lambda: self.config.current().document,
+            self.inventory.call_vm,
+            self._probes.check,
+            self.clock,
+        )
+        self.controller.add_duty(runner.step)
+        return runner
+
+    def _min_available_ratio(self, pool: PoolName) -> float:
+        configured = self.config.current().document.pools.get(pool)
+        # Nothing of a pool that is not configured may be taken down.
+        return 1.0 if configured is None else configured.min_available_ratio
+
     def _share_store(self, view: MembershipView) -> None:
         """Divide the store's rate among all entries that may be alive.
 
@@ -202,12 +285,10 @@
             program_version=__version__,
         )
 
-    def _caller_server(
-        self, settings: EntrySettings, jobs: JobApplication
-    ) -> HttpServer:
+    def _caller_server(self, settings: EntrySettings) -> HttpServer:
         application = CallerApplication(
             self.operations.measured(self.router.send),
-            jobs.answer,
+            self.jobs.application.answer,
             lambda request: self.router.cancel(request.request),
         )
         host, port = split_address(settings.listen.callers)
@@ -254,13 +335,12 @@
         return max(0, spare - HEALTH_CONNECTIONS) // max(1, entries)
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
+        if not self.controller.may_broker:
+            return ()
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
 
-    def _pool_of_class(self, name: ClassName) -> PoolName:
-        work_class = self.config.current().document.classes.get(name)
-        if work_class is None:
-            raise JayshuntError("unknown_class", step="jobs.place", detail=name)
-        return PoolName(work_class.pool)
+    def _is_store_up(self) -> bool:
+        return self.store.health.state is StoreState.UP
 
     def is_ready(self) -> bool:
         """Return whether callers can be served; False from the start of a stop."""
--- /dev/null
+++ b/src/jayshunt/idempotency/models.py
@@ -0,0 +1,118 @@
+"""Describe claims and their stored form."""
+
+import base64
+from dataclasses import dataclass, replace
+from enum import Enum
+from hashlib import blake2b
+
+from jayshunt.idempotency.const import KEPT_HEADERS, MAX_ANSWER_BYTES, SHARDS
+from jayshunt.ids import EntryId, RequestId
+from jayshunt.routing.messages import CallerAnswer, CallerRequest
+
+ClaimId = str
+
+
+class ClaimState(Enum):
+    """Name the states of a claim.
+
+    STARTED: the request may have been sent and its end is not stored. DONE: it
+    ran. RELEASED: it is certain that nothing was sent. UNKNOWN: whether it ran
+    cannot be found out any more.
+    """
+
+    STARTED = "started"
+    DONE = "done"
+    RELEASED = "released"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Holder:
+    """Name the process that holds a claim."""
+
+    entry: EntryId
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class Claim:
+    """Hold one claim; `changed_s` is wall time.
+
+    `token` is new for each `begin`, so that two attempts with the same request id
+    differ. `request_digest` is taken over method, target and body, so that a key
+    that is used again for something else is noticed. `answer` is None if it was
+    too large.
+    """
+
+    state: ClaimState
+    holder: Holder
+    request: RequestId
+    token: str
+    request_digest: str
+    changed_s: float
+    answer: CallerAnswer | None = None
+
+    def ended(
+        self, state: ClaimState, now_s: float, answer: CallerAnswer | None = None
+    ) -> "Claim":
+        """Return the claim in its end state."""
+        if answer is not None and len(answer.body) > MAX_ANSWER_BYTES:
+            answer = None
+        return replace(self, state=state, changed_s=now_s, answer=answer)
+
+
+def claim_id(request: CallerRequest) -> ClaimId:
+    """Return the id of a request's claim; keys of different classes differ."""
+    text = f"{request.work_class}\n{request.key}".encode()
+    return blake2b(text, digest_size=16).hexdigest()
+
+
+def shard_of(claim: ClaimId) -> int:
+    """Return the shard of a claim."""
+    return int(claim[:8], 16) % SHARDS
+
+
+def digest_request(request: CallerRequest) -> str:
+    """Return a digest of what a retry has in common with the first attempt."""
+    digest = blake2b(digest_size=12)
+    for part in (request.method.encode(), request.target.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def claim_content(claim: Claim) -> dict:
+    """Return the stored form of a claim."""
+    content = {
+        "state": claim.state.value,
+        "entry": claim.holder.entry,
+        "incarnation": claim.holder.incarnation,
+        "request": claim.request,
+        "token": claim.token,
+        "digest": claim.request_digest,
+        "changed_s": round(claim.changed_s, 3),
+    }
+    if claim.answer is not None:
+        kept = [[n, v] for n, v in claim.answer.headers if n.lower() in KEPT_HEADERS]
+        content["status"] = claim.answer.status
+        content["headers"] = kept
+        content["body"] = base64.b64encode(claim.answer.body).decode()
+    return content
+
+
+def read_claim(content: dict) -> Claim:
+    """Return the claim of a stored form."""
+    answer = None
+    if "status" in content:
+        headers = tuple((name, value) for name, value in content["headers"])
+        body = base64.b64decode(content["body"])
+        answer = CallerAnswer(content["status"], headers, body)
+    return Claim(
+        ClaimState(content["state"]),
+        Holder(EntryId(content["entry"]), content["incarnation"]),
+        RequestId(content["request"]),
+        content["token"],
+        content["digest"],
+        content["changed_s"],
+        answer,
+    )
--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -5,6 +5,7 @@
 from jayshunt_measure.capacity import capacity
 from jayshunt_measure.demo import demo
 from jayshunt_measure.rollout import rollout
+from jayshunt_measure.serving import serving
 from jayshunt_measure.smoke import smoke
 
 app = typer.Typer(
@@ -13,6 +14,7 @@
 app.command()(capacity)
 app.command()(demo)
 app.command()(rollout)
+app.command()(serving)
 app.command()(smoke)
 
 if __name__ == "__main__":
