--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -2,30 +2,22 @@
 
 import logging
 import random
-import threading
-from dataclasses import asdict
 
 from jayshunt import __version__
-from jayshunt.admission.broker import Broker
+from jayshunt.admission.directory import BrokerDirectory
+from jayshunt.admission.health_checks import HealthChecker
+from jayshunt.admission.peer_service import AdmissionService
 from jayshunt.clock import SystemClock
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.config.peer_service import ConfigurationServicer
 from jayshunt.config.spreader import ConfigSpreader
 from jayshunt.config.transport import GrpcConfigTransport
 from jayshunt.config.watcher import StoreWatcher
-from jayshunt.errors import JayshuntError
-from jayshunt.ids import (
-    ClassName,
-    EntryId,
-    PoolName,
-    RegionName,
-    VmId,
-    ZoneName,
-)
+from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
+from jayshunt.idempotency.models import Holder
+from jayshunt.ids import EntryId, PoolName, RegionName, WorkerId, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
-from jayshunt.jobs.application import JobApplication
-from jayshunt.jobs.intake import JobIntake
-from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.jobs.service import JobService
 from jayshunt.maintenance.permits import PermitLedger
 from jayshunt.maintenance.probes import HealthProbes
 from jayshunt.maintenance.reporting import ZoneReporter
@@ -33,8 +25,9 @@
 from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
-from jayshunt.operations.application import OperatorApplication
-from jayshunt.operations.class_statistics import ClassStatistics
+from jayshunt.operations.peer_service import OperationsServicer
+from jayshunt.operations.sections import buffer_cores
+from jayshunt.operations.service import OperationsService
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
@@ -42,8 +35,9 @@
 from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
 from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
 from jayshunt.pools.registry import EntryRegistry
+from jayshunt.reports import add_reports
 from jayshunt.routing.connections import UpstreamConnections
-from jayshunt.routing.messages import CallerAnswer, CallerRequest
+from jayshunt.routing.const import HEALTH_CONNECTIONS
 from jayshunt.routing.router import Router
 from jayshunt.serving.application import CallerApplication
 from jayshunt.serving.http_server import HttpServer
@@ -53,6 +47,8 @@
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
 from jayshunt.store.gate import CallShare
+from jayshunt.store.group_commit import GroupCommitter
+from jayshunt.store.models import StoreState
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -63,14 +59,13 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         """Create the parts; nothing runs yet."""
-        self._settings = settings
+        self.settings = settings
         clock = SystemClock()
         rng = random.Random()
-        self._clock = clock
+        self.clock = clock
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
         self._tasks = TaskGroup("entry")
-        self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
         self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
@@ -91,6 +86,7 @@
             self.config,
             GrpcConfigTransport(self.channels),
             self.membership.view,
+            self.membership.node.news_targets,
             clock,
             rng,
         )
@@ -102,24 +98,65 @@
         self.config.add_listener(
             lambda snapshot: self.membership.set_config_version(snapshot.version)
         )
-        self._brokers: dict[PoolName, Broker] = {}
-        self._brokers_lock = threading.Lock()
         self.controller = self._zone_controller(zone, own, documents)
         self.maintenance = self._maintenance(zone, documents)
-        self.statistics = ClassStatistics(clock)
-        self.connections = UpstreamConnections(clock)
+        self.operations = OperationsService(
+            self._entry,
+            self.config,
+            self.membership.view,
+            self.channels,
+            self._buffer_cores,
+            clock,
+        )
+        self.peer_server.add(OperationsServicer(self.operations.reporter).add_to)
+        self.controller.add_listener(self.operations.samples.take_record)
+        self.brokers = BrokerDirectory(
+            self._entry,
+            zone,
+            clock,
+            self.membership.view,
+            self.channels,
+            self._instances,
+            self._slots_of,
+        )
+        self.health = HealthChecker(self.brokers.brokers, clock)
+        service = AdmissionService(self.brokers.own_broker, self.brokers.recover)
+        self.peer_server.add(service.add_to)
+        self.controller.add_listener(lambda _: self.brokers.apply_assignments())
+        self.connections = UpstreamConnections(clock, self._idle_limit)
+        self.commits = GroupCommitter(documents, clock, self._is_store_up)
+        holder = Holder(self._entry, own.incarnation)
+        self.claims = ClaimStore(
+            holder, self.commits, holder_is_gone(self.membership.view), clock
+        )
         self.router = Router(
-            self._entry, clock, self.config.current, self._broker_of, self.connections
+            self._entry,
+            clock,
+            self.config.current,
+            self.brokers,
+            self.connections,
+            rng,
+            self.claims,
         )
         # A new controller takes its larger share at its first step.
         self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
-        scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
-        self.controller.add_duty(scheduler.step)
-        intake = JobIntake(
-            zone, documents, self.config.current, clock, rng, self._wake.set
+        self.jobs = JobService(
+            own,
+            documents,
+            self.commits,
+            self.config.current,
+            lambda: self.controller.record,
+            lambda: self.controller.term,
+            self.membership.view,
+            self.channels,
+            clock,
+            rng,
         )
-        self.callers = self._caller_server(settings, JobApplication(intake))
+        self.peer_server.add(self.jobs.servicer.add_to)
+        self.controller.add_hold(lambda vm: self.jobs.scheduler.drain(WorkerId(vm)))
+        self.callers = self._caller_server(settings)
         self.operators = self._operator_server(settings)
+        add_reports(self)
 
     def start(self) -> None:
         """Start every part; callers are served last."""
@@ -130,15 +167,19 @@
             self.config_watcher.run,
             self.spreader.run_fetches,
             self.controller.run,
+            *self.jobs.tasks,
+            self.claims.run,
         ):
             self._tasks.start(task)
+        for task in (self.brokers.run, self.health.run, self.operations.samples.run):
+            self._tasks.start(task)
         self.operators.start()
         self.callers.start()
         _LOGGER.info(
             "entry: %s of zone %s serves callers on %s",
             self._entry,
-            self._settings.identity.zone,
-            self._settings.listen.callers,
+            self.settings.identity.zone,
+            self.settings.listen.callers,
         )
 
     def stop(self) -> None:
@@ -147,8 +188,10 @@
         self.membership.leave()
         self.callers.stop()
         self.operators.stop()
+        self.brokers.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.commits.stop()
         self._probes.stop()
         self.membership.stop()
         self.peer_server.stop()
@@ -163,13 +206,13 @@
             own.incarnation,
             own.peer_address,
             self.store,
-            self._clock,
+            self.clock,
         )
         service = AssignmentsService(
             zone,
             self.registry.own,
             lambda record: self.controller.apply(record),
-            self._in_flight,
+            lambda vm: self.brokers.in_flight(vm),
         )
         self.peer_server.add(
             lambda server: add_AssignmentsServicer_to_server(service, server)
@@ -180,7 +223,7 @@
             self.store,
             documents,
             lambda: self.inventory.current,
-            self._clock,
+            self.clock,
             self.registry,
             RecordPusher(self.channels, service).push,
             lambda: [
@@ -197,18 +240,18 @@
             lambda: self.inventory.current,
             self._min_available_ratio,
             lambda: self.controller.fencing_epoch,
-            self._clock,
+            self.clock,
         )
         self._probes = HealthProbes()
         runner = MaintenanceRunner(
             zone,
             self.controller,
             ledger,
-            ZoneReporter(zone, ledger, dict, self._clock),
+            ZoneReporter(zone, ledger, dict, self.clock),
             lambda: self.config.current().document,
             self.inventory.call_vm,
             self._probes.check,
-            self._clock,
+            self.clock,
         )
         self.controller.add_duty(runner.step)
         return runner
@@ -218,11 +261,6 @@
         # Nothing of a pool that is not configured may be taken down.
         return 1.0 if configured is None else configured.min_available_ratio
 
-    def _in_flight(self, vm: VmId) -> int:
-        with self._brokers_lock:
-            brokers = tuple(self._brokers.values())
-        return sum(broker.in_flight(vm) for broker in brokers)
-
     def _share_store(self, view: MembershipView) -> None:
         """Divide the store's rate among all entries that may be alive.
 
@@ -235,22 +273,24 @@
         self.store.set_share(share)
 
     def _own_member(self) -> Member:
-        identity = self._settings.identity
-        host, _ = split_address(self._settings.listen.peers)
+        identity = self.settings.identity
+        host, _ = split_address(self.settings.listen.peers)
         return Member(
             entry=self._entry,
             zone=ZoneName(identity.zone),
             region=RegionName(identity.region),
             peer_address=f"{host}:{self.peer_server.port}",
             # The wall time makes a restarted process newer than its predecessor.
-            incarnation=int(self._clock.now_s() * 1000),
+            incarnation=int(self.clock.now_s() * 1000),
             program_version=__version__,
         )
 
-    def _caller_server(
-        self, settings: EntrySettings, jobs: JobApplication
-    ) -> HttpServer:
-        application = CallerApplication(self._send, jobs.answer)
+    def _caller_server(self, settings: EntrySettings) -> HttpServer:
+        application = CallerApplication(
+            self.operations.measured(self.router.send),
+            self.jobs.application.answer,
+            lambda request: self.router.cancel(request.request),
+        )
         host, port = split_address(settings.listen.callers)
         return HttpServer(
             host,
@@ -258,16 +298,12 @@
             application,
             caller_limits(settings.limits),
             self._tls_of(settings.tls.callers),
-            self._clock,
+            self.clock,
         )
 
     def _operator_server(self, settings: EntrySettings) -> HttpServer:
-        application = OperatorApplication(
-            settings.operators.token_file.read_text().strip(),
-            self.config,
-            self._status,
-            self._dump,
-            self._is_ready,
+        application = self.operations.application(
+            settings.operators.token_file.read_text().strip(), self.is_ready
         )
         host, port = split_address(settings.listen.operators)
         return HttpServer(
@@ -276,92 +312,45 @@
             application,
             OPERATOR_LIMITS,
             self._tls_of(settings.tls.operators),
-            self._clock,
+            self.clock,
         )
 
     def _tls_of(self, files: ServerTlsFiles | None) -> ReloadingTls | None:
-        return None if files is None else ReloadingTls(files, self._clock)
+        return None if files is None else ReloadingTls(files, self.clock)
 
-    def _send(self, request: CallerRequest) -> CallerAnswer:
-        started_s = self._clock.monotonic_s()
-        answered = False
-        try:
-            answer = self.router.send(request)
-            answered = answer.status < 500
-            return answer
-        finally:
-            duration_ms = (self._clock.monotonic_s() - started_s) * 1000
-            if request.work_class in self.config.current().document.classes:
-                self.statistics.record(request.work_class, duration_ms, answered)
+    def _slots_of(self, pool: PoolName) -> int:
+        settings = self.config.current().document.pools.get(pool)
+        if settings is None:
+            return 0
+        return min(settings.slots_per_instance, settings.connections_per_instance)
 
-    def _broker_of(self, pool: PoolName) -> Broker:
-        with self._brokers_lock:
-            broker = self._brokers.get(pool)
-            if broker is None:
-                broker = Broker(
-                    pool,
-                    self._entry,
-                    self._clock,
-                    lambda: self._instances(pool),
-                    lambda: self.config.current()
-                    .document.pools[pool]
-                    .slots_per_instance,
-                )
-                self._brokers[pool] = broker
-            return broker
+    def _idle_limit(self) -> int:
+        """Return this entry's share of the connections that permits do not use."""
+        pools = self.config.current().document.pools.values()
+        spare = min(
+            (p.connections_per_instance - p.slots_per_instance for p in pools),
+            default=0,
+        )
+        entries = len(self.membership.view().alive())
+        return max(0, spare - HEALTH_CONNECTIONS) // max(1, entries)
 
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
         if not self.controller.may_broker:
             return ()
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
 
-    def _pool_of_class(self, name: ClassName) -> PoolName:
-        work_class = self.config.current().document.classes.get(name)
-        if work_class is None:
-            raise JayshuntError("unknown_class", step="jobs.place", detail=name)
-        return PoolName(work_class.pool)
+    def _is_store_up(self) -> bool:
+        return self.store.health.state is StoreState.UP
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether callers can be served; False from the start of a stop."""
         in_force = self.config.current().version and self.controller.record.epoch
         return bool(in_force) and not self.callers.draining
 
-    def _status(self) -> dict:
-        config = self.config.current()
-        return {
-            "entry": self._entry,
-            "zone": self._settings.identity.zone,
-            "program_version": __version__,
-            "config_version": config.version,
-            "store": self.store.health.state.value,
-            "is_controller": self.controller.holds_lease,
-            "members": {
-                member.entry: member.state.value
-                for member in self.membership.view().members
-            },
-            "classes": [
-                {**asdict(status), "is_met": status.is_met}
-                for status in self.statistics.status(config)
-            ],
-            "planned_stops": {
-                name: stop.model_dump(mode="json")
-                for name, stop in config.document.planned_stops.items()
-            },
-        }
-
-    def _dump(self) -> dict:
-        record = self.controller.record
-        return {
-            "status": self._status(),
-            "config": self.config.current().model_dump(mode="json"),
-            "assignments": {
-                vm: {"pool": a.pool, "state": a.state.value, "reason": a.reason}
-                for vm, a in record.assignments.items()
-            },
-            "held_permits": {
-                pool: [asdict(permit) for permit in broker.held_permits()]
-                for pool, broker in self._brokers.items()
-            },
-        }
+    def _buffer_cores(self) -> float:
+        return buffer_cores(
+            self.config.current(), self.controller.record, self.inventory.current
+        )
 
 
 def split_address(address: str) -> tuple[str, int]:
--- /dev/null
+++ b/src/jayshunt/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claim requests that must run at most once."""
--- /dev/null
+++ b/src/jayshunt/idempotency/retention.py
@@ -0,0 +1,63 @@
+"""Bound what a document of claims holds."""
+
+from collections.abc import Callable
+
+from jayshunt.errors import JayshuntError
+from jayshunt.idempotency.const import (
+    CLAIM_OVERHEAD_BYTES,
+    MAX_ANSWER_BYTES,
+    MAX_SHARD_BYTES,
+    RETENTION_S,
+    RETRY_AFTER_S,
+)
+from jayshunt.idempotency.models import ClaimId, ClaimState, Holder
+from jayshunt.ids import EntryId
+
+# A new claim needs room for itself and for the answer that it may keep, which
+# takes four characters for three bytes.
+ROOM_BYTES = CLAIM_OVERHEAD_BYTES + MAX_ANSWER_BYTES * 4 // 3
+
+
+def make_room(
+    claims: dict[ClaimId, dict], now_s: float, is_gone: Callable[[Holder], bool]
+) -> dict[ClaimId, dict]:
+    """Return the claims without those that are too old or too many.
+
+    Claims past the retention go first, then ended ones, the oldest first. A claim
+    whose request may still run is never dropped; if only such claims are left the
+    new one is refused as `claims_full`. `is_gone` tells whether a holder ended.
+    """
+    oldest_s = now_s - RETENTION_S
+    kept = {
+        identity: content
+        for identity, content in claims.items()
+        if content["changed_s"] >= oldest_s or _may_run(content, is_gone)
+    }
+    held = sum(stored_bytes(content) for content in kept.values())
+    if held + ROOM_BYTES <= MAX_SHARD_BYTES:
+        return kept
+    for identity, content in sorted(kept.items(), key=lambda c: c[1]["changed_s"]):
+        if _may_run(content, is_gone):
+            continue
+        held -= stored_bytes(content)
+        del kept[identity]
+        if held + ROOM_BYTES <= MAX_SHARD_BYTES:
+            return kept
+    raise JayshuntError(
+        "claims_full",
+        step="idempotency.claim",
+        retry_after_s=RETRY_AFTER_S,
+        detail=f"{len(kept)} marked requests are in progress",
+    )
+
+
+def stored_bytes(content: dict) -> int:
+    """Return about what a stored claim takes."""
+    headers = sum(len(n) + len(v) + 8 for n, v in content.get("headers", ()))
+    return CLAIM_OVERHEAD_BYTES + len(content.get("body", "")) + headers
+
+
+def _may_run(content: dict, is_gone: Callable[[Holder], bool]) -> bool:
+    if content["state"] != ClaimState.STARTED.value:
+        return False
+    return not is_gone(Holder(EntryId(content["entry"]), content["incarnation"]))
--- a/src/jayshunt/pools/controller.py
+++ b/src/jayshunt/pools/controller.py
@@ -84,6 +84,12 @@
         """Return the newest record that was read."""
         return self._record
 
+    @property
+    def term(self) -> str | None:
+        """Return an id that is new each time this entry became controller."""
+        fence = self.fencing_epoch
+        return None if fence is None else str(fence)
+
     @property
     def holds_lease(self) -> bool:
         """Return whether this entry is controller at this moment."""
--- a/src/jayshunt/serving/const.py
+++ b/src/jayshunt/serving/const.py
@@ -27,7 +27,6 @@
 REFUSAL_THREADS = 2
 REFUSALS_WAITING = 64
 ACCEPT_POLL_S = 0.05
-IDLE_CHECK_S = 0.1
 TLS_CHECK_INTERVAL_S = 1.0
 
 STATUS_OF_CODE = {
@@ -45,6 +44,9 @@
     "class_runs_requests": 409,
     "config_conflict": 409,
     "in_progress": 409,
+    "key_reused": 422,
+    "larger_than_quota": 422,
+    "unknown_team": 404,
     "outcome_unknown": 409,
     "revision_conflict": 409,
     "body_too_large": 413,
--- a/src/jayshunt_measure/node_host.py
+++ b/src/jayshunt_measure/node_host.py
@@ -8,10 +8,13 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
+from jayshunt.composition import EntryProcess
 from jayshunt.errors import JayshuntError
+from jayshunt.settings.loader import load_settings
 from jayshunt_measure.control_node import ControlNode, NodePlan
-from jayshunt_measure.traffic import TrafficCounter
+from jayshunt_measure.traffic import Traffic, TrafficCounter
 
 MAX_ACCEPTS = 32
 
@@ -25,6 +28,7 @@
         self._lock = threading.Lock()
         self._traffic = TrafficCounter().start()
         self._executor = ThreadPoolExecutor(MAX_ACCEPTS)
+        self._full: EntryProcess | None = None
         self._hole = socket.create_server(("127.0.0.1", 0), backlog=1024)
         port = self._hole.getsockname()[1]
         self._black_hole = f"127.0.0.1:{port}"
@@ -43,6 +47,12 @@
         node.start()
         self.report({"event": "started", "entry": node.plan.entry})
 
+    def do_full(self, settings: str) -> None:
+        """Start a whole entry in this process."""
+        self._full = EntryProcess(load_settings(Path(settings)))
+        self._full.start()
+        self.report({"event": "started", "entry": Path(settings).stem})
+
     def do_stop(self, entry: str, orderly: bool) -> None:
         """Stop a node."""
         self._nodes.pop(entry).stop(orderly)
@@ -56,23 +66,40 @@
         """Let an operator change the configuration at a node."""
         self._executor.submit(self._accept, entry, name, quota)
 
-    def do_stats(self, mark: str) -> None:
-        """Report what this process has used so far."""
-        traffic = self._traffic.total()
+    def do_edit(self, entry: str, base: int, name: str, quota: float) -> None:
+        """Let an operator send an edit that is based on an older version."""
+        self._executor.submit(self._accept, entry, name, quota, base)
+
+    def do_load(self, entry: str, document: dict) -> None:
+        """Load a whole document at a node."""
+        self._nodes[entry].load(document)
+
+    def do_stats(self, mark: str, services: dict[str, str]) -> None:
+        """Report what this process has used so far.
+
+        `services` names the service behind an address; all others are peers.
+        """
+        groups = dict.fromkeys(("peers", *services.values()), 0)
+        traffic = Traffic()
+        for remote, part in self._traffic.by_remote().items():
+            traffic += part
+            groups[services.get(remote, "peers")] += part.payload_bytes
+        nodes = [*self._nodes.values()] + ([self._full] if self._full else [])
         pages = int(open("/proc/self/statm").read().split()[1])
         self.report(
             {
                 "event": "stats",
                 "mark": mark,
-                "nodes": len(self._nodes),
+                "nodes": len(nodes),
                 "cpu_s": time.process_time(),
                 "payload_bytes": traffic.payload_bytes,
+                **{f"{name}_bytes": value for name, value in groups.items()},
                 "wire_bytes": traffic.wire_bytes,
                 "segments": traffic.segments,
                 "rss_bytes": pages * resource.getpagesize(),
                 "threads": threading.active_count(),
-                "store_calls": sum(n.store.calls for n in self._nodes.values()),
-                "store_writes": sum(n.store.writes for n in self._nodes.values()),
+                "store_calls": sum(n.store.calls for n in nodes),
+                "store_writes": sum(n.store.writes for n in nodes),
             }
         )
 
@@ -83,12 +110,19 @@
             sys.stdout.write(line)
             sys.stdout.flush()
 
-    def _accept(self, entry: str, name: str, quota: float) -> None:
+    def _accept(
+        self, entry: str, name: str, quota: float, base: int | None = None
+    ) -> None:
         started_s = time.monotonic()
         event = {"event": "accepted", "entry": entry, "name": name, "quota": quota}
+        event["base"] = base
         event["started_s"] = started_s
         try:
-            snapshot = self._nodes[entry].accept(name, quota)
+            node = self._nodes[entry]
+            if base is None:
+                snapshot = node.accept(name, quota)
+            else:
+                snapshot = node.edit(base, name, quota)
             event.update(version=snapshot.version, digest=snapshot.digest)
         except JayshuntError as error:
             event.update(event="refused", outcome=error.outcome.value, code=error.code)
