--- /dev/null
+++ b/src/jayshunt/pools/loss_plans.py
@@ -0,0 +1,98 @@
+"""Prepare the moves for the loss of each rack and zone; nothing here does I/O.
+
+The plan for each loss starts from the assignment in force and changes as little
+as possible, so the reaction to a loss is a lookup and few moves. Keeping the plans
+of neighboring fault modes similar follows "Cascade: Bounded-Time Recovery
+Scheduling for Cyber-Physical Systems" (RTAS 2020).
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from jayshunt.ids import PoolName, RackName, VmId, ZoneName
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedVm:
+    """Describe one VM that serves a pool; `pool` is None in the buffer."""
+
+    vm: VmId
+    pool: PoolName | None
+    zone: ZoneName
+    rack: RackName
+
+
+@dataclass(frozen=True, slots=True)
+class Domain:
+    """Name what fails together: a rack, or a whole zone if `rack` is None."""
+
+    zone: ZoneName
+    rack: RackName | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LossPlan:
+    """Hold the moves after a loss, and what they leave uncovered."""
+
+    moves: tuple[tuple[VmId, PoolName], ...]
+    uncovered: Mapping[PoolName, int]
+
+
+def prepare_loss_plans(
+    placed: Iterable[PlacedVm], needs: Mapping[PoolName, int]
+) -> dict[Domain, LossPlan]:
+    """Return a plan for the loss of each rack and each zone."""
+    vms = tuple(placed)
+    by_domain: dict[Domain, set[VmId]] = defaultdict(set)
+    for vm in vms:
+        by_domain[Domain(vm.zone)].add(vm.vm)
+        by_domain[Domain(vm.zone, vm.rack)].add(vm.vm)
+    by_pool: dict[PoolName | None, list[PlacedVm]] = defaultdict(list)
+    for vm in vms:
+        by_pool[vm.pool].append(vm)
+    pool_of = {vm.vm: vm.pool for vm in vms}
+    return {
+        domain: _plan(by_pool, pool_of, lost, needs)
+        for domain, lost in by_domain.items()
+    }
+
+
+def _plan(
+    by_pool: Mapping[PoolName | None, list[PlacedVm]],
+    pool_of: Mapping[VmId, PoolName | None],
+    lost: set[VmId],
+    needs: Mapping[PoolName, int],
+) -> LossPlan:
+    """Fill lacks from the buffer, then from the pools with most surplus."""
+    lost_of = Counter(pool_of[vm] for vm in lost)
+    surplus = {
+        pool: len(by_pool.get(pool, ())) - lost_of[pool] - need
+        for pool, need in needs.items()
+    }
+    moves: list[tuple[VmId, PoolName]] = []
+    uncovered: dict[PoolName, int] = {}
+    taken: set[VmId] = set()
+
+    def take(pool: PoolName | None) -> VmId | None:
+        for vm in by_pool.get(pool, ()):
+            if vm.vm not in lost and vm.vm not in taken:
+                taken.add(vm.vm)
+                return vm.vm
+        return None
+
+    lacking = sorted((p for p in surplus if surplus[p] < 0), key=lambda p: surplus[p])
+    for pool in lacking:
+        while surplus[pool] < 0:
+            vm = take(None)
+            if vm is None:
+                donor = max(surplus, key=lambda name: surplus[name])
+                vm = take(donor) if surplus[donor] > 0 else None
+                if vm is not None:
+                    surplus[donor] -= 1
+            if vm is None:
+                uncovered[pool] = -surplus[pool]
+                break
+            surplus[pool] += 1
+            moves.append((vm, pool))
+    return LossPlan(tuple(moves), uncovered)
--- a/src/jayshunt_measure/fleet.py
+++ b/src/jayshunt_measure/fleet.py
@@ -13,6 +13,7 @@
     bound_moves,
 )
 from jayshunt_measure.fleet_jobs import JobsRun
+from jayshunt_measure.fleet_losses import compare_loss_plans
 from jayshunt_measure.fleet_maintenance import FleetMaintenance
 from jayshunt_measure.fleet_model import run_policy
 from jayshunt_measure.fleet_policies import (
@@ -69,6 +70,14 @@
         "jobs_lost": jobs.jobs_lost,
         "jobs_run_twice": jobs.jobs_run_twice,
     }
+    losses = compare_loss_plans(script)
+    fields.update(
+        loss_plan_prepare_ms=round(losses.prepare_ms, 2),
+        loss_moves=losses.moves,
+        loss_moves_scratch=losses.moves_scratch,
+        loss_reaction_p99_ms=round(losses.reaction_p99_ms, 4),
+        loss_reaction_scratch_p99_ms=round(losses.reaction_scratch_p99_ms, 4),
+    )
     outages = (*script.outages, *upkeep.outages)
     fields.update(_compare(script, weigh_first, outages))
     fields.update(
--- /dev/null
+++ b/src/jayshunt_measure/fleet_losses.py
@@ -0,0 +1,77 @@
+"""Compare prepared loss plans with planning from scratch after a loss."""
+
+import math
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from jayshunt.ids import PoolName, RackName, VmId, ZoneName
+from jayshunt.pools.loss_plans import Domain, PlacedVm, prepare_loss_plans
+from jayshunt_measure.fleet_script import Script
+
+# Needs are this part of a pool; the rest of its VMs is surplus or buffer.
+NEED_RATIO = 0.85
+BUFFER_EVERY = 10
+
+
+@dataclass(frozen=True)
+class LossResult:
+    """Hold moves and reaction times, summed over the losses of all domains."""
+
+    prepare_ms: float
+    moves: int
+    moves_scratch: int
+    reaction_p99_ms: float
+    reaction_scratch_p99_ms: float
+
+
+def compare_loss_plans(script: Script) -> LossResult:
+    """Lose each rack and each zone once under both ways of planning."""
+    placed = [
+        PlacedVm(
+            VmId(str(vm)),
+            None if vm % BUFFER_EVERY == 0 else PoolName(f"pool-{pool}"),
+            ZoneName(str(script.zone_of[vm])),
+            RackName(str(script.rack_of[vm])),
+        )
+        for vm, pool in enumerate(script.pool_of)
+    ]
+    counts = Counter(vm.pool for vm in placed if vm.pool)
+    needs = {pool: math.ceil(NEED_RATIO * count) for pool, count in counts.items()}
+    started_s = time.perf_counter()
+    plans = prepare_loss_plans(placed, needs)
+    prepare_ms = (time.perf_counter() - started_s) * 1000
+    moves = moves_scratch = 0
+    lookups, scratches = [], []
+    for domain in plans:
+        started_s = time.perf_counter()
+        plan = plans[domain]
+        lookups.append((time.perf_counter() - started_s) * 1000)
+        moves += len(plan.moves)
+        started_s = time.perf_counter()
+        moves_scratch += _from_scratch(placed, domain, needs)
+        scratches.append((time.perf_counter() - started_s) * 1000)
+    return LossResult(prepare_ms, moves, moves_scratch, _p99(lookups), _p99(scratches))
+
+
+def _from_scratch(
+    placed: list[PlacedVm], domain: Domain, needs: dict[PoolName, int]
+) -> int:
+    """Divide the VMs that are left by need, and return the moves this takes."""
+    left = [
+        vm
+        for vm in placed
+        if vm.zone != domain.zone or (domain.rack and vm.rack != domain.rack)
+    ]
+    total = sum(needs.values())
+    exact = {pool: len(left) * need / total for pool, need in needs.items()}
+    goal = {pool: math.floor(share) for pool, share in exact.items()}
+    rest = len(left) - sum(goal.values())
+    for pool in sorted(exact, key=lambda p: goal[p] - exact[p])[:rest]:
+        goal[pool] += 1
+    have = Counter(vm.pool for vm in left if vm.pool)
+    return sum(max(0, count - have[pool]) for pool, count in goal.items())
+
+
+def _p99(values: list[float]) -> float:
+    return sorted(values)[int(0.99 * (len(values) - 1))]
