--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -1,6 +1,7 @@
 """Start stand-ins in this process and entries as processes of their own."""
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -57,6 +58,7 @@
     entries_per_zone: dict[str, int]
     lag_s: float = 2.0
     command: tuple[str, ...] = (sys.executable, "-m", "jayshunt")
+    environment: dict[str, str] = field(default_factory=dict)
     upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
     workers: dict[str, WorkerStandIn] = field(default_factory=dict)
     entries: list[EntryHandle] = field(default_factory=list)
@@ -120,6 +122,7 @@
                 [*self.command, "entry", "--settings", str(entry.settings_file)],
                 stdout=sink,
                 stderr=sink,
+                env={**os.environ, **self.environment},
             )
 
     def configure(self, document: ConfigDocument) -> int:
