--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import threading
 
 from jayshunt import __version__
 from jayshunt.admission.directory import BrokerDirectory
@@ -14,12 +13,11 @@
 from jayshunt.config.spreader import ConfigSpreader
 from jayshunt.config.transport import GrpcConfigTransport
 from jayshunt.config.watcher import StoreWatcher
-from jayshunt.errors import JayshuntError
-from jayshunt.ids import ClassName, EntryId, PoolName, RegionName, ZoneName
+from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
+from jayshunt.idempotency.models import Holder
+from jayshunt.ids import EntryId, PoolName, RegionName, ZoneName
 from jayshunt.inventory.poller import InventoryPoller
-from jayshunt.jobs.application import JobApplication
-from jayshunt.jobs.intake import JobIntake
-from jayshunt.jobs.scheduler import JobScheduler
+from jayshunt.jobs.service import JobService
 from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
@@ -42,6 +40,8 @@
 from jayshunt.store.client import StoreClient
 from jayshunt.store.documents import DocumentStore
 from jayshunt.store.gate import CallShare
+from jayshunt.store.group_commit import GroupCommitter
+from jayshunt.store.models import StoreState
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -59,7 +59,6 @@
         self._entry = EntryId(settings.identity.entry)
         zone = ZoneName(settings.identity.zone)
         self._tasks = TaskGroup("entry")
-        self._wake = threading.Event()
         self.store = StoreClient(settings.platform.store_url, clock, rng)
         documents = DocumentStore(self.store, clock, rng)
         self.peer_server = PeerServer(settings.listen.peers, settings.tls.peers)
@@ -80,6 +79,7 @@
             self.config,
             GrpcConfigTransport(self.channels),
             self.membership.view,
+            self.membership.node.news_targets,
             clock,
             rng,
         )
@@ -123,6 +123,11 @@
         self.peer_server.add(service.add_to)
         self.controller.add_listener(lambda _: self.brokers.apply_assignments())
         self.connections = UpstreamConnections(clock, self._idle_limit)
+        self.commits = GroupCommitter(documents, clock, self._is_store_up)
+        holder = Holder(self._entry, own.incarnation)
+        self.claims = ClaimStore(
+            holder, self.commits, holder_is_gone(self.membership.view), clock
+        )
         self.router = Router(
             self._entry,
             clock,
@@ -130,15 +135,24 @@
             self.brokers,
             self.connections,
             rng,
+            self.claims,
         )
         # A new controller takes its larger share at its first step.
         self.controller.add_duty(lambda _: self._share_store(self.membership.view()))
-        scheduler = JobScheduler(zone, documents, self._pool_of_class, clock)
-        self.controller.add_duty(scheduler.step)
-        intake = JobIntake(
-            zone, documents, self.config.current, clock, rng, self._wake.set
+        self.jobs = JobService(
+            own,
+            documents,
+            self.commits,
+            self.config.current,
+            lambda: self.controller.record,
+            lambda: self.controller.term,
+            self.membership.view,
+            self.channels,
+            clock,
+            rng,
         )
-        self.callers = self._caller_server(settings, JobApplication(intake))
+        self.peer_server.add(self.jobs.servicer.add_to)
+        self.callers = self._caller_server(settings)
         self.operators = self._operator_server(settings)
         add_reports(self)
 
@@ -151,6 +165,8 @@
             self.config_watcher.run,
             self.spreader.run_fetches,
             self.controller.run,
+            *self.jobs.tasks,
+            self.claims.run,
         ):
             self._tasks.start(task)
         for task in (self.brokers.run, self.health.run, self.operations.samples.run):
@@ -173,6 +189,7 @@
         self.brokers.stop()
         self._tasks.stop()
         self.connections.stop()
+        self.commits.stop()
         self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
@@ -201,12 +218,10 @@
             program_version=__version__,
         )
 
-    def _caller_server(
-        self, settings: EntrySettings, jobs: JobApplication
-    ) -> HttpServer:
+    def _caller_server(self, settings: EntrySettings) -> HttpServer:
         application = CallerApplication(
             self.operations.measured(self.router.send),
-            jobs.answer,
+            self.jobs.application.answer,
             lambda request: self.router.cancel(request.request),
         )
         host, port = split_address(settings.listen.callers)
@@ -255,11 +270,8 @@
     def _instances(self, pool: PoolName) -> tuple[Assignment, ...]:
         return self.controller.record.serving(pool, VmKind.UPSTREAM)
 
-    def _pool_of_class(self, name: ClassName) -> PoolName:
-        work_class = self.config.current().document.classes.get(name)
-        if work_class is None:
-            raise JayshuntError("unknown_class", step="jobs.place", detail=name)
-        return PoolName(work_class.pool)
+    def _is_store_up(self) -> bool:
+        return self.store.health.state is StoreState.UP
 
     def is_ready(self) -> bool:
         """Return whether callers can be served; False from the start of a stop."""
--- /dev/null
+++ b/src/jayshunt/idempotency/tests/test_claims.py
@@ -0,0 +1,230 @@
+"""Test that a request with an idempotency key is sent once."""
+
+import unittest
+from dataclasses import replace
+
+from jayshunt.clock import ManualClock
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.idempotency.claims import ClaimStore
+from jayshunt.idempotency.const import MAX_ANSWER_BYTES, MAX_SHARD_BYTES, RETENTION_S
+from jayshunt.idempotency.models import Holder
+from jayshunt.idempotency.retention import make_room, stored_bytes
+from jayshunt.ids import ClassName, EntryId, IdempotencyKey, RequestId
+from jayshunt.routing.messages import CallerAnswer, CallerRequest
+from jayshunt.store.group_commit import GroupCommitter
+from jayshunt.store.tests.builders import FakeStore, build_documents
+from jayshunt.store.tests.test_group_commit import HeldExecutor
+
+ANSWER = CallerAnswer(201, (("content-type", "text/plain"),), b"booked")
+NOT_SENT = JayshuntError("upstream_failed", step="routing.send")
+SILENT = JayshuntError("upstream_timeout", step="routing.send", outcome=Outcome.UNKNOWN)
+
+
+def build_request(name: str = "r1", **fields) -> CallerRequest:
+    """Return a marked request with a key."""
+    defaults = {
+        "work_class": ClassName("bookings"),
+        "method": "POST",
+        "target": "/book",
+        "headers": (),
+        "body": b"splitter",
+        "repeatable": False,
+        "key": IdempotencyKey("key-1"),
+    }
+    return CallerRequest(request=RequestId(name), **{**defaults, **fields})
+
+
+class InlineExecutor(HeldExecutor):
+    """Run submitted work at once."""
+
+    def submit(self, function, /, *args, **kwargs):
+        """Run one call."""
+        future = super().submit(function, *args, **kwargs)
+        self.run()
+        return future
+
+
+class ClaimsTest(unittest.TestCase):
+    """Check what a retry hears at another entry."""
+
+    def setUp(self) -> None:
+        """Create two entries on one store."""
+        self.store = FakeStore()
+        self.clock = ManualClock()
+        self.gone: set[str] = set()
+        self.first = self.build_entry("north-1")
+        self.second = self.build_entry("north-2")
+
+    def build_entry(self, name: str, executor=None) -> ClaimStore:
+        """Return the claims of one entry."""
+        documents = build_documents(self.store, int(name[-1]))
+        commits = GroupCommitter(
+            documents, self.clock, executor=executor or InlineExecutor()
+        )
+        return ClaimStore(
+            Holder(EntryId(name), 1),
+            commits,
+            lambda holder: holder.entry in self.gone,
+            self.clock,
+        )
+
+    def refusal(self, claims: ClaimStore, request: CallerRequest) -> tuple:
+        """Return code and outcome of a refused begin."""
+        with self.assertRaises(JayshuntError) as caught:
+            claims.begin(request)
+        return caught.exception.code, caught.exception.outcome
+
+    def test_retry_gets_the_stored_answer(self) -> None:
+        """A retry after a lost answer must not run the request again."""
+        request = build_request()
+        self.assertIsNone(self.first.begin(request))
+        self.first.finish(request, ANSWER)
+        self.assertEqual(self.second.begin(build_request("r2")), ANSWER)
+
+    def test_retry_during_the_first_attempt_is_unknown(self) -> None:
+        """A retry must not run beside the first attempt, nor be told not_run."""
+        self.first.begin(build_request())
+        heard = self.refusal(self.second, build_request("r2"))
+        self.assertEqual(heard, ("in_progress", Outcome.UNKNOWN))
+
+    def test_same_request_id_does_not_pass_as_the_same_attempt(self) -> None:
+        """A caller that reuses its request id must not run the request twice."""
+        self.first.begin(build_request())
+        heard = self.refusal(self.first, build_request())
+        self.assertEqual(heard, ("in_progress", Outcome.UNKNOWN))
+
+    def test_claim_of_a_lost_entry_stays_unknown(self) -> None:
+        """The loss of an entry must not free a claim whose request it may have sent."""
+        self.first.begin(build_request())
+        self.gone.add("north-1")
+        for name in ("r2", "r3"):
+            heard = self.refusal(self.second, build_request(name))
+            self.assertEqual(heard, ("outcome_unknown", Outcome.UNKNOWN))
+
+    def test_entry_declared_lost_by_mistake_can_still_tell_the_outcome(self) -> None:
+        """A pause of an entry must not hide an answer that it has."""
+        request = build_request()
+        self.first.begin(request)
+        self.gone.add("north-1")
+        self.refusal(self.second, build_request("r2"))
+        self.first.finish(request, ANSWER)
+        self.assertEqual(self.second.begin(build_request("r3")), ANSWER)
+
+    def test_request_that_was_not_sent_can_be_retried(self) -> None:
+        """A refused connection must not block the key."""
+        request = build_request()
+        self.first.begin(request)
+        self.first.finish(request, NOT_SENT)
+        self.assertIsNone(self.second.begin(build_request("r2")))
+
+    def test_silent_upstream_leaves_the_outcome_unknown(self) -> None:
+        """A timeout after the send must not free the key."""
+        request = build_request()
+        self.first.begin(request)
+        self.first.finish(request, SILENT)
+        heard = self.refusal(self.second, build_request("r2"))
+        self.assertEqual(heard, ("outcome_unknown", Outcome.UNKNOWN))
+
+    def test_large_answer_is_not_kept_but_known_to_have_run(self) -> None:
+        """An answer over the limit must not make the request run again."""
+        request = build_request()
+        self.first.begin(request)
+        large = replace(ANSWER, body=b"x" * (MAX_ANSWER_BYTES + 1))
+        self.first.finish(request, large)
+        heard = self.refusal(self.second, build_request("r2"))
+        self.assertEqual(heard, ("already_run", Outcome.RAN))
+
+    def test_reused_key_is_refused(self) -> None:
+        """Another request under the same key must not get a stranger's answer."""
+        self.first.begin(build_request())
+        for change in ({"body": b"two"}, {"target": "/other"}, {"method": "PATCH"}):
+            heard = self.refusal(self.second, build_request("r2", **change))
+            self.assertEqual(heard, ("key_reused", Outcome.NOT_RUN))
+
+    def test_keys_of_classes_do_not_collide(self) -> None:
+        """Two applications that count their keys must not block each other."""
+        self.first.begin(build_request())
+        other = build_request("r2", work_class=ClassName("quotes"))
+        self.assertIsNone(self.second.begin(other))
+
+    def test_no_claim_without_key_or_for_repeatable_requests(self) -> None:
+        """Requests that need no claim must not use up the store's rate."""
+        self.first.begin(build_request(key=None))
+        self.first.begin(build_request(repeatable=True))
+        self.assertEqual(self.store.puts, 0)
+
+    def test_store_outage_refuses_before_the_send(self) -> None:
+        """Without a claim the request must not be sent."""
+        self.store.down = True
+        heard = self.refusal(self.first, build_request())
+        self.assertEqual(heard, ("store_unavailable", Outcome.NOT_RUN))
+
+    def test_lost_store_answer_keeps_the_claim(self) -> None:
+        """A claim whose write was not acknowledged must still protect."""
+        self.store.lose_answers = 1
+        self.assertIsNone(self.first.begin(build_request()))
+        heard = self.refusal(self.second, build_request("r2"))
+        self.assertEqual(heard[0], "in_progress")
+
+    def test_end_is_written_after_an_outage(self) -> None:
+        """An outage at the end of a request must not leave it in progress."""
+        request = build_request()
+        self.first.begin(request)
+        self.store.down = True
+        self.first.finish(request, ANSWER)
+        self.assertEqual(self.first.counts()["unwritten_ends"], 1)
+        self.store.down = False
+        self.first.flush()
+        self.assertEqual(self.first.counts()["unwritten_ends"], 0)
+        self.assertEqual(self.second.begin(build_request("r2")), ANSWER)
+
+    def test_claim_that_comes_too_late_sends_nothing(self) -> None:
+        """A slow store must not hold a slot, nor leave the key claimed."""
+        executor = HeldExecutor()
+        slow = self.build_entry("north-3", executor)
+        with self.assertRaises(JayshuntError) as caught:
+            slow.begin(build_request(), timeout_s=0.0)
+        self.assertEqual(caught.exception.outcome, Outcome.NOT_RUN)
+        executor.run()
+        slow.flush()
+        executor.run()
+        self.assertIsNone(self.second.begin(build_request("r2")))
+
+
+class RetentionTest(unittest.TestCase):
+    """Check what is dropped when a document is full."""
+
+    def claim(self, state: str, changed_s: float, body: str = "x" * 8000) -> dict:
+        """Return a stored claim."""
+        return {
+            "state": state,
+            "entry": "north-1",
+            "incarnation": 1,
+            "changed_s": changed_s,
+            "body": body,
+        }
+
+    def test_oldest_ended_claims_go_first(self) -> None:
+        """Eviction must not drop a claim whose request may still run."""
+        claims = {f"d{n}": self.claim("done", 100.0 + n) for n in range(40)}
+        claims["s"] = self.claim("started", 1.0)
+        kept = make_room(claims, 200.0, lambda _: False)
+        self.assertIn("s", kept)
+        self.assertIn("d39", kept)
+        self.assertNotIn("d0", kept)
+        self.assertLess(sum(map(stored_bytes, kept.values())), MAX_SHARD_BYTES)
+
+    def test_full_of_running_requests_is_refused(self) -> None:
+        """A claim must not be dropped to make room for another."""
+        claims = {f"s{n}": self.claim("started", 100.0 + n) for n in range(40)}
+        with self.assertRaises(JayshuntError) as caught:
+            make_room(claims, 200.0, lambda _: False)
+        self.assertEqual(caught.exception.code, "claims_full")
+
+    def test_claims_past_the_retention_are_dropped(self) -> None:
+        """Claims must not be kept forever."""
+        claims = {"a": self.claim("done", 0.0), "b": self.claim("started", 0.0)}
+        self.assertEqual(
+            set(make_room(claims, RETENTION_S + 1, lambda _: False)), {"b"}
+        )
+        self.assertEqual(make_room(claims, RETENTION_S + 1, lambda _: True), {})
--- a/src/jayshunt/reports.py
+++ b/src/jayshunt/reports.py
@@ -7,7 +7,9 @@
 from jayshunt import __version__
 from jayshunt.admission import diagnostics as admission
 from jayshunt.config import diagnostics as config
+from jayshunt.idempotency import diagnostics as idempotency
 from jayshunt.inventory import diagnostics as inventory
+from jayshunt.jobs import diagnostics as jobs
 from jayshunt.membership import diagnostics as membership
 from jayshunt.membership.models import MemberState
 from jayshunt.operations.metrics import Metric
@@ -71,6 +73,8 @@
     reporter.add_dump("membership", lambda: membership.describe(entry.membership))
     reporter.add_dump("peers", lambda: peers.describe(entry.channels))
     reporter.add_dump("store", lambda: store.describe(entry.store))
+    reporter.add_dump("jobs", lambda: jobs.describe(entry.jobs.scheduler))
+    reporter.add_dump("idempotency", lambda: idempotency.describe(entry.claims))
     reporter.add_dump("admission", lambda: admission.describe_admission(entry.brokers))
     reporter.add_dump(
         "routing",
