Let stand-ins limit connections, go silent and reboot

Cause: measurements need upstreams that count connections, keep old ones silent while new ones work, and VMs that are away while they reboot.

Change: stand-in servers count and limit connections and can be powered off and on; the fault silent_existing; POST /vms/<id>/reboot takes the VM off the list and off the network for reboot_s.

--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -73,7 +73,9 @@
         self.token_file.write_text(TOKEN)
         self.store = StoreStandIn()
         self.inventory = InventoryStandIn(
-            [self._start_vm(plan) for plan in self.vms], self.lag_s
+            [self._start_vm(plan) for plan in self.vms],
+            self.lag_s,
+            power=self._switch_vm,
         )
         self.store.start()
         self.inventory.start()
@@ -169,6 +171,13 @@
                 raise RuntimeError(f"{method} {path}: {answer.body.decode()}")
             return json.loads(answer.body)
 
+    def _switch_vm(self, vm: str, is_on: bool) -> None:
+        server = self.upstreams.get(vm) or self.workers[vm]
+        if is_on:
+            server.power_on()
+        else:
+            server.power_off()
+
     def _start_vm(self, plan: VmPlan) -> ListedVm:
         if plan.kind == "upstream":
             server = UpstreamStandIn(plan.name, plan.slots)
--- a/src/jayshunt_standins/inventory.py
+++ b/src/jayshunt_standins/inventory.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, replace
 
 from jayshunt_standins.server import Call, Reply, StandInServer
@@ -27,13 +28,22 @@
     """List VMs as they were `lag_s` seconds ago; drain and reboot on request.
 
     `GET /vms` lists, with `since` only what changed after that version of the list.
-    `POST /vms/<id>/drain` marks a VM as leaving, `POST /vms/<id>/reboot` restarts
-    it. `PUT /standin/vms/<id>` changes a VM.
+    `POST /vms/<id>/drain` marks a VM as leaving, `POST /vms/<id>/reboot` takes it
+    away for `reboot_s` seconds. `PUT /standin/vms/<id>` changes a VM.
     """
 
-    def __init__(self, vms: list[ListedVm], lag_s: float = 5.0, port: int = 0) -> None:
-        """Start with a list of VMs."""
+    def __init__(
+        self,
+        vms: list[ListedVm],
+        lag_s: float = 5.0,
+        port: int = 0,
+        reboot_s: float = 0.5,
+        power: Callable[[str, bool], None] = lambda _vm, _on: None,
+    ) -> None:
+        """Start with a list of VMs; `power` turns a VM off and on again."""
         super().__init__(port)
+        self.reboot_s = reboot_s
+        self._power = power
         self.lag_s = lag_s
         self._lock = threading.Lock()
         self._vms = {vm.id: vm for vm in vms}
@@ -63,7 +73,9 @@
                 return Reply(202, {})
             case "POST", ["vms", vm_id, "reboot"] if vm_id in self._vms:
                 self.reboots.append((time.time(), vm_id))
-                self.change(vm_id, state="live")
+                threading.Thread(
+                    target=self._reboot, args=(self._vms[vm_id],), daemon=True
+                ).start()
                 return Reply(202, {})
             case "PUT", ["standin", "vms", vm_id] if vm_id in self._vms:
                 self.change(vm_id, **call.json())
@@ -75,6 +87,14 @@
                 return Reply(200, {"reboots": self.reboots})
         return Reply(404, {"error": "unknown path"})
 
+    def _reboot(self, vm: ListedVm) -> None:
+        self.remove(vm.id)
+        self._power(vm.id, False)
+        time.sleep(self.reboot_s)
+        self._power(vm.id, True)
+        with self._lock:
+            self._record({**self._vms, vm.id: replace(vm, state="live")})
+
     def _record(self, vms: dict[str, ListedVm]) -> None:
         self._vms = vms
         self._versions.append((time.monotonic(), vms))
--- a/src/jayshunt_standins/server.py
+++ b/src/jayshunt_standins/server.py
@@ -1,11 +1,14 @@
 """Serve a stand-in over HTTP on loopback."""
 
 import json
+import socket
+import struct
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qsl, urlsplit
 
 LOOPBACK = "127.0.0.1"
+RESET_LINGER = struct.pack("ii", 1, 0)
 
 
 class Call:
@@ -44,6 +47,52 @@
         self.headers = headers or {}
 
 
+class OpenConnections:
+    """Count and limit the connections of a stand-in."""
+
+    def __init__(self) -> None:
+        """Start with none; there is no limit."""
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self.limit: int | None = None
+        self.peak = 0
+        self.refused = 0
+
+    def add(self, connection: socket.socket) -> bool:
+        """Count a connection; return False if it is over the limit."""
+        with self._lock:
+            self._open.add(connection)
+            self.peak = max(self.peak, len(self._open))
+            is_within = self.limit is None or len(self._open) <= self.limit
+            self.refused += not is_within
+            return is_within
+
+    def remove(self, connection: socket.socket) -> None:
+        """Forget a connection that ends."""
+        with self._lock:
+            self._open.discard(connection)
+
+    def current(self) -> frozenset[socket.socket]:
+        """Return the open connections."""
+        with self._lock:
+            return frozenset(self._open)
+
+    def reset_all(self) -> None:
+        """Reset every connection."""
+        for connection in self.current():
+            reset(connection)
+
+
+def reset(connection: socket.socket) -> None:
+    """End a connection with a reset; its handler sees an error."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        # Wakes a handler that waits to read.
+        connection.shutdown(socket.SHUT_RD)
+    except OSError:
+        return
+
+
 class DropConnection(Exception):
     """Close the connection without an answer."""
 
@@ -61,6 +110,18 @@
             protocol_version = "HTTP/1.1"
             disable_nagle_algorithm = True
 
+            def handle(self) -> None:
+                """Serve the connection, or reset it over the limit."""
+                if outer.connections.add(self.connection):
+                    super().handle()
+                else:
+                    reset(self.connection)
+
+            def finish(self) -> None:
+                """Forget the connection."""
+                outer.connections.remove(self.connection)
+                super().finish()
+
             def __getattr__(self, name: str):
                 """Accept every HTTP method."""
                 if name.startswith("do_"):
@@ -82,7 +143,9 @@
             daemon_threads = True
             request_queue_size = 512
 
-        self._server = Server((LOOPBACK, port), Handler)
+        self.connections = OpenConnections()
+        self._make_server = lambda port: Server((LOOPBACK, port), Handler)
+        self._server = self._make_server(port)
         self._thread: threading.Thread | None = None
 
     @property
@@ -103,6 +166,16 @@
         self._thread.start()
         return self
 
+    def power_off(self) -> None:
+        """Reset every connection and refuse new ones, as a VM that reboots."""
+        self.stop()
+        self.connections.reset_all()
+
+    def power_on(self) -> None:
+        """Serve again at the same address."""
+        self._server = self._make_server(self._server.server_address[1])
+        self.start()
+
     def stop(self) -> None:
         """Stop to answer and close the port."""
         self._server.shutdown()
--- /dev/null
+++ b/src/jayshunt_standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the stand-ins."""
--- a/src/jayshunt_standins/upstream.py
+++ b/src/jayshunt_standins/upstream.py
@@ -19,7 +19,8 @@
     `silent` keeps connections open and never answers, `reset_before` and
     `reset_after` reset before the work and after half of the answer, `errors`
     answers 500 without work, `late_s` delays each answer, `leaving` answers 503
-    to health checks while work goes on.
+    to health checks while work goes on, `silent_existing` never answers on the
+    connections that are open when it is set, while new ones work.
     """
 
     silent: bool = False
@@ -28,6 +29,7 @@
     errors: bool = False
     late_s: float = 0.0
     leaving: bool = False
+    silent_existing: bool = False
 
 
 @dataclass(frozen=True)
@@ -57,9 +59,8 @@
         self.faults = UpstreamFaults()
         self._lock = threading.Lock()
         self._in_use = 0
-        self._connections: set[int] = set()
+        self._silenced: frozenset[socket.socket] = frozenset()
         self.peak_slots = 0
-        self.peak_connections = 0
         self.ran: list[RanRequest] = []
         self.received: list[str] = []
         self.leaving_since_s: float | None = None
@@ -69,6 +70,8 @@
         """Change the faults."""
         if faults.leaving and not self.faults.leaving:
             self.leaving_since_s = time.time()
+        silenced = self.connections.current() if faults.silent_existing else ()
+        self._silenced = frozenset(silenced)
         self.faults = faults
 
     def serve(self, handler: BaseHTTPRequestHandler, call: Call) -> None:
@@ -82,7 +85,7 @@
             self.send(handler, Reply(status, {"state": state}))
             return
         self.received.append(call.headers.get("Jayshunt-Request-Id", ""))
-        if self.faults.silent:
+        if self._is_silent(call.connection):
             self._stay_silent(call.connection)
         if self.faults.reset_before:
             _reset(call.connection)
@@ -118,10 +121,13 @@
         return Reply(200, body=body, headers=headers)
 
     def _stay_silent(self, connection: socket.socket) -> None:
-        while self.faults.silent:
+        while self._is_silent(connection):
             time.sleep(0.05)
         raise DropConnection
 
+    def _is_silent(self, connection: socket.socket) -> bool:
+        return self.faults.silent or connection in self._silenced
+
     def _control(self, call: Call) -> Reply:
         if call.method == "PUT":
             self.set_faults(UpstreamFaults(**call.json()))
@@ -133,6 +139,7 @@
                 "name": self.name,
                 "slots": self.slots,
                 "peak_slots": self.peak_slots,
+                "peak_connections": self.connections.peak,
                 "leaving_since_s": self.leaving_since_s,
                 "ran": ran,
             },
