Take listening ports outside the range of outgoing connections

Cause: one scenario of seven failed while other suites ran: an entry could not bind a port that an outgoing connection had taken between its choice and its use. Change: the testbed chooses free ports below that range; a failed scenario prints its log. Conclusion: the cause fits and the fault did not recur; two runs do not prove it gone.

--- a/script/run_checks.py
+++ b/script/run_checks.py
@@ -88,51 +88,38 @@
 
 def run_scenarios(verdict: Verdict) -> None:
     """Run the behave scenarios and record each by feature and name."""
-    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+    with tempfile.TemporaryDirectory() as folder:
+        report, log = Path(folder) / "report.json", Path(folder) / "log.txt"
+        outputs = {"json": report, "plain": log}
+        command = [sys.executable, "-m", "behave", "--no-color"]
+        for name, path in outputs.items():
+            command += ["--format", name, "--outfile", str(path)]
         done = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "behave",
-                "--no-color",
-                "--format",
-                "json",
-                "--outfile",
-                report.name,
-                "scenarios",
-            ],
+            [*command, "scenarios"],
             cwd=ROOT,
             capture_output=True,
             text=True,
             timeout=COMMAND_TIMEOUT_S,
         )
-        text = Path(report.name).read_text()
-    features = json.loads(text) if text.strip() else []
+        text = report.read_text() if report.exists() else ""
+        lines = log.read_text() if log.exists() else ""
     count = 0
-    for feature in features:
+    for feature in json.loads(text) if text.strip() else []:
         for scenario in feature.get("elements", []):
             if scenario.get("type") == "background":
                 continue
             count += 1
             name = f"scenario: {feature['name']}: {scenario['name']}"
-            status = scenario.get("status")
-            error = None if status == "passed" else explain(scenario)
-            verdict.add(name, error)
+            passed = scenario.get("status") == "passed"
+            verdict.add(name, None if passed else explain(scenario["name"], lines))
     if count == 0:
         verdict.add("scenarios", f"no scenario ran\n{done.stdout}{done.stderr}")
 
 
-def explain(scenario: dict) -> str:
-    """Return the first failing step of a scenario with its message."""
-    for step in scenario.get("steps", []):
-        result = step.get("result", {})
-        if result.get("status") == "passed":
-            continue
-        message = result.get("error_message", result.get("status", "not run"))
-        if isinstance(message, list):
-            message = "\n".join(message)
-        return f"{step['keyword']} {step['name']}: {message}"
-    return str(scenario.get("status"))
+def explain(name: str, log: str) -> str:
+    """Return the part of the log that belongs to one scenario."""
+    _, _, after = log.partition(f"Scenario: {name}\n")
+    return after.partition("\n  Scenario: ")[0] or "it did not run"
 
 
 def run_binary(verdict: Verdict) -> None:
--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -24,6 +25,7 @@
 TOKEN = "loopback-only"
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
+PORT_RANGE = (12_000, 32_000)
 
 
 @dataclass(frozen=True)
@@ -248,14 +250,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free loopback ports."""
-    sockets = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for opened in sockets:
-        opened.close()
+    """Return free loopback ports below the range of outgoing connections.
+
+    A port of that range could be taken by an outgoing connection before the
+    entry binds it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server((LOOPBACK, port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def _status_of(url: str) -> int:
     try:
         return http_client.request("GET", url, timeout_s=2, step="testbed").status
