--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -3,6 +3,7 @@
 import typer
 
 from jayshunt_measure.demo import demo
+from jayshunt_measure.job_writes import job_writes
 from jayshunt_measure.rollout import rollout
 from jayshunt_measure.smoke import smoke
 
@@ -11,6 +12,7 @@
 )
 app.command()(demo)
 app.command()(rollout)
+app.command("jobs")(job_writes)
 app.command()(smoke)
 
 if __name__ == "__main__":
