--- a/src/jayshunt/jobs/tests/test_scheduler.py
+++ b/src/jayshunt/jobs/tests/test_scheduler.py
@@ -192,6 +192,15 @@
         self.zone.step(self.scheduler, 3)
         self.assertEqual(self.state(job), JobState.FINISHED)
 
+    def test_new_controller_counts_no_worker_as_empty_before_it_read_the_jobs(
+        self,
+    ) -> None:
+        """A worker must not be rebooted under jobs its controller has not read."""
+        job = self.zone.submit()
+        self.zone.step(self.scheduler)
+        successor = self.zone.build_scheduler("t2")
+        self.assertEqual(successor.drain(self.zone.read(job).worker), 1)
+
     def test_cancel_wave_costs_a_write_per_job_document(self) -> None:
         """A wave of cancellations must not cost more than the work it cancels."""
         jobs = [self.zone.submit(cpu_cores=8) for _ in range(40)]
