Renew leases of running jobs after the controller's lease ended

Cause: a zone controller that lost its lease in an outage of the store stopped following its jobs, and the platform stopped them 30 s later, although no successor could exist without the store.

Change: such a scheduler places nothing, but renews leases and keeps results until it meets a higher epoch in a shard or at a worker.

--- a/src/jayshunt/jobs/scheduler.py
+++ b/src/jayshunt/jobs/scheduler.py
@@ -34,10 +34,12 @@
 
 
 class JobScheduler:
-    """Run on the zone controller, as long as its term lasts.
+    """Run on the zone controller, from its term until a successor's.
 
     `read_term()` returns an id that is new for each time this entry became zone
-    controller, or None. A term starts with a raised fencing epoch. A step never
+    controller, or None. A term starts with a raised fencing epoch. A scheduler
+    whose lease ended, for example in an outage of the store, places nothing, but
+    renews leases and keeps results until it meets a higher epoch. A step never
     waits for a worker: calls run on their own threads and wake the next step.
     """
 
@@ -135,18 +137,22 @@
     def step(self) -> None:
         """Renew leases, keep results, place waiting jobs and send orders."""
         term = self._read_term()
-        if term is None or term == self._lost_term:
-            self._term = None
+        if term is None and self._term is None:
+            return
+        if term is not None and term == self._lost_term:
             return
         try:
-            if term != self._term:
+            if term not in (None, self._term):
                 self._take_over(term)
-            self._follow_and_place()
+            self._follow()
+            if term is not None:
+                self._place(self._clock.monotonic_s())
+            self._send_orders()
         except JayshuntError as error:
             if error.code not in LOST_TERM_CODES:
                 raise
             _LOGGER.warning("jobs: the term of epoch %s is over: %s", self.epoch, error)
-            self._term, self._lost_term = None, term
+            self._term, self._lost_term = None, term or self._term
 
     def _begin(self, epoch: Epoch) -> None:
         self._epoch = epoch
@@ -167,7 +173,7 @@
         self._term = term
         _LOGGER.info("jobs: schedules with epoch %s", epoch)
 
-    def _follow_and_place(self) -> None:
+    def _follow(self) -> None:
         self._set_members()
         self._must_plan |= self._table.collect()
         # Leases are renewed before any store call, which may take seconds.
@@ -179,8 +185,6 @@
         )
         open_jobs = self._jobs.open_jobs()
         self._write(self._follower.changes(open_jobs, self.epoch, now_s))
-        self._place(now_s)
-        self._send_orders()
 
     def _set_members(self) -> None:
         record = self._read_record()
@@ -203,6 +207,8 @@
         try:
             self._jobs.refresh(shards)
         except JayshuntError as error:
+            if error.code in LOST_TERM_CODES:
+                raise
             _LOGGER.info("jobs: the jobs could not be read: %s", error)
             with self._lock:
                 self._noticed |= shards
--- a/src/jayshunt/jobs/shards.py
+++ b/src/jayshunt/jobs/shards.py
@@ -61,6 +61,7 @@
         self._contents: dict[int, dict[JobId, dict]] = {}
         self._parsed: dict[int, dict[JobId, Job]] = {}
         self._revisions: dict[int, int] = {}
+        self._epoch = Epoch(0)
 
     def open_jobs(self) -> list[Job]:
         """Return the jobs that have not ended."""
@@ -95,7 +96,7 @@
         the copy holds everything that such a scheduler had written.
         """
         document = self._documents.update(epoch_key(self._zone), _raise_epoch)
-        epoch = Epoch(document.content["epoch"])
+        self._epoch = epoch = Epoch(document.content["epoch"])
         futures = [
             self._commits.submit(shard_key(self._zone, shard), _fenced(epoch))
             for shard in range(SHARDS_PER_ZONE)
@@ -105,9 +106,11 @@
         return epoch
 
     def refresh(self, shards: Iterable[int]) -> None:
-        """Read shards again."""
+        """Read shards again; raise `superseded` if a higher epoch wrote one."""
         for shard in shards:
-            self._take(shard, self._documents.read(shard_key(self._zone, shard)))
+            document = self._documents.read(shard_key(self._zone, shard))
+            _check_epoch(document.content, self._epoch)
+            self._take(shard, document)
 
     def write(self, changes: Sequence[JobChange], epoch: Epoch) -> set[JobId]:
         """Write changes and return the jobs for which they took effect.
--- a/src/jayshunt/jobs/tests/builders.py
+++ b/src/jayshunt/jobs/tests/builders.py
@@ -210,7 +210,10 @@
         return GroupCommitter(documents, self.clock, executor=InlineExecutor())
 
     def build_scheduler(
-        self, term: str = "t1", executor: Executor | None = None
+        self,
+        term: str = "t1",
+        executor: Executor | None = None,
+        read_term: Callable[[], str | None] | None = None,
     ) -> JobScheduler:
         """Return a scheduler; its term never ends unless another takes over."""
         seed = sum(map(ord, term))
@@ -229,7 +232,7 @@
             table,
             lambda: self.snapshot,
             self.record,
-            lambda: term,
+            read_term or (lambda: term),
             self.clock,
             wake,
         )
@@ -267,5 +270,7 @@
         """Run steps, each after some time, reading every shard."""
         for _ in range(times):
             self.clock.advance(wait_s)
+            for worker in self.workers.by_name.values():
+                worker.expire(self.clock.monotonic_s())
             scheduler.notice()
             scheduler.step()
--- a/src/jayshunt/jobs/tests/test_scheduler.py
+++ b/src/jayshunt/jobs/tests/test_scheduler.py
@@ -229,6 +229,27 @@
         self.assertLessEqual(self.zone.store.puts - before, 4)
         self.assertEqual({self.state(job) for job in jobs}, {JobState.FINISHED})
 
+    def test_lease_lost_in_an_outage_does_not_stop_running_jobs(self) -> None:
+        """The end of the controller's lease must not end the leases of its jobs."""
+        term = ["t9"]
+        scheduler = self.zone.build_scheduler("t9", read_term=lambda: term[0])
+        self.zone.step(scheduler)
+        job = self.zone.submit(repeatable=False)
+        self.zone.step(scheduler)
+        self.zone.store.down = True
+        term[0] = None
+        self.zone.step(scheduler, 60, 2.0)
+        self.assertEqual(len(self.first.running + self.second.running), 1)
+        self.zone.store.down = False
+        waiting = self.zone.submit()
+        self.zone.step(scheduler, 4)
+        self.assertEqual(self.state(waiting), JobState.WAITING)
+        self.zone.step(self.zone.build_scheduler("t10"), 3)
+        self.zone.step(scheduler)
+        self.assertFalse(scheduler.schedules)
+        self.assertEqual(self.state(waiting), JobState.PLACED)
+        self.assertEqual(self.starts(job), 1)
+
     def test_one_call_per_worker_and_period(self) -> None:
         """Many jobs on a worker must not cost a call each."""
         for _ in range(16):
