Wait past the deadline instead of refusing late

Change: an admitted request waits for up to twice its time (a caller's own timeout is kept), and no broker refuses after the early part of its time. Slots of an entry that ended are blocked for two run times instead of four. Ejection starts at 1 s and the slow start takes 2 s. The measurement attributes exceeded slots to cases and lets an instance recover before the next fault of its pool.

--- a/src/jayshunt/admission/backlog.py
+++ b/src/jayshunt/admission/backlog.py
@@ -24,6 +24,11 @@
     bucket: int = 0
     waiting: bool = True
 
+    @property
+    def gives_up_s(self) -> float:
+        """Return the time after which the request waits no longer."""
+        return self.arrived_s + self.request.wait_limit_ms / 1000
+
 
 class Backlog:
     """Order waiters by deadline, earliest first, at a constant cost each.
--- a/src/jayshunt/admission/broker.py
+++ b/src/jayshunt/admission/broker.py
@@ -10,6 +10,7 @@
 from jayshunt.admission.backlog import Waiter
 from jayshunt.admission.const import (
     PAUSE_LIMIT_S,
+    UNKNOWN_BLOCK_FACTOR,
     UNKNOWN_DEFAULT_MS,
     UNKNOWN_MINIMUM_MS,
     UNKNOWN_RUN_FACTOR,
@@ -101,7 +102,7 @@
         if waiter is None:
             return
         call.queue()
-        if not call.wait_decision(request.remaining_ms / 1000):
+        if not call.wait_decision(request.wait_limit_ms / 1000):
             late = "no slot came free in time"
             call.decide(PermitRefused("deadline_passed", 0.5, late))
         self.cancel(waiter)
@@ -327,7 +328,7 @@
             if instance is None:
                 break
             self._queue.remove(waiter)
-            if waiter.deadline_s <= now_s:
+            if waiter.gives_up_s <= now_s:
                 late = "no slot came free in time"
                 refusal = self.refusals.refuse(
                     waiter.request, "deadline_passed", 0.5, late
@@ -377,7 +378,7 @@
         block_ms = UNKNOWN_DEFAULT_MS
         if known_ms:
             longest_ms = max(known_ms)
-            block_ms = max(UNKNOWN_MINIMUM_MS, UNKNOWN_RUN_FACTOR * longest_ms)
+            block_ms = max(UNKNOWN_MINIMUM_MS, UNKNOWN_BLOCK_FACTOR * longest_ms)
         self.refusals.blocked_until_s = now_s + block_ms / 1000
         for state in self.instances.states.values():
             state.blocked = max(0, self._slots() - state.in_use)
--- a/src/jayshunt/admission/broker_client.py
+++ b/src/jayshunt/admission/broker_client.py
@@ -78,7 +78,7 @@
         if not call.wait_reply(max(REPLY_MINIMUM_MS, limit_ms) / 1000):
             self._silent_since_s = self._clock.monotonic_s()
             call.decide(None)
-        elif not call.wait_decision(remaining_ms / 1000):
+        elif not call.wait_decision(call.request.wait_limit_ms / 1000):
             call.decide(LATE)
         with self._lock:
             if number in self._calls and self._outbox is not None:
--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -31,11 +31,11 @@
 # Usual shares are scaled to this part of the slots when they add up to more.
 SHARE_LIMIT_RATIO = 0.95
 
-SLOW_START_S = 3.0
+SLOW_START_S = 2.0
 EJECT_CONSECUTIVE = 4
 EJECT_WINDOW = 20
 EJECT_FAILED_RATIO = 0.5
-EJECT_BASE_S = 2.0
+EJECT_BASE_S = 1.0
 EJECT_LIMIT_S = 30.0
 MAX_EJECTED_RATIO = 0.5
 
@@ -57,11 +57,15 @@
 REPLY_MINIMUM_MS = 25.0
 SPILL_CLOSED_S = 0.1
 RECOVER_TIMEOUT_S = 0.25
-# Slots that an unreachable entry may use are counted as free after this many
-# learned run times of the slowest class: an entry that ended sends nothing more,
-# and one that was paused gives back permits that it did not use in time.
+# A slot that is held for this many run times is stuck, and one whose request
+# timed out stays counted for as long.
 UNKNOWN_RUN_FACTOR = 4.0
+# Slots that an unreachable entry may use are counted as free after
+# UNKNOWN_BLOCK_FACTOR learned run times of the slowest class: an entry that
+# ended sends nothing more, and one that was paused gives back permits that it
+# did not use in time.
 UNKNOWN_MINIMUM_MS = 200.0
+UNKNOWN_BLOCK_FACTOR = 2.0
 UNKNOWN_DEFAULT_MS = 1000.0
 CONNECT_PROBE_S = 0.1
 
--- a/src/jayshunt/admission/directory.py
+++ b/src/jayshunt/admission/directory.py
@@ -74,17 +74,19 @@
         """Ask the own zone's broker, then those of other zones while it is early."""
         started_s = self._clock.monotonic_s()
         end_s = started_s + request.remaining_ms / 1000
-        reply = self._acquire_in(self._zone, request, end_s)
+        # Past this time a refusal would be late, so that no broker may refuse.
+        early_s = started_s + SPILL_WITHIN_RATIO * request.remaining_ms / 1000
+        reply = self._acquire_in(self._zone, request, end_s, early_s)
         if isinstance(reply, PermitGranted) or reply.code not in SPILL_CODES:
             return reply
-        spill_end_s = started_s + SPILL_WITHIN_RATIO * request.remaining_ms / 1000
         for zone in self._read_view().zones():
             now_s = self._clock.monotonic_s()
             key = (zone, request.pool, request.work_class)
             closed_s = self._closed_until_s.get(key, 0.0)
-            if zone == self._zone or now_s < closed_s or now_s > spill_end_s:
+            if zone == self._zone or now_s < closed_s or now_s > early_s:
                 continue
-            other = self._acquire_in(zone, replace(request, spilled=True), end_s)
+            spilled = replace(request, spilled=True)
+            other = self._acquire_in(zone, spilled, end_s, early_s)
             if isinstance(other, PermitGranted):
                 return other
             self._closed_until_s[key] = self._clock.monotonic_s() + SPILL_CLOSED_S
@@ -203,19 +205,24 @@
         self.takeover.stop()
 
     def _acquire_in(
-        self, zone: ZoneName, request: PermitRequest, end_s: float
+        self, zone: ZoneName, request: PermitRequest, end_s: float, early_s: float
     ) -> PermitGranted | PermitRefused:
         ranked = self.takeover.ranked(zone, request.pool)[:MAX_BROKERS_ASKED]
         # The second round reaches a broker that took over during the first.
         for member in [*ranked, *ranked]:
-            remaining_ms = (end_s - self._clock.monotonic_s()) * 1000
-            if remaining_ms <= 0:
+            now_s = self._clock.monotonic_s()
+            passed_ms = request.remaining_ms - (end_s - now_s) * 1000
+            patience_ms = request.wait_limit_ms - passed_ms
+            if patience_ms <= 0:
                 break
-            request = replace(request, remaining_ms=remaining_ms)
+            request = replace(
+                request,
+                remaining_ms=request.remaining_ms - passed_ms,
+                patience_ms=patience_ms,
+            )
             call = self._ask(member, request)
             reply = call.decision
-            if call.queued:
-                # It was admitted once, so that the next broker must not refuse.
+            if call.queued or self._clock.monotonic_s() > early_s:
                 request = replace(request, attempt=max(1, request.attempt))
             if reply is None:
                 continue
--- a/src/jayshunt/admission/messages.py
+++ b/src/jayshunt/admission/messages.py
@@ -12,7 +12,9 @@
 
     `remaining_ms` is the time until the request's deadline; no clock is shared
     between entries. `excluded` names instances that already failed this request,
-    `attempt` counts from 0, and `spilled` marks a request of another zone.
+    `attempt` counts from 0, and `spilled` marks a request of another zone. Once
+    admitted, a request waits for up to `patience_ms`, past its deadline if need
+    be: a late answer is worth more to its caller than a late refusal.
     """
 
     request: RequestId
@@ -23,6 +25,12 @@
     excluded: tuple[VmId, ...] = ()
     attempt: int = 0
     spilled: bool = False
+    patience_ms: float = 0.0
+
+    @property
+    def wait_limit_ms(self) -> float:
+        """Return how long the request may wait, at least until its deadline."""
+        return max(self.remaining_ms, self.patience_ms)
 
 
 @dataclass(frozen=True)
--- a/src/jayshunt/admission/wire.py
+++ b/src/jayshunt/admission/wire.py
@@ -28,6 +28,7 @@
         attempt=request.attempt,
         spilled=request.spilled,
         call=call,
+        patience_ms=request.patience_ms,
     )
 
 
@@ -42,6 +43,7 @@
         tuple(VmId(vm) for vm in message.excluded),
         message.attempt,
         message.spilled,
+        message.patience_ms,
     )
 
 
--- a/src/jayshunt/routing/const.py
+++ b/src/jayshunt/routing/const.py
@@ -25,6 +25,9 @@
 # answer is worth more to its caller than an unknown outcome, and the slot of a
 # request that was given up stays counted. A caller's own timeout is kept.
 LATE_RUN_FACTOR = 2.0
+MINIMUM_GRACE_MS = 50.0
+# An admitted request waits for up to this part of its time past its deadline.
+LATE_WAIT_RATIO = 1.0
 # A permit that was not used within this time is given back. A new broker counts
 # unknown permits of a paused entry as free after 200 ms at the earliest.
 USE_WITHIN_MS = 200.0
--- a/src/jayshunt/routing/router.py
+++ b/src/jayshunt/routing/router.py
@@ -28,7 +28,9 @@
     BACKOFF_LIMIT_MS,
     FAULT_STATUSES,
     LATE_RUN_FACTOR,
+    LATE_WAIT_RATIO,
     MAX_ATTEMPTS,
+    MINIMUM_GRACE_MS,
     MINIMUM_SEND_MS,
     USE_WITHIN_MS,
 )
@@ -62,6 +64,7 @@
     request: CallerRequest
     work_class: WorkClass
     deadline_s: float
+    patience_s: float
     excluded: tuple[VmId, ...] = ()
     sent: int = 0
     claimed: bool = False
@@ -100,7 +103,10 @@
         work_class = self._find_class(request)
         limit_ms = min(work_class.target_ms, request.timeout_ms or work_class.target_ms)
         deadline_s = self._clock.monotonic_s() + limit_ms / 1000
-        progress = Progress(request, work_class, deadline_s)
+        patience_s = deadline_s
+        if request.timeout_ms is None:
+            patience_s += LATE_WAIT_RATIO * limit_ms / 1000
+        progress = Progress(request, work_class, deadline_s, patience_s)
         self.budget.earn()
         try:
             answer = self._serve(progress)
@@ -141,7 +147,7 @@
             timeout_ms = self._attempt_ms(progress, permit)
             if self._is_stale(granted_s) or timeout_ms < MINIMUM_SEND_MS:
                 self._permits.release(unused(permit, progress.request.work_class))
-                if self._remaining_ms(progress) < MINIMUM_SEND_MS:
+                if self._clock.monotonic_s() >= progress.patience_s:
                     raise progress.failure or _deadline_passed(permit.vm)
                 continue
             try:
@@ -173,6 +179,7 @@
                 self._remaining_ms(progress),
                 progress.excluded,
                 progress.sent,
+                patience_ms=(progress.patience_s - asked_s) * 1000,
             )
         )
         match reply:
@@ -220,14 +227,16 @@
         can go silent; a marked request has only this one.
         """
         remaining_ms = self._remaining_ms(progress)
-        if progress.request.repeatable and progress.sent + 1 < MAX_ATTEMPTS:
+        may_repeat = progress.request.repeatable and remaining_ms > 0
+        if may_repeat and progress.sent + 1 < MAX_ATTEMPTS:
             limit_ms = ATTEMPT_TIME_RATIO * remaining_ms
             limit_ms = max(limit_ms, ATTEMPT_RUN_FACTOR * permit.expected_ms)
             if limit_ms < remaining_ms:
                 return limit_ms
         if progress.request.timeout_ms is not None:
             return remaining_ms
-        return remaining_ms + LATE_RUN_FACTOR * permit.expected_ms
+        grace_ms = max(MINIMUM_GRACE_MS, LATE_RUN_FACTOR * permit.expected_ms)
+        return max(0.0, remaining_ms) + grace_ms
 
     def _send_once(
         self, progress: Progress, permit: PermitGranted, timeout_ms: float
--- a/src/jayshunt_measure/serving.py
+++ b/src/jayshunt_measure/serving.py
@@ -59,6 +59,7 @@
     sent: list[Sent]
     outages: tuple[Outage, ...]
     cpu_s: float = 0.0
+    over_slots: int = 0
 
     def bound(self) -> MetRatio:
         """Return the best any schedule could do."""
@@ -96,7 +97,10 @@
         outages = tuple(
             Outage(fault.slots_lost, struck_s, ended_s) for fault in case.faults
         )
-        return CaseResult(case, arrivals, sent, outages, used_s)
+        before = sum(self.record.over_slots.values())
+        self.collect()
+        over_slots = sum(self.record.over_slots.values()) - before
+        return CaseResult(case, arrivals, sent, outages, used_s, over_slots)
 
     def collect(self) -> None:
         """Read what the instances recorded."""
@@ -193,6 +197,8 @@
         if of_bound < worst_ratio:
             worst_name, worst_ratio = result.case.name, of_bound
         bad = {n: v for n, v in vars(counts).items() if n in ALONE_FIELDS and v}
+        if result.over_slots:
+            bad["slots_exceeded"] = result.over_slots
         late = Counter(s.code for s in result.sent if is_late_refusal(s))
         typer.echo(
             f"{result.case.name:<40}{counts.requests:>9}{met.total:>7.3f}"
--- a/src/jayshunt_measure/serving_cases.py
+++ b/src/jayshunt_measure/serving_cases.py
@@ -120,19 +120,21 @@
     "cancel_wave", lambda scene: scene.callers.cancel_wave(WAVE), _nothing
 )
 
+# The shapes take turns, and each one's faults of instances and of entries do, so
+# that an instance is back before the next fault of its pool.
 SINGLE = (
     SILENT,
-    BROKER_KILLED,
     RESET_BEFORE,
-    RESET_AFTER,
+    BROKER_KILLED,
     BROKER_PAUSED,
+    RESET_AFTER,
     ERRORS,
-    LATE,
     ENTRY_STOPPED,
-    LEAVING,
     STORE_DOWN,
+    LATE,
     RACK_LOST,
     CANCEL_WAVE,
+    LEAVING,
 )
 PAIRS = (
     (ERRORS, BROKER_KILLED),
