Measure a controller and a plain entry of one zone

Cause: the only whole entry measured held every role of its zone at once. Change: script/measure capacity starts two entries in the zone; the more expensive role counts against the limits.

--- a/src/jayshunt_measure/capacity.py
+++ b/src/jayshunt_measure/capacity.py
@@ -9,11 +9,12 @@
 
 import typer
 
-from jayshunt_measure.capacity_entry import EntryCost, measure_entry
+from jayshunt_measure.capacity_entry import EntryCost, measure_entries
 from jayshunt_measure.node_hosts import Host, NodeHosts
 from jayshunt_measure.rollout import full_document, quantile
 
 SIZES = (16, 32, 60)
+WORKERS = (400, 800, 1_600)
 NODES_PER_HOST = 8
 ZONES = 15
 REGIONS = 4
@@ -77,7 +78,7 @@
         if not isinstance(value, list):
             typer.echo(f"{name:<32}{value:>16.6g}")
     for row in [*figures.sizes, *figures.entries]:
-        cells = (f"{name} {value:.6g}" for name, value in asdict(row).items())
+        cells = (f"{name} {value:.5g}" for name, value in asdict(row).items())
         typer.echo("  ".join(cells))
     if as_json:
         typer.echo(json.dumps(content))
@@ -114,7 +115,8 @@
         return
     _measure_changes(figures, hosts, shared)
     _measure_pauses(figures, hosts, rng)
-    figures.entries = [measure_entry(hosts, workers) for workers in (400, 800, 1_600)]
+    for workers in WORKERS:
+        figures.entries += measure_entries(hosts, workers)
     _measure_losses(figures, hosts)
     _measure_heal(figures, hosts)
 
@@ -234,13 +236,15 @@
 
 def _add_slopes(figures: CapacityFigures) -> None:
     nodes = [float(cost.nodes) for cost in figures.sizes]
-    workers = [cost.workers / 1000 for cost in figures.entries]
+    # The limits hold for each role, so the most expensive one counts.
+    controllers = [cost for cost in figures.entries if cost.is_controller]
+    workers = [cost.workers / 1000 for cost in controllers]
 
     def per_node(name: str) -> float:
         return slope(nodes, [getattr(cost, name) for cost in figures.sizes])
 
     def per_workers(name: str) -> float:
-        return slope(workers, [getattr(cost, name) for cost in figures.entries])
+        return slope(workers, [getattr(cost, name) for cost in controllers])
 
     figures.cpu_ratio_per_node = per_node("cpu_ratio")
     figures.bytes_per_s_per_node = per_node("bytes_per_s")
@@ -249,7 +253,7 @@
     figures.bytes_per_s_per_1000_workers = per_workers("bytes_per_s")
     figures.memory_bytes_per_1000_workers = per_workers("memory_bytes")
     changes_per_s = CHANGES_PER_DAY / 86_400
-    whole = figures.entries[-1]
+    whole = controllers[-1]
     figures.control_cpu_ratio = (
         whole.cpu_ratio + changes_per_s * figures.change_cpu_ms / 1000
     )
--- a/src/jayshunt_measure/capacity_entry.py
+++ b/src/jayshunt_measure/capacity_entry.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from jayshunt_measure.node_hosts import NodeHosts
+from jayshunt_measure.node_hosts import Host, NodeHosts
 from jayshunt_standins.inventory import InventoryStandIn, ListedVm
 from jayshunt_standins.upstream import UpstreamStandIn
 from jayshunt_standins.worker import WorkerStandIn
@@ -21,6 +21,7 @@
     """Hold what a whole entry costs at a number of workers."""
 
     workers: int
+    is_controller: bool
     cpu_ratio: float
     peers_bytes_per_s: float
     store_bytes_per_s: float
@@ -36,11 +37,11 @@
         return self.peers_bytes_per_s + self.store_bytes_per_s + self.list_bytes_per_s
 
 
-def measure_entry(hosts: NodeHosts, workers: int) -> EntryCost:
-    """Start an entry in a zone of its own share of the workers and let it idle.
+def measure_entries(hosts: NodeHosts, workers: int) -> list[EntryCost]:
+    """Start two entries in a zone of its own share of the workers; let them idle.
 
-    The zone has no other entry, so this one is broker of every pool, zone
-    controller and watcher at once.
+    One of them becomes zone controller. They share the brokers of every pool and
+    both watch the configuration.
     """
     upstream, worker = UpstreamStandIn("shared", 64), WorkerStandIn("shared")
     upstream.start()
@@ -52,41 +53,49 @@
     inventory.start()
     hosts.services[inventory.address] = "list"
     hosts.services[upstream.address] = hosts.services[worker.address] = "vms"
-    plan = hosts.plan(1, 1, 1)[0]
-    known = hosts.plans[min(hosts.plans)]
-    seeds = tuple(p.address for p in list(hosts.plans.values())[:3])
-    plan = replace(
-        plan,
-        entry=f"entry-{workers}",
-        zone=zone,
-        region=known.region,
-        seeds=seeds,
-        store_url=hosts.store.url,
-    )
-    host = hosts.start_full(plan, inventory.url)
+    started = [_start(hosts, zone, name, inventory.url) for name in ("a", "b")]
     try:
         hosts.wait(lambda: False, SETTLE_S)
-        before, started_s = hosts.stats(f"{zone}-1", [host]), time.monotonic()
+        before, started_s = hosts.stats(f"{zone}-1", started), time.monotonic()
         hosts.wait(lambda: False, STEADY_S)
-        after = hosts.stats(f"{zone}-2", [host])
+        after = hosts.stats(f"{zone}-2", started)
         seconds = time.monotonic() - started_s
     finally:
-        host.stop()
-        hosts.hosts.remove(host)
+        for host in started:
+            host.stop()
+            hosts.hosts.remove(host)
         for server in (inventory, upstream, worker):
             server.stop()
+    pairs = [(b, a) for b in before for a in after if b["pid"] == a["pid"]]
+    return [_cost(workers, b, a, seconds) for b, a in pairs]
+
+
+def _start(hosts: NodeHosts, zone: str, name: str, inventory_url: str) -> Host:
+    known = hosts.plans[min(hosts.plans)]
+    plan = replace(
+        hosts.plan(1, 1, 1)[0],
+        entry=f"{zone}-{name}",
+        zone=zone,
+        region=known.region,
+        seeds=tuple(p.address for p in list(hosts.plans.values())[:3]),
+        store_url=hosts.store.url,
+    )
+    return hosts.start_full(plan, inventory_url)
+
 
+def _cost(workers: int, before: dict, after: dict, seconds: float) -> EntryCost:
     def rate(key: str) -> float:
-        return (after[0][key] - before[0][key]) / seconds
+        return (after[key] - before[key]) / seconds
 
     return EntryCost(
         workers,
+        after["is_controller"],
         rate("cpu_s"),
         rate("peers_bytes"),
         rate("store_bytes"),
         rate("list_bytes"),
         rate("vms_bytes"),
-        float(after[0]["rss_bytes"]),
+        float(after["rss_bytes"]),
         rate("store_calls"),
         rate("store_writes"),
     )
--- a/src/jayshunt_measure/node_host.py
+++ b/src/jayshunt_measure/node_host.py
@@ -90,7 +90,9 @@
             {
                 "event": "stats",
                 "mark": mark,
+                "pid": os.getpid(),
                 "nodes": len(nodes),
+                "is_controller": bool(self._full and self._full.controller.holds_lease),
                 "cpu_s": time.process_time(),
                 "payload_bytes": traffic.payload_bytes,
                 **{f"{name}_bytes": value for name, value in groups.items()},
