Measure the stored documents and the planning of jobs

Change: script/measure capacity builds each stored document with the functions of its slice at three sizes and times one placement plan at three numbers of workers.

--- a/src/jayshunt_measure/capacity.py
+++ b/src/jayshunt_measure/capacity.py
@@ -9,9 +9,15 @@
 
 import typer
 
+from jayshunt_measure.capacity_documents import (
+    DocumentCost,
+    measure_documents,
+    measure_planning,
+)
 from jayshunt_measure.capacity_entry import EntryCost, measure_entries
+from jayshunt_measure.figures import quantile, slope
 from jayshunt_measure.node_hosts import Host, NodeHosts
-from jayshunt_measure.rollout import full_document, quantile
+from jayshunt_measure.rollout import full_document
 
 SIZES = (16, 32, 60)
 WORKERS = (400, 800, 1_600)
@@ -61,6 +67,8 @@
     memory_bytes_per_1000_workers: float = 0.0
     sizes: list[SizeCost] = field(default_factory=list)
     entries: list[EntryCost] = field(default_factory=list)
+    documents: list[DocumentCost] = field(default_factory=list)
+    plan_ms_by_workers: dict[int, float] = field(default_factory=dict)
 
 
 def capacity(
@@ -73,17 +81,24 @@
     for size in SIZES:
         _with_nodes(size, lambda hosts: _measure_size(figures, hosts, rng))
     _add_slopes(figures)
+    figures.documents = measure_documents()
+    figures.plan_ms_by_workers = measure_planning()
     content = asdict(figures)
     for name, value in content.items():
-        if not isinstance(value, list):
+        if isinstance(value, int | float):
             typer.echo(f"{name:<32}{value:>16.6g}")
-    for row in [*figures.sizes, *figures.entries]:
-        cells = (f"{name} {value:.5g}" for name, value in asdict(row).items())
-        typer.echo("  ".join(cells))
+    for row in [*figures.sizes, *figures.entries, *figures.documents]:
+        typer.echo("  ".join(f"{n} {_show(v)}" for n, v in asdict(row).items()))
+    for workers, plan_ms in figures.plan_ms_by_workers.items():
+        typer.echo(f"workers of a zone {workers}  plan {plan_ms} ms")
     if as_json:
         typer.echo(json.dumps(content))
 
 
+def _show(value: object) -> str:
+    return f"{value:.5g}" if isinstance(value, float) else str(value)
+
+
 def _with_nodes(size: int, action) -> None:
     hosts = NodeHosts()
     try:
@@ -263,14 +278,6 @@
     figures.memory_bytes = whole.memory_bytes
 
 
-def slope(places: list[float], values: list[float]) -> float:
-    """Return the slope of the line that fits best."""
-    middle, mean = sum(places) / len(places), sum(values) / len(values)
-    spread = sum((place - middle) ** 2 for place in places)
-    products = ((p - middle) * (v - mean) for p, v in zip(places, values, strict=True))
-    return sum(products) / spread
-
-
 def _nodes_of(hosts: NodeHosts, host: Host) -> int:
     return sum(hosts.host_of(entry) is host for entry in hosts.plans)
 
--- a/src/jayshunt_measure/rollout.py
+++ b/src/jayshunt_measure/rollout.py
@@ -9,6 +9,7 @@
 
 import typer
 
+from jayshunt_measure.figures import quantile
 from jayshunt_measure.node_hosts import NodeHosts
 from jayshunt_measure.rollout_verdict import Window, count_faults, rollout_times_ms
 from jayshunt_standins.store import StoreFaults
@@ -241,11 +242,3 @@
             for number in range(260)
         },
     }
-
-
-def quantile(values: list[float], part: float) -> float:
-    """Return a quantile, rounded; 0 without values."""
-    if not values:
-        return 0.0
-    ordered = sorted(values)
-    return round(ordered[min(len(ordered) - 1, int(part * len(ordered)))], 1)
