--- a/src/jayshunt/store/documents.py
+++ b/src/jayshunt/store/documents.py
@@ -69,14 +69,7 @@
 
     def read(self, key: str) -> Document:
         """Return the document of a key."""
-        stored = self._store.get(key)
-        if stored is None:
-            return Document(None, ABSENT)
-        content = json.loads(stored.value)
-        if set(content) <= {WRITE_IDS}:
-            # Only a settled write made this key; the document was never written.
-            return Document(None, stored.revision, _ids(content))
-        return Document(content, stored.revision, _ids(content))
+        return _parse(self._store.get(key))
 
     def update(self, key: str, change: Change) -> Document:
         """Apply a change to the newest content and write it.
@@ -87,8 +80,10 @@
         nothing was written, StoreOutcomeUnknown if that could not be settled.
         """
         for attempt in range(MAX_UPDATE_ATTEMPTS):
-            document = self.read(key)
-            content = change(_copy(document.content))
+            stored = self._store.get(key)
+            # The change gets content of its own; a fence may need the original.
+            content = change(_parse(stored).content)
+            document = _parse(stored)
             if content is None:
                 return document
             try:
@@ -149,8 +144,15 @@
         self._clock.wait(threading.Event(), self._rng.uniform(0, limit_s))
 
 
-def _copy(content: Content | None) -> Content | None:
-    return None if content is None else json.loads(json.dumps(content))
+def _parse(stored: StoredValue | None) -> Document:
+    if stored is None:
+        return Document(None, ABSENT)
+    content = json.loads(stored.value)
+    ids = _ids(content)
+    if set(content) <= {WRITE_IDS}:
+        # Only a settled write made this key; the document was never written.
+        return Document(None, stored.revision, ids)
+    return Document(content, stored.revision, ids)
 
 
 def _ids(content: Content) -> tuple[str, ...]:
