--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -1,6 +1,7 @@
 """Start stand-ins in this process and entries as processes of their own."""
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -58,6 +59,7 @@
     entries_per_zone: dict[str, int]
     lag_s: float = 2.0
     command: tuple[str, ...] = (sys.executable, "-m", "jayshunt")
+    environment: dict[str, str] = field(default_factory=dict)
     upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
     workers: dict[str, WorkerStandIn] = field(default_factory=dict)
     entries: list[EntryHandle] = field(default_factory=list)
@@ -74,7 +76,9 @@
         self.token_file.write_text(TOKEN)
         self.store = StoreStandIn()
         self.inventory = InventoryStandIn(
-            [self._start_vm(plan) for plan in self.vms], self.lag_s
+            [self._start_vm(plan) for plan in self.vms],
+            self.lag_s,
+            power=self._switch_vm,
         )
         self.store.start()
         self.inventory.start()
@@ -124,6 +128,7 @@
                 [*self.command, "entry", "--settings", str(entry.settings_file)],
                 stdout=sink,
                 stderr=sink,
+                env={**os.environ, **self.environment},
             )
 
     def configure(self, document: ConfigDocument) -> int:
@@ -170,6 +175,13 @@
                 raise RuntimeError(f"{method} {path}: {answer.body.decode()}")
             return json.loads(answer.body)
 
+    def _switch_vm(self, vm: str, is_on: bool) -> None:
+        server = self.upstreams.get(vm) or self.workers[vm]
+        if is_on:
+            server.power_on()
+        else:
+            server.power_off()
+
     def _start_vm(self, plan: VmPlan) -> ListedVm:
         if plan.kind == "upstream":
             server = UpstreamStandIn(plan.name, plan.slots)
