--- a/src/jayshunt_measure/capacity.py
+++ b/src/jayshunt_measure/capacity.py
@@ -9,11 +9,18 @@
 
 import typer
 
-from jayshunt_measure.capacity_entry import EntryCost, measure_entry
+from jayshunt_measure.capacity_documents import (
+    DocumentCost,
+    measure_documents,
+    measure_planning,
+)
+from jayshunt_measure.capacity_entry import EntryCost, measure_entries
+from jayshunt_measure.figures import quantile, slope
 from jayshunt_measure.node_hosts import Host, NodeHosts
-from jayshunt_measure.rollout import full_document, quantile
+from jayshunt_measure.rollout import full_document
 
 SIZES = (16, 32, 60)
+WORKERS = (400, 800, 1_600)
 NODES_PER_HOST = 8
 ZONES = 15
 REGIONS = 4
@@ -60,6 +67,8 @@
     memory_bytes_per_1000_workers: float = 0.0
     sizes: list[SizeCost] = field(default_factory=list)
     entries: list[EntryCost] = field(default_factory=list)
+    documents: list[DocumentCost] = field(default_factory=list)
+    plan_ms_by_workers: dict[int, float] = field(default_factory=dict)
 
 
 def capacity(
@@ -72,17 +81,24 @@
     for size in SIZES:
         _with_nodes(size, lambda hosts: _measure_size(figures, hosts, rng))
     _add_slopes(figures)
+    figures.documents = measure_documents()
+    figures.plan_ms_by_workers = measure_planning()
     content = asdict(figures)
     for name, value in content.items():
-        if not isinstance(value, list):
+        if isinstance(value, int | float):
             typer.echo(f"{name:<32}{value:>16.6g}")
-    for row in [*figures.sizes, *figures.entries]:
-        cells = (f"{name} {value:.6g}" for name, value in asdict(row).items())
-        typer.echo("  ".join(cells))
+    for row in [*figures.sizes, *figures.entries, *figures.documents]:
+        typer.echo("  ".join(f"{n} {_show(v)}" for n, v in asdict(row).items()))
+    for workers, plan_ms in figures.plan_ms_by_workers.items():
+        typer.echo(f"workers of a zone {workers}  plan {plan_ms} ms")
     if as_json:
         typer.echo(json.dumps(content))
 
 
+def _show(value: object) -> str:
+    return f"{value:.5g}" if isinstance(value, float) else str(value)
+
+
 def _with_nodes(size: int, action) -> None:
     hosts = NodeHosts()
     try:
@@ -114,7 +130,8 @@
         return
     _measure_changes(figures, hosts, shared)
     _measure_pauses(figures, hosts, rng)
-    figures.entries = [measure_entry(hosts, workers) for workers in (400, 800, 1_600)]
+    for workers in WORKERS:
+        figures.entries += measure_entries(hosts, workers)
     _measure_losses(figures, hosts)
     _measure_heal(figures, hosts)
 
@@ -234,13 +251,15 @@
 
 def _add_slopes(figures: CapacityFigures) -> None:
     nodes = [float(cost.nodes) for cost in figures.sizes]
-    workers = [cost.workers / 1000 for cost in figures.entries]
+    # The limits hold for each role, so the most expensive one counts.
+    controllers = [cost for cost in figures.entries if cost.is_controller]
+    workers = [cost.workers / 1000 for cost in controllers]
 
     def per_node(name: str) -> float:
         return slope(nodes, [getattr(cost, name) for cost in figures.sizes])
 
     def per_workers(name: str) -> float:
-        return slope(workers, [getattr(cost, name) for cost in figures.entries])
+        return slope(workers, [getattr(cost, name) for cost in controllers])
 
     figures.cpu_ratio_per_node = per_node("cpu_ratio")
     figures.bytes_per_s_per_node = per_node("bytes_per_s")
@@ -249,7 +268,7 @@
     figures.bytes_per_s_per_1000_workers = per_workers("bytes_per_s")
     figures.memory_bytes_per_1000_workers = per_workers("memory_bytes")
     changes_per_s = CHANGES_PER_DAY / 86_400
-    whole = figures.entries[-1]
+    whole = controllers[-1]
     figures.control_cpu_ratio = (
         whole.cpu_ratio + changes_per_s * figures.change_cpu_ms / 1000
     )
@@ -259,14 +278,6 @@
     figures.memory_bytes = whole.memory_bytes
 
 
-def slope(places: list[float], values: list[float]) -> float:
-    """Return the slope of the line that fits best."""
-    middle, mean = sum(places) / len(places), sum(values) / len(values)
-    spread = sum((place - middle) ** 2 for place in places)
-    products = ((p - middle) * (v - mean) for p, v in zip(places, values, strict=True))
-    return sum(products) / spread
-
-
 def _nodes_of(hosts: NodeHosts, host: Host) -> int:
     return sum(hosts.host_of(entry) is host for entry in hosts.plans)
 
