Keep requests of new connections when an entry stops

Change: while idle connections end, a connection without a request so far is left 0.5 s for it. A socket filter drops packets of new connections before the last accepts, so that none is made that the close would reset.

Conclusion: both windows are closed; testbeds that start at the same moment may still choose the same port.

--- a/src/jayshunt/serving/const.py
+++ b/src/jayshunt/serving/const.py
@@ -23,6 +23,10 @@
 # bytes does not destroy the last answer on its way to the caller.
 LINGER_S = 0.5
 LINGER_BYTES = 256 * 1024
+# A caller sends its first request right after it has connected. While the server
+# ends idle connections, a new one is left this long, as closing it could cross
+# that request.
+FIRST_REQUEST_S = 0.5
 # Threads that write refusals to connections over the limit; more are closed.
 REFUSAL_THREADS = 2
 REFUSALS_WAITING = 64
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -21,6 +21,7 @@
     REFUSALS_WAITING,
 )
 from jayshunt.serving.limits import ConnectionLimit, HeldBodies, ServerLimits
+from jayshunt.serving.listener import drop_new_connections
 from jayshunt.serving.problems import problem_parts
 from jayshunt.serving.stream import CallerStream
 from jayshunt.serving.tls import ReloadingTls
@@ -95,6 +96,7 @@
         self.begin_stop()
         self._clock.wait(threading.Event(), self._limits.drain_grace_s)
         self.shutdown()
+        drop_new_connections(self.socket)
         self._accept_waiting()
         self.server_close()
         # It stays readable, so that a connection that waits later ends as well.
--- a/src/jayshunt/serving/stream.py
+++ b/src/jayshunt/serving/stream.py
@@ -7,6 +7,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.serving.const import (
+    FIRST_REQUEST_S,
     LINGER_BYTES,
     LINGER_S,
     MAX_CHUNK_LINE_BYTES,
@@ -43,6 +44,7 @@
         self._connection = connection
         self._clock = clock
         self._buffer = bytearray()
+        self._has_read_head = False
         self._idle_poll = select.poll()
         self._idle_poll.register(connection.fileno(), select.POLLIN)
         if end_of_idle >= 0:
@@ -66,6 +68,7 @@
             if 0 <= end <= MAX_HEAD_BYTES:
                 head = bytes(self._buffer[:end])
                 del self._buffer[: end + 4]
+                self._has_read_head = True
                 return head
             self._check_partial_head()
             searched = len(self._buffer)
@@ -133,15 +136,24 @@
         pending = isinstance(self._connection, ssl.SSLSocket) and (
             self._connection.pending()
         )
-        if not pending:
-            ready = self._idle_poll.poll(idle_timeout_s * 1000)
-            if all(number != self._connection.fileno() for number, _ in ready):
+        if not pending and not self._poll(idle_timeout_s):
+            # A caller who has just connected is about to send its first request.
+            if self._has_read_head or not self._poll_once(FIRST_REQUEST_S):
                 raise ConnectionClosed
         try:
             self._fill(self._clock.monotonic_s() + idle_timeout_s)
         except TimeoutError as error:
             raise ConnectionClosed from error
 
+    def _poll(self, timeout_s: float) -> bool:
+        ready = self._idle_poll.poll(timeout_s * 1000)
+        return any(number == self._connection.fileno() for number, _ in ready)
+
+    def _poll_once(self, timeout_s: float) -> bool:
+        poll = select.poll()
+        poll.register(self._connection.fileno(), select.POLLIN)
+        return bool(poll.poll(timeout_s * 1000))
+
     def _check_partial_head(self) -> None:
         if len(self._buffer) >= MAX_HEAD_BYTES:
             if b"\r\n" not in self._buffer:
--- a/src/jayshunt/serving/tests/test_http_server.py
+++ b/src/jayshunt/serving/tests/test_http_server.py
@@ -1,10 +1,13 @@
 """Test the HTTP server over real connections."""
 
 import json
+import socket
+import threading
 import unittest
 
 from jayshunt.routing.messages import CallerAnswer
 from jayshunt.serving.limits import ServerLimits
+from jayshunt.serving.listener import drop_new_connections
 from jayshunt.serving.tests.builders import (
     BlockingRouter,
     FakeRouter,
@@ -207,6 +210,33 @@
             server.stop()
             self.assertIn(b"200 OK", read_all(connection))
 
+    def test_no_connection_is_made_once_the_port_is_about_to_close(self):
+        """A connection made before the close is reset with its request."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = listener.getsockname()
+            with socket.create_connection(address) as before:
+                drop_new_connections(listener)
+                before.sendall(b"x")
+                with self.assertRaises(TimeoutError):
+                    socket.create_connection(address, timeout=0.1)
+                accepted, _ = listener.accept()
+                with accepted:
+                    self.assertEqual(accepted.recv(1), b"x")
+
+    def test_stop_waits_for_the_first_request_of_a_new_connection(self):
+        """Closing a connection that was just made crosses its first request."""
+        router = FakeRouter()
+        server = start_server(router)
+        with connect(server) as connection:
+            stopper = threading.Thread(target=server.stop)
+            stopper.start()
+            while server.socket.fileno() >= 0:
+                stopper.join(0.001)
+            connection.sendall(get())
+            received = read_all(connection)
+            stopper.join()
+        self.assertIn(b"200 OK", received)
+
     def test_stop_closes_idle_connections(self):
         """An idle connection must not delay the stop until its timeout."""
         server = start_server(FakeRouter())
