--- a/src/jayshunt_standins/server.py
+++ b/src/jayshunt_standins/server.py
@@ -143,6 +143,9 @@
             daemon_threads = True
             request_queue_size = 512
 
+            def handle_error(self, *_args: object) -> None:
+                """Keep the output free of connections that callers reset."""
+
         self.connections = OpenConnections()
         self._make_server = lambda port: Server((LOOPBACK, port), Handler)
         self._server = self._make_server(port)
