Cancel no request of another caller with the same id

Cause: the router finds a request by its id, and ids come from callers. A caller who disconnected cancelled the request of another who uses the same id.

Change: a request is not cancelled while a second one with its id is in flight at the entry.

Conclusion: such a request runs to its end, as without cancellation.

--- /dev/null
+++ b/src/jayshunt/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the command line."""
--- a/src/jayshunt/serving/application.py
+++ b/src/jayshunt/serving/application.py
@@ -1,7 +1,9 @@
 """Answer callers' requests and jobs."""
 
 import logging
+import threading
 import uuid
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from werkzeug.exceptions import HTTPException
@@ -41,6 +43,8 @@
         self._send = send
         self._answer_job = answer_job
         self._cancel = cancel
+        self._lock = threading.Lock()
+        self._in_flight: Counter[RequestId] = Counter()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
@@ -69,14 +73,39 @@
         target = incoming.head.target
         if target.startswith(CLASS_PREFIX):
             request = read_caller_request(incoming, request_id)
-            incoming.cancellation.on_cancel(lambda: self._cancel(request))
-            return _answer_parts(self._send(request), incoming.head.method)
+            return _answer_parts(self._serve(incoming, request), incoming.head.method)
         if target.startswith(JOBS_PREFIX):
             return self._answer_job_path(environ)
         raise JayshuntError(
             "not_found", step="serving.path", detail=f"no such path {target[:200]!r}"
         )
 
+    def _serve(self, incoming: IncomingRequest, request: CallerRequest) -> CallerAnswer:
+        with self._lock:
+            self._in_flight[request.request] += 1
+        try:
+            incoming.cancellation.on_cancel(lambda: self._cancel_unshared(request))
+            answer = self._send(request)
+        finally:
+            with self._lock:
+                self._in_flight[request.request] -= 1
+                if not self._in_flight[request.request]:
+                    del self._in_flight[request.request]
+        _LOGGER.debug(
+            "serving: answered %s", answer.status, extra={"request": request.request}
+        )
+        return answer
+
+    def _cancel_unshared(self, request: CallerRequest) -> None:
+        """Cancel a request unless another caller uses the same id.
+
+        Ids come from callers, and the router finds a request by its id.
+        """
+        with self._lock:
+            is_shared = self._in_flight[request.request] > 1
+        if not is_shared:
+            self._cancel(request)
+
     def _answer_job_path(self, environ: dict) -> Parts:
         try:
             response = self._answer_job(Request(environ))
--- a/src/jayshunt/serving/cancellation.py
+++ b/src/jayshunt/serving/cancellation.py
@@ -59,6 +59,7 @@
         self._wake_read, self._wake_write = socket.socketpair()
         self._epoll.register(self._wake_read.fileno(), select.EPOLLIN)
         self._thread: threading.Thread | None = None
+        self.callers_gone = 0
 
     def start(self) -> None:
         """Start to wait."""
@@ -105,6 +106,7 @@
                     callback()
                 except Exception:
                     _LOGGER.exception("serving: a cancellation failed")
+                self.callers_gone += 1
 
 
 def _has_ended(number: int) -> bool:
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -134,6 +134,7 @@
             "open_connections": self._admitted.total,
             "requests_being_served": len(serving),
             "held_body_bytes": self._held.held_bytes,
+            "callers_gone": self._watcher.callers_gone,
             "draining": self.draining,
             "connections": dict(self.counts),
             "tls_reloads": self._tls.reloads if self._tls else None,
--- a/src/jayshunt/serving/tests/test_http_server.py
+++ b/src/jayshunt/serving/tests/test_http_server.py
@@ -256,3 +256,25 @@
         self.assertTrue(router.released.wait(5))
         self.assertEqual(len(router.cancelled), 1)
         self.assertEqual(router.requests, [])
+
+    def test_caller_who_goes_does_not_cancel_another_with_the_same_id(self):
+        """Ids come from callers; one must not end the request of another."""
+        router = BlockingRouter()
+        server = self.start(router)
+        request = get(lines=["Jayshunt-Request-Id: same", CLOSE])
+        with connect(server) as staying:
+            staying.sendall(request)
+            router.entered.wait(5)
+            router.entered.clear()
+            with connect(server) as leaving:
+                leaving.sendall(request)
+                router.entered.wait(5)
+            for _ in range(5_000):
+                if server.diagnostics()["callers_gone"]:
+                    break
+                router.released.wait(0.001)
+            else:
+                self.fail("the caller who went was not noticed")
+            router.released.set()
+            self.assertIn(b"200 OK", read_all(staying))
+        self.assertEqual(router.cancelled, [])
