--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -21,6 +21,7 @@
     REFUSALS_WAITING,
 )
 from jayshunt.serving.limits import ConnectionLimit, HeldBodies, ServerLimits
+from jayshunt.serving.listener import drop_new_connections
 from jayshunt.serving.problems import problem_parts
 from jayshunt.serving.stream import CallerStream
 from jayshunt.serving.tls import ReloadingTls
@@ -95,6 +96,7 @@
         self.begin_stop()
         self._clock.wait(threading.Event(), self._limits.drain_grace_s)
         self.shutdown()
+        drop_new_connections(self.socket)
         self._accept_waiting()
         self.server_close()
         # It stays readable, so that a connection that waits later ends as well.
@@ -132,6 +134,7 @@
             "open_connections": self._admitted.total,
             "requests_being_served": len(serving),
             "held_body_bytes": self._held.held_bytes,
+            "callers_gone": self._watcher.callers_gone,
             "draining": self.draining,
             "connections": dict(self.counts),
             "tls_reloads": self._tls.reloads if self._tls else None,
