Count ejected VMs as down and show waves, permits and refusals

Cause: the union of down VMs lacked those that brokers ejected, and operators could not see why a wave or move waits. Change: acknowledgements name ejected VMs; status lists waves, the dump lists moves, permits and refusals with reasons.

--- a/src/jayshunt/admission/diagnostics.py
+++ b/src/jayshunt/admission/diagnostics.py
@@ -2,6 +2,7 @@
 
 from jayshunt.admission.broker import Broker
 from jayshunt.admission.directory import BrokerDirectory
+from jayshunt.ids import VmId
 
 
 def describe_admission(directory: BrokerDirectory) -> dict:
@@ -85,3 +86,13 @@
     if not state.instances:
         lines.append("no instance is assigned to the pool in this zone")
     return lines
+
+
+def ejected_instances(brokers: BrokerDirectory) -> tuple[VmId, ...]:
+    """Return the instances that this entry's brokers ejected."""
+    return tuple(
+        vm
+        for broker in brokers.brokers().values()
+        for vm, instance in broker.snapshot().instances.items()
+        if instance.ejected_until_s is not None
+    )
--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -4,6 +4,7 @@
 import random
 
 from jayshunt import __version__
+from jayshunt.admission.diagnostics import ejected_instances
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
@@ -213,6 +214,7 @@
             self.registry.own,
             lambda record: self.controller.apply(record),
             lambda vm: self.brokers.in_flight(vm),
+            lambda: ejected_instances(self.brokers),
         )
         self.peer_server.add(
             lambda server: add_AssignmentsServicer_to_server(service, server)
@@ -247,7 +249,7 @@
             zone,
             self.controller,
             ledger,
-            ZoneReporter(zone, ledger, dict, self.clock),
+            ZoneReporter(zone, ledger, self.controller.failing, self.clock),
             lambda: self.config.current().document,
             self.inventory.call_vm,
             self._probes.check,
--- a/src/jayshunt/maintenance/runner.py
+++ b/src/jayshunt/maintenance/runner.py
@@ -12,6 +12,7 @@
 from jayshunt.maintenance import waves
 from jayshunt.maintenance.const import DEFAULT_VM_S, RETURN_LIMIT_S
 from jayshunt.maintenance.models import (
+    Budget,
     Permit,
     PermitDenied,
     WaveProgress,
@@ -70,6 +71,11 @@
         self.statuses: tuple[WaveStatus, ...] = ()
         self.denied: dict[VmId, PermitDenied] = {}
 
+    @property
+    def budgets(self) -> dict[PoolName, Budget]:
+        """Return the budgets of the zone's pools as last read."""
+        return self._reporter.budgets
+
     def step(self, record: AssignmentRecord) -> None:
         """Advance every VM that is down, then take down what permits allow.
 
--- a/src/jayshunt/pools/controller.py
+++ b/src/jayshunt/pools/controller.py
@@ -75,6 +75,7 @@
         self._absent_since_s: dict[VmId, float] = {}
         self._gone = GoneEntries()
         self.waiting: dict[VmId, str] = {}
+        self._failing: dict[EntryId, tuple[VmId, ...]] = {}
         self._listeners: list[Callable[[AssignmentRecord], None]] = []
         self._duties: list[Callable[[AssignmentRecord], None]] = []
         self._holds: list[Callable[[VmId], int]] = []
@@ -109,6 +110,22 @@
         """Return whether the record was read after this entry registered."""
         return self._may_broker and self._registry.is_registered
 
+    def failing(self) -> dict[VmId, str]:
+        """Return the VMs that brokers of the zone ejected.
+
+        What an entry told counts until it tells otherwise, so that the silence of
+        an entry does not make its ejected VMs available.
+        """
+        return {
+            vm: f"ejected by {entry}"
+            for entry, vms in self._failing.items()
+            for vm in vms
+        }
+
+    def _note_failing(self, acknowledged: dict[EntryId, Acknowledgement]) -> None:
+        for entry, done in acknowledged.items():
+            self._failing[entry] = done.failing
+
     def add_listener(self, listener: Callable[[AssignmentRecord], None]) -> None:
         """Call a listener with each newer record."""
         self._listeners.append(listener)
@@ -234,6 +251,7 @@
         registered = self._registry.registered()
         entries = [registration for registration, _ in registered]
         acknowledged = self._push(self._registry.own, entries, self._record)
+        self._note_failing(acknowledged)
         self._pushed = (self._record.epoch, now_s)
         done, self.waiting = drained(
             self._record, registered, acknowledged, self._holds
@@ -259,5 +277,7 @@
         is_due = now_s - pushed_s >= PUSH_INTERVAL_S or epoch < self._record.epoch
         if self._fence is None or not is_due or not self._record.epoch:
             return
-        self._push(self._registry.own, self._list_peers(), self._record)
+        self._note_failing(
+            self._push(self._registry.own, self._list_peers(), self._record)
+        )
         self._pushed = (self._record.epoch, now_s)
--- /dev/null
+++ b/src/jayshunt/pools/diagnostics.py
@@ -0,0 +1,30 @@
+"""Report who controls the zone and why moves wait."""
+
+from dataclasses import asdict
+
+from jayshunt.pools.controller import ZoneController
+from jayshunt.pools.models import AssignmentState
+
+
+def describe(controller: ZoneController) -> dict:
+    """Return the zone's record in brief, with each VM that does not serve."""
+    record = controller.record
+    return {
+        "epoch": record.epoch,
+        "fence": record.fence,
+        "is_controller": controller.holds_lease,
+        "may_broker": controller.may_broker,
+        "moves": {
+            vm: {
+                "pool": a.pool,
+                "next_pool": a.next_pool,
+                "state": a.state.value,
+                "reason": a.reason,
+                "waits_for": controller.waiting.get(vm, ""),
+            }
+            for vm, a in record.assignments.items()
+            if a.state is not AssignmentState.SERVING
+        },
+        "ejected": controller.failing(),
+        "waves": {name: asdict(wave) for name, wave in record.waves.items()},
+    }
--- a/src/jayshunt/pools/models.py
+++ b/src/jayshunt/pools/models.py
@@ -85,10 +85,12 @@
     """Tell a controller which epoch an entry applied.
 
     `in_flight` counts the requests that the entry still has on VMs that are not
-    serving, whether as their broker or as the entry that sent them.
+    serving, whether as their broker or as the entry that sent them. `failing`
+    names VMs that its brokers ejected.
     """
 
     entry: EntryId
     incarnation: int
     epoch: Epoch
     in_flight: dict[VmId, int] = field(default_factory=dict)
+    failing: tuple[VmId, ...] = ()
--- a/src/jayshunt/pools/peer_service.py
+++ b/src/jayshunt/pools/peer_service.py
@@ -39,12 +39,14 @@
         own: EntryRegistration,
         apply: Callable[[AssignmentRecord], AssignmentRecord],
         in_flight: Callable[[VmId], int],
+        failing: Callable[[], tuple[VmId, ...]] = tuple,
     ) -> None:
         """Wire the parts."""
         self._zone = zone
         self._own = own
         self._apply = apply
         self._in_flight = in_flight
+        self._failing = failing
 
     def acknowledge(self, record: AssignmentRecord) -> Acknowledgement:
         """Apply a record and count what is still in flight.
@@ -60,7 +62,9 @@
         }
         in_flight = {vm: count for vm, count in counts.items() if count}
         own = self._own
-        return Acknowledgement(own.entry, own.incarnation, applied.epoch, in_flight)
+        return Acknowledgement(
+            own.entry, own.incarnation, applied.epoch, in_flight, self._failing()
+        )
 
     def ApplyAssignments(
         self, request: AssignmentsContent, context: grpc.ServicerContext
@@ -83,6 +87,7 @@
                 VmInFlight(vm=vm, requests=count)
                 for vm, count in done.in_flight.items()
             ],
+            failing=done.failing,
         )
 
 
@@ -129,4 +134,5 @@
         reply.incarnation,
         Epoch(reply.epoch),
         {VmId(item.vm): item.requests for item in reply.in_flight},
+        tuple(VmId(vm) for vm in reply.failing),
     )
--- a/src/jayshunt/pools/tests/builders.py
+++ b/src/jayshunt/pools/tests/builders.py
@@ -103,6 +103,7 @@
         self.zone = zone
         self.paused = False
         self.in_flight: dict[VmId, int] = {}
+        self.failing: tuple[VmId, ...] = ()
         self.registry = EntryRegistry(
             ZONE, EntryId(name), incarnation, name, zone.store, zone.clock
         )
@@ -111,6 +112,7 @@
             self.registry.own,
             lambda record: self.controller.apply(record),
             lambda vm: self.in_flight.get(vm, 0),
+            lambda: self.failing,
         )
         self.documents = DocumentStore(
             zone.store, zone.clock, random.Random(f"{name}{incarnation}")
--- a/src/jayshunt/pools/tests/test_moves.py
+++ b/src/jayshunt/pools/tests/test_moves.py
@@ -114,6 +114,16 @@
         held = self.first.controller.record.assignments[VM]
         self.assertIs(held.state, AssignmentState.DRAINED)
 
+    def test_vm_ejected_by_a_broker_stays_known_while_its_entry_is_silent(self) -> None:
+        """A VM that a broker ejected must count as down in the budget."""
+        self.second.failing = (VM,)
+        for _ in range(6):
+            self.step()
+        self.second.paused = True
+        for _ in range(6):
+            self.step()
+        self.assertEqual(self.first.controller.failing(), {VM: "ejected by entry-b"})
+
     def test_entry_without_registration_is_no_broker(self) -> None:
         """An entry that starts during a store outage must not grant slots."""
         self.zone.store.down = True
--- a/src/jayshunt/reports.py
+++ b/src/jayshunt/reports.py
@@ -10,12 +10,14 @@
 from jayshunt.idempotency import diagnostics as idempotency
 from jayshunt.inventory import diagnostics as inventory
 from jayshunt.jobs import diagnostics as jobs
+from jayshunt.maintenance import diagnostics as maintenance
 from jayshunt.membership import diagnostics as membership
 from jayshunt.membership.models import MemberState
 from jayshunt.operations.metrics import Metric
 from jayshunt.operations.reporter import memory_bytes
 from jayshunt.operations.sections import pool_rows, vm_counts
 from jayshunt.peers import diagnostics as peers
+from jayshunt.pools import diagnostics as pools
 from jayshunt.routing import diagnostics as routing
 from jayshunt.store import diagnostics as store
 from jayshunt.store.models import StoreState
@@ -52,6 +54,11 @@
             for name, stop in entry.config.current().document.planned_stops.items()
         },
     )
+    # Only the zone controller runs waves; the others have none to show.
+    reporter.add_status(
+        "waves",
+        lambda: [maintenance.wave_row(wave) for wave in entry.maintenance.statuses],
+    )
 
 
 def _add_dump(entry: EntryProcess) -> None:
@@ -73,6 +80,8 @@
     reporter.add_dump("membership", lambda: membership.describe(entry.membership))
     reporter.add_dump("peers", lambda: peers.describe(entry.channels))
     reporter.add_dump("store", lambda: store.describe(entry.store))
+    reporter.add_dump("pools", lambda: pools.describe(entry.controller))
+    reporter.add_dump("maintenance", lambda: maintenance.describe(entry.maintenance))
     reporter.add_dump("jobs", lambda: jobs.describe(entry.jobs.scheduler))
     reporter.add_dump("idempotency", lambda: idempotency.describe(entry.claims))
     reporter.add_dump("admission", lambda: admission.describe_admission(entry.brokers))
