React to a lost rack by its prepared plan

Cause: loss plans were measured but not used. Change: the zone controller renews the plans of its racks and looks one up when no VM of a rack lives; moves go through permits and are tried again when denied.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -33,7 +33,9 @@
 from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
+from jayshunt.pools.loss_reaction import LossReaction
 from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
+from jayshunt.pools.mover import Mover
 from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
 from jayshunt.pools.registry import EntryRegistry
 from jayshunt.reports import add_reports
@@ -256,6 +258,13 @@
             self.clock,
         )
         self.controller.add_duty(runner.step)
+        self.losses = LossReaction(
+            Mover(zone, self.controller, ledger.request, self.clock),
+            lambda: self.config.current().document,
+            lambda: self.inventory.current,
+            self.controller.failing,
+        )
+        self.controller.add_duty(self.losses.step)
         return runner
 
     def _min_available_ratio(self, pool: PoolName) -> float:
--- /dev/null
+++ b/src/jayshunt/pools/loss_reaction.py
@@ -0,0 +1,120 @@
+"""React to the loss of a rack by the plan that was prepared for it."""
+
+import logging
+import math
+from collections.abc import Callable
+
+from jayshunt.config.models import ConfigDocument
+from jayshunt.ids import PoolName, VmId
+from jayshunt.inventory.models import ListedState, VmList
+from jayshunt.pools.loss_plans import Domain, LossPlan, PlacedVm, prepare_loss_plans
+from jayshunt.pools.models import AssignmentRecord, AssignmentState, VmKind
+from jayshunt.pools.mover import Mover
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class LossReaction:
+    """Prepare a plan for each rack of the zone, and use it when the rack is lost.
+
+    A pool needs its availability budget's part of its VMs in the zone; VMs of
+    spare pools are the buffer. Plans are renewed at each step in which no rack
+    is lost, so that the reaction itself only looks one up.
+    """
+
+    def __init__(
+        self,
+        mover: Mover,
+        read_config: Callable[[], ConfigDocument],
+        list_vms: Callable[[], VmList],
+        failing: Callable[[], dict[VmId, str]],
+    ) -> None:
+        """Start without plans."""
+        self._mover = mover
+        self._read_config = read_config
+        self._list_vms = list_vms
+        self._failing = failing
+        self._prepared_for: tuple | None = None
+        self.plans: dict[VmKind, dict[Domain, LossPlan]] = {}
+        self.lost: set[Domain] = set()
+
+    def step(self, record: AssignmentRecord) -> None:
+        """Move VMs for each newly lost rack, or renew the plans."""
+        lost = self._lost_racks(record)
+        # A reaction that a budget or the store held up is tried again.
+        self.lost = {
+            domain
+            for domain in lost
+            if domain in self.lost or self._react(record, domain)
+        }
+        if not lost:
+            self._prepare(record)
+
+    def _react(self, record: AssignmentRecord, domain: Domain) -> bool:
+        begun = []
+        for plans in self.plans.values():
+            plan = plans.get(domain, LossPlan((), {}))
+            for vm, pool in plan.moves:
+                reason = f"rack {domain.rack} is lost"
+                begun.append(self._mover.move(record, vm, pool, reason))
+            if plan.uncovered:
+                _LOGGER.warning(
+                    "pools: the loss of rack %s leaves too few VMs: %s",
+                    domain.rack,
+                    dict(plan.uncovered),
+                )
+        return all(begun)
+
+    def _prepare(self, record: AssignmentRecord) -> None:
+        config = self._read_config()
+        state = (record.epoch, id(config))
+        if state == self._prepared_for:
+            return
+        self._prepared_for = state
+        for kind in VmKind:
+            serving = [
+                a
+                for a in record.assignments.values()
+                if a.kind is kind and a.state is AssignmentState.SERVING
+            ]
+            placed = [
+                PlacedVm(
+                    a.vm,
+                    None if _is_spare(config, a.pool) else a.pool,
+                    record.zone,
+                    a.rack,
+                )
+                for a in serving
+            ]
+            self.plans[kind] = prepare_loss_plans(placed, _needs(config, placed))
+
+    def _lost_racks(self, record: AssignmentRecord) -> set[Domain]:
+        """Return the racks of which no VM is listed as live and working."""
+        listed, failing = self._list_vms().vms, self._failing()
+        racks: dict[Domain, list[bool]] = {}
+        for vm, assignment in record.assignments.items():
+            item = listed.get(vm)
+            lives = item is not None and item.state is ListedState.LIVE
+            # A VM in maintenance is down on purpose and says nothing of its rack.
+            if assignment.wave:
+                continue
+            domain = Domain(record.zone, assignment.rack)
+            racks.setdefault(domain, []).append(lives and vm not in failing)
+        return {domain for domain, alive in racks.items() if not any(alive)}
+
+
+def _is_spare(config: ConfigDocument, pool: PoolName) -> bool:
+    configured = config.pools.get(pool)
+    return configured is not None and configured.spare
+
+
+def _needs(config: ConfigDocument, placed: list[PlacedVm]) -> dict[PoolName, int]:
+    counts: dict[PoolName, int] = {}
+    for vm in placed:
+        if vm.pool is not None:
+            counts[vm.pool] = counts.get(vm.pool, 0) + 1
+    return {
+        pool: math.ceil(config.pools[pool].min_available_ratio * count - 1e-9)
+        for pool, count in counts.items()
+        if pool in config.pools
+    }
--- a/src/jayshunt_measure/fleet_policies.py
+++ b/src/jayshunt_measure/fleet_policies.py
@@ -11,11 +11,9 @@
     need_through_bursts,
     plan_capacity,
 )
+from jayshunt.pools.demand import PoolMeter
 from jayshunt_measure.fleet_model import RELEASED, SPARE, FleetState
 
-# A peak of demand is remembered with this half-life, so that the envelope follows
-# the daily shape but not single bursts.
-PEAK_HALF_LIFE_S = 3600.0
 MIN_VMS = 1
 
 
@@ -37,30 +35,6 @@
         state.refresh()
 
 
-@dataclass
-class PoolMeter:
-    """Learn the demand of one pool as brokers and the scheduler report it."""
-
-    rate: float = 0.0
-    peak: float = 0.0
-    burst_s: float = 0.0
-    current_burst_s: float = 0.0
-    mean: float = 0.0
-    lacking_s: float = 0.0
-
-    def note(self, rate: float, step_s: float) -> None:
-        """Take the arrivals of one step."""
-        self.rate = rate
-        decay = 0.5 ** (step_s / PEAK_HALF_LIFE_S)
-        self.peak = max(rate, self.peak * decay)
-        if rate > 0.5 * self.peak:
-            self.current_burst_s += step_s
-        else:
-            self.current_burst_s = 0.0
-        slow = 0.5 ** (step_s / (12 * PEAK_HALF_LIFE_S))
-        self.burst_s = max(self.current_burst_s, self.burst_s * slow)
-
-
 @dataclass
 class PlannedPolicy:
     """Apply the product's capacity plan at each step."""
