Do not send a returned VM away because of a lagging list

Cause: a VM that passed its probation could be shown as leaving by a list from before its return, and drained again. Change: a list counts for a VM only if it is newer than its last change. Evidence: one test; 12 ownership tests pass.

--- a/src/jayshunt/pools/tests/test_moves.py
+++ b/src/jayshunt/pools/tests/test_moves.py
@@ -1,6 +1,7 @@
 """Test moves against single failures."""
 
 import unittest
+from dataclasses import replace
 
 from jayshunt.clock import ManualClock
 from jayshunt.errors import JayshuntError
@@ -142,6 +143,19 @@
         self.second.registry.register()
         self.assertFalse(self.second.controller.may_broker)
 
+    def test_lagging_list_does_not_send_a_returned_vm_away(self) -> None:
+        """A VM back from its reboot must serve although the list shows it leaving."""
+        record = self.first.controller.record
+        now_s = self.zone.clock.now_s()
+        self.zone.mark("vm-0", ListedState.LEAVING)
+        late = replace(self.zone.listed, as_of_s=now_s - 40)
+        record = transitions.change(record, VM, now_s, reason="back")
+        followed = transitions.follow_list(record, late, {}, now_s)
+        self.assertIs(followed.assignments[VM].state, AssignmentState.SERVING)
+        newer = replace(late, as_of_s=now_s + 1)
+        followed = transitions.follow_list(record, newer, {}, now_s + 1)
+        self.assertIs(followed.assignments[VM].state, AssignmentState.LEAVING)
+
     def test_vm_that_the_platform_takes_away_leaves_and_is_removed(self) -> None:
         """A VM that is gone must not stay in the record, a short gap must not count."""
         self.zone.mark("vm-0", ListedState.LEAVING)
--- a/src/jayshunt/pools/transitions.py
+++ b/src/jayshunt/pools/transitions.py
@@ -119,7 +119,9 @@
                 record = _add(record, vm, now_s)
     for vm_id, assignment in record.assignments.items():
         vm = listed.vms.get(vm_id)
-        if vm is None or vm.state is ListedState.LEAVING:
+        # A lagging list may still show the reboot from which the VM came back.
+        is_newer = listed.as_of_s >= assignment.changed_s
+        if is_newer and (vm is None or vm.state is ListedState.LEAVING):
             record = begin_leaving(record, vm_id, now_s, PLATFORM_LEAVING)
         if vm is None:
             absent_s = now_s - absent_since_s.get(vm_id, now_s)
