--- a/src/jayshunt/maintenance/budget.py
+++ b/src/jayshunt/maintenance/budget.py
@@ -120,6 +120,14 @@
     }
 
 
+def budget_content(budget: Budget) -> Content:
+    """Return the stored form of a whole budget."""
+    return {
+        "permits": {vm: permit_content(p) for vm, p in budget.permits.items()},
+        "reports": {zone: report_content(r) for zone, r in budget.reports.items()},
+    }
+
+
 def read_budget(content: Content | None) -> Budget:
     """Return the budget of a stored form; an empty one if there is none."""
     if content is None:
