--- a/src/jayshunt/cli/status_text.py
+++ b/src/jayshunt/cli/status_text.py
@@ -33,12 +33,21 @@
 
 
 def _job_class_lines(classes: list[dict]) -> Iterator[str]:
+    if not classes:
+        return
+    yield ""
+    yield (
+        f"{'job class':<24}{'zone':<12}{'target s':>9}{'oldest s':>9}"
+        f"{'waiting':>9}{'running':>9}  verdict"
+    )
     for item in classes:
-        verdict = "met" if item.get("is_met", True) else "MISSED"
-        details = ", ".join(
-            f"{k} {v}" for k, v in item.items() if k not in ("work_class", "is_met")
+        reasons = "; ".join(f"{n} because {r}" for r, n in item["reasons"].items())
+        verdict = "met" if item["is_met"] else f"MISSED, {reasons}"
+        yield (
+            f"{item['work_class']:<24}{item['zone']:<12}{item['max_wait_s']:>9g}"
+            f"{item['oldest_wait_s']:>9g}{item['waiting']:>9}{item['running']:>9}"
+            f"  {verdict}"
         )
-        yield f"{item['work_class']:<24}{details}  {verdict}"
 
 
 def _pool_lines(pools: list[dict]) -> Iterator[str]:
@@ -63,8 +72,13 @@
         reason = f" ({planned['reason']})" if planned.get("reason") else ""
         yield f"planned stop {name}: {planned['scope']} {planned['target']}{reason}"
     for wave in waves:
-        details = ", ".join(f"{k} {v}" for k, v in wave.items() if k != "wave")
-        yield f"wave {wave['wave']}: {details}"
+        late = f"  LATE, {wave['remedy']}" if wave["late"] else ""
+        reason = f", {wave['reason']}" if wave["reason"] else ""
+        yield (
+            f"wave {wave['wave']} in {wave['zone']}: {wave['state']}, "
+            f"{wave['done']} done, {wave['down']} down, "
+            f"{wave['remaining']} remaining{reason}{late}"
+        )
 
 
 def _process_lines(status: dict) -> Iterator[str]:
--- a/src/jayshunt/operations/sections.py
+++ b/src/jayshunt/operations/sections.py
@@ -1,9 +1,14 @@
 """Read the standard sections of an entry's status from other slices' models."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import asdict
 
-from jayshunt.config.models import ConfigSnapshot
+from jayshunt.config.models import ConfigSnapshot, WorkKind
+from jayshunt.ids import Epoch, JobId, ZoneName
 from jayshunt.inventory.models import VmList
+from jayshunt.jobs.models import Job, JobState
+from jayshunt.maintenance.models import WaveStatus
 from jayshunt.pools.models import AssignmentRecord, AssignmentState
 
 
@@ -30,6 +35,60 @@
     ]
 
 
+def wave_rows(zone: ZoneName, epoch: Epoch, waves: Iterable[WaveStatus]) -> list[dict]:
+    """Return the waves of the zone as its controller knows them."""
+    return [
+        {**asdict(wave), "state": wave.state.value, "zone": zone, "epoch": epoch}
+        for wave in waves
+    ]
+
+
+def job_class_rows(
+    config: ConfigSnapshot,
+    zone: ZoneName,
+    epoch: Epoch,
+    jobs: Iterable[Job],
+    waiting_reasons: Mapping[JobId, str],
+    now_s: float,
+) -> list[dict]:
+    """Return each job class with its oldest waiting job; none without an epoch.
+
+    Only the zone's controller has an epoch above 0 and knows the jobs.
+    """
+    if not epoch:
+        return []
+    waiting: dict[str, list[Job]] = defaultdict(list)
+    running: Counter[str] = Counter()
+    for job in jobs:
+        if job.state is JobState.WAITING:
+            waiting[job.request.work_class].append(job)
+        elif job.is_on_worker:
+            running[job.request.work_class] += 1
+    rows = []
+    for name, work_class in sorted(config.document.classes.items()):
+        if work_class.kind is not WorkKind.JOB:
+            continue
+        oldest_s = max((now_s - j.accepted_s for j in waiting[name]), default=0.0)
+        is_met = oldest_s <= work_class.max_wait_s
+        why = Counter(
+            waiting_reasons.get(j.job, "not looked at") for j in waiting[name]
+        )
+        rows.append(
+            {
+                "work_class": name,
+                "zone": zone,
+                "epoch": epoch,
+                "max_wait_s": work_class.max_wait_s,
+                "oldest_wait_s": round(oldest_s, 1),
+                "waiting": len(waiting[name]),
+                "running": running[name],
+                "is_met": is_met,
+                "reasons": dict(why.most_common(3)),
+            }
+        )
+    return rows
+
+
 def vm_counts(record: AssignmentRecord) -> dict[str, float]:
     """Return the number of the zone's VMs in each state."""
     counts = Counter(a.state.value for a in record.assignments.values())
--- a/src/jayshunt/operations/tests/test_operations.py
+++ b/src/jayshunt/operations/tests/test_operations.py
@@ -4,13 +4,15 @@
 
 from jayshunt.clock import ManualClock
 from jayshunt.config.models import ConfigDocument, ConfigSnapshot
-from jayshunt.ids import ClassName, EntryId, ZoneName
+from jayshunt.ids import ClassName, EntryId, Epoch, JobId, TeamName, ZoneName
+from jayshunt.jobs.models import Job, JobRequest, JobState
 from jayshunt.membership.models import Member, MembershipView, MemberState
 from jayshunt.operations.class_statistics import ClassStatistics, merge_status
 from jayshunt.operations.const import WINDOW_S
 from jayshunt.operations.deployment import DeploymentReader
 from jayshunt.operations.metrics import EntryMetrics
 from jayshunt.operations.reporter import EntryReporter
+from jayshunt.operations.sections import job_class_rows
 
 QUOTES = ClassName("quotes")
 CONFIG = ConfigSnapshot(
@@ -126,3 +128,33 @@
             dump = reporter.dump()
         self.assertEqual(dump["peers"], {"list": [{"private_key": "(redacted)"}]})
         self.assertIn("broken slice", dump["store"]["error"])
+
+
+class JobClassRowsTest(unittest.TestCase):
+    """Guard against a status that shows waiting jobs as met."""
+
+    def rows(self, epoch: int, state: JobState) -> list[dict]:
+        """Return the rows for one job that was accepted 70 s ago."""
+        document = {
+            "pools": {"desk": {}},
+            "classes": {"plans": {"pool": "desk", "kind": "job", "max_wait_s": 60}},
+        }
+        config = ConfigSnapshot(document=ConfigDocument.model_validate(document))
+        request = JobRequest(ClassName("plans"), TeamName("salons"), "work")
+        job = Job(JobId("j1"), request, state, accepted_s=30.0)
+        reasons = {JobId("j1"): "no worker has 8 cores"}
+        zone = ZoneName("north")
+        return job_class_rows(config, zone, Epoch(epoch), [job], reasons, 100.0)
+
+    def test_late_job_is_missed_with_its_reason(self):
+        """A job class is missed as soon as one job waits too long."""
+        (row,) = self.rows(3, JobState.WAITING)
+        self.assertFalse(row["is_met"])
+        self.assertEqual(row["reasons"], {"no worker has 8 cores": 1})
+        (row,) = self.rows(3, JobState.PLACED)
+        self.assertTrue(row["is_met"])
+        self.assertEqual((row["waiting"], row["running"]), (0, 1))
+
+    def test_entry_that_is_not_controller_reports_no_jobs(self):
+        """An entry without jobs must not replace the controller's rows."""
+        self.assertEqual(self.rows(0, JobState.WAITING), [])
--- a/src/jayshunt/reports.py
+++ b/src/jayshunt/reports.py
@@ -14,7 +14,7 @@
 from jayshunt.membership.models import MemberState
 from jayshunt.operations.metrics import Metric
 from jayshunt.operations.reporter import memory_bytes
-from jayshunt.operations.sections import pool_rows, vm_counts
+from jayshunt.operations.sections import job_class_rows, pool_rows, vm_counts, wave_rows
 from jayshunt.peers import diagnostics as peers
 from jayshunt.routing import diagnostics as routing
 from jayshunt.store import diagnostics as store
@@ -45,6 +45,15 @@
         "pools",
         lambda: pool_rows(entry.config.current(), entry.controller.record),
     )
+    reporter.add_status(
+        "waves",
+        lambda: wave_rows(
+            entry.settings.identity.zone,
+            entry.controller.record.epoch,
+            entry.maintenance.statuses if entry.controller.holds_lease else (),
+        ),
+    )
+    reporter.add_status("job_classes", lambda: _describe_job_classes(entry))
     reporter.add_status(
         "planned_stops",
         lambda: {
@@ -183,6 +192,18 @@
     )
 
 
+def _describe_job_classes(entry: EntryProcess) -> list[dict]:
+    view = entry.jobs.scheduler.view()
+    return job_class_rows(
+        entry.config.current(),
+        entry.settings.identity.zone,
+        view.epoch,
+        view.open_jobs,
+        view.waiting_reasons,
+        entry.clock.now_s(),
+    )
+
+
 def _describe_process(entry: EntryProcess) -> dict:
     callers = entry.callers.diagnostics()
     return {
--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -11,6 +11,7 @@
 from jayshunt.clock import Clock
 from jayshunt.errors import JayshuntError
 from jayshunt.serving.cancellation import Cancellation
+from jayshunt.serving.const import LINGER_S
 from jayshunt.serving.head import RequestHead, parse_head
 from jayshunt.serving.limits import BodyBudget, HeldBodies, ServerLimits
 from jayshunt.serving.problems import problem_parts
@@ -77,14 +78,16 @@
 
     def serve(self) -> None:
         """Serve requests until the connection ends."""
+        linger_s = LINGER_S
         try:
             while self._serve_one():
                 self.served += 1
         except ConnectionClosed:
-            return
+            # No answer is on its way that unread bytes could destroy.
+            linger_s = 0.0
         finally:
             self._budget.give_back()
-            self._stream.close_in_order()
+            self._stream.close_in_order(linger_s)
 
     def _serve_one(self) -> bool:
         try:
--- a/src/jayshunt/serving/stream.py
+++ b/src/jayshunt/serving/stream.py
@@ -104,13 +104,13 @@
         self._connection.settimeout(timeout_s)
         self._connection.sendall(data)
 
-    def close_in_order(self) -> None:
+    def close_in_order(self, linger_s: float = LINGER_S) -> None:
         """Send what was written, then wait a short time for the caller's end."""
         try:
             self._end_tls()
             socket.socket.shutdown(self._connection, socket.SHUT_WR)
-            end_s = self._clock.monotonic_s() + LINGER_S
-            left = LINGER_BYTES
+            end_s = self._clock.monotonic_s() + linger_s
+            left = LINGER_BYTES if linger_s else 0
             while left > 0:
                 self._connection.settimeout(
                     max(0.001, end_s - self._clock.monotonic_s())
