Draw the report over all zones

Cause: the report held the samples of the entry that answered.

Change: samples come with the dumps of all entries; of each zone those of the entry that has been up for longest are drawn, and entries that did not answer are named.

--- a/src/jayshunt/operations/application.py
+++ b/src/jayshunt/operations/application.py
@@ -26,7 +26,6 @@
 from jayshunt.operations.edits import stop_edit, target_edit, withdraw_edit
 from jayshunt.operations.metrics import EntryMetrics
 from jayshunt.operations.reporter import EntryReporter
-from jayshunt.operations.samples import ReportSamples
 from jayshunt.serving.problems import problem_response
 from jayshunt.settings.loader import explain_errors
 
@@ -44,7 +43,6 @@
         config: ConfigCoordinator,
         reporter: EntryReporter,
         deployment: DeploymentReader,
-        samples: ReportSamples,
         metrics: EntryMetrics,
         is_ready: Callable[[], bool],
     ) -> None:
@@ -53,7 +51,6 @@
         self._config = config
         self._reporter = reporter
         self._deployment = deployment
-        self._samples = samples
         self._metrics = metrics
         self._is_ready = is_ready
 
@@ -109,7 +106,7 @@
                 reader = self._deployment if everywhere else self._reporter
                 return reader.dump()
             case ["report"]:
-                return self._samples.content()
+                return self._deployment.report()
             case ["config"]:
                 return self._show(request.args.get("version", type=int))
             case ["config", "history"]:
--- a/src/jayshunt/operations/deployment.py
+++ b/src/jayshunt/operations/deployment.py
@@ -60,6 +60,29 @@
         collected = self.collect("dump", self._reporter.dump())
         return {"entries": collected.reports, "missing": collected.missing}
 
+    def report(self) -> dict:
+        """Return the samples of all entries; of each zone, those of one entry.
+
+        Entries of a zone sample the same buffer and the same moves; the one with
+        the most samples has been up for longest.
+        """
+        collected = self.collect("dump", self._reporter.dump())
+        zones: dict[str, dict] = {}
+        roll_outs = []
+        for entry, dump in sorted(collected.reports.items()):
+            samples = dump.get("samples", {})
+            zone = dump.get("status", {}).get("process", {}).get("zone", entry)
+            roll_outs += [{**r, "entry": entry} for r in samples.get("roll_outs", [])]
+            known = zones.get(zone, {})
+            if len(samples.get("buffer", [])) > len(known.get("buffer", [])):
+                zones[zone] = samples
+        return {
+            "zones": zones,
+            "roll_outs": roll_outs,
+            "entries": len(collected.reports),
+            "missing": collected.missing,
+        }
+
     def collect(self, kind: str, own: dict) -> Collected:
         """Return the reports of all entries that answer in time."""
         collected = Collected({self._entry: own})
--- a/src/jayshunt/operations/service.py
+++ b/src/jayshunt/operations/service.py
@@ -42,6 +42,7 @@
             entry, self.reporter, view, ask_over_grpc(channels, entry), clock
         )
         config.add_listener(self.samples.take_config)
+        self.reporter.add_dump("samples", self.samples.content)
 
     def application(
         self, token: str, is_ready: Callable[[], bool]
@@ -52,7 +53,6 @@
             self._config,
             self.reporter,
             self._deployment,
-            self.samples,
             self.metrics,
             is_ready,
         )
