Look only at workers that changed, and ask quiet workers less often

Cause: each step computed orders and transitions for every job, and planned again after every answer of a worker.

Change: a step looks at workers that were heard, are silent or are due, and at all of them only if jobs or workers changed; it plans when something changed or each 5 s. The period of calls doubles from 1 to 4 s while nothing changes on a worker.

--- a/src/jayshunt/jobs/const.py
+++ b/src/jayshunt/jobs/const.py
@@ -26,9 +26,11 @@
 # job that must not be repeated; after this time the job ends as unknown.
 UNKNOWN_AFTER_S = 60.0
 WORKER_TIMEOUT_S = 2.0
-# One call per worker each period; workers with nothing to do are asked less often.
-SYNC_BUSY_S = 2.0
-SYNC_IDLE_S = 6.0
+# One call per worker each period. The period doubles while nothing changes on the
+# worker, so that short jobs end soon and long ones cost little: 107 workers at the
+# longest period take 27 calls a second of the zone controller.
+SYNC_FIRST_S = 1.0
+SYNC_LONGEST_S = 4.0
 MAX_SYNCS_AT_ONCE = 32
 
 SCHEDULE_INTERVAL_S = 0.5
@@ -38,6 +40,8 @@
 REFRESH_INTERVAL_S = 2.0
 # Callers that poll their jobs share the reads of an entry.
 READ_CACHE_S = 0.5
+# A quarantine that ended and other effects of time show at the next plan.
+PLAN_INTERVAL_S = 5.0
 NOTICE_TIMEOUT_S = 0.5
 NOTICE_ATTEMPTS = 2
 
--- a/src/jayshunt/jobs/following.py
+++ b/src/jayshunt/jobs/following.py
@@ -1,9 +1,9 @@
 """Follow placed jobs to their end."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
-from jayshunt.ids import Epoch
+from jayshunt.ids import Epoch, WorkerId
 from jayshunt.jobs import transitions
 from jayshunt.jobs.const import UNKNOWN_AFTER_S
 from jayshunt.jobs.messages import TaskReport, TaskState
@@ -37,17 +37,22 @@
         self._learner = learner
 
     def changes(
-        self, open_jobs: Iterable[Job], epoch: Epoch, now_s: float
+        self,
+        jobs_of: Mapping[WorkerId, Iterable[Job]],
+        workers: Iterable[WorkerId],
+        epoch: Epoch,
+        now_s: float,
     ) -> list[JobChange]:
-        """Return the changes that are due; `now_s` is a monotonic time."""
+        """Return the changes due for some workers; `now_s` is a monotonic time."""
         found = []
-        for job in open_jobs:
-            if not job.is_on_worker:
-                continue
-            changed = self._after(job, self._table.find(job.worker), epoch, now_s)
-            if changed is not None:
-                found.append(JobChange(job, changed))
-        return [*found, *self._late_reports()]
+        for worker in workers:
+            status = self._table.find(worker)
+            for job in jobs_of.get(worker, ()):
+                changed = self._after(job, status, epoch, now_s)
+                if changed is not None:
+                    found.append(JobChange(job, changed))
+            found += self._late_reports(status)
+        return found
 
     def learn(self, job: Job) -> None:
         """Learn from a job whose end is in the store."""
@@ -101,16 +106,15 @@
         used = (report.usage.cpu_cores, report.usage.memory_bytes)
         return replace(changed, used=used if changed.is_final else None)
 
-    def _late_reports(self) -> list[JobChange]:
+    def _late_reports(self, status: WorkerStatus) -> list[JobChange]:
         found = []
-        for status in self._table.statuses.values():
-            for report in status.reports.values():
-                job = self._jobs.find(report.task.job)
-                if job is None or job.state is not JobState.UNKNOWN:
-                    continue
-                if job.attempt != report.task.attempt or job.worker != status.worker:
-                    continue
-                changed = transitions.after_late_report(job, report)
-                if changed is not None:
-                    found.append(JobChange(job, changed))
+        for report in status.reports.values():
+            job = self._jobs.find(report.task.job)
+            if job is None or job.state is not JobState.UNKNOWN:
+                continue
+            if job.attempt != report.task.attempt or job.worker != status.worker:
+                continue
+            changed = transitions.after_late_report(job, report)
+            if changed is not None:
+                found.append(JobChange(job, changed))
         return found
--- a/src/jayshunt/jobs/scheduler.py
+++ b/src/jayshunt/jobs/scheduler.py
@@ -11,6 +11,7 @@
 from jayshunt.ids import Epoch, JobId, WorkerId
 from jayshunt.jobs.const import (
     GATHER_NOTICES_S,
+    PLAN_INTERVAL_S,
     REFRESH_INTERVAL_S,
     SCHEDULE_INTERVAL_S,
     SHARDS_PER_ZONE,
@@ -163,7 +164,11 @@
         self.waiting_reasons: dict[JobId, str] = {}
         self._preempting: set[JobId] = set()
         self._refreshed_s = self._clock.monotonic_s()
-        self._must_plan = True
+        self._planned_s = float("-inf")
+        self._seen: object = None
+        self._to_follow: set[WorkerId] = set()
+        self._to_tell: set[WorkerId] = set()
+        self._jobs_of: dict[WorkerId, list[Job]] = {}
 
     def _take_over(self, term: str) -> None:
         epoch = self._jobs.take_over()
@@ -175,16 +180,45 @@
 
     def _follow(self) -> None:
         self._set_members()
-        self._must_plan |= self._table.collect()
+        heard = self._table.collect()
+        self._to_follow |= heard
+        self._to_tell |= heard
         # Leases are renewed before any store call, which may take seconds.
         self._send_orders()
         self._refresh()
         now_s = self._clock.monotonic_s()
+        statuses = self._table.statuses
         self.health.update(
-            now_s, {w: s.pool for w, s in self._table.statuses.items() if s.is_listed}
+            now_s, {w: s.pool for w, s in statuses.items() if s.is_listed}
         )
-        open_jobs = self._jobs.open_jobs()
-        self._write(self._follower.changes(open_jobs, self.epoch, now_s))
+        self._note_changes()
+        self._to_follow |= {w for w, s in statuses.items() if not s.answers}
+        changes = self._follower.changes(
+            self._jobs_of, self._to_follow, self.epoch, now_s
+        )
+        self._to_follow.clear()
+        self._write(changes)
+
+    def _note_changes(self) -> None:
+        """Note every worker for the next look if jobs or workers changed.
+
+        Otherwise only workers that were heard or are silent need one; a look at
+        every job in every step took 12% of a core for 1,700 running jobs.
+        """
+        signature = (
+            self._jobs.version,
+            [
+                (s.worker, s.is_serving, s.answers, s.boot, s.capacity)
+                for s in self._table.statuses.values()
+            ],
+        )
+        if signature == self._seen:
+            return
+        self._seen = signature
+        self._jobs_of = group_by_worker(self._jobs.open_jobs())
+        self._planned_s = float("-inf")
+        self._to_follow |= {*self._table.statuses, *self._jobs_of}
+        self._to_tell |= {*self._table.statuses}
 
     def _set_members(self) -> None:
         record = self._read_record()
@@ -213,7 +247,6 @@
             with self._lock:
                 self._noticed |= shards
             return
-        self._must_plan = True
         if len(shards) == SHARDS_PER_ZONE:
             self._refreshed_s = now_s
 
@@ -221,7 +254,6 @@
         if not changes:
             return
         won = self._jobs.write(changes, self.epoch)
-        self._must_plan |= bool(won)
         for change in changes:
             if change.known.job not in won:
                 continue
@@ -231,9 +263,10 @@
             self._record(change.changed)
 
     def _place(self, now_s: float) -> None:
-        if not self._must_plan:
+        self._note_changes()
+        if now_s < self._planned_s + PLAN_INTERVAL_S:
             return
-        self._must_plan = False
+        self._planned_s = now_s
         open_jobs = self._jobs.open_jobs()
         if not any(job.state is JobState.WAITING for job in open_jobs):
             self.waiting_reasons = {}
@@ -241,8 +274,8 @@
         plan, left_out = self._plan(open_jobs, now_s)
         self.waiting_reasons = {**left_out, **{w.job: w.reason for w in plan.waiting}}
         self._preempting.update(p.job for p in plan.preemptions)
+        self._to_tell.update(p.worker for p in plan.preemptions)
         self._write(placement_changes(plan, open_jobs, self._table, self.epoch))
-        self._must_plan = False
 
     def _plan(
         self, open_jobs: list[Job], now_s: float
@@ -262,11 +295,17 @@
         return plan, left_out
 
     def _send_orders(self) -> None:
-        jobs = group_by_worker(self._jobs.open_jobs())
+        now_s = self._clock.monotonic_s()
+        self._note_changes()
         for worker, status in self._table.statuses.items():
+            if status.in_flight:
+                continue
+            if worker not in self._to_tell and now_s < status.due_s:
+                continue
+            self._to_tell.discard(worker)
             orders = orders_for(
                 status,
-                jobs.get(worker, []),
+                self._jobs_of.get(worker, []),
                 self._preempting.__contains__,
                 lambda job: self.learner.expect(
                     job.request.work_class, job.request.team, job.request.declared
--- a/src/jayshunt/jobs/shards.py
+++ b/src/jayshunt/jobs/shards.py
@@ -62,15 +62,12 @@
         self._parsed: dict[int, dict[JobId, Job]] = {}
         self._revisions: dict[int, int] = {}
         self._epoch = Epoch(0)
+        self._open: list[Job] = []
+        self.version = 0
 
     def open_jobs(self) -> list[Job]:
-        """Return the jobs that have not ended."""
-        return [
-            job
-            for jobs in self._parsed.values()
-            for job in jobs.values()
-            if not job.is_final
-        ]
+        """Return the jobs that have not ended; `version` rises when they change."""
+        return self._open
 
     def find(self, job_id: JobId) -> Job | None:
         """Return a job that is open or ended as unknown."""
@@ -162,7 +159,7 @@
         return self._commits.submit(shard_key(self._zone, shard), change), won
 
     def _take(self, shard: int, document: Document) -> None:
-        if document.revision < self._revisions.get(shard, 0):
+        if document.revision <= self._revisions.get(shard, -1):
             return
         self._revisions[shard] = document.revision
         contents = (document.content or {}).get("jobs", {})
@@ -174,6 +171,13 @@
             unchanged = job_id in parsed and before.get(job_id) == item
             kept[job_id] = parsed[job_id] if unchanged else read_job(job_id, item)
         self._contents[shard], self._parsed[shard] = contents, kept
+        self._open = [
+            job
+            for jobs in self._parsed.values()
+            for job in jobs.values()
+            if not job.is_final
+        ]
+        self.version += 1
 
 
 def shard_of(job_id: JobId) -> int:
--- a/src/jayshunt/jobs/workers.py
+++ b/src/jayshunt/jobs/workers.py
@@ -12,14 +12,15 @@
 from jayshunt.jobs.const import (
     LEASE_MARGIN_S,
     MAX_SYNCS_AT_ONCE,
-    SYNC_BUSY_S,
-    SYNC_IDLE_S,
+    SYNC_FIRST_S,
+    SYNC_LONGEST_S,
     TASK_LEASE_S,
 )
 from jayshunt.jobs.messages import (
     Fence,
     TaskId,
     TaskReport,
+    TaskState,
     WorkerAnswer,
     WorkerOrders,
 )
@@ -52,6 +53,7 @@
     reports: dict[TaskId, TaskReport] = field(default_factory=dict)
     failures: int = 0
     due_s: float = 0.0
+    period_s: float = SYNC_FIRST_S
     in_flight: bool = False
     is_ordering: bool = False
     ordered: frozenset = frozenset()
@@ -146,15 +148,18 @@
         fence = Fence(epoch, status.sequence)
         self._executor.submit(self._call, status.worker, status.address, fence, orders)
 
-    def collect(self) -> bool:
-        """Take the results of ended calls; raise `stale_epoch` if there is one."""
-        took = False
+    def collect(self) -> set[WorkerId]:
+        """Take the results of ended calls and return the workers they are of.
+
+        Raise `stale_epoch` if a worker met a higher epoch.
+        """
+        took: set[WorkerId] = set()
         while not self._results.empty():
             result = self._results.get()
-            took = True
             status = self.statuses.get(result.worker)
             if status is None:
                 continue
+            took.add(result.worker)
             status.in_flight = status.is_ordering = False
             if result.answer is not None:
                 self._take_answer(status, result.orders, result.answer)
@@ -190,15 +195,18 @@
         if status.failures:
             _LOGGER.info("jobs: worker %s answers again", status.worker)
         self._note_leases(status, orders)
+        reports = {report.task: report for report in answer.tasks}
+        is_news = orders.changes or _states(reports) != _states(status.reports)
+        longer_s = min(SYNC_LONGEST_S, 2 * status.period_s)
+        status.period_s = SYNC_FIRST_S if is_news else longer_s
         status.boot = answer.boot
         status.capacity = answer.capacity
         status.can_checkpoint = answer.can_checkpoint
-        status.reports = {report.task: report for report in answer.tasks}
+        status.reports = reports
         was_silent, status.failures = status.failures > 0, 0
         status.ordered = orders.changes
-        period_s = SYNC_BUSY_S if status.reports else SYNC_IDLE_S
         # A worker that was only asked is told its orders at once.
-        status.due_s = now_s if was_silent else now_s + period_s
+        status.due_s = now_s if was_silent else now_s + status.period_s
 
     def _take_error(
         self, status: WorkerStatus, orders: WorkerOrders, error: JayshuntError
@@ -212,7 +220,7 @@
             self._note_leases(status, orders)
         status.failures += 1
         status.ordered = frozenset()
-        status.due_s = now_s + min(SYNC_BUSY_S, 0.25 * 2 ** min(status.failures, 8))
+        status.due_s = now_s + min(SYNC_LONGEST_S, 0.25 * 2 ** min(status.failures, 8))
 
     def _note_leases(self, status: WorkerStatus, orders: WorkerOrders) -> None:
         if orders.renew or orders.start:
@@ -220,3 +228,7 @@
             status.leases_end_s = now_s + TASK_LEASE_S + LEASE_MARGIN_S
         status.sent.update(order.task for order in orders.start)
         status.sent.difference_update(orders.forget)
+
+
+def _states(reports: dict[TaskId, TaskReport]) -> dict[TaskId, TaskState]:
+    return {task: report.state for task, report in reports.items()}
