--- a/src/jayshunt_measure/__main__.py
+++ b/src/jayshunt_measure/__main__.py
@@ -4,6 +4,7 @@
 
 from jayshunt_measure.capacity import capacity
 from jayshunt_measure.demo import demo
+from jayshunt_measure.fleet import fleet
 from jayshunt_measure.job_writes import job_writes
 from jayshunt_measure.rollout import rollout
 from jayshunt_measure.serving import serving
@@ -14,6 +15,7 @@
 )
 app.command()(capacity)
 app.command()(demo)
+app.command()(fleet)
 app.command()(rollout)
 app.command("jobs")(job_writes)
 app.command()(serving)
--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -1,6 +1,8 @@
 """Start stand-ins in this process and entries as processes of their own."""
 
 import json
+import os
+import random
 import socket
 import subprocess
 import sys
@@ -23,6 +25,7 @@
 TOKEN = "loopback-only"
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
+PORT_RANGE = (12_000, 32_000)
 
 
 @dataclass(frozen=True)
@@ -58,6 +61,7 @@
     entries_per_zone: dict[str, int]
     lag_s: float = 2.0
     command: tuple[str, ...] = (sys.executable, "-m", "jayshunt")
+    environment: dict[str, str] = field(default_factory=dict)
     upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
     workers: dict[str, WorkerStandIn] = field(default_factory=dict)
     entries: list[EntryHandle] = field(default_factory=list)
@@ -74,7 +78,9 @@
         self.token_file.write_text(TOKEN)
         self.store = StoreStandIn()
         self.inventory = InventoryStandIn(
-            [self._start_vm(plan) for plan in self.vms], self.lag_s
+            [self._start_vm(plan) for plan in self.vms],
+            self.lag_s,
+            power=self._switch_vm,
         )
         self.store.start()
         self.inventory.start()
@@ -124,6 +130,7 @@
                 [*self.command, "entry", "--settings", str(entry.settings_file)],
                 stdout=sink,
                 stderr=sink,
+                env={**os.environ, **self.environment},
             )
 
     def configure(self, document: ConfigDocument) -> int:
@@ -170,6 +177,13 @@
                 raise RuntimeError(f"{method} {path}: {answer.body.decode()}")
             return json.loads(answer.body)
 
+    def _switch_vm(self, vm: str, is_on: bool) -> None:
+        server = self.upstreams.get(vm) or self.workers[vm]
+        if is_on:
+            server.power_on()
+        else:
+            server.power_off()
+
     def _start_vm(self, plan: VmPlan) -> ListedVm:
         if plan.kind == "upstream":
             server = UpstreamStandIn(plan.name, plan.slots)
@@ -236,14 +250,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free loopback ports."""
-    sockets = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for opened in sockets:
-        opened.close()
+    """Return free loopback ports below the range of outgoing connections.
+
+    A port of that range could be taken by an outgoing connection before the
+    entry binds it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server((LOOPBACK, port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def _status_of(url: str) -> int:
     try:
         return http_client.request("GET", url, timeout_s=2, step="testbed").status
