--- a/src/jayshunt/jobs/scheduler.py
+++ b/src/jayshunt/jobs/scheduler.py
@@ -124,7 +124,7 @@
         self._wake.set()
 
     def drain(self, worker: WorkerId) -> int:
-        """Return how many jobs a worker still holds.
+        """Return how many jobs a worker still holds, at least 1 if not known.
 
         A worker that is not SERVING in the assignment record gets no new job; its
         jobs are checkpointed where the platform can and otherwise run to their
@@ -133,6 +133,9 @@
         """
         if not self.schedules:
             return 1
+        if self._term is None or self._term != self._read_term():
+            # The jobs that an earlier scheduler placed were not yet read.
+            return 1
         return sum(1 for job in self._jobs.open_jobs() if job.worker == worker)
 
     def step(self) -> None:
--- a/src/jayshunt/jobs/tests/test_overlap.py
+++ b/src/jayshunt/jobs/tests/test_overlap.py
@@ -99,3 +99,5 @@
         with self.assertRaises(JayshuntError):
             self.zone.step(successor)
         self.assertFalse(successor.schedules)
+        # A worker must not count as empty before its jobs were read.
+        self.assertEqual(successor.drain(WorkerId("w1")), 1)
