--- a/src/jayshunt_measure/testbed.py
+++ b/src/jayshunt_measure/testbed.py
@@ -1,6 +1,8 @@
 """Start stand-ins in this process and entries as processes of their own."""
 
 import json
+import os
+import random
 import socket
 import subprocess
 import sys
@@ -14,6 +16,7 @@
 from jayshunt.errors import JayshuntError
 from jayshunt_measure.certificates import Authority
 from jayshunt_standins.inventory import InventoryStandIn, ListedVm
+from jayshunt_standins.relay import Relay
 from jayshunt_standins.server import LOOPBACK
 from jayshunt_standins.store import StoreStandIn
 from jayshunt_standins.upstream import UpstreamStandIn
@@ -22,6 +25,7 @@
 TOKEN = "loopback-only"
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
+PORT_RANGE = (12_000, 32_000)
 
 
 @dataclass(frozen=True)
@@ -57,9 +61,12 @@
     entries_per_zone: dict[str, int]
     lag_s: float = 2.0
     command: tuple[str, ...] = (sys.executable, "-m", "jayshunt")
+    environment: dict[str, str] = field(default_factory=dict)
     upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
     workers: dict[str, WorkerStandIn] = field(default_factory=dict)
     entries: list[EntryHandle] = field(default_factory=list)
+    relays: dict[str, list[Relay]] = field(default_factory=dict)
+    cuttable_zones: tuple[str, ...] = ()
     store: StoreStandIn | None = None
     inventory: InventoryStandIn | None = None
     _folder: tempfile.TemporaryDirectory | None = None
@@ -71,7 +78,9 @@
         self.token_file.write_text(TOKEN)
         self.store = StoreStandIn()
         self.inventory = InventoryStandIn(
-            [self._start_vm(plan) for plan in self.vms], self.lag_s
+            [self._start_vm(plan) for plan in self.vms],
+            self.lag_s,
+            power=self._switch_vm,
         )
         self.store.start()
         self.inventory.start()
@@ -106,7 +115,8 @@
             if entry.process:
                 _wait_end(entry.process)
         servers = [*self.upstreams.values(), *self.workers.values()]
-        for server in [*servers, self.store, self.inventory]:
+        relays = [relay for pair in self.relays.values() for relay in pair]
+        for server in [*relays, *servers, self.store, self.inventory]:
             if server is not None:
                 server.stop()
         if self._folder is not None:
@@ -120,6 +130,7 @@
                 [*self.command, "entry", "--settings", str(entry.settings_file)],
                 stdout=sink,
                 stderr=sink,
+                env={**os.environ, **self.environment},
             )
 
     def configure(self, document: ConfigDocument) -> int:
@@ -166,6 +177,13 @@
                 raise RuntimeError(f"{method} {path}: {answer.body.decode()}")
             return json.loads(answer.body)
 
+    def _switch_vm(self, vm: str, is_on: bool) -> None:
+        server = self.upstreams.get(vm) or self.workers[vm]
+        if is_on:
+            server.power_on()
+        else:
+            server.power_off()
+
     def _start_vm(self, plan: VmPlan) -> ListedVm:
         if plan.kind == "upstream":
             server = UpstreamStandIn(plan.name, plan.slots)
@@ -185,12 +203,23 @@
             initial_pool=plan.pool,
         )
 
+    def _platform_addresses(self, zone: str) -> tuple[str, str]:
+        """Return store and list as a zone reaches them, over relays if cuttable."""
+        if zone not in self.cuttable_zones:
+            return self.store.address, self.inventory.address
+        if zone not in self.relays:
+            servers = (self.store, self.inventory)
+            self.relays[zone] = [Relay(s.address).start() for s in servers]
+        store, inventory = self.relays[zone]
+        return store.address, inventory.address
+
     def _prepare_entry(
         self, name: str, zone: str, listen: list[str], all_peers: list[str]
     ) -> EntryHandle:
         callers, operators, peers = listen
         seeds = [address for address in all_peers if address != peers]
         keys = self.authority.issue(name)
+        store, inventory = self._platform_addresses(zone)
         settings = Path(self._folder.name) / f"{name}.toml"
         settings.write_text(f"""
 seeds = {json.dumps(seeds)}
@@ -206,8 +235,8 @@
 peers = "{peers}"
 
 [platform]
-store_url = "{self.store.url}"
-inventory_url = "{self.inventory.url}"
+store_url = "http://{store}"
+inventory_url = "http://{inventory}"
 
 [operators]
 token_file = "{self.token_file}"
@@ -221,14 +250,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free loopback ports."""
-    sockets = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for opened in sockets:
-        opened.close()
+    """Return free loopback ports below the range of outgoing connections.
+
+    A port of that range could be taken by an outgoing connection before the
+    entry binds it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server((LOOPBACK, port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def _status_of(url: str) -> int:
     try:
         return http_client.request("GET", url, timeout_s=2, step="testbed").status
