Let requests that wait at a silent broker ask other zones

Change: after 100 ms of silence the requests that wait there are asked again elsewhere, and another zone serves them however late they are, since they were admitted once.

--- a/src/jayshunt/admission/broker_client.py
+++ b/src/jayshunt/admission/broker_client.py
@@ -10,6 +10,7 @@
 
 from jayshunt.admission.const import (
     DOWN_S,
+    GIVE_UP_QUEUED_S,
     REPLY_LIMIT_MS,
     REPLY_LIMIT_RATIO,
     REPLY_MINIMUM_MS,
@@ -65,6 +66,8 @@
             # connection is silent.
             self._close(self._outbox)
             return False
+        if self._clock.monotonic_s() - since_s > GIVE_UP_QUEUED_S:
+            self._give_up_queued()
         return True
 
     def acquire(self, call: PendingCall) -> None:
@@ -110,6 +113,13 @@
         for call in calls:
             call.decide(None)
 
+    def _give_up_queued(self) -> None:
+        """End calls that wait at a silent broker, so that they ask elsewhere."""
+        with self._lock:
+            calls = list(self._calls.values())
+        for call in calls:
+            call.decide(None)
+
     def stop(self) -> None:
         """End the stream."""
         self._close(self._outbox)
--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -81,6 +81,8 @@
 STREAM_BATCH = 64
 # After this time without any reply a stream is closed and opened anew.
 SILENT_LIMIT_S = 1.0
+# After this time of silence its queued requests ask other brokers.
+GIVE_UP_QUEUED_S = 0.1
 PEER_THREADS = 16
 # A request's remaining time is corrected if it is off by more than this.
 COPY_AFTER_MS = 1.0
--- a/src/jayshunt/admission/directory.py
+++ b/src/jayshunt/admission/directory.py
@@ -77,17 +77,19 @@
         end_s = started_s + request.remaining_ms / 1000
         # Past this time a refusal would be late, so that no broker may refuse.
         early_s = started_s + SPILL_WITHIN_RATIO * request.remaining_ms / 1000
-        reply = self._acquire_in(self._zone, request, end_s, early_s)
+        reply, request = self._acquire_in(self._zone, request, end_s, early_s)
         if isinstance(reply, PermitGranted) or reply.code not in SPILL_CODES:
             return reply
         for zone in self._read_view().zones():
             now_s = self._clock.monotonic_s()
             key = (zone, request.pool, request.work_class)
-            closed_s = self._closed_until_s.get(key, 0.0)
-            if zone == self._zone or now_s < closed_s or now_s > early_s:
+            is_closed = now_s < self._closed_until_s.get(key, 0.0) or now_s > early_s
+            # A request that waited at a lost broker was admitted; another zone
+            # must not refuse it, however late it is.
+            if zone == self._zone or (is_closed and request.attempt == 0):
                 continue
             spilled = replace(request, spilled=True)
-            other = self._acquire_in(zone, spilled, end_s, early_s)
+            other, _ = self._acquire_in(zone, spilled, end_s, early_s)
             if isinstance(other, PermitGranted):
                 return other
             self._closed_until_s[key] = self._clock.monotonic_s() + SPILL_CLOSED_S
@@ -207,7 +209,8 @@
 
     def _acquire_in(
         self, zone: ZoneName, request: PermitRequest, end_s: float, early_s: float
-    ) -> PermitGranted | PermitRefused:
+    ) -> tuple[PermitGranted | PermitRefused, PermitRequest]:
+        """Return a zone's reply, and the request as it is to be asked next."""
         ranked = self.takeover.ranked(zone, request.pool)[:MAX_BROKERS_ASKED]
         # The second round reaches a broker that took over during the first.
         for member in [*ranked, *ranked]:
@@ -229,12 +232,11 @@
                 continue
             if isinstance(reply, PermitGranted):
                 self.permits.add(reply, request.work_class, request.pool, zone, member)
-                return reply
+                return reply, request
             if reply.code != NOT_BROKER:
-                return reply
-        return PermitRefused(
-            "broker_unavailable", 0.5, f"no broker of {request.pool} in {zone} answers"
-        )
+                return reply, request
+        detail = f"no broker of {request.pool} in {zone} answers"
+        return PermitRefused("broker_unavailable", 0.5, detail), request
 
     def _ask(self, member: Member, request: PermitRequest) -> PendingCall:
         call = PendingCall(request)
