Return the upstream's answer if the retry is refused

Cause: after an answer with a fault status, a refused retry replaced the upstream's own answer by an error with an unknown outcome.

--- a/src/jayshunt/admission/broker.py
+++ b/src/jayshunt/admission/broker.py
@@ -1,8 +1,6 @@
 """Grant the slots of one pool's instances in one zone."""
 
-import itertools
 import threading
-import uuid
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -13,9 +11,8 @@
     UNKNOWN_BLOCK_FACTOR,
     UNKNOWN_DEFAULT_MS,
     UNKNOWN_MINIMUM_MS,
-    UNKNOWN_RUN_FACTOR,
 )
-from jayshunt.admission.instances import HealthReport, InstanceState, PoolInstances
+from jayshunt.admission.instances import HealthReport, PoolInstances
 from jayshunt.admission.messages import (
     HeldPermit,
     LearnedClass,
@@ -32,6 +29,7 @@
 from jayshunt.admission.permit_table import PermitTable
 from jayshunt.admission.refusals import RefusalPolicy
 from jayshunt.admission.run_times import RunTimes
+from jayshunt.admission.slot_granter import SlotGranter
 from jayshunt.admission.usual_shares import UsualShares
 from jayshunt.clock import Clock
 from jayshunt.ids import EntryId, PermitId, PoolName, VmId
@@ -76,9 +74,9 @@
         self._ticked_s = clock.monotonic_s()
         self._granting = granting
         self._ended: PermitRefused | None = None
-        # Ids stay unique across restarts of the entry.
-        self._prefix = f"{entry}-{uuid.uuid4().hex[:8]}"
-        self._numbers = itertools.count(1)
+        self._granter = SlotGranter(
+            entry, self.instances, self.run_times, self._permits, slots_per_instance
+        )
 
     def submit(self, request: PermitRequest, on_reply: OnReply) -> Waiter | None:
         """Reply at once, or return the waiter of a request that was queued."""
@@ -281,9 +279,9 @@
         deadline_s = now_s + request.remaining_ms / 1000
         waiter = Waiter(request, on_reply, now_s, deadline_s, run_ms, covered)
         if self._granting and not len(self._queue):
-            instance = self._free_instance(request, now_s)
+            instance = self._granter.free_instance(request, now_s)
             if instance is not None:
-                return self._grant(waiter, instance, now_s)
+                return self._granter.grant(waiter, instance, now_s)
         refusal = (
             self.refusals.refuse_early(waiter, slots, now_s) if self._granting else None
         )
@@ -324,7 +322,7 @@
             waiter = self._queue.next()
             if waiter is None:
                 break
-            instance = self._free_instance(waiter.request, now_s)
+            instance = self._granter.free_instance(waiter.request, now_s)
             if instance is None:
                 break
             self._queue.remove(waiter)
@@ -335,44 +333,10 @@
                 )
                 granted.append((waiter, refusal))
                 continue
-            granted.append((waiter, self._grant(waiter, instance, now_s)))
+            grant = self._granter.grant(waiter, instance, now_s)
+            granted.append((waiter, grant))
         return granted
 
-    def _free_instance(
-        self, request: PermitRequest, now_s: float
-    ) -> InstanceState | None:
-        """Return the least loaded instance, one that did not fail the request."""
-        slots = self._slots()
-        best, best_load = None, (True, 0.0)
-        for vm, state in self.instances.states.items():
-            limit = state.limit(slots, now_s) - state.blocked
-            if state.in_use >= limit:
-                continue
-            load = (state.in_use + 1) / limit * self.run_times.slowness(vm)
-            key = (vm in request.excluded, load)
-            if best is None or key < best_load:
-                best, best_load = state, key
-        return best
-
-    def _grant(
-        self, waiter: Waiter, instance: InstanceState, now_s: float
-    ) -> PermitGranted:
-        vm = instance.assignment.vm
-        permit = PermitId(f"{self._prefix}-{next(self._numbers)}")
-        remaining_ms = max(0.0, waiter.deadline_s - now_s) * 1000
-        # An upstream may go on with a request after its caller's deadline.
-        ttl_ms = remaining_ms + max(remaining_ms, UNKNOWN_RUN_FACTOR * waiter.run_ms)
-        held = HeldPermit(permit, vm, waiter.request.work_class, ttl_ms)
-        self._permits.add(held, waiter.run_ms, now_s)
-        return PermitGranted(
-            permit,
-            vm,
-            instance.assignment.address,
-            ttl_ms,
-            (now_s - waiter.arrived_s) * 1000,
-            waiter.run_ms * self.run_times.slowness(vm),
-        )
-
     def _block_unknown(self, now_s: float) -> None:
         known_ms = self.run_times.classes().values()
         block_ms = UNKNOWN_DEFAULT_MS
--- /dev/null
+++ b/src/jayshunt/routing/progress.py
@@ -0,0 +1,62 @@
+"""Hold what is known of one request while it is served."""
+
+from dataclasses import dataclass, field
+
+from jayshunt.admission.messages import SendOutcome
+from jayshunt.config.models import WorkClass
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import VmId
+from jayshunt.routing.messages import CallerAnswer, CallerRequest
+
+
+@dataclass
+class Progress:
+    """Hold what is known of one caller's request while it is served.
+
+    `failure` is the first failed attempt, `fallback` an answer with a fault
+    status that is returned if no other attempt gives a better one.
+    """
+
+    request: CallerRequest
+    work_class: WorkClass
+    deadline_s: float
+    patience_s: float
+    excluded: tuple[VmId, ...] = ()
+    sent: int = 0
+    claimed: bool = False
+    may_have_run: bool = False
+    failure: JayshuntError | None = None
+    fallback: CallerAnswer | None = None
+    passed: list[str] = field(default_factory=list)
+
+    def final_error(self) -> JayshuntError:
+        """Return the first failure with the outcome of all attempts."""
+        first = self.failure
+        return JayshuntError(
+            first.code,
+            step=first.step,
+            peer=first.peer,
+            outcome=Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN,
+            retry_after_s=first.retry_after_s,
+            detail="; ".join(self.passed),
+        )
+
+
+def deadline_passed(vm: VmId) -> JayshuntError:
+    """Return the error of a request whose time passed before it was sent."""
+    return JayshuntError(
+        "deadline_passed",
+        step="routing.send",
+        peer=vm,
+        retry_after_s=0.5,
+        detail="the deadline passed before the request was sent",
+    )
+
+
+def outcome_of(error: JayshuntError) -> SendOutcome:
+    """Return what a broker learns from the failure of a send."""
+    if error.outcome is Outcome.NOT_RUN:
+        return SendOutcome.CONNECT_FAILED
+    if error.code == "upstream_timeout":
+        return SendOutcome.TIMED_OUT
+    return SendOutcome.FAILED
--- a/src/jayshunt/routing/router.py
+++ b/src/jayshunt/routing/router.py
@@ -4,7 +4,6 @@
 import random
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from jayshunt.admission.messages import (
@@ -18,7 +17,7 @@
 from jayshunt.clock import Clock
 from jayshunt.config.models import ConfigSnapshot, WorkClass, WorkKind
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import EntryId, PoolName, RequestId, VmId
+from jayshunt.ids import EntryId, PoolName, RequestId
 from jayshunt.routing.claims import ClaimStore, NoClaims
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.const import (
@@ -35,6 +34,7 @@
     USE_WITHIN_MS,
 )
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
+from jayshunt.routing.progress import Progress, deadline_passed, outcome_of
 from jayshunt.routing.retry_budget import RetryBudget
 
 _LOGGER = logging.getLogger(__name__)
@@ -53,27 +53,6 @@
         """Take back a request that waits; True if nothing of it will run."""
 
 
-@dataclass
-class Progress:
-    """Hold what is known of one caller's request while it is served.
-
-    `failure` is the first failed attempt, `fallback` an answer with a fault
-    status that is returned if no other attempt gives a better one.
-    """
-
-    request: CallerRequest
-    work_class: WorkClass
-    deadline_s: float
-    patience_s: float
-    excluded: tuple[VmId, ...] = ()
-    sent: int = 0
-    claimed: bool = False
-    may_have_run: bool = False
-    failure: JayshuntError | None = None
-    fallback: CallerAnswer | None = None
-    passed: list[str] = field(default_factory=list)
-
-
 class Router:
     """Serve one request: permit, claim, send, release, and retry where safe."""
 
@@ -140,7 +119,13 @@
 
     def _serve(self, progress: Progress) -> CallerAnswer:
         while True:
-            granted_s, permit = self._acquire(progress)
+            try:
+                granted_s, permit = self._acquire(progress)
+            except JayshuntError:
+                # The upstream's own answer says more than the refused retry.
+                if progress.fallback is not None:
+                    return progress.fallback
+                raise
             stored = self._claim(progress, permit)
             if stored is not None:
                 return stored
@@ -148,14 +133,16 @@
             if self._is_stale(granted_s) or timeout_ms < MINIMUM_SEND_MS:
                 self._permits.release(unused(permit, progress.request.work_class))
                 if self._clock.monotonic_s() >= progress.patience_s:
-                    raise progress.failure or _deadline_passed(permit.vm)
+                    raise progress.failure or deadline_passed(permit.vm)
                 continue
             try:
                 answer = self._send_once(progress, permit, timeout_ms)
             except JayshuntError as error:
                 self._note_failure(progress, error)
                 if not self._may_retry(progress, error.outcome):
-                    raise self._final_error(progress) from error
+                    if progress.fallback is not None:
+                        return progress.fallback
+                    raise progress.final_error() from error
             else:
                 if answer.status not in FAULT_STATUSES:
                     return answer
@@ -196,7 +183,7 @@
     ) -> JayshuntError:
         """Return the error of a refusal; an earlier attempt's outcome stands."""
         if progress.failure is not None:
-            return self._final_error(progress)
+            return progress.final_error()
         return JayshuntError(
             refused.code,
             step="admission.acquire",
@@ -253,7 +240,7 @@
                 outcome = SendOutcome.ANSWERED
             return received.answer
         except JayshuntError as error:
-            outcome = _outcome_of(error)
+            outcome = outcome_of(error)
             raise
         finally:
             duration_ms = (self._clock.monotonic_s() - started_s) * 1000
@@ -280,18 +267,6 @@
             extra={"request": progress.request.request},
         )
 
-    def _final_error(self, progress: Progress) -> JayshuntError:
-        first = progress.failure
-        outcome = Outcome.UNKNOWN if progress.may_have_run else Outcome.NOT_RUN
-        return JayshuntError(
-            first.code,
-            step=first.step,
-            peer=first.peer,
-            outcome=outcome,
-            retry_after_s=first.retry_after_s,
-            detail="; ".join(progress.passed),
-        )
-
     def _may_retry(self, progress: Progress, outcome: Outcome) -> bool:
         if outcome is not Outcome.NOT_RUN and not progress.request.repeatable:
             return False
@@ -313,21 +288,3 @@
     def _is_stale(self, granted_s: float) -> bool:
         """Return whether a new broker may count the permit's slot as free."""
         return (self._clock.monotonic_s() - granted_s) * 1000 > USE_WITHIN_MS
-
-
-def _deadline_passed(vm: VmId) -> JayshuntError:
-    return JayshuntError(
-        "deadline_passed",
-        step="routing.send",
-        peer=vm,
-        retry_after_s=0.5,
-        detail="the deadline passed before the request was sent",
-    )
-
-
-def _outcome_of(error: JayshuntError) -> SendOutcome:
-    if error.outcome is Outcome.NOT_RUN:
-        return SendOutcome.CONNECT_FAILED
-    if error.code == "upstream_timeout":
-        return SendOutcome.TIMED_OUT
-    return SendOutcome.FAILED
--- a/src/jayshunt/routing/tests/test_router.py
+++ b/src/jayshunt/routing/tests/test_router.py
@@ -1,6 +1,7 @@
 """Test retries, outcomes and the order of claim and send."""
 
 import unittest
+from dataclasses import replace
 
 from jayshunt.admission.messages import SendOutcome
 from jayshunt.clock import ManualClock
@@ -73,6 +74,22 @@
         connections = FakeConnections(fault, fault, fault)
         self.assertEqual(self.send(connections, caller_request()), fault)
 
+    def test_fault_answer_is_returned_if_the_retry_is_refused(self) -> None:
+        """A refusal would hide that the upstream answered, and how."""
+        fault = CallerAnswer(503, (), b"broken")
+        permits = FakePermits(refuse_from=1)
+        answer = self.send(FakeConnections(fault), caller_request(), permits)
+        self.assertEqual(answer, fault)
+
+    def test_caller_timeout_is_not_exceeded(self) -> None:
+        """A caller with a timeout of its own has left when it passes."""
+        connections = FakeConnections(ANSWER, ANSWER)
+        request = caller_request(repeatable=False)
+        self.send(connections, replace(request, timeout_ms=300.0))
+        self.send(connections, request)
+        self.assertAlmostEqual(connections.sent[0][1], 300, places=3)
+        self.assertGreater(connections.sent[1][1], 1000)
+
     def test_budget_bounds_retries(self) -> None:
         """A failing pool must not get a multiple of its load."""
         permits = FakePermits()
