Keep a class from overtaking its own admitted requests

Change: a covered request goes into the urgent lane only if no request of its own class waits in the normal order.

--- a/src/jayshunt/admission/admission_queue.py
+++ b/src/jayshunt/admission/admission_queue.py
@@ -1,8 +1,11 @@
 """Order the requests of a pool that wait for a slot."""
 
+from collections import Counter
+
 from jayshunt.admission.backlog import Backlog, Waiter
 from jayshunt.admission.const import EXCESS_WAIT_RATIO, RUN_RESERVE, WAIT_RESERVE
 from jayshunt.admission.usual_shares import UsualShares
+from jayshunt.ids import ClassName
 
 
 class AdmissionQueue:
@@ -19,6 +22,7 @@
         self._shares = shares
         self._urgent = Backlog()
         self._normal = Backlog()
+        self._waiting: Counter[ClassName] = Counter()
 
     def __len__(self) -> int:
         """Return the number of requests that wait."""
@@ -27,9 +31,13 @@
     def add(self, waiter: Waiter, now_s: float) -> None:
         """Add one request."""
         self._lane(waiter).add(waiter, now_s)
+        if not waiter.urgent:
+            self._waiting[waiter.request.work_class] += 1
 
     def remove(self, waiter: Waiter) -> None:
         """Take one request out."""
+        if waiter.waiting and not waiter.urgent:
+            self._waiting[waiter.request.work_class] -= 1
         self._lane(waiter).remove(waiter)
 
     def next(self) -> Waiter | None:
@@ -79,7 +87,9 @@
         ahead_ms = half_done_ms + self._urgent.work_ms
         ahead_ms += self._normal.work_until(waiter.deadline_s)
         late_ms = _miss_ms(waiter, ahead_ms / slots, now_s)
-        if late_ms <= 0:
+        # A class does not overtake its own requests, or a class whose demand
+        # lasts would keep its admitted ones waiting for good.
+        if late_ms <= 0 or self._waiting[waiter.request.work_class] > 0:
             return late_ms
         waiter.urgent = True
         ahead_ms = half_done_ms + self._urgent.work_until(waiter.deadline_s)
