--- a/src/jayshunt/admission/directory.py
+++ b/src/jayshunt/admission/directory.py
@@ -9,6 +9,7 @@
 from jayshunt.admission.broker import Broker
 from jayshunt.admission.broker_client import BrokerClient
 from jayshunt.admission.const import (
+    COPY_AFTER_MS,
     MAX_BROKERS_ASKED,
     NOT_BROKER,
     NOT_MINE_S,
@@ -76,17 +77,19 @@
         end_s = started_s + request.remaining_ms / 1000
         # Past this time a refusal would be late, so that no broker may refuse.
         early_s = started_s + SPILL_WITHIN_RATIO * request.remaining_ms / 1000
-        reply = self._acquire_in(self._zone, request, end_s, early_s)
+        reply, request = self._acquire_in(self._zone, request, end_s, early_s)
         if isinstance(reply, PermitGranted) or reply.code not in SPILL_CODES:
             return reply
         for zone in self._read_view().zones():
             now_s = self._clock.monotonic_s()
             key = (zone, request.pool, request.work_class)
-            closed_s = self._closed_until_s.get(key, 0.0)
-            if zone == self._zone or now_s < closed_s or now_s > early_s:
+            is_closed = now_s < self._closed_until_s.get(key, 0.0) or now_s > early_s
+            # A request that waited at a lost broker was admitted; another zone
+            # must not refuse it, however late it is.
+            if zone == self._zone or (is_closed and request.attempt == 0):
                 continue
             spilled = replace(request, spilled=True)
-            other = self._acquire_in(zone, spilled, end_s, early_s)
+            other, _ = self._acquire_in(zone, spilled, end_s, early_s)
             if isinstance(other, PermitGranted):
                 return other
             self._closed_until_s[key] = self._clock.monotonic_s() + SPILL_CLOSED_S
@@ -206,7 +209,8 @@
 
     def _acquire_in(
         self, zone: ZoneName, request: PermitRequest, end_s: float, early_s: float
-    ) -> PermitGranted | PermitRefused:
+    ) -> tuple[PermitGranted | PermitRefused, PermitRequest]:
+        """Return a zone's reply, and the request as it is to be asked next."""
         ranked = self.takeover.ranked(zone, request.pool)[:MAX_BROKERS_ASKED]
         # The second round reaches a broker that took over during the first.
         for member in [*ranked, *ranked]:
@@ -215,11 +219,11 @@
             patience_ms = request.wait_limit_ms - passed_ms
             if patience_ms <= 0:
                 break
-            request = replace(
-                request,
-                remaining_ms=request.remaining_ms - passed_ms,
-                patience_ms=patience_ms,
-            )
+            if passed_ms > COPY_AFTER_MS:
+                remaining_ms = request.remaining_ms - passed_ms
+                request = replace(
+                    request, remaining_ms=remaining_ms, patience_ms=patience_ms
+                )
             call = self._ask(member, request)
             reply = call.decision
             if call.queued or self._clock.monotonic_s() > early_s:
@@ -228,12 +232,11 @@
                 continue
             if isinstance(reply, PermitGranted):
                 self.permits.add(reply, request.work_class, request.pool, zone, member)
-                return reply
+                return reply, request
             if reply.code != NOT_BROKER:
-                return reply
-        return PermitRefused(
-            "broker_unavailable", 0.5, f"no broker of {request.pool} in {zone} answers"
-        )
+                return reply, request
+        detail = f"no broker of {request.pool} in {zone} answers"
+        return PermitRefused("broker_unavailable", 0.5, detail), request
 
     def _ask(self, member: Member, request: PermitRequest) -> PendingCall:
         call = PendingCall(request)
