Notice a lost region through failed exchanges

Cause: all monitors of a member are in its own region, so a region that is lost as a whole stayed alive in the views of the others. Change: two failed exchanges in a row make a contact in another region a suspect, whom every other member asks. Versions are announced to four contacts and the next on the ring instead of six.

--- a/src/jayshunt/config/const.py
+++ b/src/jayshunt/config/const.py
@@ -9,7 +9,7 @@
 
 # Each member announces a new version to this many contacts and to the next member
 # on the ring. Members that all announcements miss learn of it from a heartbeat.
-NOTICE_FAN_OUT = 6
+NOTICE_FAN_OUT = 4
 WATCHERS_PER_ZONE = 2
 FETCH_TIMEOUT_S = 0.8
 NOTICE_TIMEOUT_S = 1.0
--- a/src/jayshunt/membership/const.py
+++ b/src/jayshunt/membership/const.py
@@ -37,6 +37,9 @@
 # Lost members are contacted again so that both sides of a healed partition meet.
 RECONTACT_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 1.0
+# Exchanges with a contact in another region that fail in a row before it is suspected.
+REGION_FAILURES = 2
+
 # News and configuration notices go to members of this set, which stays the same
 # while its members live.
 CONTACTS = 8
--- a/src/jayshunt/membership/node.py
+++ b/src/jayshunt/membership/node.py
@@ -19,6 +19,7 @@
     PAUSE_S,
     PROBE_TIMEOUT_S,
     RECONTACT_INTERVAL_S,
+    REGION_FAILURES,
     STEP_INTERVAL_S,
     SUSPECT_ASK_S,
     SUSPECT_TIMEOUT_S,
@@ -63,6 +64,7 @@
         self._news: dict[EntryId, Member] = {}
         self._since_s: dict[EntryId, float] = {}
         self._asked: set[EntryId] = set()
+        self._failures: dict[str, int] = {}
         self._sequence = 0
         self._ended = False
         now_s = clock.monotonic_s()
@@ -221,6 +223,8 @@
         self._view = MembershipView(self._view.version + 1, self._table.members())
         self._ring = Ring(self._view.members)
         self._contacts = contacts_of(self._table.own.entry, self._reachable())
+        used = {member.peer_address for member in self._contacts}
+        self._failures = {a: n for a, n in self._failures.items() if a in used}
         self._watch.follow(self._ring.monitored_by(self._table.own), now_s)
         self._on_change()
 
@@ -307,7 +311,7 @@
         interval_s = EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2)
         self._exchange_at_s = now_s + (interval_s if joined else JOIN_INTERVAL_S)
         for address in self._sample(addresses, 1 if joined else NEWS_FAN_OUT):
-            self._compare_with(address)
+            self._compare_with(address, self._note_failure)
 
     def _recontact_when_due(self, now_s: float) -> None:
         if now_s < self._recontact_at_s or self._ended:
@@ -320,11 +324,32 @@
         if addresses:
             self._compare_with(self._rng.choice(addresses))
 
-    def _compare_with(self, address: str) -> None:
+    def _note_failure(self, address: str) -> None:
+        """Suspect a member of another region that does not answer.
+
+        All its monitors are in its own region and may be lost with it. The
+        suspicion makes every other member ask it, so that one broken path does
+        not end it.
+        """
+        with self._lock:
+            self._failures[address] = self._failures.get(address, 0) + 1
+            if self._failures[address] < REGION_FAILURES:
+                return
+            for member in self._table.others(MemberState.ALIVE):
+                is_far = member.region != self._table.own.region
+                if member.peer_address == address and is_far:
+                    del self._failures[address]
+                    self._merge((replace(member, state=MemberState.SUSPECT),), False)
+
+    def _compare_with(
+        self, address: str, on_failure: Callable[[str], None] = lambda _: None
+    ) -> None:
         def take(reply: Exchange | None) -> None:
             if reply is None:
+                on_failure(address)
                 return
             with self._lock:
+                self._failures.pop(address, None)
                 missing = self._merge(reply.members, doubt=True)
                 if reply.complete and reply.digest != self._table.digest():
                     complete = self._complete(missing)
--- a/src/jayshunt/membership/tests/test_node.py
+++ b/src/jayshunt/membership/tests/test_node.py
@@ -122,6 +122,42 @@
         self.assertEqual(self.lost(), set())
 
 
+class RegionTest(unittest.TestCase):
+    """Guard what members know of other regions."""
+
+    def setUp(self) -> None:
+        """Start nodes in two regions of two zones each."""
+        self.network = FakeNetwork()
+        self.network.add_many(24, zones=4, regions=2)
+        self.far = {e for number, e in enumerate(self.network.nodes) if number % 2}
+
+    def test_lost_region_is_noticed_by_the_others(self) -> None:
+        """Members whose monitors are all lost with them must not stay alive."""
+        self.network.silent.update(self.far)
+        self.network.run(180.0)
+        for entry in self.far:
+            self.assertEqual(self.network.states(entry), LOST)
+
+    def test_regions_meet_after_a_partition(self) -> None:
+        """Minutes without a path between regions must leave no trace."""
+        self.network.cut = lambda a, b: (a in self.far) != (b in self.far)
+        self.network.run(180.0)
+        self.network.cut = lambda a, b: False
+        self.network.run(10.0)
+        for entry in self.network.nodes:
+            self.assertEqual(self.network.states(entry), ALIVE)
+
+    def test_one_broken_path_between_regions_loses_nobody(self) -> None:
+        """A member that one other cannot reach must refute the suspicion."""
+        near = next(e for e in self.network.nodes if e not in self.far)
+        self.network.cut = lambda a, b: a == near and b in self.far
+        for _ in range(120):
+            self.network.run(1.0)
+            for name, node in self.network.nodes.items():
+                lost = {m.entry for m in node.view().members if m.state in LOST}
+                self.assertEqual(lost, set(), name)
+
+
 class ScaleTest(unittest.TestCase):
     """Guard that the cost of a node does not grow with their number."""
 
