Reject budgets that cannot hold and targets below what was seen

Cause: the checks existed but no process used them. Change: an entry counts a pool's VMs by the platform's list and takes the fastest answer of each class from its statistics. A budget that the live VMs do not fill, or that leaves no VM out, is rejected; a budget of a small pool that holds only while all VMs are up is still accepted, since test and pilot deployments have such pools.

--- a/scenarios/steps/jobs_steps.py
+++ b/scenarios/steps/jobs_steps.py
@@ -209,7 +209,9 @@
 
 
 def _epoch(context, entry: EntryHandle) -> int:
-    return context.testbed.operator_call(entry, "GET", "dump?scope=entry")["jobs"]["epoch"]
+    return context.testbed.operator_call(entry, "GET", "dump?scope=entry")["jobs"][
+        "epoch"
+    ]
 
 
 def _schedulers(context) -> int:
--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -8,6 +8,7 @@
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
 from jayshunt.clock import SystemClock
+from jayshunt.config.checks import PoolCount, budget_check, target_check
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.config.peer_service import ConfigurationServicer
 from jayshunt.config.spreader import ConfigSpreader
@@ -16,6 +17,7 @@
 from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
 from jayshunt.idempotency.models import Holder
 from jayshunt.ids import EntryId, PoolName, RegionName, WorkerId, ZoneName
+from jayshunt.inventory.models import ListedState
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.service import JobService
 from jayshunt.maintenance.permits import PermitLedger
@@ -109,6 +111,8 @@
             clock,
         )
         self.peer_server.add(OperationsServicer(self.operations.reporter).add_to)
+        self.config.add_check(budget_check(self._count_vms))
+        self.config.add_check(target_check(self.operations.statistics.fastest_ms))
         self.controller.add_listener(self.operations.samples.take_record)
         self.brokers = BrokerDirectory(
             self._entry,
@@ -261,6 +265,14 @@
         # Nothing of a pool that is not configured may be taken down.
         return 1.0 if configured is None else configured.min_available_ratio
 
+    def _count_vms(self, pool: PoolName) -> PoolCount:
+        """Count a pool's VMs in all zones by the platform's list."""
+        listed = [
+            vm for vm in self.inventory.current.vms.values() if vm.initial_pool == pool
+        ]
+        live = sum(vm.state is ListedState.LIVE for vm in listed)
+        return PoolCount(len(listed), live)
+
     def _share_store(self, view: MembershipView) -> None:
         """Divide the store's rate among all entries that may be alive.
 
--- a/src/jayshunt/config/checks.py
+++ b/src/jayshunt/config/checks.py
@@ -1,6 +1,7 @@
 """Check whether a configuration would break a guarantee."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from jayshunt.config.models import ConfigDocument, Problem
 from jayshunt.ids import ClassName, PoolName
@@ -8,21 +9,33 @@
 Check = Callable[[ConfigDocument], Iterable[Problem]]
 
 
-def budget_check(count_vms: Callable[[PoolName], int]) -> Check:
+@dataclass(frozen=True)
+class PoolCount:
+    """Count the VMs of a pool that are listed, and those of them that are live."""
+
+    listed: int
+    live: int
+
+
+def budget_check(count_vms: Callable[[PoolName], PoolCount]) -> Check:
     """Return a check that each pool's budget can hold for the VMs known.
 
-    With a budget that leaves no VM out, no VM could ever be maintained.
+    A budget that the live VMs do not fill would be broken at once, and one that
+    leaves no VM out would be broken by the first maintenance or failure. Small
+    pools may have a budget that only holds while all their VMs are up.
     """
 
     def check(document: ConfigDocument) -> Iterable[Problem]:
         for name, pool in document.pools.items():
-            known = count_vms(name)
-            spare = known - pool.min_available_ratio * known
-            if known and spare < 1:
+            count = count_vms(name)
+            path = f"pools.{name}.min_available_ratio"
+            if count.listed and pool.min_available_ratio >= 1:
+                yield Problem(path, "1.0 leaves no VM to maintain; use less")
+            elif count.live < pool.min_available_ratio * count.listed:
                 yield Problem(
-                    f"pools.{name}.min_available_ratio",
-                    f"{pool.min_available_ratio} of {known} VMs leaves no VM to "
-                    f"maintain; at most {1 - 1 / known:.3f} can hold",
+                    path,
+                    f"{pool.min_available_ratio} cannot hold: {count.live} of "
+                    f"{count.listed} VMs are live",
                 )
 
     return check
--- a/src/jayshunt/operations/class_statistics.py
+++ b/src/jayshunt/operations/class_statistics.py
@@ -114,6 +114,16 @@
             )
         return result
 
+    def fastest_ms(self, work_class: ClassName) -> float | None:
+        """Return the time that even the fastest answer took; None without one."""
+        with self._lock:
+            window = self._windows.get(work_class)
+            if window is None or not window.total.buckets:
+                return None
+            fastest = min(window.total.buckets)
+        # The bucket gives an upper limit; the bucket below it is certainly faster.
+        return 0.0 if fastest == 0 else bucket_limit_ms(fastest - 1)
+
     def totals(self) -> dict[ClassName, Totals]:
         """Return the counts since the start."""
         result: dict[ClassName, Totals] = {}
