--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -4,6 +4,7 @@
 import random
 
 from jayshunt import __version__
+from jayshunt.admission.diagnostics import ejected_instances
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
@@ -34,7 +35,9 @@
 from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
+from jayshunt.pools.loss_reaction import LossReaction
 from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
+from jayshunt.pools.mover import Mover
 from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
 from jayshunt.pools.registry import EntryRegistry
 from jayshunt.reports import add_reports
@@ -217,6 +220,7 @@
             self.registry.own,
             lambda record: self.controller.apply(record),
             lambda vm: self.brokers.in_flight(vm),
+            lambda: ejected_instances(self.brokers),
         )
         self.peer_server.add(
             lambda server: add_AssignmentsServicer_to_server(service, server)
@@ -251,13 +255,20 @@
             zone,
             self.controller,
             ledger,
-            ZoneReporter(zone, ledger, dict, self.clock),
+            ZoneReporter(zone, ledger, self.controller.failing, self.clock),
             lambda: self.config.current().document,
             self.inventory.call_vm,
             self._probes.check,
             self.clock,
         )
         self.controller.add_duty(runner.step)
+        self.losses = LossReaction(
+            Mover(zone, self.controller, ledger.request, self.clock),
+            lambda: self.config.current().document,
+            lambda: self.inventory.current,
+            self.controller.failing,
+        )
+        self.controller.add_duty(self.losses.step)
         return runner
 
     def _min_available_ratio(self, pool: PoolName) -> float:
