Ask again instead of refusing an admitted request

Direct calls of the measurement counted as one exceeded slot.

Change: such a request asks again every 30 ms until its patience ends. The measurement leaves out what direct calls did.

--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -97,6 +97,8 @@
 # Another zone is asked only while a refusal would still be early.
 SPILL_WITHIN_RATIO = 0.06
 DOWN_S = 0.1
+# A request that must not be refused any more asks again after this time.
+ASK_AGAIN_S = 0.03
 
 # Time between two looks at which instances must be checked.
 HEALTH_STEP_S = 0.1
--- a/src/jayshunt/admission/directory.py
+++ b/src/jayshunt/admission/directory.py
@@ -9,6 +9,7 @@
 from jayshunt.admission.broker import Broker
 from jayshunt.admission.broker_client import BrokerClient
 from jayshunt.admission.const import (
+    ASK_AGAIN_S,
     COPY_AFTER_MS,
     MAX_BROKERS_ASKED,
     NOT_BROKER,
@@ -67,19 +68,44 @@
         self._clients: dict[str, BrokerClient] = {}
         self._executor = ThreadPoolExecutor(PEER_THREADS, "takeover")
         self._stopping = False
+        self._stopped = threading.Event()
         self._pending: dict[RequestId, PendingCall] = {}
         self.permits = OwnPermits(clock)
         self.takeover = Takeover(entry, zone, read_view, channels)
 
     def acquire(self, request: PermitRequest) -> PermitGranted | PermitRefused:
+        """Return a permit, or a refusal while that is early.
+
+        A request that was admitted once, or that is late already, asks again
+        until its patience ends, for example while a broker is being replaced.
+        """
+        patience_s = self._clock.monotonic_s() + request.wait_limit_ms / 1000
+        while True:
+            reply, asked = self._acquire_anywhere(request)
+            may_wait = asked.attempt > 0 and reply_may_change(reply)
+            again_s = self._clock.monotonic_s() + ASK_AGAIN_S
+            if not may_wait or again_s >= patience_s:
+                return reply
+            self._clock.wait(self._stopped, ASK_AGAIN_S)
+            passed_ms = request.wait_limit_ms - (patience_s - again_s) * 1000
+            request = replace(
+                asked,
+                spilled=False,
+                remaining_ms=request.remaining_ms - passed_ms,
+                patience_ms=(patience_s - again_s) * 1000,
+            )
+
+    def _acquire_anywhere(
+        self, request: PermitRequest
+    ) -> tuple[PermitGranted | PermitRefused, PermitRequest]:
         """Ask the own zone's broker, then those of other zones while it is early."""
         started_s = self._clock.monotonic_s()
         end_s = started_s + request.remaining_ms / 1000
         # Past this time a refusal would be late, so that no broker may refuse.
         early_s = started_s + SPILL_WITHIN_RATIO * request.remaining_ms / 1000
         reply, request = self._acquire_in(self._zone, request, end_s, early_s)
-        if isinstance(reply, PermitGranted) or reply.code not in SPILL_CODES:
-            return reply
+        if not reply_may_change(reply):
+            return reply, request
         for zone in self._read_view().zones():
             now_s = self._clock.monotonic_s()
             key = (zone, request.pool, request.work_class)
@@ -91,9 +117,9 @@
             spilled = replace(request, spilled=True)
             other, _ = self._acquire_in(zone, spilled, end_s, early_s)
             if isinstance(other, PermitGranted):
-                return other
+                return other, request
             self._closed_until_s[key] = self._clock.monotonic_s() + SPILL_CLOSED_S
-        return reply
+        return reply, request
 
     def release(self, result: PermitResult) -> None:
         """Give a permit back to the broker that counts it."""
@@ -198,6 +224,7 @@
         """Give up every broker, so that waiting requests ask the next entry."""
         with self._lock:
             self._stopping = True
+            self._stopped.set()
             brokers, self._brokers = self._brokers, {}
             clients = list(self._clients.values())
         for broker in brokers.values():
@@ -298,3 +325,8 @@
 
     def _own_member(self) -> Member | None:
         return self._read_view().find(self._entry)
+
+
+def reply_may_change(reply: PermitGranted | PermitRefused) -> bool:
+    """Return whether another zone or a later moment may give a permit."""
+    return isinstance(reply, PermitRefused) and reply.code in SPILL_CODES
--- a/src/jayshunt_measure/serving.py
+++ b/src/jayshunt_measure/serving.py
@@ -97,9 +97,9 @@
         outages = tuple(
             Outage(fault.slots_lost, struck_s, ended_s) for fault in case.faults
         )
-        before = sum(self.record.over_slots.values())
+        before = self.record.slots_exceeded
         self.collect()
-        over_slots = sum(self.record.over_slots.values()) - before
+        over_slots = self.record.slots_exceeded - before
         return CaseResult(case, arrivals, sent, outages, used_s, over_slots)
 
     def collect(self) -> None:
@@ -157,6 +157,8 @@
         bed.wait_members()
         run = ServingRun(bed, seed, seconds)
         direct_sent = run.calm("direct", direct=True)
+        run.collect()
+        run.record.end_direct()
         # The first requests open connections and streams.
         run.calm("warm-up")
         calm_sent = run.calm("calm")
@@ -214,7 +216,7 @@
         "worst_case": worst_name,
         "worst_case_of_bound": worst_ratio,
         **{name: value for name, value in vars(total).items()},
-        "slots_exceeded": sum(record.over_slots.values()),
+        "slots_exceeded": record.slots_exceeded,
         "leaving_last_new_work_ms": record.leaving_last_ms,
         "retry_amplification_ratio": sum(record.received.values())
         / max(1, len(record.received)),
--- a/src/jayshunt_measure/serving_counts.py
+++ b/src/jayshunt_measure/serving_counts.py
@@ -18,6 +18,16 @@
     received: Counter = field(default_factory=Counter)
     over_slots: dict[str, int] = field(default_factory=dict)
     leaving_last_ms: float = 0.0
+    direct_over_slots: int = 0
+
+    @property
+    def slots_exceeded(self) -> int:
+        """Return how often a request through jayshunt found no free slot."""
+        return sum(self.over_slots.values()) - self.direct_over_slots
+
+    def end_direct(self) -> None:
+        """Leave out what direct calls did, which no permit limits."""
+        self.direct_over_slots = sum(self.over_slots.values())
 
     def add(self, vm: str, report: dict) -> None:
         """Take in one report of an instance."""
