--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -4,10 +4,12 @@
 import random
 
 from jayshunt import __version__
+from jayshunt.admission.diagnostics import ejected_instances
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
 from jayshunt.clock import SystemClock
+from jayshunt.config.checks import PoolCount, budget_check, target_check
 from jayshunt.config.coordinator import ConfigCoordinator
 from jayshunt.config.peer_service import ConfigurationServicer
 from jayshunt.config.spreader import ConfigSpreader
@@ -16,6 +18,7 @@
 from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
 from jayshunt.idempotency.models import Holder
 from jayshunt.ids import EntryId, PoolName, RegionName, WorkerId, ZoneName
+from jayshunt.inventory.models import ListedState
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.service import JobService
 from jayshunt.maintenance.permits import PermitLedger
@@ -32,7 +35,9 @@
 from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
 from jayshunt.pools.controller import ZoneController
+from jayshunt.pools.loss_reaction import LossReaction
 from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
+from jayshunt.pools.mover import Mover
 from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
 from jayshunt.pools.registry import EntryRegistry
 from jayshunt.reports import add_reports
@@ -109,6 +114,8 @@
             clock,
         )
         self.peer_server.add(OperationsServicer(self.operations.reporter).add_to)
+        self.config.add_check(budget_check(self._count_vms))
+        self.config.add_check(target_check(self.operations.statistics.fastest_ms))
         self.controller.add_listener(self.operations.samples.take_record)
         self.brokers = BrokerDirectory(
             self._entry,
@@ -213,6 +220,7 @@
             self.registry.own,
             lambda record: self.controller.apply(record),
             lambda vm: self.brokers.in_flight(vm),
+            lambda: ejected_instances(self.brokers),
         )
         self.peer_server.add(
             lambda server: add_AssignmentsServicer_to_server(service, server)
@@ -247,13 +255,20 @@
             zone,
             self.controller,
             ledger,
-            ZoneReporter(zone, ledger, dict, self.clock),
+            ZoneReporter(zone, ledger, self.controller.failing, self.clock),
             lambda: self.config.current().document,
             self.inventory.call_vm,
             self._probes.check,
             self.clock,
         )
         self.controller.add_duty(runner.step)
+        self.losses = LossReaction(
+            Mover(zone, self.controller, ledger.request, self.clock),
+            lambda: self.config.current().document,
+            lambda: self.inventory.current,
+            self.controller.failing,
+        )
+        self.controller.add_duty(self.losses.step)
         return runner
 
     def _min_available_ratio(self, pool: PoolName) -> float:
@@ -261,6 +276,14 @@
         # Nothing of a pool that is not configured may be taken down.
         return 1.0 if configured is None else configured.min_available_ratio
 
+    def _count_vms(self, pool: PoolName) -> PoolCount:
+        """Count a pool's VMs in all zones by the platform's list."""
+        listed = [
+            vm for vm in self.inventory.current.vms.values() if vm.initial_pool == pool
+        ]
+        live = sum(vm.state is ListedState.LIVE for vm in listed)
+        return PoolCount(len(listed), live)
+
     def _share_store(self, view: MembershipView) -> None:
         """Divide the store's rate among all entries that may be alive.
 
