Tell brokers when an entry may grant slots, and be ready only then

Cause: a scenario failed with 503 no_instance right after the start. /readyz was 200 and the broker ran, but the entry was not registered yet, and after it was, the broker learned of its instances only at its next tick.

Change: the controller calls its listeners when an entry becomes a possible broker, and /readyz waits for that or for another entry of the zone.

Conclusion: an entry that says it is ready grants slots.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -366,9 +366,15 @@
         return self.store.health.state is StoreState.UP
 
     def is_ready(self) -> bool:
-        """Return whether callers can be served; False from the start of a stop."""
+        """Return whether callers can be served; False from the start of a stop.
+
+        An entry that may not be broker yet serves through the others of its zone.
+        """
         in_force = self.config.current().version and self.controller.record.epoch
-        return bool(in_force) and not self.callers.draining
+        zone = ZoneName(self.settings.identity.zone)
+        others = len(self.membership.view().alive(zone)) > 1
+        has_broker = self.controller.may_broker or others
+        return bool(in_force and has_broker) and not self.callers.draining
 
     def _buffer_cores(self) -> float:
         return buffer_cores(
--- a/src/jayshunt/pools/controller.py
+++ b/src/jayshunt/pools/controller.py
@@ -154,7 +154,7 @@
         try:
             self._registry.register()
             self._control()
-            self._may_broker = self._registry.is_registered
+            self._allow_broker()
         finally:
             self._spread()
         if not self.holds_lease:
@@ -202,6 +202,14 @@
             listener(record)
         return self._record
 
+    def _allow_broker(self) -> None:
+        """Let this entry be broker; its listeners read `may_broker` again."""
+        allowed, self._may_broker = self._may_broker, self._registry.is_registered
+        if allowed == self._may_broker or not self._record.epoch:
+            return
+        for listener in self._listeners:
+            listener(self._record)
+
     def _control(self) -> None:
         if not self._lease.hold():
             self._fence = None
--- a/src/jayshunt/pools/tests/test_moves.py
+++ b/src/jayshunt/pools/tests/test_moves.py
@@ -134,6 +134,15 @@
         late.controller.apply(self.first.controller.record)
         self.assertEqual(late.grantable(DESK), [])
 
+    def test_listeners_hear_when_an_entry_may_become_broker(self) -> None:
+        """A broker must not refuse requests until its next tick after a start."""
+        entry = self.zone.add_entry("entry-d")
+        heard: list[list[VmId]] = []
+        entry.controller.add_listener(lambda _: heard.append(entry.grantable(DESK)))
+        entry.controller.step()
+        self.assertEqual(heard[-1], entry.grantable(DESK))
+        self.assertNotEqual(heard[-1], [])
+
     def test_older_process_does_not_take_over_a_registration(self) -> None:
         """A process that was replaced must not become broker again."""
         self.zone.clock.advance(10)
