Let a fresh entry retry until a failing instance is ejected

An entry starts with 3 retries, an instance is ejected after 4 failures in a row, so that the fourth fault reached the caller if both instances were used evenly.

Change: an entry starts with 10 retries. A unit test sends four requests that each meet one fault; it fails with 3 and passes with 10.

--- a/src/jayshunt/routing/const.py
+++ b/src/jayshunt/routing/const.py
@@ -12,10 +12,11 @@
 
 MAX_ATTEMPTS = 3
 # Retries may add this part of all requests, so that a failing pool is not hit
-# by a multiple of its load. The reserve lets a quiet entry retry at all.
+# by a multiple of its load. The reserve covers the failures of an instance until
+# it is ejected, when an entry has sent too little to have earned retries.
 RETRY_BUDGET_RATIO = 0.1
 RETRY_BUDGET_LIMIT = 20.0
-RETRY_BUDGET_START = 3.0
+RETRY_BUDGET_START = 10.0
 BACKOFF_BASE_MS = 10.0
 BACKOFF_LIMIT_MS = 200.0
 # A repeatable request leaves this part of its time for a second attempt, unless
--- a/src/jayshunt/routing/tests/test_router.py
+++ b/src/jayshunt/routing/tests/test_router.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from jayshunt.admission.const import EJECT_CONSECUTIVE
 from jayshunt.admission.messages import SendOutcome
 from jayshunt.clock import ManualClock
 from jayshunt.errors import JayshuntError, Outcome
@@ -90,6 +91,14 @@
         self.assertAlmostEqual(connections.sent[0][1], 300, places=3)
         self.assertGreater(connections.sent[1][1], 1000)
 
+    def test_fresh_entry_retries_until_an_instance_is_ejected(self) -> None:
+        """An entry without earned retries would show the faults to callers."""
+        fault = CallerAnswer(500, (), b"broken")
+        connections = FakeConnections(*[fault, ANSWER] * EJECT_CONSECUTIVE)
+        router = router_with(FakePermits(), connections)
+        for _ in range(EJECT_CONSECUTIVE):
+            self.assertEqual(router.send(caller_request()), ANSWER)
+
     def test_budget_bounds_retries(self) -> None:
         """A failing pool must not get a multiple of its load."""
         permits = FakePermits()
