Read instances once a second and tick idle brokers rarely

Cause: an idle entry spent more processor time than the limit for control. A profile of the broker directory showed that each tick, 20 a second, read the zone's record for each pool, although changes reach the brokers by a listener.

Change: the record is read once a second and on change; a broker without permits and requests ticks every 0.4 s, well below the 1 s that counts as a pause.

--- a/src/jayshunt/admission/broker.py
+++ b/src/jayshunt/admission/broker.py
@@ -7,6 +7,7 @@
 from jayshunt.admission.admission_queue import AdmissionQueue
 from jayshunt.admission.backlog import Waiter
 from jayshunt.admission.const import (
+    IDLE_TICK_S,
     PAUSE_LIMIT_S,
     UNKNOWN_BLOCK_FACTOR,
     UNKNOWN_DEFAULT_MS,
@@ -196,6 +197,12 @@
         _deliver([(waiter, refusal) for waiter in waiters])
         return self.held_permits()
 
+    def is_tick_due(self) -> bool:
+        """Return whether a tick can change anything; an idle broker needs few."""
+        if len(self._queue) or len(self._permits) or not self._granting:
+            return True
+        return self._clock.monotonic_s() - self._ticked_s >= IDLE_TICK_S
+
     def tick(self) -> bool:
         """Expire permits, find stuck slots and refuse what lost its chance.
 
--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -46,6 +46,10 @@
 HEALTH_FAILURES = 2
 
 TICK_S = 0.05
+# Reading the zone's record for each pool at each tick cost more than the ticks.
+INSTANCES_REFRESH_S = 1.0
+# Well below PAUSE_LIMIT_S, so that an idle broker is not taken for a paused one.
+IDLE_TICK_S = 0.4
 # A broker that did not run for this long may have been replaced. It is under
 # the 1.6 s after which membership suspects an entry and the next one takes over.
 PAUSE_LIMIT_S = 1.0
--- a/src/jayshunt/admission/directory.py
+++ b/src/jayshunt/admission/directory.py
@@ -11,6 +11,7 @@
 from jayshunt.admission.const import (
     ASK_AGAIN_S,
     COPY_AFTER_MS,
+    INSTANCES_REFRESH_S,
     MAX_BROKERS_ASKED,
     NOT_BROKER,
     NOT_MINE_S,
@@ -68,6 +69,7 @@
         self._clients: dict[str, BrokerClient] = {}
         self._executor = ThreadPoolExecutor(PEER_THREADS, "takeover")
         self._stopping = False
+        self._refresh_s = 0.0
         self._stopped = threading.Event()
         self._pending: dict[RequestId, PendingCall] = {}
         self.permits = OwnPermits(clock)
@@ -213,10 +215,17 @@
             self._clock.wait(stop, TICK_S)
 
     def step(self) -> None:
-        """Step each broker once and drop permits that expired."""
+        """Step each broker once and drop permits that expired.
+
+        A changed record reaches the brokers at once through `apply_assignments`;
+        the instances are read again only once in a while.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._refresh_s:
+            self._refresh_s = now_s + INSTANCES_REFRESH_S
+            self.apply_assignments()
         for pool, broker in self.brokers().items():
-            broker.set_instances(self._list_instances(pool))
-            if not broker.tick():
+            if broker.is_tick_due() and not broker.tick():
                 self._start_takeover(pool, broker)
         self.permits.expire()
 
--- a/src/jayshunt/admission/permit_table.py
+++ b/src/jayshunt/admission/permit_table.py
@@ -32,6 +32,10 @@
         self._permits: dict[PermitId, GrantedPermit] = {}
         self.running_ms = 0.0
 
+    def __len__(self) -> int:
+        """Return the number of permits that are held."""
+        return len(self._permits)
+
     def add(self, held: HeldPermit, run_ms: float, now_s: float) -> None:
         """Count one slot as used."""
         if held.permit in self._permits:
--- a/src/jayshunt/admission/tests/test_broker.py
+++ b/src/jayshunt/admission/tests/test_broker.py
@@ -3,7 +3,7 @@
 import unittest
 
 from jayshunt.admission.broker import Broker
-from jayshunt.admission.const import PAUSE_LIMIT_S
+from jayshunt.admission.const import IDLE_TICK_S, PAUSE_LIMIT_S
 from jayshunt.admission.instances import HealthReport
 from jayshunt.admission.messages import (
     HeldPermit,
@@ -58,6 +58,16 @@
         self.broker.release(result(first))
         self.assertEqual(self.broker.in_flight(VmId("vm-1")), 1)
 
+    def test_idle_broker_ticks_rarely_and_is_not_taken_for_a_paused_one(self) -> None:
+        """Rare ticks must not stop an idle broker, nor delay one in use."""
+        self.assertFalse(self.broker.is_tick_due())
+        for _ in range(10):
+            self.clock.advance(IDLE_TICK_S)
+            self.assertTrue(self.broker.is_tick_due())
+            self.assertTrue(self.broker.tick())
+        self.fill()
+        self.assertTrue(self.broker.is_tick_due())
+
     def test_earlier_deadline_goes_first(self) -> None:
         """Order by arrival makes an urgent request late behind patient ones."""
         first, _ = self.fill()
