Move VMs as the measured demand of a zone asks

Cause: the capacity plan was measured, but nothing ran it, because no part told the zone controller the demand of its pools.

Change: entries tell the mean demand of the last minutes at their brokers with each acknowledgement of the assignment record.

Moves between zones, and the loss of a whole zone, are not covered.

--- a/src/jayshunt/admission/diagnostics.py
+++ b/src/jayshunt/admission/diagnostics.py
@@ -2,7 +2,7 @@
 
 from jayshunt.admission.broker import Broker
 from jayshunt.admission.directory import BrokerDirectory
-from jayshunt.ids import VmId
+from jayshunt.ids import PoolName, VmId
 
 
 def describe_admission(directory: BrokerDirectory) -> dict:
@@ -96,3 +96,11 @@
         for vm, instance in broker.snapshot().instances.items()
         if instance.ejected_until_s is not None
     )
+
+
+def pool_demand(brokers: BrokerDirectory) -> dict[PoolName, float]:
+    """Return the mean demand of the last minutes at this entry's brokers, in slots."""
+    return {
+        pool: sum(broker.snapshot().usual_slots.values())
+        for pool, broker in brokers.brokers().items()
+    }
--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -4,7 +4,7 @@
 import random
 
 from jayshunt import __version__
-from jayshunt.admission.diagnostics import ejected_instances
+from jayshunt.admission.diagnostics import ejected_instances, pool_demand
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
@@ -34,6 +34,7 @@
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
+from jayshunt.pools.capacity_control import CapacityControl
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.loss_reaction import LossReaction
 from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
@@ -221,6 +222,7 @@
             lambda record: self.controller.apply(record),
             lambda vm: self.brokers.in_flight(vm),
             lambda: ejected_instances(self.brokers),
+            lambda: pool_demand(self.brokers),
         )
         self.peer_server.add(
             lambda server: add_AssignmentsServicer_to_server(service, server)
@@ -262,13 +264,21 @@
             self.clock,
         )
         self.controller.add_duty(runner.step)
+        mover = Mover(zone, self.controller, ledger.request, self.clock)
         self.losses = LossReaction(
-            Mover(zone, self.controller, ledger.request, self.clock),
+            mover,
             lambda: self.config.current().document,
             lambda: self.inventory.current,
             self.controller.failing,
         )
         self.controller.add_duty(self.losses.step)
+        self.capacity = CapacityControl(
+            mover,
+            lambda: self.config.current().document,
+            self.controller.demand,
+            self.clock,
+        )
+        self.controller.add_duty(self.capacity.step)
         return runner
 
     def _min_available_ratio(self, pool: PoolName) -> float:
--- /dev/null
+++ b/src/jayshunt/pools/capacity_control.py
@@ -0,0 +1,163 @@
+"""Move VMs between pools and the buffer as the measured demand asks."""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jayshunt.clock import Clock
+from jayshunt.config.models import ConfigDocument, WorkKind
+from jayshunt.ids import PoolName
+from jayshunt.pools.capacity import CapacityPlan, PoolLoad, plan_capacity
+from jayshunt.pools.const import (
+    MOVE_TIME_S,
+    PLAN_INTERVAL_S,
+    RELEASE_AFTER_S,
+    TARGET_UTILIZATION,
+)
+from jayshunt.pools.demand import PoolMeter
+from jayshunt.pools.models import (
+    Assignment,
+    AssignmentRecord,
+    AssignmentState,
+    VmKind,
+    ZoneDemand,
+)
+from jayshunt.pools.mover import Mover
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass
+class PoolTrend:
+    """Learn a pool's demand, and for how long it lacks VMs or has too many."""
+
+    meter: PoolMeter = field(default_factory=PoolMeter)
+    surplus_s: float = 0.0
+
+    def note_balance(self, change: int, step_s: float) -> None:
+        """Take what the plan would change now."""
+        self.meter.lacking_s = self.meter.lacking_s + step_s if change > 0 else 0.0
+        self.surplus_s = self.surplus_s + step_s if change < 0 else 0.0
+
+
+class CapacityControl:
+    """Run the capacity plan for the instances of one zone; a controller's duty.
+
+    VMs of pools marked as spare are the buffer; without such a pool nothing
+    moves. A lack must last for as long as a move takes, so that no VM moves for
+    a burst that ends before it arrives, and a surplus for longer, since each
+    move costs a drain and a reboot. At most one VM a pool moves at each plan.
+    """
+
+    def __init__(
+        self,
+        mover: Mover,
+        read_config: Callable[[], ConfigDocument],
+        read_demand: Callable[[], ZoneDemand],
+        clock: Clock,
+    ) -> None:
+        """Start without knowledge of demand."""
+        self._mover = mover
+        self._read_config = read_config
+        self._read_demand = read_demand
+        self._clock = clock
+        self._planned_s: float | None = None
+        self._trends: dict[PoolName, PoolTrend] = {}
+        self.plan = CapacityPlan({}, 0, {})
+
+    def step(self, record: AssignmentRecord) -> None:
+        """Plan once an interval and begin the moves that are due."""
+        now_s = self._clock.monotonic_s()
+        if self._planned_s is None or now_s - self._planned_s > 2 * PLAN_INTERVAL_S:
+            # A new controller must see a lack or a surplus last by itself.
+            self._planned_s, self._trends = now_s, {}
+            return
+        if now_s - self._planned_s < PLAN_INTERVAL_S:
+            return
+        step_s, self._planned_s = now_s - self._planned_s, now_s
+        config, demand = self._read_config(), self._read_demand()
+        buffers = [name for name, pool in config.pools.items() if pool.spare]
+        if not buffers:
+            return
+        loads = self._loads(record, config, demand, step_s)
+        spare = sum(len(_serving(record, name)) for name in buffers)
+        self.plan = plan_capacity(loads, spare, 1, MOVE_TIME_S, config.weigh_first)
+        for load in loads:
+            change = self.plan.changes.get(load.pool, 0)
+            trend = self._trends[load.pool]
+            trend.note_balance(change, step_s)
+            if change > 0 and trend.meter.lacking_s >= MOVE_TIME_S:
+                self._begin(record, buffers, load.pool)
+            elif change < 0 and demand.complete and trend.surplus_s >= RELEASE_AFTER_S:
+                self._begin(record, [load.pool], buffers[0])
+
+    def _loads(
+        self,
+        record: AssignmentRecord,
+        config: ConfigDocument,
+        demand: ZoneDemand,
+        step_s: float,
+    ) -> list[PoolLoad]:
+        loads = []
+        for name, pool in config.pools.items():
+            vms = len(_serving(record, name))
+            arriving = _arriving(record, name)
+            if pool.spare or not vms + arriving:
+                continue
+            trend = self._trends.setdefault(name, PoolTrend())
+            usable = pool.slots_per_instance * TARGET_UTILIZATION
+            trend.meter.note(demand.slots.get(name, 0.0) / usable, step_s)
+            loads.append(
+                PoolLoad(
+                    pool=name,
+                    rate_vms=trend.meter.rate,
+                    burst_vms=trend.meter.peak,
+                    burst_s=trend.meter.burst_s,
+                    backlog_vm_s=0.0,
+                    target_s=_target_s(config, name),
+                    vms=vms,
+                    arriving=arriving,
+                    lacking_s=trend.meter.lacking_s,
+                )
+            )
+        return loads
+
+    def _begin(
+        self, record: AssignmentRecord, sources: list[PoolName], pool: PoolName
+    ) -> None:
+        racks = Counter(a.rack for a in _serving(record, pool))
+        candidates = [a for name in sources for a in _serving(record, name)]
+        own = Counter(a.rack for a in candidates)
+        # The pool gains a rack that it has least of, and the source loses one of
+        # which it has most, so that both stay spread.
+        best = min(
+            candidates, key=lambda a: (racks[a.rack], -own[a.rack], a.vm), default=None
+        )
+        if best is None:
+            return
+        reason = self.plan.reasons.get(pool) or self.plan.reasons.get(best.pool, "")
+        self._mover.move(record, best.vm, pool, reason or "demand changed")
+
+
+def _serving(record: AssignmentRecord, pool: PoolName) -> tuple[Assignment, ...]:
+    return record.serving(pool, VmKind.UPSTREAM)
+
+
+def _arriving(record: AssignmentRecord, pool: PoolName) -> int:
+    return sum(
+        1
+        for a in record.assignments.values()
+        if a.next_pool == pool
+        and a.kind is VmKind.UPSTREAM
+        and a.state is not AssignmentState.SERVING
+    )
+
+
+def _target_s(config: ConfigDocument, pool: PoolName) -> float:
+    targets_ms = [
+        c.target_ms
+        for c in config.classes.values()
+        if c.pool == pool and c.kind is WorkKind.REQUEST
+    ]
+    return min(targets_ms, default=1_000) / 1000
--- a/src/jayshunt/pools/const.py
+++ b/src/jayshunt/pools/const.py
@@ -13,6 +13,13 @@
 REGISTRATION_CHECK_S = 5.0
 # Entries that missed a change get the record again after this time.
 PUSH_INTERVAL_S = 5.0
+# A move drains, reboots and passes 30 s of probation before the VM serves.
+MOVE_TIME_S = 60.0
+PLAN_INTERVAL_S = 5.0
+# A VM that is given up and needed again costs two moves.
+RELEASE_AFTER_S = 10 * MOVE_TIME_S
+# Requests queue for bursts within seconds above this part of a pool's slots.
+TARGET_UTILIZATION = 0.8
 MAX_RECORD_BYTES = 4 * 1024 * 1024
 
 
--- a/src/jayshunt/pools/controller.py
+++ b/src/jayshunt/pools/controller.py
@@ -7,7 +7,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import EntryId, Epoch, VmId, ZoneName
+from jayshunt.ids import EntryId, Epoch, PoolName, VmId, ZoneName
 from jayshunt.inventory.models import VmList
 from jayshunt.pools.const import CONTROL_INTERVAL_S, PUSH_INTERVAL_S, assignments_key
 from jayshunt.pools.drain import GoneEntries, drained, leaving
@@ -17,6 +17,7 @@
     Acknowledgement,
     AssignmentRecord,
     EntryRegistration,
+    ZoneDemand,
 )
 from jayshunt.pools.record import read_record, record_content
 from jayshunt.pools.registry import EntryRegistry
@@ -76,6 +77,7 @@
         self._gone = GoneEntries()
         self.waiting: dict[VmId, str] = {}
         self._failing: dict[EntryId, tuple[VmId, ...]] = {}
+        self._demand = ZoneDemand()
         self._listeners: list[Callable[[AssignmentRecord], None]] = []
         self._duties: list[Callable[[AssignmentRecord], None]] = []
         self._holds: list[Callable[[VmId], int]] = []
@@ -122,9 +124,21 @@
             for vm in vms
         }
 
-    def _note_failing(self, acknowledged: dict[EntryId, Acknowledgement]) -> None:
+    def demand(self) -> ZoneDemand:
+        """Return the demand that the entries told with their last answers."""
+        return self._demand
+
+    def _note_answers(
+        self, asked: int, acknowledged: dict[EntryId, Acknowledgement]
+    ) -> None:
+        """Keep what the entries told of ejected VMs and demand."""
+        slots: dict[PoolName, float] = {}
         for entry, done in acknowledged.items():
             self._failing[entry] = done.failing
+            for pool, demand in done.demand.items():
+                # Two brokers of a pool overlap only during a take-over.
+                slots[pool] = max(demand, slots.get(pool, 0.0))
+        self._demand = ZoneDemand(slots, len(acknowledged) >= asked)
 
     def add_listener(self, listener: Callable[[AssignmentRecord], None]) -> None:
         """Call a listener with each newer record."""
@@ -259,7 +273,7 @@
         registered = self._registry.registered()
         entries = [registration for registration, _ in registered]
         acknowledged = self._push(self._registry.own, entries, self._record)
-        self._note_failing(acknowledged)
+        self._note_answers(len(entries), acknowledged)
         self._pushed = (self._record.epoch, now_s)
         done, self.waiting = drained(
             self._record, registered, acknowledged, self._holds
@@ -285,7 +299,7 @@
         is_due = now_s - pushed_s >= PUSH_INTERVAL_S or epoch < self._record.epoch
         if self._fence is None or not is_due or not self._record.epoch:
             return
-        self._note_failing(
-            self._push(self._registry.own, self._list_peers(), self._record)
-        )
+        peers = self._list_peers()
+        acknowledged = self._push(self._registry.own, peers, self._record)
+        self._note_answers(len(peers), acknowledged)
         self._pushed = (self._record.epoch, now_s)
--- a/src/jayshunt/pools/diagnostics.py
+++ b/src/jayshunt/pools/diagnostics.py
@@ -2,11 +2,12 @@
 
 from dataclasses import asdict
 
+from jayshunt.pools.capacity_control import CapacityControl
 from jayshunt.pools.controller import ZoneController
 from jayshunt.pools.models import AssignmentState
 
 
-def describe(controller: ZoneController) -> dict:
+def describe(controller: ZoneController, capacity: CapacityControl) -> dict:
     """Return the zone's record in brief, with each VM that does not serve."""
     record = controller.record
     return {
@@ -26,5 +27,7 @@
             if a.state is not AssignmentState.SERVING
         },
         "ejected": controller.failing(),
+        "demand_slots": controller.demand().slots,
+        "plan": capacity.plan.reasons,
         "waves": {name: asdict(wave) for name, wave in record.waves.items()},
     }
--- a/src/jayshunt/pools/models.py
+++ b/src/jayshunt/pools/models.py
@@ -86,7 +86,8 @@
 
     `in_flight` counts the requests that the entry still has on VMs that are not
     serving, whether as their broker or as the entry that sent them. `failing`
-    names VMs that its brokers ejected.
+    names VMs that its brokers ejected. `demand` gives the mean demand of the last
+    minutes for each pool of which it is broker, in slots.
     """
 
     entry: EntryId
@@ -94,3 +95,16 @@
     epoch: Epoch
     in_flight: dict[VmId, int] = field(default_factory=dict)
     failing: tuple[VmId, ...] = ()
+    demand: dict[PoolName, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class ZoneDemand:
+    """Hold the mean demand of the last minutes in slots for each pool.
+
+    `complete` is False if an entry of the zone did not answer; its brokers may
+    then have demand that is missing here.
+    """
+
+    slots: dict[PoolName, float] = field(default_factory=dict)
+    complete: bool = False
--- a/src/jayshunt/pools/peer_service.py
+++ b/src/jayshunt/pools/peer_service.py
@@ -6,11 +6,12 @@
 import grpc
 
 from jayshunt.errors import JayshuntError
-from jayshunt.ids import EntryId, Epoch, VmId, ZoneName
+from jayshunt.ids import EntryId, Epoch, PoolName, VmId, ZoneName
 from jayshunt.peers.channels import PeerChannels
 from jayshunt.peers.protocol.peer_pb2 import (
     AssignmentsAcknowledged,
     AssignmentsContent,
+    PoolDemandMessage,
     VmInFlight,
 )
 from jayshunt.peers.protocol.peer_pb2_grpc import AssignmentsServicer, AssignmentsStub
@@ -40,6 +41,7 @@
         apply: Callable[[AssignmentRecord], AssignmentRecord],
         in_flight: Callable[[VmId], int],
         failing: Callable[[], tuple[VmId, ...]] = tuple,
+        demand: Callable[[], dict[PoolName, float]] = dict,
     ) -> None:
         """Wire the parts."""
         self._zone = zone
@@ -47,6 +49,7 @@
         self._apply = apply
         self._in_flight = in_flight
         self._failing = failing
+        self._demand = demand
 
     def acknowledge(self, record: AssignmentRecord) -> Acknowledgement:
         """Apply a record and count what is still in flight.
@@ -63,7 +66,12 @@
         in_flight = {vm: count for vm, count in counts.items() if count}
         own = self._own
         return Acknowledgement(
-            own.entry, own.incarnation, applied.epoch, in_flight, self._failing()
+            own.entry,
+            own.incarnation,
+            applied.epoch,
+            in_flight,
+            self._failing(),
+            self._demand(),
         )
 
     def ApplyAssignments(
@@ -88,6 +96,10 @@
                 for vm, count in done.in_flight.items()
             ],
             failing=done.failing,
+            demand=[
+                PoolDemandMessage(pool=pool, usual_slots=slots)
+                for pool, slots in done.demand.items()
+            ],
         )
 
 
@@ -135,4 +147,5 @@
         Epoch(reply.epoch),
         {VmId(item.vm): item.requests for item in reply.in_flight},
         tuple(VmId(vm) for vm in reply.failing),
+        {PoolName(item.pool): item.usual_slots for item in reply.demand},
     )
--- a/src/jayshunt/reports.py
+++ b/src/jayshunt/reports.py
@@ -89,7 +89,7 @@
     reporter.add_dump("membership", lambda: membership.describe(entry.membership))
     reporter.add_dump("peers", lambda: peers.describe(entry.channels))
     reporter.add_dump("store", lambda: store.describe(entry.store))
-    reporter.add_dump("pools", lambda: pools.describe(entry.controller))
+    reporter.add_dump("pools", lambda: pools.describe(entry.controller, entry.capacity))
     reporter.add_dump("maintenance", lambda: maintenance.describe(entry.maintenance))
     reporter.add_dump("jobs", lambda: jobs.describe(entry.jobs.scheduler))
     reporter.add_dump("idempotency", lambda: idempotency.describe(entry.claims))
