Wire the zone controller's parts in a module of their own

Change: record, moves, maintenance and capacity are wired by FleetParts; the executor is one of the store's test builders.

--- a/src/jayshunt/composition.py
+++ b/src/jayshunt/composition.py
@@ -4,7 +4,6 @@
 import random
 
 from jayshunt import __version__
-from jayshunt.admission.diagnostics import ejected_instances, pool_demand
 from jayshunt.admission.directory import BrokerDirectory
 from jayshunt.admission.health_checks import HealthChecker
 from jayshunt.admission.peer_service import AdmissionService
@@ -15,16 +14,13 @@
 from jayshunt.config.spreader import ConfigSpreader
 from jayshunt.config.transport import GrpcConfigTransport
 from jayshunt.config.watcher import StoreWatcher
+from jayshunt.fleet_composition import FleetParts
 from jayshunt.idempotency.claims import ClaimStore, holder_is_gone
 from jayshunt.idempotency.models import Holder
 from jayshunt.ids import EntryId, PoolName, RegionName, WorkerId, ZoneName
 from jayshunt.inventory.models import ListedState
 from jayshunt.inventory.poller import InventoryPoller
 from jayshunt.jobs.service import JobService
-from jayshunt.maintenance.permits import PermitLedger
-from jayshunt.maintenance.probes import HealthProbes
-from jayshunt.maintenance.reporting import ZoneReporter
-from jayshunt.maintenance.runner import MaintenanceRunner
 from jayshunt.membership.models import Member, MembershipView
 from jayshunt.membership.peer_service import MembershipServicer
 from jayshunt.membership.service import MembershipService
@@ -32,15 +28,8 @@
 from jayshunt.operations.sections import buffer_cores
 from jayshunt.operations.service import OperationsService
 from jayshunt.peers.channels import PeerChannels
-from jayshunt.peers.protocol.peer_pb2_grpc import add_AssignmentsServicer_to_server
 from jayshunt.peers.server import PeerServer
-from jayshunt.pools.capacity_control import CapacityControl
-from jayshunt.pools.controller import ZoneController
-from jayshunt.pools.loss_reaction import LossReaction
-from jayshunt.pools.models import Assignment, EntryRegistration, VmKind
-from jayshunt.pools.mover import Mover
-from jayshunt.pools.peer_service import AssignmentsService, RecordPusher
-from jayshunt.pools.registry import EntryRegistry
+from jayshunt.pools.models import Assignment, VmKind
 from jayshunt.reports import add_reports
 from jayshunt.routing.connections import UpstreamConnections
 from jayshunt.routing.const import HEALTH_CONNECTIONS
@@ -104,8 +93,19 @@
         self.config.add_listener(
             lambda snapshot: self.membership.set_config_version(snapshot.version)
         )
-        self.controller = self._zone_controller(zone, own, documents)
-        self.maintenance = self._maintenance(zone, documents)
+        self.fleet = FleetParts(
+            own,
+            self.store,
+            documents,
+            self.channels,
+            self.membership,
+            self.config,
+            self.inventory,
+            lambda: self.brokers,
+            clock,
+        )
+        self.peer_server.add(self.fleet.add_service)
+        self.controller = self.fleet.controller
         self.operations = OperationsService(
             self._entry,
             self.config,
@@ -200,92 +200,11 @@
         self._tasks.stop()
         self.connections.stop()
         self.commits.stop()
-        self._probes.stop()
+        self.fleet.stop()
         self.membership.stop()
         self.peer_server.stop()
         self.channels.stop()
 
-    def _zone_controller(
-        self, zone: ZoneName, own: Member, documents: DocumentStore
-    ) -> ZoneController:
-        self.registry = EntryRegistry(
-            zone,
-            self._entry,
-            own.incarnation,
-            own.peer_address,
-            self.store,
-            self.clock,
-        )
-        service = AssignmentsService(
-            zone,
-            self.registry.own,
-            lambda record: self.controller.apply(record),
-            lambda vm: self.brokers.in_flight(vm),
-            lambda: ejected_instances(self.brokers),
-            lambda: pool_demand(self.brokers),
-        )
-        self.peer_server.add(
-            lambda server: add_AssignmentsServicer_to_server(service, server)
-        )
-        return ZoneController(
-            zone,
-            self._entry,
-            self.store,
-            documents,
-            lambda: self.inventory.current,
-            self.clock,
-            self.registry,
-            RecordPusher(self.channels, service).push,
-            lambda: [
-                EntryRegistration(m.entry, m.incarnation, m.peer_address, 0.0)
-                for m in self.membership.view().alive(zone)
-            ],
-        )
-
-    def _maintenance(
-        self, zone: ZoneName, documents: DocumentStore
-    ) -> MaintenanceRunner:
-        ledger = PermitLedger(
-            documents,
-            lambda: self.inventory.current,
-            self._min_available_ratio,
-            lambda: self.controller.fencing_epoch,
-            self.clock,
-        )
-        self._probes = HealthProbes()
-        runner = MaintenanceRunner(
-            zone,
-            self.controller,
-            ledger,
-            ZoneReporter(zone, ledger, self.controller.failing, self.clock),
-            lambda: self.config.current().document,
-            self.inventory.call_vm,
-            self._probes.check,
-            self.clock,
-        )
-        self.controller.add_duty(runner.step)
-        mover = Mover(zone, self.controller, ledger.request, self.clock)
-        self.losses = LossReaction(
-            mover,
-            lambda: self.config.current().document,
-            lambda: self.inventory.current,
-            self.controller.failing,
-        )
-        self.controller.add_duty(self.losses.step)
-        self.capacity = CapacityControl(
-            mover,
-            lambda: self.config.current().document,
-            self.controller.demand,
-            self.clock,
-        )
-        self.controller.add_duty(self.capacity.step)
-        return runner
-
-    def _min_available_ratio(self, pool: PoolName) -> float:
-        configured = self.config.current().document.pools.get(pool)
-        # Nothing of a pool that is not configured may be taken down.
-        return 1.0 if configured is None else configured.min_available_ratio
-
     def _count_vms(self, pool: PoolName) -> PoolCount:
         """Count a pool's VMs in all zones by the platform's list."""
         listed = [
--- a/src/jayshunt/idempotency/tests/test_claims.py
+++ b/src/jayshunt/idempotency/tests/test_claims.py
@@ -12,8 +12,7 @@
 from jayshunt.ids import ClassName, EntryId, IdempotencyKey, RequestId
 from jayshunt.routing.messages import CallerAnswer, CallerRequest
 from jayshunt.store.group_commit import GroupCommitter
-from jayshunt.store.tests.builders import FakeStore, build_documents
-from jayshunt.store.tests.test_group_commit import HeldExecutor
+from jayshunt.store.tests.builders import FakeStore, HeldExecutor, build_documents
 
 ANSWER = CallerAnswer(201, (("content-type", "text/plain"),), b"booked")
 NOT_SENT = JayshuntError("upstream_failed", step="routing.send")
--- a/src/jayshunt/idempotency/tests/test_interleavings.py
+++ b/src/jayshunt/idempotency/tests/test_interleavings.py
@@ -17,8 +17,7 @@
 from jayshunt.ids import EntryId, IdempotencyKey
 from jayshunt.routing.messages import CallerRequest
 from jayshunt.store.group_commit import GroupCommitter
-from jayshunt.store.tests.builders import FakeStore, build_documents
-from jayshunt.store.tests.test_group_commit import HeldExecutor
+from jayshunt.store.tests.builders import FakeStore, HeldExecutor, build_documents
 
 ENTRIES = 3
 KEYS = ("k1", "k2")
--- a/src/jayshunt/jobs/tests/test_interleavings.py
+++ b/src/jayshunt/jobs/tests/test_interleavings.py
@@ -14,8 +14,9 @@
 from jayshunt.ids import JobId, WorkerId
 from jayshunt.jobs.const import LEASE_MARGIN_S, TASK_LEASE_S, UNKNOWN_AFTER_S
 from jayshunt.jobs.messages import TaskState
-from jayshunt.jobs.tests.builders import HeldExecutor, Zone
+from jayshunt.jobs.tests.builders import Zone
 from jayshunt.pools.models import AssignmentState
+from jayshunt.store.tests.builders import HeldExecutor
 
 WORKERS = ("w1", "w2", "w3")
 LEASE_OVER_S = TASK_LEASE_S + LEASE_MARGIN_S + 1
--- a/src/jayshunt/jobs/tests/test_overlap.py
+++ b/src/jayshunt/jobs/tests/test_overlap.py
@@ -5,8 +5,9 @@
 from jayshunt.errors import JayshuntError
 from jayshunt.ids import WorkerId
 from jayshunt.jobs.models import JobState
-from jayshunt.jobs.tests.builders import HeldExecutor, Zone
+from jayshunt.jobs.tests.builders import Zone
 from jayshunt.pools.models import AssignmentState
+from jayshunt.store.tests.builders import HeldExecutor
 
 
 class OverlapTest(unittest.TestCase):
--- a/src/jayshunt/jobs/tests/test_scheduler.py
+++ b/src/jayshunt/jobs/tests/test_scheduler.py
@@ -14,8 +14,9 @@
 from jayshunt.jobs.diagnostics import describe
 from jayshunt.jobs.messages import TaskState
 from jayshunt.jobs.models import JobState
-from jayshunt.jobs.tests.builders import HeldExecutor, Zone
+from jayshunt.jobs.tests.builders import Zone
 from jayshunt.pools.models import AssignmentState
+from jayshunt.store.tests.builders import HeldExecutor
 
 LEASE_OVER_S = TASK_LEASE_S + LEASE_MARGIN_S + 1
 
--- a/src/jayshunt/reports.py
+++ b/src/jayshunt/reports.py
@@ -52,7 +52,7 @@
         lambda: wave_rows(
             entry.settings.identity.zone,
             entry.controller.record.epoch,
-            entry.maintenance.statuses if entry.controller.holds_lease else (),
+            entry.fleet.maintenance.statuses if entry.controller.holds_lease else (),
         ),
     )
     reporter.add_status("job_classes", lambda: _describe_job_classes(entry))
@@ -66,7 +66,9 @@
     # Only the zone controller runs waves; the others have none to show.
     reporter.add_status(
         "waves",
-        lambda: [maintenance.wave_row(wave) for wave in entry.maintenance.statuses],
+        lambda: [
+            maintenance.wave_row(wave) for wave in entry.fleet.maintenance.statuses
+        ],
     )
 
 
@@ -89,8 +91,12 @@
     reporter.add_dump("membership", lambda: membership.describe(entry.membership))
     reporter.add_dump("peers", lambda: peers.describe(entry.channels))
     reporter.add_dump("store", lambda: store.describe(entry.store))
-    reporter.add_dump("pools", lambda: pools.describe(entry.controller, entry.capacity))
-    reporter.add_dump("maintenance", lambda: maintenance.describe(entry.maintenance))
+    reporter.add_dump(
+        "pools", lambda: pools.describe(entry.controller, entry.fleet.capacity)
+    )
+    reporter.add_dump(
+        "maintenance", lambda: maintenance.describe(entry.fleet.maintenance)
+    )
     reporter.add_dump("jobs", lambda: jobs.describe(entry.jobs.scheduler))
     reporter.add_dump("idempotency", lambda: idempotency.describe(entry.claims))
     reporter.add_dump("admission", lambda: admission.describe_admission(entry.brokers))
--- a/src/jayshunt/store/tests/builders.py
+++ b/src/jayshunt/store/tests/builders.py
@@ -1,6 +1,8 @@
 """Build fakes of the platform's store."""
 
 import random
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
 
 from jayshunt.clock import ManualClock
 from jayshunt.ids import LeaseId, Revision
@@ -90,3 +92,22 @@
 def build_documents(store: FakeStore, seed: int = 1) -> DocumentStore:
     """Return documents on a fake store with a manual clock."""
     return DocumentStore(store, ManualClock(), random.Random(seed))
+
+
+class HeldExecutor(Executor):
+    """Keep submitted work until `run` is called, as a paused process does."""
+
+    def __init__(self) -> None:
+        """Start without work."""
+        self.work: list[Callable] = []
+
+    def submit(self, function, /, *args, **kwargs) -> Future:
+        """Keep one call."""
+        self.work.append(lambda: function(*args, **kwargs))
+        return Future()
+
+    def run(self) -> None:
+        """Run what was submitted."""
+        work, self.work = self.work, []
+        for call in work:
+            call()
--- a/src/jayshunt_standins/server.py
+++ b/src/jayshunt_standins/server.py
@@ -192,7 +192,7 @@
 
     def answer(self, call: Call) -> Reply:
         """Return the answer to one call; each stand-in provides its own."""
-        raise NotImplementedError(call.path)
+        return Reply(404, {"error": f"unknown path {call.path}"})
 
     def send(self, handler: BaseHTTPRequestHandler, reply: Reply) -> None:
         """Write one answer."""
