Keep the slot of a timed-out request for at least one second

The permits of requests with little time left expired while the late instance still worked on them.

Change: a permit lives for at least 1 s.

The new test fails without the change.

--- a/src/jayshunt/admission/const.py
+++ b/src/jayshunt/admission/const.py
@@ -65,6 +65,9 @@
 # A slot that is held for this many run times is stuck, and one whose request
 # timed out stays counted for as long.
 UNKNOWN_RUN_FACTOR = 4.0
+# An instance that answers late works on after the caller's timeout; with a shorter
+# time, two slots too many were in use at an instance that answered 0.3 s late.
+PERMIT_TTL_MINIMUM_MS = 1000.0
 # Slots that an unreachable entry may use are counted as free after
 # UNKNOWN_BLOCK_FACTOR learned run times of the slowest class: an entry that
 # ended sends nothing more, and one that was paused gives back permits that it
--- a/src/jayshunt/admission/slot_granter.py
+++ b/src/jayshunt/admission/slot_granter.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from jayshunt.admission.backlog import Waiter
-from jayshunt.admission.const import UNKNOWN_RUN_FACTOR
+from jayshunt.admission.const import PERMIT_TTL_MINIMUM_MS, UNKNOWN_RUN_FACTOR
 from jayshunt.admission.instances import InstanceState, PoolInstances
 from jayshunt.admission.messages import HeldPermit, PermitGranted, PermitRequest
 from jayshunt.admission.permit_table import PermitTable
@@ -62,6 +62,7 @@
         remaining_ms = max(0.0, waiter.deadline_s - now_s) * 1000
         expected_ms = waiter.run_ms * self._run_times.slowness(vm)
         ttl_ms = remaining_ms + max(remaining_ms, UNKNOWN_RUN_FACTOR * expected_ms)
+        ttl_ms = max(ttl_ms, PERMIT_TTL_MINIMUM_MS)
         held = HeldPermit(permit, vm, waiter.request.work_class, ttl_ms)
         self._permits.add(held, waiter.run_ms, now_s)
         return PermitGranted(
--- a/src/jayshunt/admission/tests/test_broker.py
+++ b/src/jayshunt/admission/tests/test_broker.py
@@ -100,6 +100,16 @@
         self.broker.tick()
         self.assertEqual(self.broker.in_flight(VmId("vm-1")), 0)
 
+    def test_late_instance_keeps_the_slot_of_a_short_request(self) -> None:
+        """A slot freed soon after a short timeout is used twice while work goes on."""
+        grants = [self.asked.reply(self.asked.ask(remaining_ms=60)) for _ in range(2)]
+        self.clock.advance(0.06)
+        for granted in grants:
+            self.broker.release(result(granted, SendOutcome.TIMED_OUT))
+        self.clock.advance(0.6)
+        self.broker.tick()
+        self.assertEqual(self.broker.in_flight(VmId("vm-1")), 2)
+
     def test_retry_avoids_the_instance_that_failed(self) -> None:
         """An instance that fails fast is the least loaded and draws retries."""
         self.broker.set_instances(instances("vm-1", "vm-2"))
