--- a/src/jayshunt/jobs/packing.py
+++ b/src/jayshunt/jobs/packing.py
@@ -137,7 +137,7 @@
     """Place waiting jobs, urgent ones first, then by the time they must start.
 
     A team without a share has no limit. A job that is past `start_by_s` and does
-    not fit keeps the roomiest worker of its pool free of later jobs, one worker
+    not fit keeps the worker with the most free capacity for itself, one worker
     a pool, so that small jobs do not delay a large one forever. An urgent job
     that does not fit preempts jobs of `running` that are not urgent.
     """
