Count the permits of other zones after a takeover

Cause: a new broker asked only the entries of its own zone for held permits. Slots used by requests that had spilled over from another zone were free in its count, and a VM with such a request could count as drained.

Change: once it grants, a new broker also asks the live entries of other zones, on threads of their own, and adds what they hold; RecoverRequest names the zone.

Conclusion: spilled requests count in a drain and in slots, unless their zone is out of reach at that moment.

--- a/src/jayshunt/admission/broker.py
+++ b/src/jayshunt/admission/broker.py
@@ -185,6 +185,14 @@
             replies = self._dispatch(now_s)
         _deliver(replies)
 
+    def add_held(self, held: Iterable[HeldPermit]) -> None:
+        """Count permits that became known after this broker started to grant."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for item in held:
+                run_ms = self.run_times.of_class(item.work_class, item.ttl_ms / 2)
+                self._permits.add(item, run_ms, now_s)
+
     def end(self, code: str, detail: str) -> tuple[HeldPermit, ...]:
         """Stop to grant, refuse every waiter and return the held permits."""
         refusal = PermitRefused(code, 0.1, detail)
--- a/src/jayshunt/admission/directory.py
+++ b/src/jayshunt/admission/directory.py
@@ -167,12 +167,16 @@
         self._start_takeover(pool, broker)
         return broker
 
-    def recover(self, pool: PoolName, new_broker: EntryId) -> RecoveredPermits:
-        """Hand a pool of this zone over to a new broker.
+    def recover(
+        self, pool: PoolName, new_broker: EntryId, zone: ZoneName = ZoneName("")
+    ) -> RecoveredPermits:
+        """Hand a pool over to a new broker; "" stands for this entry's zone.
 
         Requests that wait for a grant of the predecessor ask again, because the
         new broker would not know of a grant that is still under way.
         """
+        if zone not in ("", self._zone):
+            return self._recover_elsewhere(pool, new_broker, zone)
         with self._lock:
             broker = self._brokers.pop(pool, None)
             clients = dict(self._clients)
@@ -193,6 +197,18 @@
             self._client(member).reconnect()
         return RecoveredPermits(tuple(held.values()), learned)
 
+    def _recover_elsewhere(
+        self, pool: PoolName, new_broker: EntryId, zone: ZoneName
+    ) -> RecoveredPermits:
+        """Give the permits that requests of this entry hold in another zone."""
+        member = self._read_view().find(new_broker)
+        with self._lock:
+            clients = dict(self._clients)
+        for address, client in clients.items():
+            if member is None or address != member.peer_address:
+                client.void(pool, zone)
+        return RecoveredPermits(self.permits.hand_over(pool, zone, member), ())
+
     def apply_assignments(self) -> None:
         """Give every broker its serving instances at once."""
         for pool, broker in self.brokers().items():
@@ -326,6 +342,8 @@
             _LOGGER.info(
                 "admission: broker of pool %s, %d permits held", pool, len(held)
             )
+            # Other zones may be out of reach, and must not delay the first grant.
+            broker.add_held(self.takeover.collect_elsewhere(pool))
         except Exception:
             _LOGGER.exception("admission: takeover of pool %s failed", pool)
         finally:
--- a/src/jayshunt/admission/peer_service.py
+++ b/src/jayshunt/admission/peer_service.py
@@ -23,7 +23,7 @@
     recovered_message,
     reply_message,
 )
-from jayshunt.ids import EntryId, PoolName
+from jayshunt.ids import EntryId, PoolName, ZoneName
 from jayshunt.peers.protocol import peer_pb2, peer_pb2_grpc
 
 _LOGGER = logging.getLogger(__name__)
@@ -37,7 +37,7 @@
     def __init__(
         self,
         find_broker: FindBroker,
-        recover: Callable[[PoolName, EntryId], RecoveredPermits],
+        recover: Callable[[PoolName, EntryId, ZoneName], RecoveredPermits],
     ) -> None:
         """Take the directory's functions."""
         self._find_broker = find_broker
@@ -58,7 +58,9 @@
 
     def RecoverPermits(self, request, context) -> peer_pb2.RecoverReply:
         """Hand a pool over to a new broker."""
-        recovered = self._recover(PoolName(request.pool), EntryId(request.broker))
+        recovered = self._recover(
+            PoolName(request.pool), EntryId(request.broker), ZoneName(request.zone)
+        )
         return recovered_message(recovered)
 
 
--- a/src/jayshunt/admission/takeover.py
+++ b/src/jayshunt/admission/takeover.py
@@ -13,7 +13,7 @@
     RANKINGS_KEPT,
     RECOVER_TIMEOUT_S,
 )
-from jayshunt.admission.messages import RecoveredPermits
+from jayshunt.admission.messages import HeldPermit, RecoveredPermits
 from jayshunt.admission.wire import read_recovered
 from jayshunt.ids import EntryId, PoolName, ZoneName
 from jayshunt.membership.models import Member, MembershipView, MemberState
@@ -43,6 +43,8 @@
         self._is_ended = is_ended or connection_refused
         self._rankings: dict[tuple[int, ZoneName, PoolName], list[Member]] = {}
         self._executor = ThreadPoolExecutor(PEER_THREADS, "recover")
+        # Calls to zones out of reach must not hold up those of other takeovers.
+        self._elsewhere = ThreadPoolExecutor(PEER_THREADS, "recover-elsewhere")
 
     def ranked(self, zone: ZoneName, pool: PoolName) -> list[Member]:
         """Return the live entries of a zone in the order of their turn."""
@@ -92,13 +94,22 @@
             )
         return recovered, missing
 
+    def collect_elsewhere(self, pool: PoolName) -> list[HeldPermit]:
+        """Return what entries of other zones hold on this zone's instances."""
+        others = [m for m in self._read_view().alive() if m.zone != self._zone]
+        answers = self._elsewhere.map(lambda m: self._ask(m, pool), others)
+        return [item for answer in answers if answer for item in answer.held]
+
     def stop(self) -> None:
         """End the threads."""
         self._executor.shutdown(wait=False, cancel_futures=True)
+        self._elsewhere.shutdown(wait=False, cancel_futures=True)
 
     def _ask(self, member: Member, pool: PoolName) -> RecoveredPermits | None:
         stub = peer_pb2_grpc.AdmissionStub(self._channels.channel(member.peer_address))
-        request = peer_pb2.RecoverRequest(pool=pool, broker=self._entry)
+        request = peer_pb2.RecoverRequest(
+            pool=pool, broker=self._entry, zone=self._zone
+        )
         try:
             return read_recovered(
                 stub.RecoverPermits(request, timeout=RECOVER_TIMEOUT_S)
--- a/src/jayshunt/admission/tests/test_directory.py
+++ b/src/jayshunt/admission/tests/test_directory.py
@@ -99,6 +99,16 @@
     return entry.directory.acquire(replace(request(**fields), entry=entry.name))
 
 
+def wait_for(condition) -> None:
+    """Fail unless a condition comes true within 5 s."""
+    passed = threading.Event()
+    for _ in range(500):
+        if condition():
+            return
+        passed.wait(0.01)
+    raise AssertionError("the condition did not come true within 5 s")
+
+
 class ZoneTest(unittest.TestCase):
     """Test the entries of one zone."""
 
@@ -178,12 +188,27 @@
         )
 
     def _wait_for(self, condition) -> None:
-        passed = threading.Event()
-        for _ in range(500):
-            if condition():
-                return
-            passed.wait(0.01)
-        self.fail("the condition did not come true within 5 s")
+        wait_for(condition)
+
+
+class SpillTakeoverTest(unittest.TestCase):
+    """Test a takeover in a zone that serves requests of another."""
+
+    def test_new_broker_counts_the_permits_of_other_zones(self) -> None:
+        """A slot used from another zone must not be granted twice or drained."""
+        fleet = Fleet(("e1", "north"), ("e2", "south"), ("e3", "south"))
+        self.addCleanup(fleet.stop)
+        fleet.instances["north"] = ()
+        first, second = fleet.ranked("south")
+        granted = ask(fleet.entries["e1"])
+        self.assertEqual(granted.vm, "vm-south")
+        first.kill()
+        self.assertIsInstance(ask(second), PermitGranted)
+        broker = second.directory.brokers()[POOL]
+        wait_for(
+            lambda: granted.permit in {held.permit for held in broker.held_permits()}
+        )
+        self.assertEqual(second.directory.in_flight(VmId("vm-south")), SLOTS)
 
 
 class SpillTest(unittest.TestCase):
