--- a/src/jayshunt/store/tests/test_documents.py
+++ b/src/jayshunt/store/tests/test_documents.py
@@ -3,6 +3,7 @@
 import unittest
 
 from jayshunt.store.const import REMEMBERED_WRITE_IDS
+from jayshunt.store.documents import DocumentStore
 from jayshunt.store.errors import StoreOutcomeUnknown
 from jayshunt.store.tests.builders import FakeStore, build_documents
 
@@ -12,6 +13,22 @@
     return {**(content or {}), "count": (content or {}).get("count", 0) + 1}
 
 
+def lose_answer_and_race(store: FakeStore, other: DocumentStore, times: int) -> None:
+    """Lose the answer to the next write, and let another writer follow it."""
+    original = store.put
+
+    def put_then_race(*arguments):
+        store.put = original
+        store.lose_answers = 1
+        try:
+            return original(*arguments)
+        finally:
+            for _ in range(times):
+                other.update("a", add_one)
+
+    store.put = put_then_race
+
+
 class DocumentStoreTest(unittest.TestCase):
     """Guard the read-change-write loop."""
 
@@ -27,17 +44,7 @@
         """A later writer must not hide that the first change took effect."""
         store = FakeStore()
         first, second = build_documents(store, 1), build_documents(store, 2)
-        original = store.put
-
-        def put_then_race(*arguments):
-            store.put = original
-            store.lose_answers = 1
-            try:
-                return original(*arguments)
-            finally:
-                second.update("a", add_one)
-
-        store.put = put_then_race
+        lose_answer_and_race(store, second, 1)
         first.update("a", add_one)
         self.assertEqual(first.read("a").content["count"], 2)
 
@@ -84,18 +91,7 @@
         """A write id that was dropped from the document must not look refused."""
         store = FakeStore()
         first, second = build_documents(store, 1), build_documents(store, 2)
-        original = store.put
-
-        def put_then_race(*arguments):
-            store.put = original
-            store.lose_answers = 1
-            try:
-                return original(*arguments)
-            finally:
-                for _ in range(REMEMBERED_WRITE_IDS + 1):
-                    second.update("a", add_one)
-
-        store.put = put_then_race
+        lose_answer_and_race(store, second, REMEMBERED_WRITE_IDS + 1)
         with self.assertRaises(StoreOutcomeUnknown):
             first.update("a", add_one)
         count = first.read("a").content["count"]
