--- /dev/null
+++ b/deploy/platform_entry.py
@@ -0,0 +1,32 @@
+"""Start an entry on the users' platform."""
+
+import signal
+import sys
+import threading
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from jayshunt.logs import LogFormat, LogTarget, configure_logging  # noqa: E402
+from jayshunt.platform.settings import load_settings, settings_path  # noqa: E402
+from jayshunt.platform_entry import PlatformEntry  # noqa: E402
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    configure_logging(LogFormat.JSON, target=LogTarget.STDOUT)
+    process = PlatformEntry(load_settings(settings_path()))
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    # Settings do not change what a running entry does; it reads them at its start.
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    threading.stack_size(256 * 1024)
+    process.start()
+    while not stopped.wait(3600):
+        pass
+    process.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/jayshunt/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Accept jobs, place their tasks on workers and size the pools."""
--- /dev/null
+++ b/src/jayshunt/dispatch/backlog.py
@@ -0,0 +1,77 @@
+"""Decide which queues refuse jobs, without network or clock.
+
+A job that would be far beyond its objective before it can start is refused at
+once and told when to come back, so that its caller does not wait in vain and the
+jobs that were accepted are not delayed further.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from jayshunt.dispatch.models import FleetConfig
+from jayshunt.dispatch.tasks import Job, TaskPhase
+from jayshunt.ids import PoolName, QueueName
+
+# Jobs earn next to nothing beyond three times their objective, which is about 2 s.
+MAX_WAIT_S = 5.0
+MAX_RETRY_AFTER_S = 10
+DEMAND_WINDOW_S = 40.0
+
+
+@dataclass
+class Backlog:
+    """Hold the demand of the last time by pool: arrival and core-seconds."""
+
+    arrivals: dict[PoolName, deque] = field(default_factory=dict)
+
+    def saw_job(self, job: Job, now_s: float) -> None:
+        """Count a job that came in."""
+        if job.spec.is_long_running:
+            return
+        seen = self.arrivals.setdefault(job.config.pool, deque())
+        seen.append((now_s, core_seconds(job)))
+        while seen and seen[0][0] < now_s - DEMAND_WINDOW_S:
+            seen.popleft()
+
+
+def core_seconds(job: Job) -> float:
+    """Return the estimated work of a job."""
+    return sum(
+        step.task_count * step.estimate_ms / 1000 * step.reserved.cpu_millicores / 1000
+        for step in job.spec.steps
+    )
+
+
+def remaining_core_seconds(job: Job) -> float:
+    """Return the estimated work of a job's tasks that have not begun."""
+    return sum(
+        task.spec.estimate_ms / 1000 * task.spec.reserved.cpu_millicores / 1000
+        for task in job.tasks()
+        if task.phase is TaskPhase.WAITING
+    )
+
+
+def refusals(
+    config: FleetConfig,
+    jobs: Iterable[Job],
+    cores: dict[PoolName, float],
+    now_s: float,
+) -> dict[QueueName, float]:
+    """Return the queues whose pool is too far behind, with seconds to stay away."""
+    waiting: dict[PoolName, float] = {}
+    for job in jobs:
+        if job.spec.is_long_running:
+            continue
+        pool = job.config.pool
+        waiting[pool] = waiting.get(pool, 0.0) + remaining_core_seconds(job)
+    refused: dict[QueueName, float] = {}
+    for queue in config.queues:
+        usable = cores.get(queue.pool, 0.0)
+        wait_s = waiting.get(queue.pool, 0.0) / usable if usable else 0.0
+        if wait_s > MAX_WAIT_S:
+            refused[queue.queue] = float(
+                min(MAX_RETRY_AFTER_S, math.ceil(wait_s - MAX_WAIT_S + 1))
+            )
+    return refused
--- /dev/null
+++ b/src/jayshunt/dispatch/commits.py
@@ -0,0 +1,150 @@
+"""Store the progress of jobs, all that changed in a moment with one write."""
+
+import logging
+import threading
+from dataclasses import dataclass
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import COMMIT_GATHER_S, MAX_PUTS_PER_COMMIT
+from jayshunt.dispatch.errors import TermOver
+from jayshunt.dispatch.models import Item, JobState, Put, TransactionResult
+from jayshunt.dispatch.records import TERM_KEY, encode_progress, progress_key
+from jayshunt.dispatch.run_book import RunBook
+from jayshunt.dispatch.tasks import Job
+from jayshunt.ids import JobId, Revision
+from jayshunt.platform.store import LeaseGone, PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+# Each job takes a condition and a write; one condition is for the term.
+JOBS_PER_COMMIT = MAX_PUTS_PER_COMMIT // 2
+RETRY_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class _Record:
+    job: Job
+    version: int
+    state: JobState
+    put: Put
+
+
+class ProgressWriter:
+    """Own the writes of job progress in one term.
+
+    A write is conditional on the term and on the revision of each record that it
+    replaces, so that one that the store carries out late never undoes a newer one.
+    """
+
+    def __init__(
+        self,
+        book: RunBook,
+        lock: threading.RLock,
+        store: PlatformStore,
+        term: Revision,
+        clock: Clock,
+    ) -> None:
+        """Start with nothing to write."""
+        self._book = book
+        self._lock = lock
+        self._store = store
+        self._term = term
+        self._clock = clock
+        self._wake = threading.Event()
+        self._stored = threading.Condition()
+
+    def wake(self) -> None:
+        """Say that there may be something to write."""
+        self._wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Write until stopped; raise TermOver if another entry dispatches."""
+        while not stop.is_set():
+            if not self._book.dirty:
+                self._wake.wait(0.5)
+                self._wake.clear()
+                continue
+            self._clock.wait(stop, COMMIT_GATHER_S)
+            if not self.write_once():
+                self._clock.wait(stop, RETRY_S)
+
+    def flush(self, timeout_s: float) -> bool:
+        """Write what is left; return whether everything is stored."""
+        end_s = self._clock.monotonic_s() + timeout_s
+        while self._book.dirty and self._clock.monotonic_s() < end_s:
+            if not self.write_once():
+                return False
+        return not self._book.dirty
+
+    def wait_stored(self, job: JobId, version: int, timeout_s: float) -> bool:
+        """Wait until a version of a job is stored."""
+        self._wake.set()
+        with self._stored:
+            return self._stored.wait_for(
+                lambda: self._book.stored_versions[job] >= version, timeout_s
+            )
+
+    def write_once(self) -> bool:
+        """Write one batch; return False if the store did not take it."""
+        records = self._collect()
+        if not records:
+            return True
+        expected = {TERM_KEY: self._term}
+        for record in records:
+            expected[record.put.key] = record.job.progress_revision
+        try:
+            result = self._store.transact(expected, tuple(r.put for r in records))
+        except (StoreUnavailable, StoreOutcomeUnknown) as error:
+            _LOGGER.info(
+                "dispatch: progress was not stored",
+                extra={"jobs": len(records), "reason": str(error)},
+            )
+            self._put_back(records)
+            return False
+        except LeaseGone as error:
+            raise TermOver("the term's lease is gone") from error
+        self._settle(records, result)
+        return True
+
+    def _collect(self) -> list[_Record]:
+        records: list[_Record] = []
+        with self._lock:
+            while self._book.dirty and len(records) < JOBS_PER_COMMIT:
+                job_id = self._book.dirty.pop()
+                job = self._book.jobs.get(job_id)
+                if job is None:
+                    continue
+                put = Put(progress_key(job_id), encode_progress(job))
+                version = self._book.versions[job_id]
+                records.append(_Record(job, version, job.state, put))
+        return records
+
+    def _put_back(self, records: list[_Record]) -> None:
+        with self._lock:
+            self._book.dirty.update(record.job.spec.job for record in records)
+
+    def _settle(self, records: list[_Record], result: TransactionResult) -> None:
+        if result.revision is None:
+            self._put_back(records)
+            self._take_conflicts(records, result.conflicts)
+            return
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            for record in records:
+                record.job.progress_revision = result.revision
+                self._book.stored(record.job, record.version, record.state, now_s)
+        with self._stored:
+            self._stored.notify_all()
+
+    def _take_conflicts(self, records: list[_Record], items: tuple[Item, ...]) -> None:
+        """Learn the revisions after a refused write.
+
+        The term's key comes first: if it changed, nothing of this term counts. A
+        record can only have changed by an own write whose answer was lost.
+        """
+        found = {item.key: item.revision for item in items if item.value is not None}
+        if found.get(TERM_KEY) != self._term:
+            raise TermOver("the term's key changed")
+        for record in records:
+            record.job.progress_revision = found.get(record.put.key, Revision(0))
--- /dev/null
+++ b/src/jayshunt/dispatch/config_follower.py
@@ -0,0 +1,109 @@
+"""Follow the operator's configuration; a version is never replaced by an older."""
+
+import logging
+import threading
+from collections.abc import Callable
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import CONFIG_WATCH_S
+from jayshunt.dispatch.models import FleetConfig, Item
+from jayshunt.ids import Revision
+from jayshunt.platform.store import HistoryGone, PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+RETRY_S = 0.15
+
+
+class ConfigFollower:
+    """Own the configuration in force on this entry."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        clock: Clock,
+        key: str,
+        decode: Callable[[bytes], FleetConfig],
+    ) -> None:
+        """Start without a configuration."""
+        self._store = store
+        self._clock = clock
+        self._key = key
+        self._decode = decode
+        self._revision: Revision | None = None
+        self._current: FleetConfig | None = None
+        self._is_reachable = True
+        self.read_s: float | None = None
+
+    def current(self) -> FleetConfig | None:
+        """Return the configuration in force, None before the first."""
+        return self._current
+
+    def run(self, stop: threading.Event) -> None:
+        """Read the configuration, then watch it."""
+        while not stop.is_set():
+            try:
+                if self._revision is None:
+                    items, self._revision = self._store.list(self._key)
+                    self._take_all(items)
+                else:
+                    answer = self._store.watch(
+                        self._key, self._revision, CONFIG_WATCH_S, stop
+                    )
+                    self._take_all(answer.events)
+                    self._revision = max(self._revision, answer.revision)
+                self._reached()
+            except HistoryGone:
+                self._revision = None
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                # The next read is a whole one: the channel may have been silent.
+                self._revision = None
+                self._lost(error, stop)
+
+    def _reached(self) -> None:
+        self.read_s = self._clock.monotonic_s()
+        if not self._is_reachable:
+            self._is_reachable = True
+            _LOGGER.info("config: the store is reachable again")
+
+    def _lost(self, error: Exception, stop: threading.Event) -> None:
+        if stop.is_set():
+            return
+        if self._is_reachable:
+            self._is_reachable = False
+            _LOGGER.warning(
+                "config: the store is not reachable",
+                extra={
+                    "reason": str(error),
+                    "version": self._current.version if self._current else None,
+                },
+            )
+        self._clock.wait(stop, RETRY_S)
+
+    def _take_all(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.key == self._key and item.value is not None:
+                self._take(item)
+
+    def _take(self, item: Item) -> None:
+        try:
+            config = self._decode(item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            _LOGGER.error(
+                "config: a version cannot be read", extra={"reason": str(error)}
+            )
+            return
+        if self._current is not None and config.version <= self._current.version:
+            return
+        before = self._current.version if self._current else None
+        self._current = config
+        _LOGGER.info(
+            "config: in force",
+            extra={
+                "version": config.version,
+                "before": before,
+                "queues": len(config.queues),
+                "revision": item.revision,
+            },
+        )
--- /dev/null
+++ b/src/jayshunt/dispatch/const.py
@@ -0,0 +1,56 @@
+"""Name the limits of the dispatch of jobs; times are seconds unless named."""
+
+# The dispatcher's lease in the store. A successor acts this long after a silent
+# loss; an outage of the store of 4.5 s is bridged almost whole.
+TERM_LEASE_S = 4.0
+TERM_RENEW_S = 0.8
+# The platform's clocks may differ by 2% in speed.
+CLOCK_SKEW = 0.02
+TERM_MARGIN_S = 0.25
+CANDIDATE_RETRY_S = 0.3
+
+# A lease on a worker outlives the change to a successor after a silent loss.
+WORKER_LEASE_S = 5.5
+# The longest lease a worker grants is a setting; this part of it is used.
+HOLD_MAX_PART = 0.95
+LEASE_MARGIN_S = 0.3
+HOLD_WAIT_S = 1.0
+HOLD_TIMEOUT_SLACK_S = 0.7
+HOLD_RETRY_S = 0.25
+ORDER_TIMEOUT_S = 0.7
+# Ends are stored in one write for all jobs that had one in this time.
+COMMIT_GATHER_S = 0.03
+# The store takes 32 entries a call; one is the condition on the term.
+MAX_PUTS_PER_COMMIT = 30
+
+# How often the holder looks for jobs that no entry told it of.
+INTAKE_POLL_S = 0.7
+WORKER_LIST_WAIT_S = 1.0
+WORKER_LIST_REFRESH_S = 4.0
+CONFIG_WATCH_S = 1.5
+TERM_WATCH_S = 1.5
+MACHINES_POLL_S = 1.0
+MACHINES_IDLE_POLL_S = 3.0
+
+# An entry holds a call for the dispatcher this long while there is none.
+DISPATCHER_WAIT_S = 1.6
+PEER_CALL_TIMEOUT_S = 0.6
+STATUS_INTERVAL_S = 0.4
+NOTIFY_RETRY_S = 0.2
+ACCEPT_GATHER_S = 0.004
+ACCEPT_TIMEOUT_S = 2.4
+MAX_JOBS_PER_ACCEPT = 16
+DEFAULT_RETRY_AFTER_S = 1
+
+# A worker is set aside when this many of its last runs failed, over several jobs.
+FAILURES_SET_ASIDE = 3
+SET_ASIDE_S = 12.0
+# A run far over its estimate on one worker, while others of its step ended, marks
+# the worker as slow.
+SLOW_FACTOR = 3.0
+
+# Finished jobs are readable for the time in the settings and this long after it.
+RETENTION_MARGIN_S = 60.0
+RETENTION_CHECK_S = 10.0
+
+MAX_RUNS_PER_TERM = 4096
--- /dev/null
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -0,0 +1,236 @@
+"""Run the duties of a term: place tasks, hold workers, store progress."""
+
+import logging
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.commits import ProgressWriter
+from jayshunt.dispatch.const import (
+    CLOCK_SKEW,
+    HOLD_MAX_PART,
+    LEASE_MARGIN_S,
+    TERM_LEASE_S,
+    WORKER_LEASE_S,
+)
+from jayshunt.dispatch.errors import TermOver
+from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.fleet_duty import FleetDuty
+from jayshunt.dispatch.intake_reader import IntakeReader
+from jayshunt.dispatch.models import EntryNode, FleetConfig, JobState, Worker
+from jayshunt.dispatch.planner import Planner
+from jayshunt.dispatch.records import TERM_KEY
+from jayshunt.dispatch.run_book import RunBook, StopOrder
+from jayshunt.dispatch.sessions import Calls, SessionContext, WorkerSession
+from jayshunt.dispatch.term import OwnTerm
+from jayshunt.dispatch.worker_list import WorkerList
+from jayshunt.ids import JobId, QueueName, WorkerId
+from jayshunt.platform.machine_calls import MachineCalls
+from jayshunt.platform.store import PlatformStore
+from jayshunt.platform.worker_calls import AdviceCalls, WorkerCalls
+from jayshunt.tasks import TaskGroup
+
+_LOGGER = logging.getLogger(__name__)
+
+CANCEL_STORE_TIMEOUT_S = 2.0
+FLUSH_TIMEOUT_S = 0.8
+STOP_TIMEOUT_S = 0.05
+
+
+@dataclass(frozen=True)
+class QueueView:
+    """Hold what entries are told of a queue; 0 s means that jobs are welcome."""
+
+    refuse_retry_after_s: float
+    waiting: int
+
+
+class Dispatcher:
+    """Own all state of a term; made anew for each term and never reused."""
+
+    def __init__(
+        self,
+        node: EntryNode,
+        own: OwnTerm,
+        store: PlatformStore,
+        clock: Clock,
+        config: Callable[[], FleetConfig | None],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        """Start with an empty book."""
+        self._node = node
+        self._own = own
+        self._clock = clock
+        self._config = config
+        self._on_deposed = on_deposed
+        self.lock = threading.RLock()
+        self.book = RunBook(own.term.token)
+        self.sessions: dict[WorkerId, WorkerSession] = {}
+        self._group = TaskGroup("dispatch", max_tasks=2048)
+        self.ready = threading.Event()
+        self.lease_s = min(
+            WORKER_LEASE_S, node.bounds.hold_max_ms / 1000 * HOLD_MAX_PART
+        )
+        self._started_s = clock.monotonic_s()
+        self.worker_list_read = False
+        self.retention_s = node.bounds.status_ms / 1000
+        self.term_condition = {TERM_KEY: own.term.token}
+        self.progress = ProgressWriter(
+            self.book, self.lock, store, own.term.token, clock
+        )
+        self._intake = IntakeReader(self, store, clock, config)
+        self._workers = WorkerList(self, store, clock)
+        machines = (
+            None
+            if node.machines is None
+            else MachineCalls(node.machines, node.entry)
+        )
+        advice = None if node.advice is None else AdviceCalls(node.advice)
+        self.planner = Planner(self, clock, config, node.bounds, advice)
+        self.fleet = FleetDuty(self, store, machines, clock, config, node.bounds)
+        self.book.on_run_end = self.planner.learn_run
+
+    # --- the term ---
+
+    def start(self) -> None:
+        """Read what is stored, then take over the workers."""
+        self._group.start(self._run_intake)
+        self._group.start(self._workers.run)
+        self._group.start(self._guard(self.progress.run))
+        self._group.start(self.planner.run)
+        self._group.start(self.fleet.run)
+
+    def stop(self, in_order: bool) -> None:
+        """Give no more orders; store what is left if the term still holds."""
+        self._own.is_over = not in_order
+        self._group.stopping.set()
+        self.changed()
+        if in_order:
+            self._flush()
+        self._group.stop(STOP_TIMEOUT_S)
+
+    def _flush(self) -> None:
+        try:
+            self.progress.flush(FLUSH_TIMEOUT_S)
+        except TermOver as error:
+            _LOGGER.info("dispatch: left without a last write: %s", error)
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token of the term."""
+        return self._own.term.token
+
+    def term_valid(self) -> bool:
+        """Return whether orders may be given."""
+        return self._own.is_valid and not self._group.stopping.is_set()
+
+    def changed(self) -> None:
+        """Look for something to place or to store."""
+        self.planner.wake()
+        if self.book.dirty:
+            self.progress.wake()
+
+    def deposed(self, reason: str) -> None:
+        """Report that another entry dispatches."""
+        self._on_deposed(reason)
+
+    def _run_intake(self, stop: threading.Event) -> None:
+        self._intake.run(stop)
+
+    def _guard(
+        self, task: Callable[[threading.Event], None]
+    ) -> Callable[[threading.Event], None]:
+        def run(stop: threading.Event) -> None:
+            try:
+                task(stop)
+            except TermOver as error:
+                self._on_deposed(str(error))
+
+        return run
+
+    # --- workers ---
+
+    @property
+    def inherited_blocked_until_s(self) -> float:
+        """Return until when a worker out of reach may run tasks of earlier terms.
+
+        The last holder may have given a lease up to the end of its term.
+        """
+        lease_s = self.lease_s / (1 - CLOCK_SKEW) + LEASE_MARGIN_S
+        return self._started_s + TERM_LEASE_S + lease_s
+
+    def add_worker(self, worker: Worker) -> None:
+        """Open a session with a worker that was not known."""
+        now_s = self._clock.monotonic_s()
+        view = WorkerView(worker, now_s)
+        view.lease_end_s = self.inherited_blocked_until_s
+        calls = WorkerCalls(worker.worker, worker.address, self.token)
+        self.open_session(view, calls)
+
+    def open_session(self, view: WorkerView, calls: Calls) -> WorkerSession:
+        """Start to hold a worker and to give it orders."""
+        context = SessionContext(
+            book=self.book,
+            lock=self.lock,
+            clock=self._clock,
+            lease_s=self.lease_s,
+            term_valid=self.term_valid,
+            deposed=self._on_deposed,
+            changed=self.changed,
+        )
+        session = WorkerSession(view, calls, context)
+        with self.lock:
+            self.book.workers[view.worker.worker] = view
+            self.sessions[view.worker.worker] = session
+        self._group.start(session.hold_lease)
+        self._group.start(session.give_orders)
+        return session
+
+    def send_stops(self, stops: list[StopOrder]) -> None:
+        """Queue stops at the sessions of their workers."""
+        for order in stops:
+            session = self.sessions.get(order.worker)
+            if session is not None:
+                session.stop(order)
+
+    # --- what entries ask ---
+
+    def job_state(self, job_id: JobId) -> JobState | None:
+        """Return what callers are told of a job, None if it is not known."""
+        job = self.book.jobs.get(job_id)
+        return None if job is None else job.public_state()
+
+    def notify_accepted(self, job_id: JobId, value: bytes, created: int) -> None:
+        """Take in a job that an entry has just stored."""
+        self._intake.take_job(job_id, value, created, is_new=True)
+        self.changed()
+
+    def notify_cancelled(self, job_id: JobId) -> None:
+        """Stop a job whose cancel an entry has just stored."""
+        with self.lock:
+            stops = self.book.cancel(job_id)
+        _LOGGER.info(
+            "dispatch: cancelled", extra={"job": job_id, "stops": len(stops)}
+        )
+        self.send_stops(stops)
+        self.changed()
+
+    def waiting(self, queue: QueueName) -> int:
+        """Return how many jobs of a queue have not begun."""
+        with self.lock:
+            return sum(
+                1
+                for job_id in self.book.active
+                if (job := self.book.jobs[job_id]).spec.queue == queue
+                and not job.has_begun
+                and not job.state.is_final
+            )
+
+    def queue_views(self) -> dict[QueueName, QueueView]:
+        """Return which queues refuse jobs and when to come back."""
+        refusals = self.planner.refusals()
+        return {
+            queue: QueueView(retry_after_s, 0)
+            for queue, retry_after_s in refusals.items()
+        }
--- /dev/null
+++ b/src/jayshunt/dispatch/entry.py
@@ -0,0 +1,191 @@
+"""Serve callers of jobs on one entry: accept, report, cancel and count."""
+
+import logging
+import time
+from dataclasses import dataclass
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import ACCEPT_TIMEOUT_S, DEFAULT_RETRY_AFTER_S
+from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
+from jayshunt.dispatch.link import DispatcherLink
+from jayshunt.dispatch.models import JobSpec, JobState, Put, QueueConfig
+from jayshunt.dispatch.records import (
+    accepted_key,
+    cancelled_key,
+    encode_job,
+    progress_key,
+    stored_state,
+)
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import JobId, QueueName, Revision
+from jayshunt.platform.store import PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+RETRY_S = 0.1
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """Report an accepted job; `is_new` is False for a repeated submission."""
+
+    is_new: bool
+
+
+class JobEntry:
+    """Own the calls of this entry's callers.
+
+    A job is accepted when the store has it, under its id, so that a submission
+    that is repeated at any entry remains one job.
+    """
+
+    def __init__(
+        self, store: PlatformStore, link: DispatcherLink, clock: Clock
+    ) -> None:
+        """Keep the store and the way to the dispatcher."""
+        self._store = store
+        self._link = link
+        self._clock = clock
+
+    def submit(
+        self, spec: JobSpec, queue: QueueConfig, timeout_s: float
+    ) -> Accepted:
+        """Accept a job, or raise JobRefused (it never runs) or AcceptUnknown."""
+        retry_after_s = self._link.refuse_retry_after_s(queue.queue)
+        if retry_after_s > 0 and not spec.is_long_running:
+            return self._refuse_unless_known(spec, retry_after_s)
+        value = encode_job(spec, queue, time.time())
+        key = accepted_key(spec.job)
+        end_s = self._clock.monotonic_s() + min(timeout_s, ACCEPT_TIMEOUT_S)
+        is_unknown = False
+        while True:
+            try:
+                result = self._store.transact({key: Revision(0)}, (Put(key, value),))
+                break
+            except StoreUnavailable as error:
+                self._give_up_if_due(spec, is_unknown, end_s, error)
+            except StoreOutcomeUnknown as error:
+                is_unknown = True
+                self._give_up_if_due(spec, True, end_s, error)
+            time.sleep(RETRY_S)
+        if result.revision is None:
+            return self._known(spec, result.conflicts, is_unknown, value)
+        self._link.accepted(spec.job, value, result.revision)
+        _LOGGER.info(
+            "entry: accepted",
+            extra={
+                "job": spec.job,
+                "queue": spec.queue,
+                "revision": result.revision,
+                "steps": len(spec.steps),
+            },
+        )
+        return Accepted(True)
+
+    def state(self, job: JobId, timeout_s: float) -> JobState | None:
+        """Return a job's state, None if there is no such job.
+
+        The store decides when the dispatcher does not know the job or is away.
+        Raise JayshuntError if neither answers.
+        """
+        try:
+            state = self._link.job_state(job, timeout_s / 2)
+        except JayshuntError as error:
+            _LOGGER.info(
+                "entry: the dispatcher did not answer",
+                extra={"job": job, "reason": str(error)},
+            )
+            state = None
+        return self._stored_state(job) if state is None else state
+
+    def cancel(self, job: JobId, timeout_s: float) -> bool:
+        """Cancel a job; return False if there is no such job."""
+        end_s = self._clock.monotonic_s() + timeout_s
+        key = cancelled_key(job)
+        while True:
+            try:
+                if self._store.get(accepted_key(job)) is None:
+                    _LOGGER.info("entry: no such job to cancel", extra={"job": job})
+                    return False
+                self._store.transact({key: Revision(0)}, (Put(key, b"{}"),))
+                break
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                if self._clock.monotonic_s() + RETRY_S >= end_s:
+                    raise
+            time.sleep(RETRY_S)
+        self._link.cancelled(job)
+        _LOGGER.info("entry: cancelled", extra={"job": job})
+        return True
+
+    def waiting(self, queue: QueueName, timeout_s: float) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return self._link.waiting(queue, timeout_s)
+
+    def _refuse_unless_known(self, spec: JobSpec, retry_after_s: float) -> Accepted:
+        """Refuse a job of a queue that is far behind; a repeated one stays accepted."""
+        try:
+            if self._store.get(accepted_key(spec.job)) is not None:
+                return Accepted(False)
+        except StoreUnavailable as error:
+            _LOGGER.info(
+                "entry: refused without a look at the store",
+                extra={"job": spec.job, "reason": str(error)},
+            )
+        _LOGGER.info(
+            "entry: refused",
+            extra={
+                "job": spec.job,
+                "queue": spec.queue,
+                "reason": "the queue is far behind",
+                "retry_after_s": retry_after_s,
+            },
+        )
+        raise JobRefused(
+            "queue_behind", retry_after_s, "the queue is too far behind its target"
+        )
+
+    def _give_up_if_due(
+        self, spec: JobSpec, is_unknown: bool, end_s: float, error: JayshuntError
+    ) -> None:
+        if is_unknown and self._clock.monotonic_s() + RETRY_S < end_s:
+            return
+        _LOGGER.info(
+            "entry: not accepted",
+            extra={
+                "job": spec.job,
+                "queue": spec.queue,
+                "reason": str(error),
+                "outcome": "unknown" if is_unknown else "not_run",
+            },
+        )
+        if is_unknown:
+            raise AcceptUnknown(str(error))
+        raise JobRefused("store_unavailable", DEFAULT_RETRY_AFTER_S, str(error))
+
+    def _known(
+        self, spec: JobSpec, conflicts: tuple, is_unknown: bool, value: bytes
+    ) -> Accepted:
+        """Return that the job is stored already, by an own lost write or earlier."""
+        if is_unknown and conflicts and conflicts[0].value == value:
+            self._link.accepted(spec.job, value, conflicts[0].created)
+            is_new = True
+        else:
+            is_new = False
+        _LOGGER.info(
+            "entry: accepted before",
+            extra={"job": spec.job, "queue": spec.queue, "own_write": is_new},
+        )
+        return Accepted(is_new)
+
+    def _stored_state(self, job: JobId) -> JobState | None:
+        item = self._store.get(accepted_key(job))
+        if item is None:
+            return None
+        # The dispatcher may not have been told of the job; it takes it once.
+        self._link.accepted(job, item.value, item.created)
+        progress = self._store.get(progress_key(job))
+        state = JobState.QUEUED if progress is None else stored_state(progress.value)
+        if not state.is_final and self._store.get(cancelled_key(job)) is not None:
+            return JobState.CANCELLED
+        return state
--- /dev/null
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -0,0 +1,380 @@
+"""Move VMs between pools and take them through waves of planned stops."""
+
+import json
+import logging
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
+from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
+from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.models import (
+    Bounds,
+    DutyRefusal,
+    FleetConfig,
+    Put,
+    Vm,
+    VmState,
+    Wave,
+)
+from jayshunt.dispatch.records import TERM_KEY, WAVE_PREFIX
+from jayshunt.dispatch.sizing import PoolSizer
+from jayshunt.dispatch.waves import choose_next
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import PoolName, VmId, WorkerId
+from jayshunt.platform.const import WAVE_PREFIX as DECLARED_PREFIX
+from jayshunt.platform.const import WAVE_STATUS_PREFIX
+from jayshunt.platform.formats import decode_wave, encode_wave_status
+from jayshunt.platform.machine_calls import MachineCalls
+from jayshunt.platform.store import PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+ROUND_S = 0.15
+WAVES_POLL_S = 2.0
+CALL_RETRY_S = 0.3
+
+
+@dataclass
+class WaveState:
+    """Hold a declared wave and what of it is done; times are steady seconds."""
+
+    wave: Wave
+    seen_s: float
+    done: set[VmId] = field(default_factory=set)
+    status_written: bool = False
+    is_completed: bool = False
+    needs_write: bool = True
+
+
+class FleetDuty:
+    """Own the orders for VMs of one term."""
+
+    def __init__(
+        self,
+        dispatcher,
+        store: PlatformStore,
+        machines: MachineCalls | None,
+        clock: Clock,
+        config: Callable[[], FleetConfig | None],
+        bounds: Bounds,
+    ) -> None:
+        """Start without a list of VMs."""
+        self._dispatcher = dispatcher
+        self._store = store
+        self._machines = machines
+        self._clock = clock
+        self._config = config
+        self._bounds = bounds
+        self.vms: dict[VmId, Vm] = {}
+        self.waves: dict[int, WaveState] = {}
+        self.sizer = PoolSizer()
+        self._listed_s: float | None = None
+        self._waves_s: float | None = None
+        self._is_busy = False
+        self._evacuations: dict[VmId, Evacuation] = {}
+        # Two holders must not both give orders for one VM within this time.
+        self._may_act_s = clock.monotonic_s() + bounds.duty_turn_ms / 1000
+        self.moves = 0
+
+    def leaves_soon(self, view: WorkerView) -> bool:
+        """Return whether a wave that is not done names the worker's VM."""
+        vm = view.worker.vm
+        return any(
+            vm in state.wave.vms and vm not in state.done
+            for state in self.waves.values()
+            if not state.is_completed
+        )
+
+    def knows_all_workers(self, views: dict[WorkerId, WorkerView]) -> bool:
+        """Return whether each VM that is up belongs to a worker in the views."""
+        if self._machines is None:
+            return True
+        if self._listed_s is None:
+            return False
+        return all(
+            vm.worker in views
+            for vm in self.vms.values()
+            if vm.state is VmState.UP and vm.worker is not None
+            and not self._is_spare(vm.pool)
+        )
+
+    def run(self, stop: threading.Event) -> None:
+        """Follow waves and demand until stopped."""
+        if self._machines is None:
+            return
+        while not stop.is_set():
+            if self._dispatcher.term_valid():
+                try:
+                    self._round()
+                except (StoreUnavailable, StoreOutcomeUnknown, JayshuntError) as error:
+                    _LOGGER.info(
+                        "dispatch: the duty for VMs waits", extra={"reason": str(error)}
+                    )
+                    self._clock.wait(stop, CALL_RETRY_S)
+            self._clock.wait(stop, ROUND_S)
+
+    def _round(self) -> None:
+        now_s = self._clock.monotonic_s()
+        self._read(now_s)
+        if now_s < self._may_act_s or not self._dispatcher.ready.is_set():
+            return
+        if self._config() is None or not self._dispatcher.worker_list_read:
+            return
+        self._plan_waves(now_s)
+        self._plan_moves(now_s)
+        self._evacuate(now_s)
+        self._write_waves()
+
+    def _read(self, now_s: float) -> None:
+        interval_s = MACHINES_POLL_S if self._is_busy else MACHINES_IDLE_POLL_S
+        if self._listed_s is None or now_s - self._listed_s >= interval_s:
+            vms = self._machines.list()
+            self._listed_s = now_s
+            with self._dispatcher.lock:
+                self.vms = {vm.vm: vm for vm in vms}
+                self._forget_gone()
+            self._dispatcher.planner.wake()
+        if self._waves_s is None or now_s - self._waves_s >= WAVES_POLL_S:
+            self._read_waves(now_s)
+            self._waves_s = now_s
+
+    def _forget_gone(self) -> None:
+        for vm in [vm for vm in self._evacuations if vm not in self.vms]:
+            self._evacuations.pop(vm)
+
+    def _read_waves(self, now_s: float) -> None:
+        items, _ = self._store.list(DECLARED_PREFIX)
+        for item in items:
+            wave = decode_wave(item.value)
+            if wave is None or wave.number in self.waves:
+                continue
+            state = WaveState(wave, now_s)
+            stored = self._store.get(f"{WAVE_PREFIX}{wave.number}")
+            if stored is not None:
+                fields = json.loads(stored.value)
+                state.done = {VmId(vm) for vm in fields["done"]}
+                state.is_completed = fields["completed"]
+                state.needs_write = False
+            self.waves[wave.number] = state
+            _LOGGER.info(
+                "dispatch: a wave was declared",
+                extra={
+                    "wave": wave.number,
+                    "vms": len(wave.vms),
+                    "max_down": wave.max_down,
+                    "deadline_s": wave.deadline_s,
+                    "done": len(state.done),
+                },
+            )
+
+    # --- waves ---
+
+    def _plan_waves(self, now_s: float) -> None:
+        for state in self.waves.values():
+            if state.is_completed:
+                continue
+            if all(vm in state.done or vm not in self.vms for vm in state.wave.vms):
+                state.is_completed = True
+                state.needs_write = True
+                continue
+            self._begin_evacuations(state, now_s)
+
+    def _begin_evacuations(self, state: WaveState, now_s: float) -> None:
+        with self._dispatcher.lock:
+            views = self._views_by_vm()
+            chosen = choose_next(
+                state.wave,
+                state.done,
+                self.vms,
+                views,
+                set(self._evacuations),
+                {p.pool for p in self._config().pools if p.is_spare},
+            )
+            for vm in chosen:
+                reason = EvacuationReason.upkeep(state.wave.number)
+                self._begin(vm, reason, views.get(vm), now_s)
+
+    def _begin(
+        self,
+        vm: VmId,
+        reason: EvacuationReason,
+        view: WorkerView | None,
+        now_s: float,
+    ) -> None:
+        self._evacuations[vm] = Evacuation(vm, reason, now_s)
+        if view is not None:
+            view.duty = reason
+        _LOGGER.info(
+            "dispatch: a VM is being emptied",
+            extra={
+                "vm": vm,
+                "reason": str(reason),
+                "pool": self.vms[vm].pool,
+                "tasks": 0 if view is None else len(view.tasks),
+            },
+        )
+
+    def _views_by_vm(self) -> dict[VmId, WorkerView]:
+        views: dict[VmId, WorkerView] = {}
+        workers = self._dispatcher.book.workers
+        for vm in self.vms.values():
+            if vm.worker is not None and vm.worker in workers:
+                views[vm.vm] = workers[vm.worker]
+        for view in workers.values():
+            if view.worker.vm is not None:
+                views[view.worker.vm] = view
+        return views
+
+    # --- moves ---
+
+    def _plan_moves(self, now_s: float) -> None:
+        config = self._config()
+        with self._dispatcher.lock:
+            views = self._views_by_vm()
+            in_waves = {
+                vm
+                for state in self.waves.values()
+                if not state.is_completed
+                for vm in state.wave.vms
+                if vm not in state.done
+            }
+            moves = self.sizer.decide(
+                config,
+                [
+                    self._dispatcher.book.jobs[job]
+                    for job in self._dispatcher.book.active
+                ],
+                self.vms,
+                views,
+                set(self._evacuations),
+                in_waves,
+                now_s,
+            )
+            for vm, pool in moves:
+                self._begin(vm, EvacuationReason.move(pool), views.get(vm), now_s)
+
+    # --- evacuations ---
+
+    def _evacuate(self, now_s: float) -> None:
+        self._is_busy = bool(self._evacuations) or any(
+            vm.state in (VmState.MOVING, VmState.UPKEEP) for vm in self.vms.values()
+        )
+        for evacuation in list(self._evacuations.values()):
+            with self._dispatcher.lock:
+                view = self._views_by_vm().get(evacuation.vm)
+                if view is not None:
+                    view.duty = evacuation.reason
+                    stops = evacuation.next_stops(
+                        view, self._dispatcher.book, now_s
+                    )
+                else:
+                    stops = []
+                is_empty = view is None or not (view.tasks or view.strays)
+            self._dispatcher.send_stops(stops)
+            if is_empty and self._may_go(evacuation):
+                self._go(evacuation, view, now_s)
+
+    def _may_go(self, evacuation: Evacuation) -> bool:
+        """Hold an upkeep back while as many VMs of its wave are down as may be."""
+        if evacuation.reason.wave is None:
+            return True
+        state = self.waves[evacuation.reason.wave]
+        down = [
+            vm
+            for vm in state.wave.vms
+            if vm in self.vms and self.vms[vm].state is VmState.UPKEEP
+        ]
+        return len(down) < state.wave.max_down
+
+    def _go(
+        self, evacuation: Evacuation, view: WorkerView | None, now_s: float
+    ) -> None:
+        vm, reason = evacuation.vm, evacuation.reason
+        if not self._dispatcher.term_valid():
+            return
+        token = self._dispatcher.token
+        if reason.wave is not None:
+            answer = self._machines.upkeep(vm, reason.wave, token)
+        else:
+            answer = self._machines.move(vm, reason.pool, token)
+        _LOGGER.info(
+            "dispatch: ordered for a VM",
+            extra={
+                "vm": vm,
+                "order": str(reason),
+                "token": token,
+                "refusal": answer.refusal.value if answer.refusal else None,
+                "emptied_in_ms": round((now_s - evacuation.begun_s) * 1000),
+            },
+        )
+        self._settle(evacuation, view, answer.refusal)
+
+    def _settle(
+        self,
+        evacuation: Evacuation,
+        view: WorkerView | None,
+        refusal: DutyRefusal | None,
+    ) -> None:
+        vm, reason = evacuation.vm, evacuation.reason
+        with self._dispatcher.lock:
+            if refusal is None:
+                self._evacuations.pop(vm, None)
+                known = self.vms[vm]
+                state = VmState.MOVING if reason.wave is None else VmState.UPKEEP
+                pool = known.pool if reason.pool is None else reason.pool
+                self.vms[vm] = Vm(
+                    vm, pool, state, known.zone, known.rack, known.labels,
+                    known.capacity, None,
+                )
+                if view is not None:
+                    self._dispatcher.book.worker_over(
+                        view, self._clock.monotonic_s(), f"its VM left: {reason}"
+                    )
+                if reason.wave is not None:
+                    self.waves[reason.wave].done.add(vm)
+                    self.waves[reason.wave].needs_write = True
+                else:
+                    self.moves += 1
+                return
+            if refusal is DutyRefusal.FENCED:
+                self._dispatcher.deposed("the platform refused the fencing token")
+                return
+            if refusal is DutyRefusal.BUSY and reason.wave is not None:
+                # It is down or leaves; the next list tells which.
+                self._evacuations.pop(vm, None)
+                return
+            if view is not None:
+                view.duty = None
+            self._evacuations.pop(vm, None)
+            if refusal is DutyRefusal.NOT_OF_WAVE:
+                self.waves[reason.wave].done.add(vm)
+
+    def _write_waves(self) -> None:
+        for state in self.waves.values():
+            if not state.needs_write:
+                continue
+            number = state.wave.number
+            record = {"done": sorted(state.done), "completed": state.is_completed}
+            self._store.transact(
+                {TERM_KEY: self._dispatcher.token},
+                (
+                    Put(f"{WAVE_PREFIX}{number}", json.dumps(record).encode()),
+                    Put(
+                        f"{WAVE_STATUS_PREFIX}{number}",
+                        encode_wave_status(number, state.is_completed),
+                    ),
+                ),
+            )
+            state.needs_write = False
+            if state.is_completed:
+                _LOGGER.info("dispatch: a wave is completed", extra={"wave": number})
+
+    def _is_spare(self, pool: PoolName) -> bool:
+        config = self._config()
+        return config is not None and any(
+            p.pool == pool and p.is_spare for p in config.pools
+        )
--- /dev/null
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -0,0 +1,205 @@
+"""Read accepted and cancelled jobs from the store."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import (
+    INTAKE_POLL_S,
+    RETENTION_CHECK_S,
+    RETENTION_MARGIN_S,
+)
+from jayshunt.dispatch.models import FleetConfig, Item, QueueConfig
+from jayshunt.dispatch.records import (
+    ACCEPTED_PREFIX,
+    CANCELLED_PREFIX,
+    INTAKE_PREFIX,
+    PROGRESS_PREFIX,
+    accepted_key,
+    apply_progress,
+    cancelled_key,
+    decode_job,
+    decode_queue,
+    progress_key,
+)
+from jayshunt.dispatch.tasks import Job
+from jayshunt.ids import JobId, QueueName, Revision
+from jayshunt.platform.store import HistoryGone, PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+RETRY_S = 0.2
+JOBS_PER_REMOVAL = 10
+
+
+class IntakeReader:
+    """Bring every accepted job into the book.
+
+    Entries tell the dispatcher of a job right after they stored it. This reader
+    finds those whose entry died first, and all jobs at the start of a term.
+    """
+
+    def __init__(
+        self,
+        dispatcher,
+        store: PlatformStore,
+        clock: Clock,
+        config: Callable[[], FleetConfig | None],
+    ) -> None:
+        """Start without a revision."""
+        self._dispatcher = dispatcher
+        self._store = store
+        self._clock = clock
+        self._config = config
+        self._revision: Revision | None = None
+        self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
+
+    def run(self, stop: threading.Event) -> None:
+        """Read everything, then follow the changes."""
+        while not stop.is_set():
+            try:
+                if self._config() is None:
+                    self._clock.wait(stop, RETRY_S)
+                    continue
+                if self._revision is None:
+                    self._read_all()
+                    self._dispatcher.ready.set()
+                    self._dispatcher.changed()
+                self._follow()
+                self._clock.wait(stop, INTAKE_POLL_S)
+                self._remove_old()
+            except HistoryGone:
+                _LOGGER.info("dispatch: the store's history is gone, reading anew")
+                self._revision = None
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                _LOGGER.info(
+                    "dispatch: the intake is not readable", extra={"reason": str(error)}
+                )
+                self._clock.wait(stop, RETRY_S)
+
+    def take_job(
+        self,
+        job_id: JobId,
+        value: bytes,
+        created: int,
+        is_new: bool,
+        progress: Item | None = None,
+    ) -> None:
+        """Add one accepted job to the book unless it is known."""
+        book, lock = self._dispatcher.book, self._dispatcher.lock
+        if job_id in book.jobs:
+            return
+        spec, accepted_at_s = decode_job(job_id, value)
+        now_s = self._clock.monotonic_s()
+        age_s = 0.0 if is_new else min(60.0, max(0.0, time.time() - accepted_at_s))
+        job = Job(
+            spec,
+            self._queue_config(spec.queue, value),
+            accepted_s=now_s - age_s,
+            created=Revision(created),
+            is_inherited=created < self._dispatcher.token,
+        )
+        if progress is not None and progress.value is not None:
+            apply_progress(job, progress.value)
+            job.progress_revision = progress.revision
+            if job.stored_state.is_final:
+                job.ended_s = now_s
+        with lock:
+            added = book.add_job(job)
+        if added and not job.state.is_final:
+            self._dispatcher.planner.saw_job(job, now_s)
+            _LOGGER.info(
+                "dispatch: a job came in",
+                extra={
+                    "job": job_id,
+                    "queue": spec.queue,
+                    "told_by_entry": is_new,
+                    "tasks": sum(step.task_count for step in spec.steps),
+                    "inherited": job.is_inherited,
+                },
+            )
+
+    def _queue_config(self, queue: QueueName, value: bytes) -> QueueConfig:
+        for found in self._config().queues:
+            if found.queue == queue:
+                return found
+        return decode_queue(value)
+
+    def _read_all(self) -> None:
+        """Read all jobs; progress is read after them, so that it is never older."""
+        items, revision = self._store.list(INTAKE_PREFIX)
+        progress, _ = self._store.list(PROGRESS_PREFIX)
+        found = {item.key: item for item in progress}
+        for item in items:
+            if item.key.startswith(ACCEPTED_PREFIX):
+                job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
+                self._take_item(item, found.get(progress_key(job_id)))
+        for item in items:
+            self._take_cancel(item)
+        self._revision = revision
+        _LOGGER.info(
+            "dispatch: read the accepted jobs",
+            extra={
+                "jobs": len(self._dispatcher.book.jobs),
+                "active": len(self._dispatcher.book.active),
+                "revision": revision,
+            },
+        )
+
+    def _follow(self) -> None:
+        answer = self._store.watch(INTAKE_PREFIX, self._revision, 0.0)
+        for item in answer.events:
+            if item.value is None:
+                continue
+            if item.key.startswith(ACCEPTED_PREFIX):
+                self._take_item(item, None)
+            self._take_cancel(item)
+        if answer.events:
+            self._dispatcher.changed()
+        self._revision = max(self._revision, answer.revision)
+
+    def _take_item(self, item: Item, progress: Item | None) -> None:
+        job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
+        try:
+            self.take_job(job_id, item.value, item.created, False, progress)
+        except (ValueError, KeyError, TypeError) as error:
+            _LOGGER.error(
+                "dispatch: a stored job cannot be read",
+                extra={"job": job_id, "reason": str(error)},
+            )
+
+    def _take_cancel(self, item: Item) -> None:
+        if not item.key.startswith(CANCELLED_PREFIX) or item.value is None:
+            return
+        job_id = JobId(item.key.removeprefix(CANCELLED_PREFIX))
+        job = self._dispatcher.book.jobs.get(job_id)
+        if job is not None and not job.state.is_final:
+            self._dispatcher.notify_cancelled(job_id)
+
+    def _remove_old(self) -> None:
+        """Remove jobs that ended longer ago than callers may ask for them."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_removal_s or not self._dispatcher.term_valid():
+            return
+        self._next_removal_s = now_s + RETENTION_CHECK_S
+        keep_s = self._dispatcher.retention_s + RETENTION_MARGIN_S
+        book, lock = self._dispatcher.book, self._dispatcher.lock
+        with lock:
+            old = [
+                job
+                for job in book.jobs.values()
+                if job.ended_s is not None and now_s - job.ended_s > keep_s
+            ][:JOBS_PER_REMOVAL]
+        if not old:
+            return
+        keys: list[str] = []
+        for job in old:
+            job_id = job.spec.job
+            keys += [accepted_key(job_id), cancelled_key(job_id), progress_key(job_id)]
+        self._store.transact(self._dispatcher.term_condition, (), tuple(keys))
+        with lock:
+            for job in old:
+                book.jobs.pop(job.spec.job, None)
--- /dev/null
+++ b/src/jayshunt/dispatch/link.py
@@ -0,0 +1,203 @@
+"""Reach the dispatcher from an entry: in the same process or over HTTP."""
+
+import json
+import logging
+import queue
+import threading
+import time
+
+from jayshunt import http_client
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import (
+    DISPATCHER_WAIT_S,
+    NOTIFY_RETRY_S,
+    PEER_CALL_TIMEOUT_S,
+    STATUS_INTERVAL_S,
+)
+from jayshunt.dispatch.dispatcher import Dispatcher
+from jayshunt.dispatch.errors import NoDispatcher
+from jayshunt.dispatch.models import JobState, Term
+from jayshunt.dispatch.term import TermKeeper
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import JobId, QueueName
+
+_LOGGER = logging.getLogger(__name__)
+
+JOBS_PER_NOTICE = 50
+MAX_NOTICES = 5_000
+POLL_S = 0.05
+
+
+class DispatcherLink:
+    """Own the calls of an entry to whoever dispatches.
+
+    `own_dispatcher` is the dispatcher of this process while it holds the term.
+    """
+
+    def __init__(self, keeper: TermKeeper, clock: Clock) -> None:
+        """Start with no notice to send."""
+        self._keeper = keeper
+        self._clock = clock
+        self._handles: queue.LifoQueue = queue.LifoQueue()
+        self._notices: queue.Queue = queue.Queue(MAX_NOTICES)
+        self._refusals: dict[QueueName, float] = {}
+        self._refusals_s = 0.0
+        self.own_dispatcher: Dispatcher | None = None
+
+    def refuse_retry_after_s(self, queue_name: QueueName) -> float:
+        """Return how long callers of a queue should stay away, 0 if they need not."""
+        if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
+            return 0.0
+        return self._refusals.get(queue_name, 0.0)
+
+    def job_state(self, job: JobId, wait_s: float) -> JobState | None:
+        """Return a job's state; None if the dispatcher does not know the job."""
+        answer = self._ask("job_state", {"job": job}, wait_s)
+        state = answer["state"]
+        return None if state is None else JobState(state)
+
+    def waiting(self, queue_name: QueueName, wait_s: float) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return self._ask("waiting", {"queue": queue_name}, wait_s)["waiting"]
+
+    def accepted(self, job: JobId, value: bytes, created: int) -> None:
+        """Tell the dispatcher of a job that was just stored, soon and once.
+
+        The dispatcher finds it in the store as well, only later.
+        """
+        self._notify(
+            {"kind": "accepted", "job": job, "value": value.decode(), "rev": created}
+        )
+
+    def cancelled(self, job: JobId) -> None:
+        """Tell the dispatcher of a cancel that was just stored."""
+        self._notify({"kind": "cancelled", "job": job})
+
+    def send_notices(self, stop: threading.Event) -> None:
+        """Send notices in the order in which they came."""
+        batch: list[dict] = []
+        while not stop.is_set():
+            if not batch:
+                batch = self._take_batch()
+            if not batch:
+                continue
+            try:
+                self._ask("notices", {"notices": batch}, 0.0)
+                batch = []
+            except JayshuntError as error:
+                _LOGGER.debug("dispatch: notices wait: %s", error)
+                self._clock.wait(stop, NOTIFY_RETRY_S)
+                if self._notices.qsize() > JOBS_PER_NOTICE:
+                    # A new dispatcher reads the store at its start.
+                    batch = []
+
+    def follow_refusals(self, stop: threading.Event) -> None:
+        """Learn which queues refuse jobs."""
+        while not stop.is_set():
+            try:
+                answer = self._ask("refusals", {}, 0.0)
+                self._refusals = {
+                    QueueName(name): after_s
+                    for name, after_s in answer["refusals"].items()
+                }
+                self._refusals_s = self._clock.monotonic_s()
+            except JayshuntError as error:
+                _LOGGER.debug("dispatch: refusals are not known: %s", error)
+            self._clock.wait(stop, STATUS_INTERVAL_S)
+
+    def _notify(self, notice: dict) -> None:
+        try:
+            self._notices.put_nowait(notice)
+        except queue.Full:
+            _LOGGER.warning(
+                "dispatch: a notice was dropped", extra={"job": notice["job"]}
+            )
+
+    def _take_batch(self) -> list[dict]:
+        try:
+            batch = [self._notices.get(timeout=0.5)]
+            while len(batch) < JOBS_PER_NOTICE:
+                batch.append(self._notices.get_nowait())
+        except queue.Empty:
+            return locals().get("batch", [])
+        return batch
+
+    def _ask(self, call: str, body: dict, wait_s: float) -> dict:
+        """Ask whoever dispatches; wait for a successor while there is none."""
+        end_s = self._clock.monotonic_s() + min(wait_s, DISPATCHER_WAIT_S)
+        while True:
+            term = self._keeper.term
+            try:
+                return self._ask_once(term, call, body)
+            except JayshuntError:
+                left_s = end_s - self._clock.monotonic_s()
+                if left_s <= 0:
+                    raise
+                self._keeper.wait_for_change(term, min(left_s, POLL_S * 4))
+
+    def _ask_once(self, term: Term | None, call: str, body: dict) -> dict:
+        own = self.own_dispatcher
+        if own is not None and own.ready.is_set():
+            return answer_call(own, call, body)
+        if term is None or term.incarnation == self._keeper.incarnation:
+            raise NoDispatcher(f"dispatch.{call}")
+        handle = self._take_handle()
+        try:
+            answer = http_client.request(
+                "POST",
+                f"http://{term.peer}/dispatch/{call}",
+                body=json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+                timeout_s=PEER_CALL_TIMEOUT_S,
+                step=f"dispatch.{call}",
+                handle=handle,
+            )
+        finally:
+            self._handles.put(handle)
+        if answer.status != 200:
+            raise NoDispatcher(
+                f"dispatch.{call}", str(term.peer), f"status {answer.status}"
+            )
+        return json.loads(answer.body)
+
+    def _take_handle(self):
+        try:
+            return self._handles.get_nowait()
+        except queue.Empty:
+            return http_client.new_handle()
+
+
+def answer_call(dispatcher: Dispatcher, call: str, body: dict) -> dict:
+    """Answer one call of an entry."""
+    match call:
+        case "job_state":
+            state = dispatcher.job_state(JobId(body["job"]))
+            return {"state": None if state is None else state.value}
+        case "waiting":
+            return {"waiting": dispatcher.waiting(QueueName(body["queue"]))}
+        case "refusals":
+            views = dispatcher.queue_views()
+            return {
+                "refusals": {q: view.refuse_retry_after_s for q, view in views.items()}
+            }
+        case "notices":
+            for notice in body["notices"]:
+                _take_notice(dispatcher, notice)
+            return {}
+        case _:
+            raise NoDispatcher(f"dispatch.{call}", detail="unknown call")
+
+
+def _take_notice(dispatcher: Dispatcher, notice: dict) -> None:
+    job = JobId(notice["job"])
+    match notice["kind"]:
+        case "accepted":
+            value = notice["value"].encode()
+            dispatcher.notify_accepted(job, value, notice["rev"])
+        case "cancelled":
+            dispatcher.notify_cancelled(job)
+
+
+def wall_time_s() -> float:
+    """Return the wall time, to date accepted jobs."""
+    return time.time()
--- /dev/null
+++ b/src/jayshunt/dispatch/planner.py
@@ -0,0 +1,216 @@
+"""Place waiting tasks whenever something changed."""
+
+import logging
+import threading
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.backlog import Backlog, refusals
+from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
+from jayshunt.dispatch.pacing import Pacer
+from jayshunt.dispatch.placing import WorkerRoom, plan_placements
+from jayshunt.dispatch.sessions import PaceTask, StartTask
+from jayshunt.dispatch.speeds import WorkerSpeeds
+from jayshunt.dispatch.tasks import Job, Task
+from jayshunt.dispatch.tickets import TicketBook
+from jayshunt.ids import PoolName, QueueName
+
+_LOGGER = logging.getLogger(__name__)
+
+MIN_INTERVAL_S = 0.008
+IDLE_INTERVAL_S = 0.5
+PACE_INTERVAL_S = 0.4
+# A worker that did not answer for this long gets no new runs.
+SILENT_S = 2.2
+
+
+class Planner:
+    """Own the rounds of placing, the pace of filling tasks and the refusals."""
+
+    def __init__(
+        self,
+        dispatcher,
+        clock: Clock,
+        config: Callable[[], FleetConfig | None],
+        bounds: Bounds,
+        advice,
+    ) -> None:
+        """Start with nothing learned."""
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._config = config
+        self._bounds = bounds
+        self._wake = threading.Event()
+        self._seen_config: FleetConfig | None = None
+        self._pacer = Pacer()
+        self._next_pace_s = 0.0
+        self._was_resolved = False
+        self.speeds = WorkerSpeeds()
+        self.backlog = Backlog()
+        self.tickets = TicketBook(
+            advice, ThreadPoolExecutor(1, "advice"), clock, self.wake
+        )
+        self.rounds = 0
+
+    def wake(self) -> None:
+        """Ask for a round."""
+        self._wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Place tasks until stopped."""
+        while not stop.is_set():
+            self._wake.wait(IDLE_INTERVAL_S)
+            self._wake.clear()
+            if stop.is_set():
+                return
+            if self._dispatcher.term_valid() and self._dispatcher.ready.is_set():
+                self._round()
+            self._clock.wait(stop, MIN_INTERVAL_S)
+
+    def saw_job(self, job: Job, now_s: float) -> None:
+        """Count the demand of a job that came in."""
+        self.backlog.saw_job(job, now_s)
+
+    def learn_run(self, job: Job, task: Task, now_s: float) -> None:
+        """Learn from a run that ended well how fast its worker is."""
+        if task.worker is not None and task.acked_s is not None:
+            self.speeds.learn(task, now_s - task.acked_s)
+
+    def refusals(self) -> dict[QueueName, float]:
+        """Return the queues that refuse jobs and when to come back, in seconds."""
+        config = self._config()
+        if config is None:
+            return {}
+        with self._dispatcher.lock:
+            return refusals(
+                config, self._active_jobs(), self._cores(), self._clock.monotonic_s()
+            )
+
+    def _active_jobs(self) -> list[Job]:
+        book = self._dispatcher.book
+        return [book.jobs[job_id] for job_id in book.active]
+
+    def _cores(self) -> dict[PoolName, float]:
+        cores: dict[PoolName, float] = {}
+        for view in self._dispatcher.book.workers.values():
+            if not view.is_draining and view.last_answer_s is not None:
+                pool = view.worker.pool
+                free = view.worker.capacity.cpu_millicores / 1000
+                cores[pool] = cores.get(pool, 0.0) + free
+        return cores
+
+    def _round(self) -> None:
+        self.rounds += 1
+        dispatcher = self._dispatcher
+        with dispatcher.lock:
+            now_s = self._clock.monotonic_s()
+            self._follow_config()
+            jobs = self._active_jobs()
+            rooms = self._rooms(now_s)
+            may_start = self._may_start(now_s)
+            starts = []
+            for placement in self.tickets.place(
+                jobs, rooms, now_s, may_start, plan_placements
+            ):
+                starts.append(self._order(placement.task, placement.worker, now_s))
+            paces = self._paces(now_s)
+        for session, item in [*starts, *paces]:
+            if isinstance(item, StartTask):
+                session.start(item)
+            else:
+                session.pace(item)
+
+    def _order(self, task: Task, worker, now_s: float) -> tuple:
+        book = self._dispatcher.book
+        job = book.jobs[task.key.job]
+        run = book.next_run(task)
+        if task.spec.is_gang:
+            group = job.steps[task.key.occurrence, task.key.step]
+            run = max(run, *(member.run for member in group))
+            if any(m.worker is None for m in group if m is not task):
+                run = max(run, *(book.next_run(member) for member in group))
+        view = book.workers[worker]
+        book.order(task, view, run, now_s)
+        _LOGGER.info(
+            "dispatch: placed",
+            extra={
+                "task": task.key.name,
+                "run": run,
+                "worker": worker,
+                "waited_ms": round((now_s - task.waiting_since_s) * 1000),
+                "failures": task.failures,
+                "free_millicores": view.free().cpu_millicores,
+            },
+        )
+        ticket = self.tickets.ticket(task, worker)
+        return self._dispatcher.sessions[worker], StartTask(
+            task, run, job.spec.payload, ticket
+        )
+
+    def _follow_config(self) -> None:
+        config = self._config()
+        if config is None or config is self._seen_config:
+            return
+        self._seen_config = config
+        queues: dict[QueueName, QueueConfig] = {q.queue: q for q in config.queues}
+        for job in self._active_jobs():
+            job.config = queues.get(job.spec.queue, job.config)
+
+    def _rooms(self, now_s: float) -> dict[PoolName, list[WorkerRoom]]:
+        rooms: dict[PoolName, list[WorkerRoom]] = {}
+        for view in self._dispatcher.book.workers.values():
+            if not view.is_usable(now_s, SILENT_S):
+                continue
+            tasks = view.tasks.values()
+            room = WorkerRoom(
+                view.worker,
+                view.free(),
+                groups=Counter(
+                    (t.key.job, t.key.occurrence, t.key.step) for t in tasks
+                ),
+                long_running=sum(t.spec.is_long_running for t in tasks),
+                filling=sum(t.spec.fills for t in tasks),
+                serving=sum(bool(t.spec.target_ms) for t in tasks),
+                is_trusted=not view.failed_jobs,
+                is_slow=self.speeds.is_slow(view.worker.worker),
+                leaves_soon=self._dispatcher.fleet.leaves_soon(view),
+            )
+            rooms.setdefault(view.worker.pool, []).append(room)
+        return rooms
+
+    def _may_start(self, now_s: float) -> Callable[[Job], bool]:
+        """Hold back inherited jobs while a run of an earlier term may exist unseen."""
+        dispatcher = self._dispatcher
+        if not self._was_resolved:
+            self._was_resolved = (
+                now_s >= dispatcher.inherited_blocked_until_s
+                or self._all_workers_answered()
+            )
+            if self._was_resolved:
+                _LOGGER.info("dispatch: all runs of earlier terms are known")
+        if self._was_resolved:
+            return lambda job: True
+        return lambda job: not job.is_inherited
+
+    def _all_workers_answered(self) -> bool:
+        dispatcher = self._dispatcher
+        if not dispatcher.worker_list_read:
+            return False
+        views = dispatcher.book.workers
+        if any(view.last_answer_s is None for view in views.values()):
+            return False
+        return dispatcher.fleet.knows_all_workers(views)
+
+    def _paces(self, now_s: float) -> list[tuple]:
+        if now_s < self._next_pace_s:
+            return []
+        self._next_pace_s = now_s + PACE_INTERVAL_S
+        items: list[tuple] = []
+        for view in self._dispatcher.book.workers.values():
+            session = self._dispatcher.sessions.get(view.worker.worker)
+            for task, percent in self._pacer.decide(view.tasks.values(), now_s):
+                task.pace = percent
+                items.append((session, PaceTask(task.key, task.run, percent)))
+        return items
--- /dev/null
+++ b/src/jayshunt/dispatch/records.py
@@ -0,0 +1,198 @@
+"""Write jobs and their progress as records of the store, and read them."""
+
+import json
+from dataclasses import asdict
+
+from jayshunt.dispatch.models import (
+    Address,
+    JobSpec,
+    JobState,
+    QueueConfig,
+    Resources,
+    StepSpec,
+    TaskKey,
+    Term,
+)
+from jayshunt.dispatch.tasks import Job, TaskPhase
+from jayshunt.ids import EntryId, JobId, LeaseId, PoolName, QueueName, RackName, Revision
+
+TERM_KEY = "jayshunt/term"
+INTAKE_PREFIX = "jayshunt/in/"
+ACCEPTED_PREFIX = INTAKE_PREFIX + "job/"
+CANCELLED_PREFIX = INTAKE_PREFIX + "cancel/"
+PROGRESS_PREFIX = "jayshunt/progress/"
+WAVE_PREFIX = "jayshunt/wave/"
+
+
+def accepted_key(job: JobId) -> str:
+    """Return where an accepted job lies."""
+    return ACCEPTED_PREFIX + job
+
+
+def cancelled_key(job: JobId) -> str:
+    """Return where the cancel of a job lies."""
+    return CANCELLED_PREFIX + job
+
+
+def progress_key(job: JobId) -> str:
+    """Return where the progress of a job lies."""
+    return PROGRESS_PREFIX + job
+
+
+def encode_job(spec: JobSpec, config: QueueConfig, accepted_at_s: float) -> bytes:
+    """Return an accepted job; fields with their default are left out.
+
+    What its queue said at the time goes along: the queue may be removed while the
+    job waits.
+    """
+    steps = [
+        {k: v for k, v in asdict(step).items() if v not in ("", 0, False, (), None)}
+        for step in spec.steps
+    ]
+    fields = {"queue": spec.queue, "payload": spec.payload, "steps": steps}
+    fields["accepted_at_s"] = round(accepted_at_s, 3)
+    fields["pool"] = config.pool
+    fields["priority"] = config.priority
+    fields["max_failures"] = config.max_failures
+    fields["stretch"] = config.stretch
+    fields["target_latency_ms"] = config.target_latency_ms
+    if spec.times:
+        fields["times"] = spec.times
+        fields["start_at_ms"] = spec.start_at_ms
+        fields["interval_ms"] = spec.interval_ms
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_job(job: JobId, value: bytes) -> tuple[JobSpec, float]:
+    """Return an accepted job and the wall time at which it was accepted."""
+    fields = json.loads(value)
+    spec = JobSpec(
+        job=job,
+        queue=QueueName(fields["queue"]),
+        payload=fields["payload"],
+        steps=tuple(_step(row) for row in fields["steps"]),
+        times=fields.get("times", 0),
+        start_at_ms=fields.get("start_at_ms", 0),
+        interval_ms=fields.get("interval_ms", 0),
+    )
+    return spec, fields.get("accepted_at_s", 0.0)
+
+
+def decode_queue(value: bytes) -> QueueConfig:
+    """Return the queue of an accepted job as it was at the time."""
+    fields = json.loads(value)
+    return QueueConfig(
+        queue=QueueName(fields["queue"]),
+        host="",
+        path_prefix="",
+        pool=PoolName(fields["pool"]),
+        priority=fields["priority"],
+        max_failures=fields["max_failures"],
+        stretch=fields["stretch"],
+        target_latency_ms=fields["target_latency_ms"],
+    )
+
+
+def _step(row: dict) -> StepSpec:
+    return StepSpec(
+        **{
+            **row,
+            "resources": Resources(**row.get("resources", {})),
+            "after": tuple(row.get("after", ())),
+            "data_rack": RackName(row.get("data_rack", "")),
+        }
+    )
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return what has to outlive the dispatcher of a job.
+
+    Rows are kept by task: done tasks as lists of indices, failures and checkpoints
+    of the others by name.
+    """
+    done: dict[str, list[int]] = {}
+    failures: dict[str, int] = {}
+    checkpoints: dict[str, str] = {}
+    if not job.state.is_final:
+        for (occurrence, step), tasks in job.steps.items():
+            ended = [t.key.index for t in tasks if t.phase is TaskPhase.DONE]
+            if ended:
+                done[f"{occurrence}.{step}"] = ended
+            for task in tasks:
+                if task.phase is TaskPhase.DONE:
+                    continue
+                if task.failures:
+                    failures[_short(task.key)] = task.failures
+                if task.checkpoint:
+                    checkpoints[_short(task.key)] = task.checkpoint
+    fields: dict = {"state": job.state.value}
+    if done:
+        fields["done"] = done
+    if failures:
+        fields["failures"] = failures
+    if checkpoints:
+        fields["checkpoints"] = checkpoints
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def apply_progress(job: Job, value: bytes) -> None:
+    """Bring a job that was just read to its stored progress."""
+    fields = json.loads(value)
+    for name, indices in fields.get("done", {}).items():
+        occurrence, step = (int(part) for part in name.split("."))
+        for index in indices:
+            task = job.task(TaskKey(job.spec.job, occurrence, step, index))
+            if task is not None:
+                job.mark_done(task)
+    for name, count in fields.get("failures", {}).items():
+        task = _task(job, name)
+        if task is not None:
+            task.failures = count
+            job.has_begun = True
+    for name, checkpoint in fields.get("checkpoints", {}).items():
+        task = _task(job, name)
+        if task is not None:
+            task.checkpoint = checkpoint
+            job.has_begun = True
+    state = JobState(fields["state"])
+    if state.is_final:
+        job.state = state
+    job.stored_state = state
+
+
+def stored_state(value: bytes) -> JobState:
+    """Return the state in a progress record."""
+    return JobState(json.loads(value)["state"])
+
+
+def _short(key: TaskKey) -> str:
+    return f"{key.occurrence}.{key.step}.{key.index}"
+
+
+def _task(job: Job, name: str):
+    occurrence, step, index = (int(part) for part in name.split("."))
+    return job.task(TaskKey(job.spec.job, occurrence, step, index))
+
+
+def encode_term(term: Term) -> bytes:
+    """Return who dispatches."""
+    fields = {
+        "entry": term.entry,
+        "host": term.peer.host,
+        "port": term.peer.port,
+        "incarnation": term.incarnation,
+        "lease": term.lease,
+    }
+    return json.dumps(fields).encode()
+
+
+def decode_term(value: bytes, created: Revision) -> Term:
+    """Return who dispatches, with the token of the term."""
+    fields = json.loads(value)
+    return Term(
+        entry=EntryId(fields["entry"]),
+        peer=Address(fields["host"], fields["port"]),
+        incarnation=fields["incarnation"],
+        token=created,
+        lease=LeaseId(fields["lease"]),
+    )
--- /dev/null
+++ b/src/jayshunt/dispatch/run_book.py
@@ -0,0 +1,339 @@
+"""Decide what answers of workers mean for tasks, without network or clock.
+
+The book holds each task's present run and where it is or may be. A task gets a
+new run only when the last one is certainly over: its end was listed, another life
+of the worker answered, the VM was taken down, or the worker's lease ran out. The
+caller holds a lock around every call; times are steady seconds.
+"""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jayshunt.dispatch.fleet import (
+    PendingEnd,
+    StrayRun,
+    WorkerView,
+    is_other_life,
+)
+from jayshunt.dispatch.models import (
+    EndedRun,
+    HoldAnswer,
+    JobState,
+    Resources,
+    RunEnd,
+    RunningRun,
+    TaskKey,
+)
+from jayshunt.dispatch.tasks import Job, Task, TaskPhase
+from jayshunt.ids import JobId, Revision, WorkerId
+
+_LOGGER = logging.getLogger(__name__)
+
+# Each revision of the store leaves this many run numbers, so that a later term,
+# whose token is a higher revision, never repeats one.
+RUNS_PER_REVISION = 16
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """Hold a run that is to be stopped on a worker."""
+
+    worker: WorkerId
+    task: TaskKey
+    run: int
+
+
+@dataclass
+class RunBook:
+    """Own the jobs, the workers and which run is where."""
+
+    token: Revision
+    jobs: dict[JobId, Job] = field(default_factory=dict)
+    workers: dict[WorkerId, WorkerView] = field(default_factory=dict)
+    active: set[JobId] = field(default_factory=set)
+    versions: Counter = field(default_factory=Counter)
+    stored_versions: Counter = field(default_factory=Counter)
+    dirty: set[JobId] = field(default_factory=set)
+    counts: Counter = field(default_factory=Counter)
+    on_run_end: Callable[[Job, Task, float], None] | None = None
+
+    # --- jobs ---
+
+    def add_job(self, job: Job) -> bool:
+        """Take a job into the book; return False if it is known."""
+        if job.spec.job in self.jobs:
+            return False
+        self.jobs[job.spec.job] = job
+        if not job.state.is_final:
+            self.active.add(job.spec.job)
+        return True
+
+    def cancel(self, job_id: JobId) -> list[StopOrder]:
+        """Cancel a job and return the runs to stop."""
+        job = self.jobs.get(job_id)
+        if job is None or not job.cancel():
+            return []
+        self._changed(job)
+        return self._stop_all(job)
+
+    def next_run(self, task: Task) -> int:
+        """Return the number of a task's next run."""
+        return max(task.run + 1, self.token * RUNS_PER_REVISION)
+
+    def order(self, task: Task, view: WorkerView, run: int, now_s: float) -> None:
+        """Record that a run is being ordered."""
+        task.phase = TaskPhase.ORDERED
+        task.run = run
+        task.ordered_s = now_s
+        task.acked_s = None
+        view.place(task)
+
+    # --- answers to orders ---
+
+    def started(self, task: Task, run: int, now_s: float) -> None:
+        """Record that a worker carries out a start."""
+        job = self.jobs[task.key.job]
+        job.has_begun = True
+        if task.run != run or task.phase is TaskPhase.WAITING:
+            return
+        task.acked_s = now_s
+
+    def not_started(self, task: Task, run: int, now_s: float) -> None:
+        """Record that a worker certainly did nothing for a start."""
+        if task.run != run or task.phase is not TaskPhase.ORDERED:
+            return
+        self._unplace(task, now_s)
+
+    def stopped(self, order: StopOrder, now_s: float) -> None:
+        """Record that a worker took a stop; its end is listed, or it never ran."""
+        task = self.find(order.task)
+        if task is None or task.run != order.run or task.worker != order.worker:
+            return
+        task.phase = TaskPhase.STOPPING
+        task.acked_s = now_s
+
+    def stop(self, task: Task) -> StopOrder | None:
+        """Mark a placed task as being stopped and return the order."""
+        if not task.is_placed:
+            return None
+        task.phase = TaskPhase.STOPPING
+        task.acked_s = None
+        return StopOrder(task.worker, task.key, task.run)
+
+    # --- what workers list ---
+
+    def apply_hold(
+        self, view: WorkerView, answer: HoldAnswer, sent_s: float, now_s: float
+    ) -> list[StopOrder]:
+        """Take over what a worker lists; return the runs to stop there."""
+        if is_other_life(view, answer):
+            self.worker_over(view, now_s, "another life answered")
+            return []
+        view.saw_clock(answer.clock_ms, now_s)
+        view.last_answer_s = now_s
+        for end in sorted(answer.ended, key=lambda e: e.number):
+            if end.number > view.applied_upto:
+                view.applied_upto = end.number
+                self._apply_end(view, end, now_s)
+        stops: list[StopOrder] = []
+        listed: set[tuple[TaskKey, int]] = set()
+        view.strays = {}
+        for row in answer.running:
+            listed.add((row.task, row.run))
+            stop = self._apply_running(view, row, now_s)
+            if stop is not None:
+                stops.append(stop)
+        stops += self._check_missing(view, listed, sent_s, now_s)
+        return stops
+
+    def worker_over(self, view: WorkerView, now_s: float, reason: str) -> None:
+        """Let the tasks of a worker run again: all its runs are certainly over."""
+        if view.is_over:
+            return
+        view.is_over = True
+        tasks = list(view.tasks.values())
+        _LOGGER.info(
+            "dispatch: a worker is over",
+            extra={
+                "worker": view.worker.worker,
+                "vm": view.worker.vm,
+                "pool": view.worker.pool,
+                "reason": reason,
+                "tasks": len(tasks),
+            },
+        )
+        for task in tasks:
+            self._unplace(task, now_s)
+        view.pending.clear()
+        view.strays.clear()
+        if self.workers.get(view.worker.worker) is view:
+            del self.workers[view.worker.worker]
+
+    # --- the store ---
+
+    def stored(self, job: Job, version: int, state: JobState, now_s: float) -> None:
+        """Record that a version of a job's progress is stored."""
+        job_id = job.spec.job
+        self.stored_versions[job_id] = max(version, self.stored_versions[job_id])
+        job.stored_state = state
+        if state.is_final and job.ended_s is None:
+            job.ended_s = now_s
+        if state.is_final:
+            self.active.discard(job_id)
+
+    def find(self, key: TaskKey) -> Task | None:
+        """Return the task of a key if its job is known."""
+        job = self.jobs.get(key.job)
+        return None if job is None else job.task(key)
+
+    def _apply_running(
+        self, view: WorkerView, row: RunningRun, now_s: float
+    ) -> StopOrder | None:
+        job = self.jobs.get(row.task.job)
+        task = None if job is None else job.task(row.task)
+        worker = view.worker.worker
+        if task is None:
+            view.strays[row.task, row.run] = StrayRun(row.run, Resources())
+            self.counts["unknown_run"] += 1
+            return StopOrder(worker, row.task, row.run)
+        job.has_begun = True
+        is_wanted = not job.state.is_final and task.phase is not TaskPhase.DONE
+        if task.worker == worker and task.run == row.run:
+            self._update_running(task, row, now_s)
+            if is_wanted and task.phase is not TaskPhase.STOPPING:
+                return None
+            return StopOrder(worker, row.task, row.run)
+        if is_wanted and task.worker is None and row.run >= task.run:
+            # A run that an earlier term started, or one that was thought to be over.
+            task.run = row.run
+            task.acked_s = now_s
+            view.place(task)
+            self._update_running(task, row, now_s)
+            return None
+        view.strays[row.task, row.run] = StrayRun(row.run, task.spec.reserved)
+        return StopOrder(worker, row.task, row.run)
+
+    def _update_running(self, task: Task, row: RunningRun, now_s: float) -> None:
+        if task.phase in (TaskPhase.ORDERED, TaskPhase.WAITING):
+            task.phase = TaskPhase.RUNNING
+        if task.running_s is None:
+            task.running_s = now_s
+        task.percent = row.percent
+        task.load = row.load
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+
+    def _check_missing(
+        self,
+        view: WorkerView,
+        listed: set[tuple[TaskKey, int]],
+        sent_s: float,
+        now_s: float,
+    ) -> list[StopOrder]:
+        """Settle tasks that should be here and are not listed.
+
+        A run whose start or stop was acknowledged before the call went out is over.
+        One whose start got no answer may still come into being: it is stopped
+        first, as a worker refuses a run that was stopped before it came.
+        """
+        stops: list[StopOrder] = []
+        for task in list(view.tasks.values()):
+            if (task.key, task.run) in listed:
+                continue
+            if task.acked_s is not None and task.acked_s < sent_s:
+                self._unplace(task, now_s)
+            elif task.phase is TaskPhase.STOPPING and task.acked_s is None:
+                stops.append(StopOrder(view.worker.worker, task.key, task.run))
+        return stops
+
+    def _apply_end(self, view: WorkerView, end: EndedRun, now_s: float) -> None:
+        job = self.jobs.get(end.task.job)
+        task = None if job is None else job.task(end.task)
+        if task is None:
+            view.pending.append(PendingEnd(end.number, None, 0))
+            return
+        before = self.versions[end.task.job]
+        is_present = task.run == end.run and task.worker == view.worker.worker
+        is_inherited = task.worker is None and end.run >= task.run
+        if end.end is RunEnd.DONE:
+            self._apply_done(view, job, task, now_s)
+        elif end.run > task.ended_run and (is_present or is_inherited):
+            # A worker that was out of reach lists ends again that are known.
+            task.run = max(task.run, end.run)
+            task.ended_run = end.run
+            self._apply_other_end(view, job, task, end, now_s)
+        version = self.versions[end.task.job]
+        waits_for = None if version == before else end.task.job
+        view.pending.append(PendingEnd(end.number, waits_for, version))
+
+    def _apply_done(
+        self, view: WorkerView, job: Job, task: Task, now_s: float
+    ) -> None:
+        view.saw_done(now_s)
+        if task.spec.is_long_running:
+            # It ended although it should last: it runs again.
+            if task.worker == view.worker.worker:
+                self._unplace(task, now_s)
+            return
+        members = [task]
+        if task.spec.is_gang:
+            members = job.steps[task.key.occurrence, task.key.step]
+        for member in members:
+            self._finish(job, member, now_s)
+
+    def _finish(self, job: Job, task: Task, now_s: float) -> None:
+        other = self.workers.get(task.worker) if task.worker else None
+        if other is not None:
+            other.release(task)
+        if self.on_run_end is not None and task.running_s is not None:
+            self.on_run_end(job, task, now_s)
+        if job.mark_done(task):
+            self._changed(job)
+
+    def _apply_other_end(
+        self, view: WorkerView, job: Job, task: Task, end: EndedRun, now_s: float
+    ) -> None:
+        if end.checkpoint and task.phase is not TaskPhase.DONE:
+            task.checkpoint = end.checkpoint
+            self._changed(job)
+        if end.end is RunEnd.FAILED:
+            job.mark_failed(task, view.worker.worker)
+            self._changed(job)
+            if view.saw_failed(job.spec.job, now_s):
+                _LOGGER.warning(
+                    "dispatch: a worker is set aside",
+                    extra={"worker": view.worker.worker, "reason": "its runs fail"},
+                )
+        if end.end is not RunEnd.STOPPED or job.state.is_final:
+            _LOGGER.info(
+                "dispatch: a run ended early",
+                extra={
+                    "task": task.key.name,
+                    "run": end.run,
+                    "end": end.end.value,
+                    "worker": view.worker.worker,
+                    "failures": task.failures,
+                    "job_state": job.state.value,
+                },
+            )
+        self._unplace(task, now_s)
+
+    def stops_of_ended_jobs(self, job: Job) -> list[StopOrder]:
+        """Return the runs of a job that ended while some of it still runs."""
+        return self._stop_all(job)
+
+    def _stop_all(self, job: Job) -> list[StopOrder]:
+        orders = (self.stop(task) for task in job.tasks())
+        return [order for order in orders if order is not None]
+
+    def _unplace(self, task: Task, now_s: float) -> None:
+        view = self.workers.get(task.worker) if task.worker else None
+        if view is not None:
+            view.release(task)
+        task.reset(now_s)
+
+    def _changed(self, job: Job) -> None:
+        self.versions[job.spec.job] += 1
+        self.dirty.add(job.spec.job)
--- /dev/null
+++ b/src/jayshunt/dispatch/sessions.py
@@ -0,0 +1,364 @@
+"""Talk to one worker: one task holds its lease, another gives it orders."""
+
+import logging
+import queue
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import (
+    HOLD_RETRY_S,
+    HOLD_TIMEOUT_SLACK_S,
+    HOLD_WAIT_S,
+    LEASE_MARGIN_S,
+    ORDER_TIMEOUT_S,
+)
+from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.models import (
+    HoldAnswer,
+    OrderAnswer,
+    OrderRefusal,
+    StartOrder,
+    TaskKey,
+)
+from jayshunt.dispatch.run_book import RunBook, StopOrder
+from jayshunt.dispatch.tasks import Task, TaskPhase
+from jayshunt.errors import JayshuntError, Outcome
+
+_LOGGER = logging.getLogger(__name__)
+
+IDLE_HOLD_WAIT_S = 2.0
+ORDER_POLL_S = 0.5
+# A stop that was sent is repeated if the run is still listed after this time.
+STOP_REPEAT_S = 0.8
+FULL_PAUSE_S = 0.15
+UNANSWERED_PAUSE_S = 0.6
+UNHEALTHY_PAUSE_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class StartTask:
+    """Ask for a run of a task to be started."""
+
+    task: Task
+    run: int
+    payload: str
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PaceTask:
+    """Ask for a run to work at a share of its speed."""
+
+    task: TaskKey
+    run: int
+    percent: int
+
+
+class Calls(Protocol):
+    """Call a worker; the platform's adapter and test fakes provide it."""
+
+    def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
+        """Start a run."""
+
+    def stop(self, task: TaskKey, run: int, timeout_s: float) -> OrderAnswer:
+        """Stop a run."""
+
+    def pace(
+        self, task: TaskKey, run: int, percent: int, timeout_s: float
+    ) -> OrderAnswer:
+        """Slow a run down."""
+
+    def hold(
+        self,
+        noted_upto: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+        timeout_s: float,
+    ) -> HoldAnswer | OrderAnswer:
+        """Extend the lease and list the runs."""
+
+
+@dataclass
+class SessionContext:
+    """Hold what all sessions of a term share.
+
+    `lock` guards the book. `term_valid` tells whether orders may be given,
+    `deposed` is called when a worker has seen a later term, `changed` when there
+    may be something to place or to store.
+    """
+
+    book: RunBook
+    lock: threading.RLock
+    clock: Clock
+    lease_s: float
+    term_valid: Callable[[], bool]
+    deposed: Callable[[str], None]
+    changed: Callable[[], None]
+
+
+class WorkerSession:
+    """Own the calls to one life of a worker."""
+
+    def __init__(self, view: WorkerView, calls: Calls, context: SessionContext):
+        """Start without an order."""
+        self.view = view
+        self._calls = calls
+        self._context = context
+        self._orders: queue.SimpleQueue = queue.SimpleQueue()
+        self._stops_sent: dict[tuple[TaskKey, int], float] = {}
+
+    def start(self, item: StartTask) -> None:
+        """Queue a start."""
+        self._orders.put(item)
+
+    def pace(self, item: PaceTask) -> None:
+        """Queue a change of pace."""
+        self._orders.put(item)
+
+    def stop(self, order: StopOrder) -> None:
+        """Queue a stop unless the same one was sent a moment ago."""
+        now_s = self._context.clock.monotonic_s()
+        key = (order.task, order.run)
+        sent_s = self._stops_sent.get(key)
+        if sent_s is not None and now_s - sent_s < STOP_REPEAT_S:
+            return
+        if len(self._stops_sent) > 1000:
+            self._stops_sent.clear()
+        self._stops_sent[key] = now_s
+        self._orders.put(order)
+
+    # --- the lease ---
+
+    def hold_lease(self, stop: threading.Event) -> None:
+        """Extend the lease and take over what the worker lists, until it is over."""
+        while not stop.is_set() and not self.view.is_over:
+            if not self._context.term_valid():
+                self._context.clock.wait(stop, HOLD_RETRY_S / 2)
+                continue
+            if not self._hold_once():
+                self._context.clock.wait(stop, HOLD_RETRY_S)
+        self._orders.put(None)
+
+    def _hold_once(self) -> bool:
+        context, view = self._context, self.view
+        with context.lock:
+            sent_s = context.clock.monotonic_s()
+            until_ms = view.lease_until_ms(sent_s, context.lease_s)
+            if until_ms is not None:
+                view.lease_given(until_ms)
+            noted = view.note_stored(context.book.stored_versions.__getitem__)
+            wait_s = self._wait_s(until_ms)
+        try:
+            answer = self._calls.hold(
+                noted, until_ms, int(wait_s * 1000), wait_s + HOLD_TIMEOUT_SLACK_S
+            )
+        except JayshuntError as error:
+            self._unreachable(str(error))
+            return False
+        if isinstance(answer, OrderAnswer):
+            return self._refused(answer)
+        with context.lock:
+            now_s = context.clock.monotonic_s()
+            is_first = view.last_answer_s is None
+            stops = context.book.apply_hold(view, answer, sent_s, now_s)
+        if is_first:
+            _LOGGER.info(
+                "dispatch: a worker answered",
+                extra={
+                    "worker": view.worker.worker,
+                    "pool": view.worker.pool,
+                    "running": len(answer.running),
+                    "ended": len(answer.ended),
+                },
+            )
+        for order in stops:
+            self.stop(order)
+        context.changed()
+        return True
+
+    def _wait_s(self, until_ms: int | None) -> float:
+        if until_ms is None or any(
+            task.phase is TaskPhase.STOPPING for task in self.view.tasks.values()
+        ):
+            return 0.1 if until_ms is not None else 0.0
+        return HOLD_WAIT_S if self.view.tasks else IDLE_HOLD_WAIT_S
+
+    def _unreachable(self, reason: str) -> None:
+        context, view = self._context, self.view
+        with context.lock:
+            now_s = context.clock.monotonic_s()
+            if now_s < view.lease_end_s + LEASE_MARGIN_S:
+                return
+            if view.tasks or not view.is_listed:
+                context.book.worker_over(view, now_s, f"its lease is over: {reason}")
+        context.changed()
+
+    def _refused(self, answer: OrderAnswer) -> bool:
+        context, view = self._context, self.view
+        match answer.refusal:
+            case OrderRefusal.FENCED:
+                context.deposed(f"worker {view.worker.worker} saw a later term")
+            case OrderRefusal.OTHER_LIFE:
+                with context.lock:
+                    context.book.worker_over(
+                        view, context.clock.monotonic_s(), "another life answered"
+                    )
+                context.changed()
+            case _:
+                _LOGGER.info(
+                    "dispatch: a worker refused its lease",
+                    extra={
+                        "worker": view.worker.worker,
+                        "reason": answer.refusal.value if answer.refusal else "",
+                    },
+                )
+                self._unreachable("it refuses its lease")
+        return False
+
+    # --- orders ---
+
+    def give_orders(self, stop: threading.Event) -> None:
+        """Send queued orders one after the other."""
+        while not stop.is_set() and not self.view.is_over:
+            try:
+                item = self._orders.get(timeout=ORDER_POLL_S)
+            except queue.Empty:
+                continue
+            match item:
+                case StartTask():
+                    self._start(item)
+                case StopOrder():
+                    self._stop(item)
+                case PaceTask():
+                    self._pace(item)
+
+    def _start(self, item: StartTask) -> None:
+        order = self._prepare(item)
+        if order is None:
+            return
+        context, task = self._context, item.task
+        try:
+            answer = self._calls.start(order, ORDER_TIMEOUT_S)
+        except JayshuntError as error:
+            self._start_failed(item, error)
+            return
+        with context.lock:
+            now_s = context.clock.monotonic_s()
+            if answer.refusal is None:
+                context.book.counts["started"] += 1
+                context.book.started(task, item.run, now_s)
+                return
+            self._start_refused(item, answer, now_s)
+        _LOGGER.info(
+            "dispatch: a start was refused",
+            extra={
+                "task": task.key.name,
+                "run": item.run,
+                "worker": self.view.worker.worker,
+                "reason": answer.refusal.value,
+            },
+        )
+        if answer.refusal is OrderRefusal.FENCED:
+            context.deposed(f"worker {self.view.worker.worker} saw a later term")
+        context.changed()
+
+    def _prepare(self, item: StartTask) -> StartOrder | None:
+        """Return the order, or None if the start is no longer wanted."""
+        context, view, task = self._context, self.view, item.task
+        with context.lock:
+            if task.run != item.run or task.phase is not TaskPhase.ORDERED:
+                return None
+            now_s = context.clock.monotonic_s()
+            job = context.book.jobs[task.key.job]
+            until_ms = view.lease_until_ms(now_s, context.lease_s)
+            if (
+                job.state.is_final
+                or view.is_over
+                or view.is_draining
+                or until_ms is None
+                or not context.term_valid()
+            ):
+                context.book.not_started(task, item.run, now_s)
+                return None
+            view.lease_given(until_ms)
+            checkpoint = task.checkpoint
+        return StartOrder(
+            task.key, item.run, item.payload, until_ms, checkpoint, item.ticket
+        )
+
+    def _start_refused(
+        self, item: StartTask, answer: OrderAnswer, now_s: float
+    ) -> None:
+        context, view = self._context, self.view
+        if answer.clock_ms is not None:
+            view.saw_clock(answer.clock_ms, now_s)
+        match answer.refusal:
+            case OrderRefusal.OTHER_LIFE:
+                context.book.worker_over(view, now_s, "another life answered")
+                return
+            case OrderRefusal.NO_ROOM | OrderRefusal.LEASE_OVER:
+                view.full_until_s = now_s + FULL_PAUSE_S
+            case OrderRefusal.UNHEALTHY | OrderRefusal.OTHER:
+                view.set_aside_until_s = now_s + UNHEALTHY_PAUSE_S
+        context.book.counts["start_refused"] += 1
+        context.book.not_started(item.task, item.run, now_s)
+
+    def _start_failed(self, item: StartTask, error: JayshuntError) -> None:
+        context, view, task = self._context, self.view, item.task
+        stop = None
+        with context.lock:
+            now_s = context.clock.monotonic_s()
+            view.full_until_s = now_s + UNANSWERED_PAUSE_S
+            context.book.counts["start_unanswered"] += 1
+            if error.outcome is Outcome.NOT_RUN:
+                context.book.not_started(task, item.run, now_s)
+            elif task.run == item.run and task.phase is TaskPhase.ORDERED:
+                # The run may exist or come into being later: it is stopped, which
+                # also shuts out a start that is carried out late.
+                stop = context.book.stop(task)
+        _LOGGER.info(
+            "dispatch: a start got no answer",
+            extra={
+                "task": task.key.name,
+                "run": item.run,
+                "worker": view.worker.worker,
+                "reason": str(error),
+            },
+        )
+        if stop is not None:
+            self.stop(stop)
+        context.changed()
+
+    def _stop(self, order: StopOrder) -> None:
+        context = self._context
+        if not context.term_valid():
+            return
+        try:
+            answer = self._calls.stop(order.task, order.run, ORDER_TIMEOUT_S)
+        except JayshuntError as error:
+            _LOGGER.info(
+                "dispatch: a stop got no answer",
+                extra={"task": order.task.name, "run": order.run, "reason": str(error)},
+            )
+            return
+        if answer.refusal is OrderRefusal.FENCED:
+            context.deposed(f"worker {self.view.worker.worker} saw a later term")
+            return
+        with context.lock:
+            now_s = context.clock.monotonic_s()
+            if answer.refusal is None:
+                context.book.stopped(order, now_s)
+
+    def _pace(self, item: PaceTask) -> None:
+        if not self._context.term_valid():
+            return
+        try:
+            self._calls.pace(item.task, item.run, item.percent, ORDER_TIMEOUT_S)
+        except JayshuntError as error:
+            _LOGGER.info(
+                "dispatch: a change of pace got no answer",
+                extra={"task": item.task.name, "reason": str(error)},
+            )
--- /dev/null
+++ b/src/jayshunt/dispatch/tasks.py
@@ -0,0 +1,237 @@
+"""Hold the state of a job's tasks as the dispatcher knows it."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from jayshunt.dispatch.models import (
+    JobSpec,
+    JobState,
+    QueueConfig,
+    RunEnd,
+    StepSpec,
+    TaskKey,
+)
+from jayshunt.ids import Revision, WorkerId
+
+
+class TaskPhase(Enum):
+    """Name where a task stands.
+
+    `ORDERED` covers a start without an answer as well: the run may exist or may
+    still come into being until it was stopped or its lease is over.
+    """
+
+    WAITING = "waiting"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+@dataclass(slots=True)
+class Task:
+    """Hold one task.
+
+    `run` is the highest run number used, `ended_run` the highest whose end was
+    taken over, `worker` where the present run is or may be.
+    `failed_on` are workers on which a run failed. `waiting_since_s` and
+    `ordered_s` are steady seconds.
+    """
+
+    key: TaskKey
+    spec: StepSpec
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    worker: WorkerId | None = None
+    ended_run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    failed_on: tuple[WorkerId, ...] = ()
+    waiting_since_s: float = 0.0
+    ordered_s: float = 0.0
+    acked_s: float | None = None
+    running_s: float | None = None
+    percent: int = 0
+    load: float = 0.0
+    pace: int = 100
+
+    @property
+    def is_placed(self) -> bool:
+        """Return whether a run exists or may exist on a worker."""
+        return self.worker is not None and self.phase in (
+            TaskPhase.ORDERED,
+            TaskPhase.RUNNING,
+            TaskPhase.STOPPING,
+        )
+
+    @property
+    def is_at_work(self) -> bool:
+        """Return whether the task serves: it runs and has warmed up."""
+        return self.phase is TaskPhase.RUNNING and self.percent >= 100
+
+    def reset(self, now_s: float) -> None:
+        """Let the task wait for a new run; the last one is certainly over."""
+        if self.phase is TaskPhase.DONE:
+            return
+        self.phase = TaskPhase.WAITING
+        self.worker = None
+        self.waiting_since_s = now_s
+        self.acked_s = None
+        self.running_s = None
+        self.percent = 0
+        self.load = 0.0
+        self.pace = 100
+
+
+@dataclass
+class Job:
+    """Hold one accepted job.
+
+    `state` is what is known, `stored_state` what the store has; callers are told
+    a final state only when it is stored. `accepted_s` is steady seconds, an
+    estimate for jobs that an earlier term accepted. `is_inherited` marks jobs that
+    an earlier term may have started.
+    """
+
+    spec: JobSpec
+    config: QueueConfig
+    accepted_s: float
+    created: Revision = Revision(0)
+    is_inherited: bool = False
+    state: JobState = JobState.QUEUED
+    stored_state: JobState = JobState.QUEUED
+    progress_revision: Revision = Revision(0)
+    steps: dict[tuple[int, int], list[Task]] = field(default_factory=dict)
+    done_counts: dict[tuple[int, int], int] = field(default_factory=dict)
+    has_begun: bool = False
+    ended_s: float | None = None
+    chain_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Create the tasks of the first occurrence."""
+        self.chain_ms = longest_chain_ms(self.spec)
+        self.open_occurrence(0)
+
+    @property
+    def deadline_s(self) -> float:
+        """Return until when the job should be complete, steady seconds."""
+        objective_ms = (
+            self.config.stretch * self.chain_ms + self.config.target_latency_ms
+        )
+        return self.accepted_s + objective_ms / 1000
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Create the tasks of one occurrence, once."""
+        if (occurrence, 0) in self.steps:
+            return
+        for number, step in enumerate(self.spec.steps):
+            self.steps[occurrence, number] = [
+                Task(
+                    TaskKey(self.spec.job, occurrence, number, index),
+                    step,
+                    waiting_since_s=self.accepted_s,
+                )
+                for index in range(step.task_count)
+            ]
+            self.done_counts[occurrence, number] = 0
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return the task of a key, or None if the job has none such."""
+        if not 0 <= key.occurrence < self.spec.occurrences:
+            return None
+        self.open_occurrence(key.occurrence)
+        tasks = self.steps.get((key.occurrence, key.step))
+        if tasks is None or not 0 <= key.index < len(tasks):
+            return None
+        return tasks[key.index]
+
+    def tasks(self) -> list[Task]:
+        """Return the tasks of every occurrence that is open."""
+        return [task for tasks in self.steps.values() for task in tasks]
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Return whether all tasks of a step ended well."""
+        count = self.done_counts.get((occurrence, step))
+        return count is not None and count >= self.spec.steps[step].task_count
+
+    def is_step_ready(self, occurrence: int, step: int) -> bool:
+        """Return whether the steps before a step are done."""
+        return all(
+            self.is_step_done(occurrence, before)
+            for before in self.spec.steps[step].after
+        )
+
+    def due_tasks(self) -> list[Task]:
+        """Return the waiting tasks whose turn has come."""
+        if self.state.is_final:
+            return []
+        due: list[Task] = []
+        for (occurrence, step), tasks in self.steps.items():
+            if self.done_counts[occurrence, step] == len(tasks):
+                continue
+            if not self.is_step_ready(occurrence, step):
+                continue
+            due += [task for task in tasks if task.phase is TaskPhase.WAITING]
+        return due
+
+    def mark_done(self, task: Task) -> bool:
+        """Record that a task ended well; return whether that is news."""
+        if task.phase is TaskPhase.DONE:
+            return False
+        task.phase = TaskPhase.DONE
+        task.worker = None
+        self.has_begun = True
+        self.done_counts[task.key.occurrence, task.key.step] += 1
+        self._update_state()
+        return True
+
+    def mark_failed(self, task: Task, worker: WorkerId | None) -> None:
+        """Count a failed run; the job fails when a task has used up its runs."""
+        task.failures += 1
+        self.has_begun = True
+        if worker is not None:
+            task.failed_on += (worker,)
+        if task.spec.is_long_running or self.state.is_final:
+            return
+        if task.failures >= self.config.max_failures:
+            self.state = JobState.FAILED
+
+    def cancel(self) -> bool:
+        """Record a cancel; return whether it changed anything."""
+        if self.state.is_final:
+            return False
+        self.state = JobState.CANCELLED
+        return True
+
+    def public_state(self) -> JobState:
+        """Return what callers are told; final states only once they are stored."""
+        if self.stored_state.is_final:
+            return self.stored_state
+        if self.state is JobState.CANCELLED:
+            return JobState.CANCELLED
+        return JobState.RUNNING if self.has_begun else JobState.QUEUED
+
+    def _update_state(self) -> None:
+        if self.state.is_final or self.spec.is_long_running:
+            return
+        complete = all(
+            self.is_step_done(occurrence, step)
+            for occurrence in range(self.spec.occurrences)
+            for step in range(len(self.spec.steps))
+        )
+        if complete:
+            self.state = JobState.COMPLETED
+
+
+def longest_chain_ms(spec: JobSpec) -> float:
+    """Return the longest chain of estimated work through the steps."""
+    ends: list[float] = []
+    for step in spec.steps:
+        start = max((ends[before] for before in step.after), default=0.0)
+        ends.append(start + step.estimate_ms)
+    return max(ends, default=0.0)
+
+
+def ends_run(end: RunEnd) -> bool:
+    """Return whether an end leaves the task to be run again."""
+    return end is not RunEnd.DONE
--- /dev/null
+++ b/src/jayshunt/dispatch/term.py
@@ -0,0 +1,283 @@
+"""Elect the entry that dispatches, by a key that lives as long as its lease.
+
+Every write of a holder is conditional on that key, every order carries its
+creation revision as fencing token, and a holder gives no order after its own view
+of the lease ran out. The view uses a clock that counts the time of a suspension.
+"""
+
+import logging
+import random
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from typing import Protocol
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import (
+    CANDIDATE_RETRY_S,
+    CLOCK_SKEW,
+    TERM_LEASE_S,
+    TERM_MARGIN_S,
+    TERM_RENEW_S,
+    TERM_WATCH_S,
+)
+from jayshunt.dispatch.models import EntryNode, Put, Term
+from jayshunt.dispatch.records import TERM_KEY, decode_term, encode_term
+from jayshunt.ids import LeaseId, Revision
+from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def suspend_aware_s() -> float:
+    """Return a steady time in seconds that also counts while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class TermHolder(Protocol):
+    """Run the duties of a term; the dispatcher provides it."""
+
+    def start(self) -> None:
+        """Take the duties over."""
+
+    def stop(self, in_order: bool) -> None:
+        """Give the duties up; `in_order` while the term still holds."""
+
+
+class OwnTerm:
+    """Hold the term of this entry and until when it certainly holds."""
+
+    def __init__(
+        self, term: Term, renewed_s: float, now_s: Callable[[], float]
+    ) -> None:
+        """Start at the time at which the lease was asked for."""
+        self.term = term
+        self._now_s = now_s
+        self._valid_until_s = 0.0
+        self.is_over = False
+        self.renewed(renewed_s)
+
+    def renewed(self, sent_s: float) -> None:
+        """Extend the view of the lease from the time a renewal was sent."""
+        usable_s = TERM_LEASE_S * (1 - CLOCK_SKEW) - TERM_MARGIN_S
+        self._valid_until_s = max(self._valid_until_s, sent_s + usable_s)
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether orders may be given."""
+        return not self.is_over and self._now_s() < self._valid_until_s
+
+
+class TermKeeper:
+    """Follow who dispatches, and take the duty over when nobody does."""
+
+    def __init__(
+        self,
+        node: EntryNode,
+        store: PlatformStore,
+        clock: Clock,
+        rng: random.Random,
+        make_holder: Callable[[OwnTerm], TermHolder],
+        now_s: Callable[[], float] = suspend_aware_s,
+    ) -> None:
+        """Start without knowledge of a term."""
+        self._node = node
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._make_holder = make_holder
+        self._now_s = now_s
+        self.incarnation = uuid.uuid4().hex
+        self._known = threading.Condition()
+        self._term: Term | None = None
+        self._own: OwnTerm | None = None
+        self._holder: TermHolder | None = None
+        self._revision: Revision | None = None
+        self._leaving = threading.Event()
+        self.terms_held = 0
+
+    @property
+    def own(self) -> OwnTerm | None:
+        """Return the term of this entry, if it has one."""
+        return self._own
+
+    @property
+    def term(self) -> Term | None:
+        """Return the term as last seen."""
+        return self._term
+
+    def wait_for_change(self, seen: Term | None, timeout_s: float) -> Term | None:
+        """Return the present term once it differs from the one seen, or in time."""
+        with self._known:
+            self._known.wait_for(lambda: self._term != seen, timeout_s)
+            return self._term
+
+    def leave(self) -> None:
+        """Give up the duty and do not take it over again: the entry stops."""
+        self._leaving.set()
+        own = self._own
+        if own is not None:
+            self._give_up(own, in_order=own.is_valid)
+
+    def resign(self) -> None:
+        """Give up the duty, as this entry does not reach most workers."""
+        own = self._own
+        if own is not None:
+            self._give_up(own, in_order=own.is_valid)
+
+    def follow(self, stop: threading.Event) -> None:
+        """Watch the term's key and stand for it whenever it is absent."""
+        while not stop.is_set():
+            try:
+                self._follow_once(stop)
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                _LOGGER.debug("dispatch: the term is not readable: %s", error)
+                self._revision = None
+                self._clock.wait(stop, CANDIDATE_RETRY_S)
+            except HistoryGone:
+                self._revision = None
+
+    def renew(self, stop: threading.Event) -> None:
+        """Renew the lease of the own term."""
+        while not stop.is_set():
+            own = self._own
+            if own is not None:
+                self._renew_once(own)
+            self._clock.wait(stop, TERM_RENEW_S if own is None else self._pause_s(own))
+
+    def _pause_s(self, own: OwnTerm) -> float:
+        return TERM_RENEW_S if own.is_valid else CANDIDATE_RETRY_S
+
+    def _renew_once(self, own: OwnTerm) -> None:
+        sent_s = self._now_s()
+        try:
+            self._store.renew_lease(own.term.lease)
+        except LeaseGone:
+            _LOGGER.warning(
+                "dispatch: the term was lost", extra={"token": own.term.token}
+            )
+            self._give_up(own, in_order=False)
+        except (StoreUnavailable, StoreOutcomeUnknown) as error:
+            _LOGGER.info(
+                "dispatch: the term was not renewed",
+                extra={"reason": str(error), "valid": own.is_valid},
+            )
+        else:
+            own.renewed(sent_s)
+
+    def _follow_once(self, stop: threading.Event) -> None:
+        if self._revision is None:
+            items, revision = self._store.list(TERM_KEY)
+            self._revision = revision
+            self._saw(items[0] if items else None)
+        if self._term is None and not self._leaving.is_set():
+            self._stand(stop)
+        answer = self._store.watch(TERM_KEY, self._revision, TERM_WATCH_S, stop)
+        self._revision = max(self._revision, answer.revision)
+        for event in answer.events:
+            self._saw(None if event.value is None else event)
+
+    def _saw(self, item) -> None:
+        term = None if item is None else decode_term(item.value, item.created)
+        own = self._own
+        if own is not None and (term is None or term.token != own.term.token):
+            # Events are ordered, so one from before the own term can come late.
+            if term is None or term.token > own.term.token:
+                self._give_up(own, in_order=False)
+        self._publish(term)
+
+    def _publish(self, term: Term | None) -> None:
+        with self._known:
+            if term == self._term:
+                return
+            self._term = term
+            self._known.notify_all()
+        _LOGGER.info(
+            "dispatch: the dispatcher changed",
+            extra={
+                "dispatcher": None if term is None else term.entry,
+                "token": None if term is None else term.token,
+            },
+        )
+
+    def _stand(self, stop: threading.Event) -> None:
+        """Create the term's key, unless another entry is faster.
+
+        Entries with more processor time stand earlier.
+        """
+        delay_s = 0.03 / max(0.1, self._node.cpu_cores) + self._rng.uniform(0, 0.03)
+        if self._clock.wait(stop, delay_s) or self._leaving.is_set():
+            return
+        sent_s = self._now_s()
+        lease = self._store.grant_lease(TERM_LEASE_S)
+        term = Term(
+            self._node.entry, self._node.peer, self.incarnation, lease=lease.lease
+        )
+        try:
+            result = self._store.transact(
+                {TERM_KEY: Revision(0)},
+                (Put(TERM_KEY, encode_term(term), lease.lease),),
+            )
+            created = result.revision
+        except StoreOutcomeUnknown:
+            created = self._settle(term, lease.lease)
+        except LeaseGone:
+            return
+        if created is None:
+            self._end_lease(lease.lease)
+            return
+        self._begin(
+            OwnTerm(
+                Term(term.entry, term.peer, term.incarnation, created, lease.lease),
+                sent_s,
+                self._now_s,
+            )
+        )
+
+    def _settle(self, term: Term, lease: LeaseId) -> Revision | None:
+        """Return the revision of the own key after a lost answer, or None."""
+        item = self._store.get(TERM_KEY)
+        if item is None or item.value is None:
+            return None
+        found = decode_term(item.value, item.created)
+        is_own = found.incarnation == term.incarnation and found.lease == lease
+        return item.created if is_own else None
+
+    def _end_lease(self, lease: LeaseId) -> None:
+        try:
+            self._store.end_lease(lease)
+        except (StoreUnavailable, StoreOutcomeUnknown) as error:
+            _LOGGER.info(
+                "dispatch: an unused lease runs out by itself",
+                extra={"reason": str(error)},
+            )
+
+    def _begin(self, own: OwnTerm) -> None:
+        self._own = own
+        self.terms_held += 1
+        _LOGGER.info("dispatch: took over", extra={"token": own.term.token})
+        holder = self._make_holder(own)
+        self._holder = holder
+        holder.start()
+        self._publish(own.term)
+        if self._leaving.is_set():
+            self._give_up(own, in_order=True)
+
+    def _give_up(self, own: OwnTerm, in_order: bool) -> None:
+        with self._known:
+            if self._own is not own:
+                return
+            self._own = None
+            holder, self._holder = self._holder, None
+        if holder is not None:
+            holder.stop(in_order)
+        own.is_over = True
+        _LOGGER.info(
+            "dispatch: gave up the term",
+            extra={"token": own.term.token, "in_order": in_order},
+        )
+        if in_order:
+            self._end_lease(own.term.lease)
+        self._publish(None)
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the dispatch of jobs to workers."""
--- /dev/null
+++ b/src/jayshunt/dispatch/tickets.py
@@ -0,0 +1,119 @@
+"""Keep the tickets of queues whose policy allows only some workers."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import Executor
+from dataclasses import dataclass
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.placing import Placement, WorkerRoom
+from jayshunt.dispatch.tasks import Job, Task
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import JobId, PoolName, WorkerId
+
+_LOGGER = logging.getLogger(__name__)
+
+# The workers named in one question: more make the answer slower.
+WORKERS_PER_QUESTION = 30
+ASK_TIMEOUT_S = 2.5
+# A ticket that ends within this time is not used any more.
+VALID_MARGIN_S = 0.4
+ASK_AGAIN_S = 0.5
+
+StepKey = tuple[JobId, int, int]
+
+
+@dataclass(slots=True)
+class _Tickets:
+    by_worker: dict[WorkerId, str]
+    until_s: float
+    is_asking: bool = False
+    ask_after_s: float = 0.0
+
+
+class TicketBook:
+    """Own the questions to the advice service and the tickets it gave."""
+
+    def __init__(
+        self, advice, executor: Executor, clock: Clock, changed: Callable[[], None]
+    ) -> None:
+        """Start without a ticket."""
+        self._advice = advice
+        self._executor = executor
+        self._clock = clock
+        self._changed = changed
+        self._tickets: dict[StepKey, _Tickets] = {}
+
+    def ticket(self, task: Task, worker: WorkerId) -> str:
+        """Return the ticket for a start, "" where none is needed."""
+        tickets = self._tickets.get((task.key.job, task.key.occurrence, task.key.step))
+        return "" if tickets is None else tickets.by_worker.get(worker, "")
+
+    def place(
+        self,
+        jobs: list[Job],
+        rooms: dict[PoolName, list[WorkerRoom]],
+        now_s: float,
+        may_start: Callable[[Job], bool],
+        plan: Callable,
+    ) -> list[Placement]:
+        """Place free queues at once, and the others where tickets allow it."""
+        free = [job for job in jobs if job.config.advice is None]
+        placements = plan(free, rooms, now_s, may_start)
+        for job in jobs:
+            if job.config.advice is None or not may_start(job):
+                continue
+            placements += self._place_advised(job, rooms, now_s, plan)
+        return placements
+
+    def _place_advised(
+        self,
+        job: Job,
+        rooms: dict[PoolName, list[WorkerRoom]],
+        now_s: float,
+        plan: Callable,
+    ) -> list[Placement]:
+        due = {(t.key.occurrence, t.key.step) for t in job.due_tasks()}
+        pool_rooms = rooms.get(job.config.pool, [])
+        allowed: list[WorkerRoom] = []
+        for occurrence, step in due:
+            key = (job.spec.job, occurrence, step)
+            tickets = self._tickets.get(key)
+            if tickets is None or now_s >= tickets.until_s - VALID_MARGIN_S:
+                self._ask(key, pool_rooms, now_s)
+                return []
+            allowed = [
+                room for room in pool_rooms if room.worker.worker in tickets.by_worker
+            ]
+        return plan([job], {job.config.pool: allowed}, now_s)
+
+    def _ask(self, key: StepKey, rooms: list[WorkerRoom], now_s: float) -> None:
+        tickets = self._tickets.setdefault(key, _Tickets({}, 0.0))
+        if tickets.is_asking or now_s < tickets.ask_after_s or not rooms:
+            return
+        if self._advice is None:
+            return
+        best = sorted(rooms, key=lambda room: -room.free.cpu_millicores)
+        workers = tuple(r.worker.worker for r in best[:WORKERS_PER_QUESTION])
+        tickets.is_asking = True
+        self._executor.submit(self._ask_now, key, workers)
+
+    def _ask_now(self, key: StepKey, workers: tuple[WorkerId, ...]) -> None:
+        tickets = self._tickets[key]
+        job, occurrence, step = key
+        sent_s = self._clock.monotonic_s()
+        tickets.ask_after_s = sent_s + ASK_AGAIN_S
+        try:
+            found, valid_s = self._advice.ask(
+                f"{job}.{occurrence}.{step}", workers, ASK_TIMEOUT_S
+            )
+            tickets.by_worker = found
+            tickets.until_s = sent_s + valid_s
+        except JayshuntError as error:
+            _LOGGER.info(
+                "dispatch: no advice",
+                extra={"job": job, "step": step, "reason": str(error)},
+            )
+        finally:
+            tickets.is_asking = False
+        self._changed()
--- /dev/null
+++ b/src/jayshunt/dispatch/waves.py
@@ -0,0 +1,51 @@
+"""Choose which VMs of a wave to empty next, without network or clock."""
+
+from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.models import Vm, VmState, Wave
+from jayshunt.ids import PoolName, VmId
+
+# VMs are emptied ahead of their turn, as a task may take a while to end.
+EMPTIED_AHEAD = 1
+
+
+def choose_next(
+    wave: Wave,
+    done: set[VmId],
+    vms: dict[VmId, Vm],
+    views: dict[VmId, WorkerView],
+    being_emptied: set[VmId],
+    spare_pools: set[PoolName],
+) -> list[VmId]:
+    """Return the VMs to empty now, those with the least to lose first."""
+    in_work = sum(
+        1
+        for vm in wave.vms
+        if vm in being_emptied
+        or (vm in vms and vms[vm].state is VmState.UPKEEP)
+    )
+    open_places = wave.max_down + EMPTIED_AHEAD - in_work
+    if open_places <= 0:
+        return []
+    candidates = [
+        vm
+        for vm in wave.vms
+        if vm in vms
+        and vm not in done
+        and vm not in being_emptied
+        and vms[vm].state is VmState.UP
+    ]
+    candidates.sort(key=lambda vm: _loss(vm, vms, views, spare_pools))
+    return candidates[:open_places]
+
+
+def _loss(
+    vm: VmId,
+    vms: dict[VmId, Vm],
+    views: dict[VmId, WorkerView],
+    spare_pools: set[PoolName],
+) -> tuple:
+    view = views.get(vm)
+    if vms[vm].pool in spare_pools or view is None:
+        return (0, 0, 0, vm)
+    long_running = sum(t.spec.is_long_running for t in view.tasks.values())
+    return (1, long_running, len(view.tasks), vm)
--- /dev/null
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -0,0 +1,131 @@
+"""Follow the platform's list of workers."""
+
+import logging
+import threading
+
+from jayshunt.clock import Clock
+from jayshunt.dispatch.const import WORKER_LIST_REFRESH_S, WORKER_LIST_WAIT_S
+from jayshunt.dispatch.models import Item, Worker
+from jayshunt.ids import Revision, WorkerId
+from jayshunt.platform.const import WORKER_PREFIX
+from jayshunt.platform.formats import decode_worker
+from jayshunt.platform.store import HistoryGone, PlatformStore
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+_LOGGER = logging.getLogger(__name__)
+
+RETRY_S = 0.25
+
+
+class WorkerList:
+    """Own the list; open a session for each worker that appears.
+
+    A watch brings changes at once. The whole list is read now and then as well,
+    as a watch can fall silent while the list changes.
+    """
+
+    def __init__(self, dispatcher, store: PlatformStore, clock: Clock) -> None:
+        """Start with an empty list."""
+        self._dispatcher = dispatcher
+        self._store = store
+        self._clock = clock
+        self._revision: Revision | None = None
+        self._revisions: dict[str, Revision] = {}
+        self._read_s = 0.0
+        self.is_read = False
+
+    def run(self, stop: threading.Event) -> None:
+        """Read the list, then follow it."""
+        while not stop.is_set():
+            try:
+                self._read_or_watch(stop)
+            except HistoryGone:
+                self._revision = None
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                if not stop.is_set():
+                    _LOGGER.info(
+                        "dispatch: the list of workers is not readable",
+                        extra={"reason": str(error)},
+                    )
+                self._revision = None
+                self._clock.wait(stop, RETRY_S)
+
+    def _read_or_watch(self, stop: threading.Event) -> None:
+        now_s = self._clock.monotonic_s()
+        if self._revision is None or now_s - self._read_s > WORKER_LIST_REFRESH_S:
+            items, revision = self._store.list(WORKER_PREFIX)
+            self._read_s = now_s
+            self._take_all(items)
+            self._revision = max(revision, self._revision or revision)
+            return
+        answer = self._store.watch(
+            WORKER_PREFIX, self._revision, WORKER_LIST_WAIT_S, stop
+        )
+        for item in answer.events:
+            self._take(item)
+        self._revision = max(self._revision, answer.revision)
+        if answer.events:
+            self._dispatcher.changed()
+
+    def _take_all(self, items: tuple[Item, ...]) -> None:
+        listed = {item.key for item in items}
+        for key in [key for key in self._revisions if key not in listed]:
+            self._removed(key)
+        for item in items:
+            self._take(item)
+        self.is_read = True
+        self._dispatcher.worker_list_read = True
+        self._dispatcher.changed()
+
+    def _take(self, item: Item) -> None:
+        if item.value is None:
+            self._removed(item.key)
+            return
+        known = self._revisions.get(item.key)
+        worker = WorkerId(item.key.removeprefix(WORKER_PREFIX))
+        if known == item.revision and worker in self._dispatcher.book.workers:
+            return
+        if known is not None and item.revision < known:
+            return
+        self._revisions[item.key] = item.revision
+        entry = decode_worker(worker, item.value)
+        if entry is not None:
+            self._update(entry)
+
+    def _update(self, entry: Worker) -> None:
+        dispatcher = self._dispatcher
+        with dispatcher.lock:
+            view = dispatcher.book.workers.get(entry.worker)
+            is_same_life = view is not None and (
+                view.worker.address == entry.address
+                and view.worker.born_ms == entry.born_ms
+                and view.worker.pool == entry.pool
+            )
+            if is_same_life:
+                if view.worker.state is not entry.state:
+                    _LOGGER.info(
+                        "dispatch: a worker changed its state",
+                        extra={"worker": entry.worker, "state": entry.state.value},
+                    )
+                view.worker = entry
+                view.is_listed = True
+                return
+            if view is not None and view.worker.born_ms != entry.born_ms:
+                dispatcher.book.worker_over(
+                    view, self._clock.monotonic_s(), "the list shows another life"
+                )
+            elif view is not None:
+                view.worker = entry
+                view.is_listed = True
+                return
+        dispatcher.add_worker(entry)
+
+    def _removed(self, key: str) -> None:
+        self._revisions.pop(key, None)
+        worker = WorkerId(key.removeprefix(WORKER_PREFIX))
+        with self._dispatcher.lock:
+            view = self._dispatcher.book.workers.get(worker)
+            if view is None:
+                return
+            view.is_listed = False
+        _LOGGER.info("dispatch: a worker left the list", extra={"worker": worker})
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -45,15 +45,17 @@
     step: str,
     stop: threading.Event | None = None,
     authority_file: Path | None = None,
+    handle: pycurl.Curl | None = None,
 ) -> HttpAnswer:
     """Send one request and return the whole answer.
 
     Raise JayshuntError with outcome NOT_RUN if no connection could be made, and
     UNKNOWN if the request may have reached the peer but no whole answer came
     within `timeout_s` seconds. A request that waits at the peer is given up
-    within a second after `stop` is set.
+    within a second after `stop` is set. `handle` replaces the one of the calling
+    thread, so that many threads can share few connections.
     """
-    handle = _thread_handle()
+    handle = handle or _thread_handle()
     handle.reset()
     sink = io.BytesIO()
     lines: list[bytes] = []
@@ -110,9 +112,14 @@
     return headers
 
 
+def new_handle() -> pycurl.Curl:
+    """Return a handle with connections of its own."""
+    return pycurl.Curl()
+
+
 def _thread_handle() -> pycurl.Curl:
     handle = getattr(_LOCAL, "handle", None)
     if handle is None:
-        handle = pycurl.Curl()
+        handle = new_handle()
         _LOCAL.handle = handle
     return handle
--- a/src/jayshunt/logs.py
+++ b/src/jayshunt/logs.py
@@ -16,6 +16,13 @@
     JSON = "json"
 
 
+class LogTarget(Enum):
+    """Name where records go."""
+
+    STDERR = "stderr"
+    STDOUT = "stdout"
+
+
 class JsonFormatter(logging.Formatter):
     """Write one JSON object a record, with the fields given as `extra`."""
 
@@ -50,9 +57,14 @@
     return {k: v for k, v in vars(record).items() if k not in STANDARD_FIELDS}
 
 
-def configure_logging(log_format: LogFormat, level: str = "INFO") -> None:
-    """Send all records to standard error in the given format."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(
+    log_format: LogFormat,
+    level: str = "INFO",
+    target: LogTarget = LogTarget.STDERR,
+) -> None:
+    """Send all records to the target in the given format."""
+    stream = sys.stdout if target is LogTarget.STDOUT else sys.stderr
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(
         JsonFormatter()
         if log_format is LogFormat.JSON
--- /dev/null
+++ b/src/jayshunt/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/jayshunt/platform/formats.py
@@ -0,0 +1,228 @@
+"""Decode what the operator, callers and workers write, and encode the answers."""
+
+import json
+import logging
+
+from jayshunt.dispatch.models import (
+    Address,
+    AdvicePolicy,
+    FleetConfig,
+    JobSpec,
+    PoolConfig,
+    QueueConfig,
+    Resources,
+    StepSpec,
+    Wave,
+    Worker,
+    WorkerState,
+)
+from jayshunt.ids import (
+    ConfigVersion,
+    JobId,
+    PoolName,
+    QueueName,
+    RackName,
+    VmId,
+    WorkerId,
+    ZoneName,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_PAYLOAD_BYTES = 4_000
+MAX_STEPS = 64
+MAX_TASKS_PER_STEP = 10_000
+JOB_ID_CHARS = 16
+_HEX = frozenset("0123456789abcdefABCDEF")
+
+
+class MalformedSubmission(ValueError):
+    """Report what is wrong with a submitted job."""
+
+
+def decode_config(value: bytes) -> FleetConfig:
+    """Return the operator's configuration."""
+    fields = json.loads(value)
+    queues = tuple(_queue(row) for row in _rows(fields.get("routes")))
+    pools = tuple(_pool(row) for row in _rows(fields.get("services")))
+    return FleetConfig(ConfigVersion(int(fields["version"])), queues, pools)
+
+
+def _rows(rows: object) -> list[dict]:
+    """Return the entries of a list, or of a table whose keys are the names."""
+    if isinstance(rows, dict):
+        return [{"name": name, **row} for name, row in rows.items()]
+    return list(rows or ())
+
+
+def _queue(row: dict) -> QueueConfig:
+    advice = row.get("advice")
+    return QueueConfig(
+        queue=QueueName(row["name"]),
+        host=str(row.get("host", "")).lower(),
+        path_prefix=row["prefix"],
+        pool=PoolName(row["service"]),
+        priority=int(row.get("priority", 0)),
+        max_failures=max(1, int(row.get("attempts", 1))),
+        stretch=float(row.get("stretch", 1.0)),
+        target_latency_ms=int(row.get("targetLatencyMs", 0)),
+        timeout_ms=int(row.get("timeoutMs", 0)),
+        advice=(
+            AdvicePolicy(
+                decide_ms=float(advice.get("decideMs", 0)),
+                per_worker_ms=float(advice.get("eachMs", 0)),
+                valid_ms=float(advice.get("validMs", 0)),
+            )
+            if isinstance(advice, dict)
+            else None
+        ),
+    )
+
+
+def _pool(row: dict) -> PoolConfig:
+    return PoolConfig(
+        pool=PoolName(row["name"]),
+        is_spare=bool(row.get("spare", False)),
+        rejects_overload=bool(row.get("rejectsOverload", False)),
+    )
+
+
+def decode_submission(job: JobId, queue: QueueName, body: bytes) -> JobSpec:
+    """Return the job that a caller submits, or raise MalformedSubmission."""
+    try:
+        return job_from_fields(job, queue, json.loads(body))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise MalformedSubmission(str(error)) from error
+
+
+def job_from_fields(job: JobId, queue: QueueName, fields: dict) -> JobSpec:
+    """Return a job from the fields of its submission."""
+    payload = fields.get("spec", "")
+    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise ValueError(f"spec: a string of at most {MAX_PAYLOAD_BYTES} bytes")
+    rows = fields.get("steps")
+    if not isinstance(rows, list) or not 1 <= len(rows) <= MAX_STEPS:
+        raise ValueError(f"steps: a list of 1 to {MAX_STEPS} entries")
+    steps = tuple(_step(number, row) for number, row in enumerate(rows))
+    return JobSpec(
+        job=job,
+        queue=queue,
+        payload=payload,
+        steps=steps,
+        times=int(fields.get("times", 0)),
+        start_at_ms=int(fields.get("startAtMs", 0)),
+        interval_ms=int(fields.get("intervalMs", 0)),
+    )
+
+
+def _step(number: int, row: dict) -> StepSpec:
+    after = tuple(int(n) for n in row.get("after", ()))
+    if any(not 0 <= n < number for n in after):
+        raise ValueError(f"steps[{number}].after: numbers of earlier steps")
+    count = int(row.get("count", 1))
+    if not 1 <= count <= MAX_TASKS_PER_STEP:
+        raise ValueError(f"steps[{number}].count: 1 to {MAX_TASKS_PER_STEP}")
+    return StepSpec(
+        task_count=count,
+        resources=capacity(row),
+        estimate_ms=int(row.get("estimateMs", 0)),
+        after=after,
+        has_checkpoints=bool(row.get("checkpoint", False)),
+        is_gang=bool(row.get("gang", False)),
+        same_rack=bool(row.get("sameRack", False)),
+        required_label=str(row.get("requires", "") or ""),
+        data_rack=RackName(str(row.get("affinity", "") or "")),
+        max_per_worker=int(row.get("antiAffinity", 0) or 0),
+        is_speculative=bool(row.get("speculative", False)),
+        is_long_running=bool(row.get("longRunning", False)),
+        image=str(row.get("image", "") or ""),
+        target_ms=int(row.get("targetMs", 0) or 0),
+        fills=bool(row.get("fills", False)),
+        max_unavailable=int(row.get("mayMiss", 0) or 0),
+    )
+
+
+def capacity(fields: dict) -> Resources:
+    """Return processors, memory and accelerators from a table that has them."""
+    return Resources(
+        cpu_millicores=int(fields.get("cpu", 0)),
+        memory_mb=int(fields.get("memMb", 0)),
+        gpus=int(fields.get("gpu", 0)),
+    )
+
+
+def rack_of(labels: object) -> RackName:
+    """Return the rack among the labels of a VM: the one that begins with r."""
+    racks = [label for label in labels or () if label[:1] == "r" and "-" in label]
+    return RackName(racks[0] if racks else "")
+
+
+def decode_worker(worker: str, value: bytes) -> Worker | None:
+    """Return the worker that an entry of the list describes.
+
+    Other writers may leave entries that cannot be read; they name no worker.
+    """
+    try:
+        fields = json.loads(value)
+        host, _, port = fields["address"].rpartition(":")
+        state = fields["state"]
+        if state not in ("ready", "draining"):
+            raise ValueError(f"unknown state {state!r}")
+        room = fields["capacity"]
+        if not isinstance(room["cpu"], int) or not isinstance(room["memMb"], int):
+            raise ValueError("capacity is not a number")
+        labels = fields.get("labels") or []
+        return Worker(
+            worker=WorkerId(worker),
+            pool=PoolName(_text(fields["service"])),
+            address=Address(host, int(port)),
+            zone=ZoneName(_text(fields.get("zone", ""))),
+            state=(
+                WorkerState.READY if state == "ready" else WorkerState.DRAINING
+            ),
+            capacity=capacity(room),
+            labels=frozenset(labels),
+            rack=rack_of(labels),
+            vm=VmId(fields["machine"]) if fields.get("machine") else None,
+            born_ms=int(fields.get("born", 0)),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        _LOGGER.warning(
+            "platform: an entry of the worker list is ignored",
+            extra={"worker": worker, "reason": str(error)},
+        )
+        return None
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a string")
+    return value
+
+
+def decode_wave(value: bytes) -> Wave | None:
+    """Return the wave of planned stops that the operator declared."""
+    try:
+        fields = json.loads(value)
+        return Wave(
+            number=int(fields["wave"]),
+            vms=tuple(VmId(vm) for vm in fields["machines"]),
+            deadline_s=float(fields.get("deadlineS", 0)),
+            max_down=max(1, int(fields.get("maxCount", 1))),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        _LOGGER.warning(
+            "platform: a wave is ignored", extra={"reason": str(error)}
+        )
+        return None
+
+
+def encode_wave_status(number: int, is_completed: bool) -> bytes:
+    """Return the status of a wave as the operator reads it."""
+    state = "completed" if is_completed else "running"
+    return json.dumps({"wave": number, "state": state}).encode()
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a path element has the form of a job id."""
+    return len(text) == JOB_ID_CHARS and all(char in _HEX for char in text)
--- /dev/null
+++ b/src/jayshunt/platform/front_api.py
@@ -0,0 +1,129 @@
+"""Translate the callers' HTTP calls on queues and jobs."""
+
+import json
+import logging
+from collections.abc import Callable
+
+from jayshunt.dispatch.entry import JobEntry
+from jayshunt.dispatch.models import FleetConfig, QueueConfig
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import JobId
+from jayshunt.platform.const import DEADLINE_HEADER
+from jayshunt.platform.formats import (
+    MalformedSubmission,
+    decode_submission,
+    is_job_id,
+)
+from jayshunt.serving.connection import IncomingRequest
+
+_LOGGER = logging.getLogger(__name__)
+
+DEFAULT_DEADLINE_S = 3.0
+# Part of the caller's time that a call may take here; the rest is for the way back.
+DEADLINE_PART = 0.85
+JSON_TYPE = ("Content-Type", "application/json")
+
+Answer = tuple[int, dict | None, list[tuple[str, str]]]
+
+
+class FrontApi:
+    """Serve the callers' port as a WSGI application."""
+
+    def __init__(
+        self,
+        entry: JobEntry,
+        config: Callable[[], FleetConfig | None],
+        observe: Callable[[str, int], None],
+    ) -> None:
+        """Keep the entry; `observe` counts each answer by kind and status."""
+        self._entry = entry
+        self._config = config
+        self._observe = observe
+
+    def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Answer one request."""
+        request: IncomingRequest = environ["jayshunt.request"]
+        kind = request.head.method
+        try:
+            status, body, headers = self._answer(request, environ)
+        except JayshuntError as error:
+            status, body, headers = _problem(error)
+        self._observe(kind, status)
+        data = b"" if body is None else json.dumps(body).encode()
+        start_response(f"{status} -", [JSON_TYPE, *headers])
+        return [data]
+
+    def _answer(self, request: IncomingRequest, environ: dict) -> Answer:
+        config = self._config()
+        if config is None:
+            return 503, {"error": "no configuration yet"}, [("Retry-After", "1")]
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        path = request.head.target.partition("?")[0]
+        queue = config.queue_of(host, path)
+        if queue is None:
+            _LOGGER.info(
+                "entry: no such queue",
+                extra={"host": host, "path": path, "version": config.version},
+            )
+            return 404, {"error": "no such queue"}, []
+        rest = path[len(queue.path_prefix) :].strip("/")
+        timeout_s = _timeout_s(environ)
+        match request.head.method, rest:
+            case "GET", "":
+                return self._waiting(queue, timeout_s)
+            case "POST", job if is_job_id(job):
+                return self._submit(queue, JobId(job), request.body, timeout_s)
+            case "GET", job:
+                return self._state(JobId(job), timeout_s)
+            case "DELETE", job:
+                return self._cancel(JobId(job), timeout_s)
+        return 400, {"error": "a job id has 16 hexadecimal digits"}, []
+
+    def _waiting(self, queue: QueueConfig, timeout_s: float) -> Answer:
+        return 200, {"waiting": self._entry.waiting(queue.queue, timeout_s)}, []
+
+    def _submit(
+        self, queue: QueueConfig, job: JobId, body: bytes, timeout_s: float
+    ) -> Answer:
+        try:
+            spec = decode_submission(job, queue.queue, body)
+        except MalformedSubmission as error:
+            _LOGGER.info(
+                "entry: malformed job", extra={"job": job, "reason": str(error)}
+            )
+            return 400, {"error": str(error)}, []
+        self._entry.submit(spec, queue, timeout_s)
+        return 200, {}, []
+
+    def _state(self, job: JobId, timeout_s: float) -> Answer:
+        state = self._entry.state(job, timeout_s)
+        if state is None:
+            return 410, {"error": "no such job"}, []
+        return 200, {"state": state.value}, []
+
+    def _cancel(self, job: JobId, timeout_s: float) -> Answer:
+        if self._entry.cancel(job, timeout_s):
+            return 200, {}, []
+        return 410, {"error": "no such job"}, []
+
+
+def _timeout_s(environ: dict) -> float:
+    header = "HTTP_" + DEADLINE_HEADER.upper().replace("-", "_")
+    try:
+        deadline_s = float(environ.get(header, DEFAULT_DEADLINE_S * 1000)) / 1000
+    except ValueError:
+        deadline_s = DEFAULT_DEADLINE_S
+    return max(0.05, deadline_s * DEADLINE_PART)
+
+
+def _problem(error: JayshuntError) -> Answer:
+    """Return the answer to a failed call; 503 and 429 say that nothing ran."""
+    headers: list[tuple[str, str]] = []
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
+    status = 503
+    if error.outcome is not Outcome.NOT_RUN:
+        status = 504
+    elif error.code == "queue_behind":
+        status = 429
+    return status, {"error": error.code, "detail": error.detail}, headers
--- /dev/null
+++ b/src/jayshunt/platform/machine_calls.py
@@ -0,0 +1,98 @@
+"""List the VMs of the platform, move them between pools and send them to upkeep."""
+
+import json
+
+from jayshunt import http_client
+from jayshunt.dispatch.models import (
+    Address,
+    DutyAnswer,
+    DutyRefusal,
+    Vm,
+    VmState,
+)
+from jayshunt.errors import JayshuntError
+from jayshunt.ids import EntryId, PoolName, VmId, WorkerId, ZoneName
+from jayshunt.platform.const import HOLDER_HEADER, TOKEN_HEADER
+from jayshunt.platform.formats import capacity, rack_of
+
+CALL_TIMEOUT_S = 1.5
+_STATES = {state.value: state for state in VmState}
+_REFUSALS = {
+    "fence": DutyRefusal.FENCED,
+    "busy": DutyRefusal.BUSY,
+    "wave": DutyRefusal.NOT_OF_WAVE,
+}
+
+
+class MachineCalls:
+    """Call the service that owns the VMs, as the holder of the dispatch duty."""
+
+    def __init__(self, address: Address, entry: EntryId) -> None:
+        """Keep the address and the name of this entry."""
+        self._base = f"http://{address}"
+        self._entry = entry
+        self.calls = 0
+
+    def list(self) -> tuple[Vm, ...]:
+        """Return every VM with its pool, state and present worker."""
+        vms: list[Vm] = []
+        path = "/machines"
+        while True:
+            fields = json.loads(self._call("GET", path, None, {}).body)
+            vms += [_vm(row) for row in fields["machines"]]
+            if not fields.get("nextToken"):
+                return tuple(vms)
+            path = f"/machines?pageToken={fields['nextToken']}"
+
+    def move(self, vm: VmId, pool: PoolName, token: int) -> DutyAnswer:
+        """Move a VM to a pool; everything that runs on it ends at once."""
+        return self._duty("/machine-move", {"machine": vm, "pool": pool}, token)
+
+    def upkeep(self, vm: VmId, wave: int, token: int) -> DutyAnswer:
+        """Take a VM down for the upkeep of a wave; all its runs end at once."""
+        return self._duty("/machine-upkeep", {"machine": vm, "wave": wave}, token)
+
+    def _duty(self, path: str, body: dict, token: int) -> DutyAnswer:
+        headers = {HOLDER_HEADER: self._entry, TOKEN_HEADER: str(token)}
+        answer = self._call("POST", path, body, headers)
+        if answer.status == 200:
+            return DutyAnswer(None)
+        if answer.status == 409:
+            reason = json.loads(answer.body).get("reason")
+            return DutyAnswer(_REFUSALS.get(reason, DutyRefusal.OTHER))
+        return DutyAnswer(DutyRefusal.OTHER)
+
+    def _call(
+        self, method: str, path: str, body: dict | None, headers: dict[str, str]
+    ) -> http_client.HttpAnswer:
+        self.calls += 1
+        step = f"machines{path.partition('?')[0]}"
+        answer = http_client.request(
+            method,
+            self._base + path,
+            body=None if body is None else json.dumps(body).encode(),
+            headers={**headers, "Content-Type": "application/json"},
+            timeout_s=CALL_TIMEOUT_S,
+            step=step,
+        )
+        if answer.status in (200, 400, 409):
+            return answer
+        raise JayshuntError(
+            "machines_refused",
+            step=step,
+            retry_after_s=1.0,
+            detail=f"status {answer.status}",
+        )
+
+
+def _vm(row: dict) -> Vm:
+    return Vm(
+        vm=VmId(row["machine"]),
+        pool=PoolName(row["pool"]),
+        state=_STATES.get(row.get("state"), VmState.DOWN),
+        zone=ZoneName(row.get("zone", "")),
+        rack=rack_of(row.get("labels", ())),
+        labels=frozenset(row.get("labels", ())),
+        capacity=capacity(row.get("capacity", {})),
+        worker=WorkerId(row["id"]) if row.get("id") else None,
+    )
--- /dev/null
+++ b/src/jayshunt/platform/store.py
@@ -0,0 +1,197 @@
+"""Speak the protocol of the platform's metadata store."""
+
+import base64
+import json
+import threading
+from collections import Counter
+from urllib.parse import quote, urlencode
+
+from jayshunt import http_client
+from jayshunt.dispatch.models import (
+    Address,
+    Item,
+    KeyLease,
+    Put,
+    TransactionResult,
+    WatchAnswer,
+)
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import LeaseId, Revision
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+# One answer takes 4 ms, and up to 360 ms while the store is slow.
+CALL_TIMEOUT_S = 1.2
+WATCH_SLACK_S = 0.6
+
+
+class HistoryGone(Exception):
+    """Report that the store no longer has the changes after a revision."""
+
+
+class LeaseGone(Exception):
+    """Report that a lease has ended."""
+
+
+class PlatformStore:
+    """Read, write and watch keys with conditions and leases.
+
+    Raise StoreUnavailable when a call certainly had no effect, and
+    StoreOutcomeUnknown when a write may have taken effect or may still do so.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Start without a connection."""
+        self._base = f"http://{address}"
+        self._peer = str(address)
+        self._lock = threading.Lock()
+        self.calls: Counter[str] = Counter()
+
+    def get(self, key: str) -> Item | None:
+        """Return one item, or None if the key does not exist."""
+        answer = self._call("get", "GET", "/kv-key?" + urlencode({"key": key}))
+        if answer.status == 404:
+            return None
+        return _item(json.loads(answer.body))
+
+    def list(
+        self, prefix: str, stale: bool = False
+    ) -> tuple[tuple[Item, ...], Revision]:
+        """Return every item below a prefix and the revision of the first page.
+
+        Changes after that revision are to be watched, as pages are no snapshot.
+        """
+        items: list[Item] = []
+        revision: Revision | None = None
+        after = ""
+        while True:
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            if stale:
+                query["staleOk"] = "1"
+            answer = self._call("list", "GET", "/kv-range?" + urlencode(query))
+            document = json.loads(answer.body)
+            items += [_item(fields) for fields in document["items"]]
+            if revision is None:
+                revision = Revision(document["storeRevision"])
+            if not document.get("hasMore") or not document["items"]:
+                return tuple(items), revision
+            after = document["items"][-1]["key"]
+
+    def watch(
+        self,
+        prefix: str,
+        after: Revision,
+        wait_s: float,
+        stop: threading.Event | None = None,
+    ) -> WatchAnswer:
+        """Return the changes below a prefix after a revision; wait for the first.
+
+        Raise HistoryGone if the store discarded them.
+        """
+        query = urlencode(
+            {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
+        )
+        answer = self._call(
+            "watch",
+            "GET",
+            "/kv-watch?" + query,
+            timeout_s=wait_s + WATCH_SLACK_S,
+            stop=stop,
+        )
+        if answer.status == 410:
+            raise HistoryGone(prefix)
+        document = json.loads(answer.body)
+        events = tuple(_item(fields) for fields in document["events"])
+        return WatchAnswer(events, Revision(document["storeRevision"]))
+
+    def transact(
+        self,
+        expected: dict[str, Revision],
+        puts: tuple[Put, ...] = (),
+        removals: tuple[str, ...] = (),
+    ) -> TransactionResult:
+        """Apply all changes if every key has its expected revision (0: absent)."""
+        body = {
+            "expectRev": [{"key": k, "rev": r} for k, r in expected.items()],
+            "puts": [_put(put) for put in puts],
+            "remove": list(removals),
+        }
+        answer = self._call("txn", "POST", "/kv-txn", body)
+        if answer.status == 404:
+            raise LeaseGone("txn")
+        document = json.loads(answer.body)
+        if answer.status == 412:
+            items = tuple(_item(f) for f in document.get("items", ()))
+            return TransactionResult(None, items)
+        return TransactionResult(Revision(document["rev"]))
+
+    def grant_lease(self, ttl_s: float) -> KeyLease:
+        """Return a new lease; its keys go when it was not renewed for `ttl_s`."""
+        answer = self._call(
+            "lease", "POST", "/kv-lease", {"ttlMs": round(ttl_s * 1000)}
+        )
+        document = json.loads(answer.body)
+        return KeyLease(LeaseId(str(document["lease"])), document["ttlMs"] / 1000)
+
+    def renew_lease(self, lease: LeaseId) -> None:
+        """Renew a lease; raise LeaseGone if it has ended."""
+        answer = self._call("renew", "POST", f"/kv-keep/{quote(lease)}", {})
+        if answer.status == 404:
+            raise LeaseGone(lease)
+
+    def end_lease(self, lease: LeaseId) -> None:
+        """End a lease and remove its keys; one that has ended is no error."""
+        self._call("end_lease", "DELETE", f"/kv-lease-end/{quote(lease)}")
+
+    def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        stop: threading.Event | None = None,
+    ) -> http_client.HttpAnswer:
+        step = f"store.{step}"
+        with self._lock:
+            self.calls[step] += 1
+        try:
+            answer = http_client.request(
+                method,
+                self._base + path,
+                body=None if body is None else json.dumps(body).encode(),
+                headers=(
+                    None if body is None else {"Content-Type": "application/json"}
+                ),
+                timeout_s=timeout_s,
+                step=step,
+                stop=stop,
+            )
+        except JayshuntError as error:
+            if method == "POST" and error.outcome is Outcome.UNKNOWN:
+                raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
+            raise StoreUnavailable(step, self._peer, error.detail) from error
+        if answer.status in (200, 404, 410, 412):
+            return answer
+        # 429 and 503 certify that nothing was done.
+        raise StoreUnavailable(step, self._peer, f"status {answer.status}")
+
+
+def _item(fields: dict) -> Item:
+    if fields.get("removed"):
+        return Item(fields["key"], None, Revision(fields["rev"]))
+    return Item(
+        fields["key"],
+        base64.b64decode(fields.get("value", "")),
+        Revision(fields["rev"]),
+        Revision(fields.get("createRev", 0)),
+        LeaseId(str(fields.get("lease", 0))),
+    )
+
+
+def _put(put: Put) -> dict:
+    fields = {"key": put.key, "value": base64.b64encode(put.value).decode()}
+    if put.lease is not None:
+        fields["lease"] = int(put.lease)
+    return fields
--- /dev/null
+++ b/src/jayshunt/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the adapter of the users' platform."""
--- /dev/null
+++ b/src/jayshunt/platform_entry.py
@@ -0,0 +1,134 @@
+"""Wire the parts of an entry that runs on the users' platform."""
+
+import logging
+import random
+import threading
+
+from jayshunt.clock import SystemClock
+from jayshunt.dispatch.config_follower import ConfigFollower
+from jayshunt.dispatch.diagnostics import describe
+from jayshunt.dispatch.dispatcher import Dispatcher
+from jayshunt.dispatch.entry import JobEntry
+from jayshunt.dispatch.link import DispatcherLink
+from jayshunt.dispatch.metrics import EntryMetrics
+from jayshunt.dispatch.models import Address, EntryNode
+from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
+from jayshunt.dispatch.term import OwnTerm, TermKeeper
+from jayshunt.platform.const import CONFIG_KEY
+from jayshunt.platform.formats import decode_config
+from jayshunt.platform.front_api import FrontApi
+from jayshunt.platform.store import PlatformStore
+from jayshunt.serving.http_server import HttpServer
+from jayshunt.serving.limits import ServerLimits
+from jayshunt.tasks import TaskGroup
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 1024 * 1024
+# The balancer stops sending new connections after two missed readiness checks,
+# one second apart.
+READY_GRACE_S = 2.4
+# Together with the grace this stays below the platform's 6 s until SIGKILL.
+DRAIN_TIMEOUT_S = 2.2
+FRONT_LIMITS = ServerLimits(
+    max_connections=1_500,
+    max_body_bytes=MAX_BODY_BYTES,
+    drain_grace_s=READY_GRACE_S,
+    drain_timeout_s=DRAIN_TIMEOUT_S,
+)
+PEER_LIMITS = ServerLimits(
+    max_connections=600,
+    max_body_bytes=4 * MAX_BODY_BYTES,
+    drain_grace_s=0.0,
+    drain_timeout_s=0.5,
+)
+
+
+class PlatformEntry:
+    """Run one entry: the callers' port, and the dispatch while it holds the term."""
+
+    def __init__(self, node: EntryNode) -> None:
+        """Build every part; nothing starts before `start`."""
+        self._node = node
+        self._clock = SystemClock()
+        rng = random.Random()
+        self._store = PlatformStore(node.store)
+        self._config = ConfigFollower(
+            self._store, self._clock, CONFIG_KEY, decode_config
+        )
+        self._keeper = TermKeeper(
+            node, self._store, self._clock, rng, self._make_dispatcher
+        )
+        self._link = DispatcherLink(self._keeper, self._clock)
+        self._metrics = EntryMetrics(self._store, self._link)
+        entry = JobEntry(self._store, self._link, self._clock)
+        self._group = TaskGroup("entry")
+        self._front = _server(
+            node.front,
+            FrontApi(entry, self._config.current, self._metrics.answered),
+            FRONT_LIMITS,
+        )
+        self._ready = _server(node.ready, ReadyApi(self._is_ready), PEER_LIMITS)
+        self._peer = _server(
+            node.peer,
+            PeerApi(self._link, self._dump, self._metrics.render),
+            PEER_LIMITS,
+        )
+
+    def start(self) -> None:
+        """Start every part."""
+        node = self._node
+        _LOGGER.info(
+            "entry: starting",
+            extra={"entry": node.entry, "zone": node.zone, "front": str(node.front)},
+        )
+        for task in (
+            self._config.run,
+            self._keeper.follow,
+            self._keeper.renew,
+            self._link.send_notices,
+            self._link.follow_refusals,
+        ):
+            self._group.start(task)
+        for server in (self._peer, self._ready, self._front):
+            server.start()
+
+    def stop(self) -> None:
+        """Hand the dispatch over, answer what came in, then end every part."""
+        _LOGGER.info("entry: stopping")
+        self._front.begin_stop()
+        self._keeper.leave()
+        self._front.stop()
+        self._group.stop(timeout_s=0.3)
+        self._ready.stop()
+        self._peer.stop()
+        _LOGGER.info("entry: stopped")
+
+    def _is_ready(self) -> bool:
+        return self._config.current() is not None and not self._front.draining
+
+    def _make_dispatcher(self, own: OwnTerm) -> Dispatcher:
+        dispatcher = Dispatcher(
+            self._node,
+            own,
+            self._store,
+            self._clock,
+            self._config.current,
+            lambda reason: self._deposed(own, reason),
+        )
+        self._link.own_dispatcher = dispatcher
+        return dispatcher
+
+    def _deposed(self, own: OwnTerm, reason: str) -> None:
+        if own.is_over:
+            return
+        own.is_over = True
+        _LOGGER.warning("dispatch: deposed", extra={"reason": reason})
+        threading.Thread(target=self._keeper.resign, daemon=True).start()
+
+    def _dump(self) -> dict:
+        return describe(self._node, self._config, self._keeper, self._link)
+
+
+def _server(address: Address, app, limits: ServerLimits) -> HttpServer:
+    return HttpServer(address.host, address.port, app, limits)
