--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -36,6 +36,9 @@
 FULL_PAUSE_S = 0.15
 UNANSWERED_PAUSE_S = 0.6
 UNHEALTHY_PAUSE_S = 2.0
+# The time for which an end waits for its store write before the next hold goes out.
+NOTE_WAIT_S = 0.6
+NOTE_POLL_S = 0.025
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,8 +143,20 @@
                 continue
             if not self._hold_once():
                 self._context.clock.wait(stop, HOLD_RETRY_S)
+                continue
+            self._wait_noted(stop)
         self._orders.put(None)
 
+    def _wait_noted(self, stop: threading.Event) -> None:
+        """Let ends be stored before the next call, which would else answer at once."""
+        end_s = self._context.clock.monotonic_s() + NOTE_WAIT_S
+        while self.view.pending and not stop.is_set():
+            with self._context.lock:
+                self.view.note_stored(self._context.book.stored_versions.__getitem__)
+            if not self.view.pending or self._context.clock.monotonic_s() >= end_s:
+                return
+            self._context.clock.wait(stop, NOTE_POLL_S)
+
     def _hold_once(self) -> bool:
         context, view = self._context, self.view
         with context.lock:
