Read all jobs before workers are asked; a connect refused after a send is unknown

Cause: a successor's first holds listed runs of jobs that it had not read yet, and stopped them (AVAIL), while it started their tasks elsewhere (TWICE). curl repeats a request by itself on a broken kept connection, so that a refused connect was taken for 'not sent' although the first copy had run (TWICE). Change: sessions open once the intake is read; NOT_RUN needs zero bytes sent.

--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -15,6 +15,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 RETRY_S = 0.25
+READY_POLL_S = 0.2
 
 
 class WorkerList:
@@ -35,7 +36,13 @@
         self.is_read = False
 
     def run(self, stop: threading.Event) -> None:
-        """Read the list, then follow it."""
+        """Read the list, then follow it.
+
+        Sessions open once all jobs are read: what a worker runs could not be told
+        from runs that nobody asked for before.
+        """
+        while not stop.is_set() and not self._dispatcher.ready.wait(READY_POLL_S):
+            continue
         while not stop.is_set():
             try:
                 self._read_or_watch(stop)
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -85,7 +85,11 @@
         handle.perform()
     except pycurl.error as error:
         number, text = error.args[0], str(error.args[1])
-        outcome = Outcome.NOT_RUN if number in NOT_SENT_ERRORS else Outcome.UNKNOWN
+        # curl sends a request again by itself when a kept connection breaks, so that
+        # a failed connect may follow a request that was sent.
+        is_sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
+        is_certain = number in NOT_SENT_ERRORS and not is_sent
+        outcome = Outcome.NOT_RUN if is_certain else Outcome.UNKNOWN
         raise JayshuntError(
             "peer_unreachable" if outcome is Outcome.NOT_RUN else "no_answer",
             step=step,
