Count failed runs by number, serve through the dispatcher, hand a stuck term over

Cause: an end that a worker lists again, or an older run's failure, was counted twice or not at all (BUDGET). An entry that the store turns away refused all its callers, and a dispatcher in that place stayed for the whole 4 s of its lease. Change: failures are run numbers; entries without the store let the dispatcher write; a dispatcher that is turned away or out of reach of most workers hands over.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -18,14 +18,20 @@
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.intake_reader import IntakeReader
-from jayshunt.dispatch.models import EntryNode, FleetConfig, JobState, Worker
+from jayshunt.dispatch.models import (
+    EntryNode,
+    FleetConfig,
+    JobState,
+    Put,
+    Worker,
+)
 from jayshunt.dispatch.planner import Planner
-from jayshunt.dispatch.records import TERM_KEY
+from jayshunt.dispatch.records import TERM_KEY, accepted_key, cancelled_key
 from jayshunt.dispatch.run_book import RunBook, StopOrder
 from jayshunt.dispatch.sessions import Calls, SessionContext, WorkerSession
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.worker_list import WorkerList
-from jayshunt.ids import JobId, QueueName, WorkerId
+from jayshunt.ids import JobId, QueueName, Revision, WorkerId
 from jayshunt.platform.machine_calls import MachineCalls
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import AdviceCalls, WorkerCalls
@@ -61,6 +67,7 @@
         """Start with an empty book."""
         self._node = node
         self._own = own
+        self._store = store
         self._clock = clock
         self._config = config
         self._on_deposed = on_deposed
@@ -82,9 +89,7 @@
         self._intake = IntakeReader(self, store, clock, config)
         self._workers = WorkerList(self, store, clock)
         machines = (
-            None
-            if node.machines is None
-            else MachineCalls(node.machines, node.entry)
+            None if node.machines is None else MachineCalls(node.machines, node.entry)
         )
         advice = None if node.advice is None else AdviceCalls(node.advice)
         self.planner = Planner(self, clock, config, node.bounds, advice)
@@ -210,12 +215,31 @@
         """Stop a job whose cancel an entry has just stored."""
         with self.lock:
             stops = self.book.cancel(job_id)
-        _LOGGER.info(
-            "dispatch: cancelled", extra={"job": job_id, "stops": len(stops)}
-        )
+        _LOGGER.info("dispatch: cancelled", extra={"job": job_id, "stops": len(stops)})
         self.send_stops(stops)
         self.changed()
 
+    def submit(self, key: str, value: bytes) -> dict:
+        """Store a job for an entry that does not reach the store.
+
+        Raise StoreUnavailable or StoreOutcomeUnknown like the store itself.
+        """
+        result = self._store.transact({key: Revision(0)}, (Put(key, value),))
+        created = result.revision
+        if created is None:
+            return {"is_new": False}
+        self.notify_accepted(JobId(key.rpartition("/")[2]), value, created)
+        return {"is_new": True}
+
+    def cancel_stored(self, job_id: JobId) -> bool:
+        """Store a cancel for an entry that does not reach the store."""
+        if self._store.get(accepted_key(job_id)) is None:
+            return False
+        key = cancelled_key(job_id)
+        self._store.transact({key: Revision(0)}, (Put(key, b"{}"),))
+        self.notify_cancelled(job_id)
+        return True
+
     def waiting(self, queue: QueueName) -> int:
         """Return how many jobs of a queue have not begun."""
         with self.lock:
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -16,10 +16,10 @@
     progress_key,
     stored_state,
 )
-from jayshunt.errors import JayshuntError
+from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, QueueName, Revision
 from jayshunt.platform.store import PlatformStore
-from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+from jayshunt.store.errors import StoreUnavailable
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -48,9 +48,7 @@
         self._link = link
         self._clock = clock
 
-    def submit(
-        self, spec: JobSpec, queue: QueueConfig, timeout_s: float
-    ) -> Accepted:
+    def submit(self, spec: JobSpec, queue: QueueConfig, timeout_s: float) -> Accepted:
         """Accept a job, or raise JobRefused (it never runs) or AcceptUnknown."""
         retry_after_s = self._link.refuse_retry_after_s(queue.queue)
         if retry_after_s > 0 and not spec.is_long_running:
@@ -59,15 +57,21 @@
         key = accepted_key(spec.job)
         end_s = self._clock.monotonic_s() + min(timeout_s, ACCEPT_TIMEOUT_S)
         is_unknown = False
+        # While this entry does not reach the store, the dispatcher writes for it.
+        use_dispatcher = self._store.failing_for_s() > 0
         while True:
             try:
+                if use_dispatcher:
+                    return self._submit_by_dispatcher(spec, key, value)
                 result = self._store.transact({key: Revision(0)}, (Put(key, value),))
                 break
-            except StoreUnavailable as error:
+            except JayshuntError as error:
+                is_unknown = is_unknown or error.outcome is not Outcome.NOT_RUN
+                if self._store.failing_for_s() > 0 and not use_dispatcher:
+                    use_dispatcher = True
+                    continue
                 self._give_up_if_due(spec, is_unknown, end_s, error)
-            except StoreOutcomeUnknown as error:
-                is_unknown = True
-                self._give_up_if_due(spec, True, end_s, error)
+                use_dispatcher = not use_dispatcher
             time.sleep(RETRY_S)
         if result.revision is None:
             return self._known(spec, result.conflicts, is_unknown, value)
@@ -105,12 +109,14 @@
         key = cancelled_key(job)
         while True:
             try:
+                if self._store.failing_for_s() > 0:
+                    return self._link.cancel(job, 0.0)
                 if self._store.get(accepted_key(job)) is None:
                     _LOGGER.info("entry: no such job to cancel", extra={"job": job})
                     return False
                 self._store.transact({key: Revision(0)}, (Put(key, b"{}"),))
                 break
-            except (StoreUnavailable, StoreOutcomeUnknown):
+            except JayshuntError:
                 if self._clock.monotonic_s() + RETRY_S >= end_s:
                     raise
             time.sleep(RETRY_S)
@@ -122,6 +128,14 @@
         """Return how many jobs of a queue have not begun."""
         return self._link.waiting(queue, timeout_s)
 
+    def _submit_by_dispatcher(self, spec: JobSpec, key: str, value: bytes) -> Accepted:
+        is_new = self._link.submit(key, value, 0.0)["is_new"]
+        _LOGGER.info(
+            "entry: accepted by the dispatcher",
+            extra={"job": spec.job, "queue": spec.queue, "is_new": is_new},
+        )
+        return Accepted(is_new)
+
     def _refuse_unless_known(self, spec: JobSpec, retry_after_s: float) -> Accepted:
         """Refuse a job of a queue that is far behind; a repeated one stays accepted."""
         try:
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -98,7 +98,8 @@
         return all(
             vm.worker in views
             for vm in self.vms.values()
-            if vm.state is VmState.UP and vm.worker is not None
+            if vm.state is VmState.UP
+            and vm.worker is not None
             and not self._is_spare(vm.pool)
         )
 
@@ -268,9 +269,7 @@
                 view = self._views_by_vm().get(evacuation.vm)
                 if view is not None:
                     view.duty = evacuation.reason
-                    stops = evacuation.next_stops(
-                        view, self._dispatcher.book, now_s
-                    )
+                    stops = evacuation.next_stops(view, self._dispatcher.book, now_s)
                 else:
                     stops = []
                 is_empty = view is None or not (view.tasks or view.strays)
@@ -327,8 +326,14 @@
                 state = VmState.MOVING if reason.wave is None else VmState.UPKEEP
                 pool = known.pool if reason.pool is None else reason.pool
                 self.vms[vm] = Vm(
-                    vm, pool, state, known.zone, known.rack, known.labels,
-                    known.capacity, None,
+                    vm,
+                    pool,
+                    state,
+                    known.zone,
+                    known.rack,
+                    known.labels,
+                    known.capacity,
+                    None,
                 )
                 if view is not None:
                     self._dispatcher.book.worker_over(
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -16,10 +16,12 @@
 )
 from jayshunt.dispatch.dispatcher import Dispatcher
 from jayshunt.dispatch.errors import NoDispatcher
+from jayshunt.dispatch.handover import EntryReport
 from jayshunt.dispatch.models import JobState, Term
 from jayshunt.dispatch.term import TermKeeper
-from jayshunt.errors import JayshuntError
-from jayshunt.ids import JobId, QueueName
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import JobId, LeaseId, QueueName
+from jayshunt.platform.store import PlatformStore
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -34,14 +36,17 @@
     `own_dispatcher` is the dispatcher of this process while it holds the term.
     """
 
-    def __init__(self, keeper: TermKeeper, clock: Clock) -> None:
+    def __init__(self, keeper: TermKeeper, store: PlatformStore, clock: Clock) -> None:
         """Start with no notice to send."""
         self._keeper = keeper
+        self._store = store
         self._clock = clock
         self._handles: queue.LifoQueue = queue.LifoQueue()
         self._notices: queue.Queue = queue.Queue(MAX_NOTICES)
         self._refusals: dict[QueueName, float] = {}
         self._refusals_s = 0.0
+        self._reports: dict[str, EntryReport] = {}
+        self.handover_lease: LeaseId | None = None
         self.own_dispatcher: Dispatcher | None = None
 
     def refuse_retry_after_s(self, queue_name: QueueName) -> float:
@@ -73,6 +78,19 @@
         """Tell the dispatcher of a cancel that was just stored."""
         self._notify({"kind": "cancelled", "job": job})
 
+    def submit(self, key: str, value: bytes, wait_s: float) -> dict:
+        """Let the dispatcher store a job, as this entry does not reach the store."""
+        return self._ask("submit", {"key": key, "value": value.decode()}, wait_s)
+
+    def cancel(self, job: JobId, wait_s: float) -> bool:
+        """Let the dispatcher store a cancel; return False if there is no such job."""
+        return self._ask("cancel", {"job": job}, wait_s)["found"]
+
+    def is_reachable(self) -> bool:
+        """Return whether the dispatcher answered a moment ago."""
+        age_s = self._clock.monotonic_s() - self._refusals_s
+        return age_s < 4 * STATUS_INTERVAL_S
+
     def send_notices(self, stop: threading.Event) -> None:
         """Send notices in the order in which they came."""
         batch: list[dict] = []
@@ -95,7 +113,8 @@
         """Learn which queues refuse jobs."""
         while not stop.is_set():
             try:
-                answer = self._ask("refusals", {}, 0.0)
+                answer = self._ask("refusals", self._own_report(), 0.0)
+                self._end_lease(answer.get("end_lease"))
                 self._refusals = {
                     QueueName(name): after_s
                     for name, after_s in answer["refusals"].items()
@@ -105,6 +124,35 @@
                 _LOGGER.debug("dispatch: refusals are not known: %s", error)
             self._clock.wait(stop, STATUS_INTERVAL_S)
 
+    def reports(self) -> list[EntryReport]:
+        """Return what other entries said of themselves."""
+        return list(self._reports.values())
+
+    def take_report(self, body: dict) -> None:
+        """Keep what an entry says of itself when it asks for refusals."""
+        self._reports[body["entry"]] = EntryReport(
+            body["reaches_store"], self._clock.monotonic_s()
+        )
+
+    def _own_report(self) -> dict:
+        return {
+            "entry": self._keeper.entry,
+            "reaches_store": self._store.failing_for_s() == 0.0,
+        }
+
+    def _end_lease(self, lease: str | None) -> None:
+        """End the lease of a dispatcher that the store turns away."""
+        if lease is None:
+            return
+        try:
+            self._store.end_lease(LeaseId(lease))
+            _LOGGER.info("dispatch: ended the term of an entry that handed over")
+        except JayshuntError as error:
+            _LOGGER.info(
+                "dispatch: the term that was handed over runs out by itself",
+                extra={"reason": str(error)},
+            )
+
     def _notify(self, notice: dict) -> None:
         try:
             self._notices.put_nowait(notice)
@@ -137,7 +185,7 @@
 
     def _ask_once(self, term: Term | None, call: str, body: dict) -> dict:
         own = self.own_dispatcher
-        if own is not None and own.ready.is_set():
+        if own is not None and own.ready.is_set() and own.term_valid():
             return answer_call(own, call, body)
         if term is None or term.incarnation == self._keeper.incarnation:
             raise NoDispatcher(f"dispatch.{call}")
@@ -155,9 +203,7 @@
         finally:
             self._handles.put(handle)
         if answer.status != 200:
-            raise NoDispatcher(
-                f"dispatch.{call}", str(term.peer), f"status {answer.status}"
-            )
+            raise _refused(call, str(term.peer), answer.status)
         return json.loads(answer.body)
 
     def _take_handle(self):
@@ -167,6 +213,18 @@
             return http_client.new_handle()
 
 
+def _refused(call: str, peer: str, status: int) -> JayshuntError:
+    if status != 504:
+        return NoDispatcher(f"dispatch.{call}", peer, f"status {status}")
+    return JayshuntError(
+        "dispatcher_unsure",
+        step=f"dispatch.{call}",
+        peer=peer,
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=1.0,
+    )
+
+
 def answer_call(dispatcher: Dispatcher, call: str, body: dict) -> dict:
     """Answer one call of an entry."""
     match call:
@@ -180,6 +238,10 @@
             return {
                 "refusals": {q: view.refuse_retry_after_s for q, view in views.items()}
             }
+        case "submit":
+            return dispatcher.submit(body["key"], body["value"].encode())
+        case "cancel":
+            return {"found": dispatcher.cancel_stored(JobId(body["job"]))}
         case "notices":
             for notice in body["notices"]:
                 _take_notice(dispatcher, notice)
--- a/src/jayshunt/dispatch/peer_api.py
+++ b/src/jayshunt/dispatch/peer_api.py
@@ -3,11 +3,12 @@
 import json
 from collections.abc import Callable
 
-from jayshunt.dispatch.errors import NoDispatcher
 from jayshunt.dispatch.link import DispatcherLink, answer_call
+from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.serving.connection import IncomingRequest
 
 PREFIX = "/dispatch/"
+REFUSALS = "/dispatch/refusals"
 
 
 class PeerApi:
@@ -34,11 +35,18 @@
         if path == "/dump":
             start_response("200 -", [("Content-Type", "application/json")])
             return [json.dumps(self._dump(), default=str).encode()]
+        if path == REFUSALS:
+            self._link.take_report(json.loads(request.body))
+            if self._link.handover_lease is not None:
+                answer = {"refusals": {}, "end_lease": self._link.handover_lease}
+                start_response("200 -", [("Content-Type", "application/json")])
+                return [json.dumps(answer).encode()]
         dispatcher = self._link.own_dispatcher
         if (
             not path.startswith(PREFIX)
             or dispatcher is None
             or not dispatcher.ready.is_set()
+            or not dispatcher.term_valid()
         ):
             start_response("503 -", [])
             return [b""]
@@ -46,9 +54,11 @@
             answer = answer_call(
                 dispatcher, path.removeprefix(PREFIX), json.loads(request.body)
             )
-        except NoDispatcher:
-            start_response("404 -", [])
-            return [b""]
+        except JayshuntError as error:
+            # 504 says that a write may have taken effect, 503 that nothing did.
+            is_unknown = error.outcome is not Outcome.NOT_RUN
+            start_response("504 -" if is_unknown else "503 -", [])
+            return [str(error).encode()]
         start_response("200 -", [("Content-Type", "application/json")])
         return [json.dumps(answer).encode()]
 
--- a/src/jayshunt/dispatch/placing.py
+++ b/src/jayshunt/dispatch/placing.py
@@ -129,9 +129,7 @@
     return []
 
 
-def _try_gang(
-    job: Job, tasks: list[Task], rooms: list[WorkerRoom]
-) -> list[Placement]:
+def _try_gang(job: Job, tasks: list[Task], rooms: list[WorkerRoom]) -> list[Placement]:
     taken: list[tuple[WorkerRoom, Task]] = []
     for task in tasks:
         room = _best_room(job, task, rooms)
@@ -170,9 +168,7 @@
     return best
 
 
-def _cost(
-    task: Task, step: StepSpec, room: WorkerRoom, is_last_chance: bool
-) -> tuple:
+def _cost(task: Task, step: StepSpec, room: WorkerRoom, is_last_chance: bool) -> tuple:
     """Return what speaks against a worker, the weightiest first."""
     left = room.free.cpu_millicores - step.reserved.cpu_millicores
     if step.is_long_running:
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -14,7 +14,15 @@
     Term,
 )
 from jayshunt.dispatch.tasks import Job, TaskPhase
-from jayshunt.ids import EntryId, JobId, LeaseId, PoolName, QueueName, RackName, Revision
+from jayshunt.ids import (
+    EntryId,
+    JobId,
+    LeaseId,
+    PoolName,
+    QueueName,
+    RackName,
+    Revision,
+)
 
 TERM_KEY = "jayshunt/term"
 INTAKE_PREFIX = "jayshunt/in/"
@@ -23,6 +31,9 @@
 PROGRESS_PREFIX = "jayshunt/progress/"
 WAVE_PREFIX = "jayshunt/wave/"
 
+# A long-running task may fail without end; only its last failures are kept.
+MAX_FAILED_RUNS = 32
+
 
 def accepted_key(job: JobId) -> str:
     """Return where an accepted job lies."""
@@ -107,11 +118,11 @@
 def encode_progress(job: Job) -> bytes:
     """Return what has to outlive the dispatcher of a job.
 
-    Rows are kept by task: done tasks as lists of indices, failures and checkpoints
-    of the others by name.
+    Rows are kept by task: done tasks as lists of indices, the failed runs and the
+    checkpoints of the others by name.
     """
     done: dict[str, list[int]] = {}
-    failures: dict[str, int] = {}
+    failures: dict[str, tuple[int, ...]] = {}
     checkpoints: dict[str, str] = {}
     if not job.state.is_final:
         for (occurrence, step), tasks in job.steps.items():
@@ -121,8 +132,8 @@
             for task in tasks:
                 if task.phase is TaskPhase.DONE:
                     continue
-                if task.failures:
-                    failures[_short(task.key)] = task.failures
+                if task.failed_runs:
+                    failures[_short(task.key)] = task.failed_runs[-MAX_FAILED_RUNS:]
                 if task.checkpoint:
                     checkpoints[_short(task.key)] = task.checkpoint
     fields: dict = {"state": job.state.value}
@@ -144,10 +155,11 @@
             task = job.task(TaskKey(job.spec.job, occurrence, step, index))
             if task is not None:
                 job.mark_done(task)
-    for name, count in fields.get("failures", {}).items():
+    for name, runs in fields.get("failures", {}).items():
         task = _task(job, name)
         if task is not None:
-            task.failures = count
+            task.failed_runs = tuple(runs)
+            task.run = max(task.run, *runs)
             job.has_begun = True
     for name, checkpoint in fields.get("checkpoints", {}).items():
         task = _task(job, name)
--- a/src/jayshunt/dispatch/run_book.py
+++ b/src/jayshunt/dispatch/run_book.py
@@ -259,18 +259,18 @@
         is_inherited = task.worker is None and end.run >= task.run
         if end.end is RunEnd.DONE:
             self._apply_done(view, job, task, now_s)
-        elif end.run > task.ended_run and (is_present or is_inherited):
+        elif end.run not in task.ended_runs:
             # A worker that was out of reach lists ends again that are known.
-            task.run = max(task.run, end.run)
-            task.ended_run = end.run
-            self._apply_other_end(view, job, task, end, now_s)
+            task.ended_runs.add(end.run)
+            self._count_failure(view, job, task, end, now_s)
+            if is_present or is_inherited:
+                task.run = max(task.run, end.run)
+                self._apply_other_end(view, job, task, end, now_s)
         version = self.versions[end.task.job]
         waits_for = None if version == before else end.task.job
         view.pending.append(PendingEnd(end.number, waits_for, version))
 
-    def _apply_done(
-        self, view: WorkerView, job: Job, task: Task, now_s: float
-    ) -> None:
+    def _apply_done(self, view: WorkerView, job: Job, task: Task, now_s: float) -> None:
         view.saw_done(now_s)
         if task.spec.is_long_running:
             # It ended although it should last: it runs again.
@@ -292,20 +292,25 @@
         if job.mark_done(task):
             self._changed(job)
 
+    def _count_failure(
+        self, view: WorkerView, job: Job, task: Task, end: EndedRun, now_s: float
+    ) -> None:
+        if end.end is not RunEnd.FAILED:
+            return
+        if job.mark_failed(task, end.run, view.worker.worker):
+            self._changed(job)
+        if view.saw_failed(job.spec.job, now_s):
+            _LOGGER.warning(
+                "dispatch: a worker is set aside",
+                extra={"worker": view.worker.worker, "reason": "its runs fail"},
+            )
+
     def _apply_other_end(
         self, view: WorkerView, job: Job, task: Task, end: EndedRun, now_s: float
     ) -> None:
         if end.checkpoint and task.phase is not TaskPhase.DONE:
             task.checkpoint = end.checkpoint
             self._changed(job)
-        if end.end is RunEnd.FAILED:
-            job.mark_failed(task, view.worker.worker)
-            self._changed(job)
-            if view.saw_failed(job.spec.job, now_s):
-                _LOGGER.warning(
-                    "dispatch: a worker is set aside",
-                    extra={"worker": view.worker.worker, "reason": "its runs fail"},
-                )
         if end.end is not RunEnd.STOPPED or job.state.is_final:
             _LOGGER.info(
                 "dispatch: a run ended early",
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -32,8 +32,9 @@
 class Task:
     """Hold one task.
 
-    `run` is the highest run number used, `ended_run` the highest whose end was
-    taken over, `worker` where the present run is or may be.
+    `run` is the highest run number used, `ended_runs` those whose end was taken
+    over, `failed_runs` those that failed: workers list an end again until it is
+    noted, also to a later term. `worker` is where the present run is or may be.
     `failed_on` are workers on which a run failed. `waiting_since_s` and
     `ordered_s` are steady seconds.
     """
@@ -43,8 +44,8 @@
     phase: TaskPhase = TaskPhase.WAITING
     run: int = 0
     worker: WorkerId | None = None
-    ended_run: int = 0
-    failures: int = 0
+    ended_runs: set[int] = field(default_factory=set)
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     failed_on: tuple[WorkerId, ...] = ()
     waiting_since_s: float = 0.0
@@ -55,6 +56,11 @@
     load: float = 0.0
     pace: int = 100
 
+    @property
+    def failures(self) -> int:
+        """Return how many runs failed."""
+        return len(self.failed_runs)
+
     @property
     def is_placed(self) -> bool:
         """Return whether a run exists or may exist on a worker."""
@@ -185,16 +191,22 @@
         self._update_state()
         return True
 
-    def mark_failed(self, task: Task, worker: WorkerId | None) -> None:
-        """Count a failed run; the job fails when a task has used up its runs."""
-        task.failures += 1
+    def mark_failed(self, task: Task, run: int, worker: WorkerId | None) -> bool:
+        """Count a failed run once; the job fails when a task has used up its runs.
+
+        Return whether the failure is news.
+        """
+        if run in task.failed_runs:
+            return False
+        task.failed_runs += (run,)
         self.has_begun = True
         if worker is not None:
             task.failed_on += (worker,)
         if task.spec.is_long_running or self.state.is_final:
-            return
+            return True
         if task.failures >= self.config.max_failures:
             self.state = JobState.FAILED
+        return True
 
     def cancel(self) -> bool:
         """Record a cancel; return whether it changed anything."""
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -24,7 +24,7 @@
 )
 from jayshunt.dispatch.models import EntryNode, Put, Term
 from jayshunt.dispatch.records import TERM_KEY, decode_term, encode_term
-from jayshunt.ids import LeaseId, Revision
+from jayshunt.ids import EntryId, LeaseId, Revision
 from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -96,8 +96,14 @@
         self._holder: TermHolder | None = None
         self._revision: Revision | None = None
         self._leaving = threading.Event()
+        self._stand_after_s = 0.0
         self.terms_held = 0
 
+    @property
+    def entry(self) -> EntryId:
+        """Return the name of this entry."""
+        return self._node.entry
+
     @property
     def own(self) -> OwnTerm | None:
         """Return the term of this entry, if it has one."""
@@ -121,8 +127,9 @@
         if own is not None:
             self._give_up(own, in_order=own.is_valid)
 
-    def resign(self) -> None:
-        """Give up the duty, as this entry does not reach most workers."""
+    def resign(self, stand_back_s: float = 0.0) -> None:
+        """Give up the duty and leave it to others for a time."""
+        self._stand_after_s = self._clock.monotonic_s() + stand_back_s
         own = self._own
         if own is not None:
             self._give_up(own, in_order=own.is_valid)
@@ -210,6 +217,8 @@
         delay_s = 0.03 / max(0.1, self._node.cpu_cores) + self._rng.uniform(0, 0.03)
         if self._clock.wait(stop, delay_s) or self._leaving.is_set():
             return
+        if self._clock.monotonic_s() < self._stand_after_s:
+            return
         sent_s = self._now_s()
         lease = self._store.grant_lease(TERM_LEASE_S)
         term = Term(
--- a/src/jayshunt/dispatch/waves.py
+++ b/src/jayshunt/dispatch/waves.py
@@ -20,8 +20,7 @@
     in_work = sum(
         1
         for vm in wave.vms
-        if vm in being_emptied
-        or (vm in vms and vms[vm].state is VmState.UPKEEP)
+        if vm in being_emptied or (vm in vms and vms[vm].state is VmState.UPKEEP)
     )
     open_places = wave.max_down + EMPTIED_AHEAD - in_work
     if open_places <= 0:
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -177,9 +177,7 @@
             pool=PoolName(_text(fields["service"])),
             address=Address(host, int(port)),
             zone=ZoneName(_text(fields.get("zone", ""))),
-            state=(
-                WorkerState.READY if state == "ready" else WorkerState.DRAINING
-            ),
+            state=(WorkerState.READY if state == "ready" else WorkerState.DRAINING),
             capacity=capacity(room),
             labels=frozenset(labels),
             rack=rack_of(labels),
@@ -211,9 +209,7 @@
             max_down=max(1, int(fields.get("maxCount", 1))),
         )
     except (ValueError, KeyError, TypeError) as error:
-        _LOGGER.warning(
-            "platform: a wave is ignored", extra={"reason": str(error)}
-        )
+        _LOGGER.warning("platform: a wave is ignored", extra={"reason": str(error)})
         return None
 
 
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import threading
+import time
 from collections import Counter
 from urllib.parse import quote, urlencode
 
@@ -45,6 +46,7 @@
         self._peer = str(address)
         self._lock = threading.Lock()
         self.calls: Counter[str] = Counter()
+        self._failing_since_s: float | None = None
 
     def get(self, key: str) -> Item | None:
         """Return one item, or None if the key does not exist."""
@@ -144,6 +146,15 @@
         """End a lease and remove its keys; one that has ended is no error."""
         self._call("end_lease", "DELETE", f"/kv-lease-end/{quote(lease)}")
 
+    def failing_for_s(self) -> float:
+        """Return for how long no call has succeeded, 0 while calls succeed."""
+        since_s = self._failing_since_s
+        return 0.0 if since_s is None else time.monotonic() - since_s
+
+    def _failed(self) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = time.monotonic()
+
     def _call(
         self,
         step: str,
@@ -169,11 +180,15 @@
                 stop=stop,
             )
         except JayshuntError as error:
+            if stop is None or not stop.is_set():
+                self._failed()
             if method == "POST" and error.outcome is Outcome.UNKNOWN:
                 raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
             raise StoreUnavailable(step, self._peer, error.detail) from error
         if answer.status in (200, 404, 410, 412):
+            self._failing_since_s = None
             return answer
+        self._failed()
         # 429 and 503 certify that nothing was done.
         raise StoreUnavailable(step, self._peer, f"status {answer.status}")
 
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -9,6 +9,7 @@
 from jayshunt.dispatch.diagnostics import describe
 from jayshunt.dispatch.dispatcher import Dispatcher
 from jayshunt.dispatch.entry import JobEntry
+from jayshunt.dispatch.handover import HandoverGuard
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.metrics import EntryMetrics
 from jayshunt.dispatch.models import Address, EntryNode
@@ -30,6 +31,9 @@
 READY_GRACE_S = 2.4
 # Together with the grace this stays below the platform's 6 s until SIGKILL.
 DRAIN_TIMEOUT_S = 2.2
+# An entry that reaches neither the store nor the dispatcher for this long is not
+# ready, so that callers go to others.
+CUT_OFF_AFTER_S = 1.5
 FRONT_LIMITS = ServerLimits(
     max_connections=1_500,
     max_body_bytes=MAX_BODY_BYTES,
@@ -59,7 +63,8 @@
         self._keeper = TermKeeper(
             node, self._store, self._clock, rng, self._make_dispatcher
         )
-        self._link = DispatcherLink(self._keeper, self._clock)
+        self._link = DispatcherLink(self._keeper, self._store, self._clock)
+        self._guard = HandoverGuard(self._keeper, self._link, self._store, self._clock)
         self._metrics = EntryMetrics(self._store, self._link)
         entry = JobEntry(self._store, self._link, self._clock)
         self._group = TaskGroup("entry")
@@ -88,6 +93,7 @@
             self._keeper.renew,
             self._link.send_notices,
             self._link.follow_refusals,
+            self._guard.run,
         ):
             self._group.start(task)
         for server in (self._peer, self._ready, self._front):
@@ -105,7 +111,11 @@
         _LOGGER.info("entry: stopped")
 
     def _is_ready(self) -> bool:
-        return self._config.current() is not None and not self._front.draining
+        if self._config.current() is None or self._front.draining:
+            return False
+        # Without the store and without a dispatcher nothing can be served here.
+        is_cut_off = self._store.failing_for_s() > CUT_OFF_AFTER_S
+        return not is_cut_off or self._link.is_reachable()
 
     def _make_dispatcher(self, own: OwnTerm) -> Dispatcher:
         dispatcher = Dispatcher(
@@ -117,6 +127,7 @@
             lambda reason: self._deposed(own, reason),
         )
         self._link.own_dispatcher = dispatcher
+        self._link.handover_lease = None
         return dispatcher
 
     def _deposed(self, own: OwnTerm, reason: str) -> None:
