Size pools by demand: fetch VMs for a burst, give them back after it

Change: sizing.py decides moves from placed, waiting and arriving work; entries whose VM moved, is in upkeep or has another worker count no more.

--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -138,11 +138,40 @@
             with self._dispatcher.lock:
                 self.vms = {vm.vm: vm for vm in vms}
                 self._forget_gone()
+                self._end_replaced_lives(now_s)
             self._dispatcher.planner.wake()
         if self._waves_s is None or now_s - self._waves_s >= WAVES_POLL_S:
             self._read_waves(now_s)
             self._waves_s = now_s
 
+    def is_present(self, view: WorkerView) -> bool:
+        """Return whether a worker belongs to a VM that is up, as far as is known.
+
+        The list of workers keeps entries of VMs that left for some seconds.
+        """
+        known = self.vms.get(view.worker.vm) if view.worker.vm else None
+        if known is None:
+            return self._listed_s is None or view.worker.vm is None
+        if self._is_spare(known.pool):
+            return False
+        return known.state is VmState.UP and known.worker == view.worker.worker
+
+    def _end_replaced_lives(self, now_s: float) -> None:
+        """End the workers whose VM moves, is in upkeep or has a newer worker."""
+        for view in list(self._dispatcher.book.workers.values()):
+            known = self.vms.get(view.worker.vm) if view.worker.vm else None
+            if known is None or view.first_seen_s > now_s:
+                continue
+            is_replaced = (
+                known.worker is not None and known.worker != view.worker.worker
+            )
+            if known.state in (VmState.MOVING, VmState.UPKEEP) or (
+                is_replaced and view.last_answer_s is None
+            ):
+                self._dispatcher.book.worker_over(
+                    view, now_s, f"its VM is {known.state.value} with another worker"
+                )
+
     def _forget_gone(self) -> None:
         for vm in [vm for vm in self._evacuations if vm not in self.vms]:
             self._evacuations.pop(vm)
@@ -236,13 +265,6 @@
         config = self._config()
         with self._dispatcher.lock:
             views = self._views_by_vm()
-            in_waves = {
-                vm
-                for state in self.waves.values()
-                if not state.is_completed
-                for vm in state.wave.vms
-                if vm not in state.done
-            }
             moves = self.sizer.decide(
                 config,
                 [
@@ -252,7 +274,6 @@
                 self.vms,
                 views,
                 set(self._evacuations),
-                in_waves,
                 now_s,
             )
             for vm, pool in moves:
--- a/src/jayshunt/dispatch/handover.py
+++ b/src/jayshunt/dispatch/handover.py
@@ -97,7 +97,7 @@
             ages = [
                 None if view.last_answer_s is None else now_s - view.last_answer_s
                 for view in dispatcher.book.workers.values()
-                if view.is_listed
+                if view.is_listed and dispatcher.fleet.is_present(view)
             ]
         if is_out_of_reach(ages):
             _LOGGER.warning(
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -11,7 +11,7 @@
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
-from jayshunt.dispatch.models import FleetConfig, Item, QueueConfig
+from jayshunt.dispatch.models import FleetConfig, Item, QueueConfig, StepSpec
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -35,6 +35,22 @@
 JOBS_PER_REMOVAL = 10
 
 
+def summarize_step(step: StepSpec) -> str:
+    """Return what a step needs as one word for the log, as 5x6100m/35000M:apart=2."""
+    need = step.resources
+    text = f"{step.task_count}x{need.cpu_millicores}m/{need.memory_mb}M"
+    marks = {
+        "ms": step.estimate_ms,
+        "apart": step.max_per_worker,
+        "fills": int(step.fills),
+        "target": step.target_ms,
+        "budget": step.max_unavailable,
+        "gang": int(step.is_gang),
+        "saves": int(step.has_checkpoints),
+    }
+    return ":".join([text, *(f"{k}={v}" for k, v in marks.items() if v)])
+
+
 class IntakeReader:
     """Bring every accepted job into the book.
 
@@ -118,6 +134,7 @@
                     "queue": spec.queue,
                     "told_by_entry": is_new,
                     "tasks": sum(step.task_count for step in spec.steps),
+                    "steps": " ".join(summarize_step(step) for step in spec.steps),
                     "inherited": job.is_inherited,
                 },
             )
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -199,7 +199,11 @@
         if not dispatcher.worker_list_read:
             return False
         views = dispatcher.book.workers
-        if any(view.last_answer_s is None for view in views.values()):
+        fleet = dispatcher.fleet
+        if any(
+            view.last_answer_s is None and fleet.is_present(view)
+            for view in views.values()
+        ):
             return False
         return dispatcher.fleet.knows_all_workers(views)
 
--- a/src/jayshunt/dispatch/run_book.py
+++ b/src/jayshunt/dispatch/run_book.py
@@ -57,6 +57,7 @@
     stored_versions: Counter = field(default_factory=Counter)
     dirty: set[JobId] = field(default_factory=set)
     counts: Counter = field(default_factory=Counter)
+    lives_over: set[tuple[WorkerId, int]] = field(default_factory=set)
     on_run_end: Callable[[Job, Task, float], None] | None = None
 
     # --- jobs ---
@@ -153,6 +154,7 @@
         if view.is_over:
             return
         view.is_over = True
+        self.lives_over.add((view.worker.worker, view.worker.born_ms))
         tasks = list(view.tasks.values())
         _LOGGER.info(
             "dispatch: a worker is over",
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -209,6 +209,10 @@
                 return
             if view.tasks or not view.is_listed:
                 context.book.worker_over(view, now_s, f"its lease is over: {reason}")
+                # The worker may be alive behind a cut, and come back.
+                context.book.lives_over.discard(
+                    (view.worker.worker, view.worker.born_ms)
+                )
         context.changed()
 
     def _refused(self, answer: OrderAnswer) -> bool:
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -1,17 +1,68 @@
-"""Decide which VMs move between pools, without network or clock."""
+"""Decide which VMs move between pools, without network or clock.
 
+The load that it answers: each pool in turn is asked several times its mean for
+about eight seconds, more than its own VMs hold, and next to nothing in between. A
+VM costs as long as it is in a pool that is not spare, a move costs about as much
+as one second in a pool, and takes about two.
+"""
+
+import math
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.models import FleetConfig, Vm
+from jayshunt.dispatch.models import FleetConfig, Resources, Vm, VmState
 from jayshunt.dispatch.tasks import Job
-from jayshunt.ids import PoolName, VmId
+from jayshunt.ids import JobId, PoolName, VmId
+
+# Part of a VM that packing fills before tasks no longer fit.
+PACKED_PART = 0.85
+# What a pool keeps free for its next jobs: about two wide jobs, in VMs.
+IDLE_FREE_VMS = 1.5
+# Arrivals of this time tell how much work comes in; a move takes about as long.
+RATE_WINDOW_S = 2.0
+# A rising demand is met for the time at which a VM ordered now is there.
+GROWTH_FACTOR = 1.6
+# A VM goes back after it was in surplus this long: a burst comes in waves.
+SURPLUS_S = 2.5
+MAX_MOVES_PER_ROUND = 8
+# A worker that did not answer for this long is no capacity.
+SILENT_S = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class PoolNeed:
+    """Hold what a pool has and needs, in VMs."""
+
+    pool: PoolName
+    present: int
+    needed: int
+
+    @property
+    def lacking(self) -> int:
+        """Return how many VMs are missing; negative for a surplus."""
+        return self.needed - self.present
+
+
+@dataclass
+class PoolDemand:
+    """Hold what the tasks of a pool take and wait for."""
+
+    long_running: Resources = Resources()
+    placed: Resources = Resources()
+    waiting: Resources = Resources()
+    vms_with_long_running: set[VmId] = field(default_factory=set)
 
 
 @dataclass
 class PoolSizer:
-    """Own what was learned of the pools' demand."""
+    """Own what was learned of the pools' demand; times are steady seconds."""
+
+    arrivals: dict[PoolName, deque] = field(default_factory=dict)
+    counted: set[JobId] = field(default_factory=set)
+    surplus_since_s: dict[PoolName, float] = field(default_factory=dict)
+    needs: dict[PoolName, PoolNeed] = field(default_factory=dict)
 
     def decide(
         self,
@@ -20,8 +71,192 @@
         vms: dict[VmId, Vm],
         views: dict[VmId, WorkerView],
         being_emptied: set[VmId],
-        in_waves: set[VmId],
         now_s: float,
     ) -> list[tuple[VmId, PoolName]]:
         """Return the moves to begin now."""
-        return []
+        spare = {pool.pool for pool in config.pools if pool.is_spare}
+        if not spare:
+            return []
+        demands = self._demands(jobs, vms, views, now_s)
+        present = _present(vms, views, being_emptied, now_s)
+        pools = [pool.pool for pool in config.pools if not pool.is_spare]
+        self.needs = {
+            pool: self._need(pool, demands, present, vms, now_s) for pool in pools
+        }
+        idle = _idle_vms(vms, views, being_emptied)
+        moves = self._fetch(idle, spare)
+        moves += self._give_back(idle, spare, {vm for vm, _ in moves}, now_s)
+        return moves[:MAX_MOVES_PER_ROUND]
+
+    def _demands(
+        self,
+        jobs: Iterable[Job],
+        vms: dict[VmId, Vm],
+        views: dict[VmId, WorkerView],
+        now_s: float,
+    ) -> dict[PoolName, PoolDemand]:
+        demands: dict[PoolName, PoolDemand] = {}
+        workers = {view.worker.worker: vm for vm, view in views.items()}
+        for job in jobs:
+            if job.state.is_final:
+                continue
+            demand = demands.setdefault(job.config.pool, PoolDemand())
+            self._count_arrival(job, now_s)
+            for task in job.tasks():
+                if not task.is_placed:
+                    continue
+                if task.spec.is_long_running:
+                    demand.long_running += task.spec.reserved
+                    if task.worker in workers:
+                        demand.vms_with_long_running.add(workers[task.worker])
+                else:
+                    demand.placed += task.spec.reserved
+            for task in job.due_tasks():
+                demand.waiting += task.spec.reserved
+        return demands
+
+    def _count_arrival(self, job: Job, now_s: float) -> None:
+        if job.spec.is_long_running or job.spec.job in self.counted:
+            return
+        self.counted.add(job.spec.job)
+        seen = self.arrivals.setdefault(job.config.pool, deque())
+        widest = max(
+            (step.reserved.cpu_millicores * step.task_count for step in job.spec.steps),
+            default=0,
+        )
+        seen.append((now_s, widest))
+
+    def _arriving_millicores(self, pool: PoolName, now_s: float) -> float:
+        """Return the room that the jobs of the last time take at their widest."""
+        seen = self.arrivals.get(pool)
+        if not seen:
+            return 0.0
+        while seen and seen[0][0] < now_s - RATE_WINDOW_S:
+            seen.popleft()
+        return sum(millicores for _, millicores in seen)
+
+    def _need(
+        self,
+        pool: PoolName,
+        demands: dict[PoolName, PoolDemand],
+        present: dict[PoolName, list[Vm]],
+        vms: dict[VmId, Vm],
+        now_s: float,
+    ) -> PoolNeed:
+        demand = demands.get(pool, PoolDemand())
+        size = _vm_size(vms, pool)
+        arriving = self._arriving_millicores(pool, now_s)
+        now_millicores = demand.placed.cpu_millicores + demand.waiting.cpu_millicores
+        busy = max(now_millicores, arriving)
+        if arriving > size.cpu_millicores:
+            busy = max(busy, GROWTH_FACTOR * arriving)
+        cpu = demand.long_running.cpu_millicores + busy
+        memory = (demand.long_running + demand.placed + demand.waiting).memory_mb
+        by_cpu = cpu / (PACKED_PART * size.cpu_millicores)
+        by_memory = memory / (PACKED_PART * size.memory_mb)
+        idle_need = (
+            IDLE_FREE_VMS + demand.long_running.cpu_millicores / size.cpu_millicores
+        )
+        needed = math.ceil(max(by_cpu, by_memory, idle_need))
+        needed = max(needed, len(demand.vms_with_long_running))
+        return PoolNeed(pool, len(present.get(pool, ())), needed)
+
+    def _fetch(
+        self, idle: dict[PoolName, list[VmId]], spare: set[PoolName]
+    ) -> list[tuple[VmId, PoolName]]:
+        """Give pools that lack VMs the surplus of others first, then spare ones."""
+        moves: list[tuple[VmId, PoolName]] = []
+        lacking = sorted(
+            (need for need in self.needs.values() if need.lacking > 0),
+            key=lambda need: -need.lacking,
+        )
+        for need in lacking:
+            sources = [
+                p for p, other in self.needs.items() if other.lacking < 0
+            ] + sorted(spare)
+            for source in sources:
+                limit = need.lacking - sum(pool == need.pool for _, pool in moves)
+                if source in self.needs:
+                    given = sum(vm in idle.get(source, ()) for vm, _ in moves)
+                    limit = min(limit, -self.needs[source].lacking - given)
+                taken = {vm for vm, _ in moves}
+                free = [vm for vm in idle.get(source, ()) if vm not in taken]
+                moves += [(vm, need.pool) for vm in free[: max(0, limit)]]
+        return moves
+
+    def _give_back(
+        self,
+        idle: dict[PoolName, list[VmId]],
+        spare: set[PoolName],
+        taken: set[VmId],
+        now_s: float,
+    ) -> list[tuple[VmId, PoolName]]:
+        """Return VMs to the spare pool that were in surplus for a while."""
+        moves: list[tuple[VmId, PoolName]] = []
+        target = min(spare)
+        for pool, need in self.needs.items():
+            if need.lacking >= 0:
+                self.surplus_since_s.pop(pool, None)
+                continue
+            since_s = self.surplus_since_s.setdefault(pool, now_s)
+            if now_s - since_s < SURPLUS_S:
+                continue
+            free = [vm for vm in idle.get(pool, ()) if vm not in taken]
+            given = sum(vm in taken for vm in idle.get(pool, ()))
+            count = max(0, -need.lacking - given)
+            moves += [(vm, target) for vm in free[:count]]
+        return moves
+
+
+def _vm_size(vms: dict[VmId, Vm], pool: PoolName) -> Resources:
+    """Return the size of a usual VM of a pool."""
+    sizes = [vm.capacity for vm in vms.values() if vm.pool == pool] or [
+        vm.capacity for vm in vms.values()
+    ]
+    if not sizes:
+        return Resources(64_000, 131_072)
+    sizes.sort(key=lambda size: (size.cpu_millicores, size.memory_mb))
+    size = sizes[len(sizes) // 2]
+    return Resources(max(1, size.cpu_millicores), max(1, size.memory_mb))
+
+
+def _present(
+    vms: dict[VmId, Vm],
+    views: dict[VmId, WorkerView],
+    being_emptied: set[VmId],
+    now_s: float,
+) -> dict[PoolName, list[Vm]]:
+    """Return the VMs that serve a pool now or in a moment."""
+    present: dict[PoolName, list[Vm]] = {}
+    for vm in vms.values():
+        if vm.vm in being_emptied:
+            continue
+        view = views.get(vm.vm)
+        is_coming = vm.state in (VmState.MOVING, VmState.UPKEEP)
+        is_serving = (
+            vm.state is VmState.UP
+            and view is not None
+            and not view.is_draining
+            and view.last_answer_s is not None
+            and now_s - view.last_answer_s <= SILENT_S
+        )
+        if is_coming or is_serving:
+            present.setdefault(vm.pool, []).append(vm)
+    return present
+
+
+def _idle_vms(
+    vms: dict[VmId, Vm], views: dict[VmId, WorkerView], being_emptied: set[VmId]
+) -> dict[PoolName, list[VmId]]:
+    """Return the VMs without a task by pool; those that are off count as well."""
+    idle: dict[PoolName, list[VmId]] = {}
+    for vm in sorted(vms.values(), key=lambda vm: vm.vm):
+        if vm.vm in being_emptied or vm.state is not VmState.UP:
+            continue
+        view = views.get(vm.vm)
+        if view is not None and (
+            view.tasks or view.strays or view.is_draining or view.duty is not None
+        ):
+            continue
+        idle.setdefault(vm.pool, []).append(vm.vm)
+    return idle
--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -102,6 +102,9 @@
     def _update(self, entry: Worker) -> None:
         dispatcher = self._dispatcher
         with dispatcher.lock:
+            if (entry.worker, entry.born_ms) in dispatcher.book.lives_over:
+                # The list keeps a worker for a while after its VM left.
+                return
             view = dispatcher.book.workers.get(entry.worker)
             is_same_life = view is not None and (
                 view.worker.address == entry.address
