--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -21,11 +21,12 @@
 # What a pool keeps free for its next jobs: about two wide jobs, in VMs.
 IDLE_FREE_VMS = 1.5
 # Arrivals of this time tell how much work comes in; a move takes about as long.
-RATE_WINDOW_S = 2.0
+RATE_WINDOW_S = 1.2
 # A rising demand is met for the time at which a VM ordered now is there.
-GROWTH_FACTOR = 1.6
-# A VM goes back after it was in surplus this long: a burst comes in waves.
-SURPLUS_S = 2.5
+GROWTH_FACTOR = 1.3
+# What a pool needed at any time within this span it keeps: two moves cost as much
+# as a VM costs in that time.
+KEEP_S = 2.5
 MAX_MOVES_PER_ROUND = 8
 # A worker that did not answer for this long is no capacity.
 SILENT_S = 2.5
@@ -61,7 +62,7 @@
 
     arrivals: dict[PoolName, deque] = field(default_factory=dict)
     counted: set[JobId] = field(default_factory=set)
-    surplus_since_s: dict[PoolName, float] = field(default_factory=dict)
+    recent_needs: dict[PoolName, deque] = field(default_factory=dict)
     needs: dict[PoolName, PoolNeed] = field(default_factory=dict)
 
     def decide(
@@ -161,6 +162,14 @@
         needed = max(needed, len(demand.vms_with_long_running))
         return PoolNeed(pool, len(present.get(pool, ())), needed)
 
+    def _needed_lately(self, need: PoolNeed, now_s: float) -> int:
+        """Return the most that a pool needed within the last time."""
+        recent = self.recent_needs.setdefault(need.pool, deque())
+        recent.append((now_s, need.needed))
+        while recent[0][0] < now_s - KEEP_S:
+            recent.popleft()
+        return max(needed for _, needed in recent)
+
     def _fetch(
         self, idle: dict[PoolName, list[VmId]], spare: set[PoolName]
     ) -> list[tuple[VmId, PoolName]]:
@@ -191,19 +200,14 @@
         taken: set[VmId],
         now_s: float,
     ) -> list[tuple[VmId, PoolName]]:
-        """Return VMs to the spare pool that were in surplus for a while."""
+        """Return VMs to the spare pool that were not needed lately."""
         moves: list[tuple[VmId, PoolName]] = []
         target = min(spare)
         for pool, need in self.needs.items():
-            if need.lacking >= 0:
-                self.surplus_since_s.pop(pool, None)
-                continue
-            since_s = self.surplus_since_s.setdefault(pool, now_s)
-            if now_s - since_s < SURPLUS_S:
-                continue
+            surplus = need.present - self._needed_lately(need, now_s)
             free = [vm for vm in idle.get(pool, ()) if vm not in taken]
             given = sum(vm in taken for vm in idle.get(pool, ()))
-            count = max(0, -need.lacking - given)
+            count = max(0, surplus - given)
             moves += [(vm, target) for vm in free[:count]]
         return moves
 
