Hand over only if others are served, end the term of an own predecessor

Cause: with the store down for all, stale reports of other entries made the dispatcher hand over, and nothing started for 3 s after the outage. After a loss of all processes the new ones waited 4 s for a lease whose holder was gone. Change: reports carry the age of the last answer of the store; a restarted entry ends its predecessor's lease; silent workers' tasks count as away.

--- a/src/jayshunt/dispatch/evacuation.py
+++ b/src/jayshunt/dispatch/evacuation.py
@@ -9,6 +9,8 @@
 
 # Short tasks are left this long to end by themselves; then they are stopped.
 PATIENCE_S = 4.0
+# A worker with tasks answers once a second; one that did not may have been lost.
+HEARD_WITHIN_S = 1.4
 
 
 @dataclass(frozen=True)
@@ -57,7 +59,7 @@
                 continue
             job = book.jobs[task.key.job]
             if task.spec.is_long_running:
-                if not may_take_away(job, task):
+                if not may_take_away(job, task, book, now_s):
                     continue
             elif now_s - self.begun_s < PATIENCE_S:
                 continue
@@ -67,15 +69,26 @@
         return stops
 
 
-def may_take_away(job: Job, task: Task) -> bool:
+def may_take_away(job: Job, task: Task, book: RunBook, now_s: float) -> bool:
     """Return whether a task may be stopped within the budget of its step.
 
-    A step without a budget has no limit. Tasks that do not work fully count as
-    away, this one not included.
+    A step without a budget has no limit. Tasks that do not work fully or whose
+    worker is silent count as away, this one not included.
     """
     budget = task.spec.max_unavailable
     if budget <= 0:
         return True
     step = job.steps[task.key.occurrence, task.key.step]
-    away = sum(1 for other in step if other is not task and not other.is_at_work)
+    away = sum(
+        1
+        for other in step
+        if other is not task and not _is_surely_at_work(other, book, now_s)
+    )
     return away < budget
+
+
+def _is_surely_at_work(task: Task, book: RunBook, now_s: float) -> bool:
+    view = book.workers.get(task.worker) if task.worker else None
+    if view is None or view.last_answer_s is None:
+        return False
+    return task.is_at_work and now_s - view.last_answer_s <= HEARD_WITHIN_S
--- a/src/jayshunt/dispatch/handover.py
+++ b/src/jayshunt/dispatch/handover.py
@@ -19,6 +19,8 @@
 TURNED_AWAY_AFTER_S = 0.9
 # An entry that reported within this time counts as seen.
 REPORT_VALID_S = 1.5
+# The store may go down a moment before a call of this entry shows it.
+ANSWERED_MARGIN_S = 0.3
 # A worker in reach answers every 2 s at least, and its call ends 0.7 s later.
 WORKER_SILENT_S = 3.0
 MIN_TERM_AGE_S = 3.5
@@ -30,21 +32,28 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryReport:
-    """Hold what another entry said of itself at a steady time."""
+    """Hold when the store last answered another entry, in own steady seconds."""
 
-    reaches_store: bool
+    store_answered_s: float | None
     at_s: float
 
 
 def is_turned_away(
     failing_for_s: float, reports: Iterable[EntryReport], now_s: float
 ) -> bool:
-    """Return whether the store serves most of the other entries, but not this one."""
+    """Return whether the store serves most of the other entries, but not this one.
+
+    Only answers since it began to fail here count: while the store is down for
+    all, the others notice that later.
+    """
     if failing_for_s < TURNED_AWAY_AFTER_S:
         return False
+    since_s = now_s - failing_for_s + ANSWERED_MARGIN_S
     recent = [r for r in reports if now_s - r.at_s <= REPORT_VALID_S]
-    reaching = sum(report.reaches_store for report in recent)
-    return reaching > 0 and reaching * 2 >= len(recent)
+    served = sum(
+        r.store_answered_s is not None and r.store_answered_s > since_s for r in recent
+    )
+    return served > 0 and served * 2 >= len(recent)
 
 
 def is_out_of_reach(answer_ages_s: Iterable[float | None]) -> bool:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -130,14 +130,15 @@
 
     def take_report(self, body: dict) -> None:
         """Keep what an entry says of itself when it asks for refusals."""
-        self._reports[body["entry"]] = EntryReport(
-            body["reaches_store"], self._clock.monotonic_s()
-        )
+        now_s = self._clock.monotonic_s()
+        age_s = body["store_answer_age_s"]
+        answered_s = None if age_s is None else now_s - age_s
+        self._reports[body["entry"]] = EntryReport(answered_s, now_s)
 
     def _own_report(self) -> dict:
         return {
             "entry": self._keeper.entry,
-            "reaches_store": self._store.failing_for_s() == 0.0,
+            "store_answer_age_s": self._store.answer_age_s(),
         }
 
     def _end_lease(self, lease: str | None) -> None:
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -189,12 +189,22 @@
     def _saw(self, item) -> None:
         term = None if item is None else decode_term(item.value, item.created)
         own = self._own
+        if term is not None and self._is_predecessor(term):
+            # This entry was started again, so the holder of that term is gone.
+            _LOGGER.info(
+                "dispatch: ends the term of its predecessor",
+                extra={"token": term.token},
+            )
+            self._end_lease(term.lease)
         if own is not None and (term is None or term.token != own.term.token):
             # Events are ordered, so one from before the own term can come late.
             if term is None or term.token > own.term.token:
                 self._give_up(own, in_order=False)
         self._publish(term)
 
+    def _is_predecessor(self, term: Term) -> bool:
+        return term.entry == self.entry and term.incarnation != self.incarnation
+
     def _publish(self, term: Term | None) -> None:
         with self._known:
             if term == self._term:
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -47,6 +47,7 @@
         self._lock = threading.Lock()
         self.calls: Counter[str] = Counter()
         self._failing_since_s: float | None = None
+        self._answered_s: float | None = None
 
     def get(self, key: str) -> Item | None:
         """Return one item, or None if the key does not exist."""
@@ -151,6 +152,11 @@
         since_s = self._failing_since_s
         return 0.0 if since_s is None else time.monotonic() - since_s
 
+    def answer_age_s(self) -> float | None:
+        """Return how long ago a call succeeded, None before the first."""
+        answered_s = self._answered_s
+        return None if answered_s is None else time.monotonic() - answered_s
+
     def _failed(self) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = time.monotonic()
@@ -187,6 +193,7 @@
             raise StoreUnavailable(step, self._peer, error.detail) from error
         if answer.status in (200, 404, 410, 412):
             self._failing_since_s = None
+            self._answered_s = time.monotonic()
             return answer
         self._failed()
         # 429 and 503 certify that nothing was done.
