Hold back only what a silent worker may run after a change of term

Cause: a successor held back every inherited job until all workers had answered, up to 9.5 s when a zone was cut off. Change: jobs are held back by pool, and by name after an orderly end of the last term, which leaves its placements in the store.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -26,7 +26,13 @@
     Worker,
 )
 from jayshunt.dispatch.planner import Planner
-from jayshunt.dispatch.records import TERM_KEY, accepted_key, cancelled_key
+from jayshunt.dispatch.records import (
+    HANDOFF_KEY,
+    TERM_KEY,
+    accepted_key,
+    cancelled_key,
+    encode_handoff,
+)
 from jayshunt.dispatch.run_book import RunBook, StopOrder
 from jayshunt.dispatch.sessions import Calls, SessionContext, WorkerSession
 from jayshunt.dispatch.term import OwnTerm
@@ -35,6 +41,7 @@
 from jayshunt.platform.machine_calls import MachineCalls
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import AdviceCalls, WorkerCalls
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -81,6 +88,8 @@
         )
         self._started_s = clock.monotonic_s()
         self.worker_list_read = False
+        self.handoff: dict[WorkerId, frozenset[str]] | None = None
+        self.handoff_read = False
         self.retention_s = node.bounds.status_ms / 1000
         self.term_condition = {TERM_KEY: own.term.token}
         self.progress = ProgressWriter(
@@ -118,9 +127,26 @@
     def _flush(self) -> None:
         try:
             self.progress.flush(FLUSH_TIMEOUT_S)
-        except TermOver as error:
+            self._write_handoff()
+        except (TermOver, StoreUnavailable, StoreOutcomeUnknown) as error:
             _LOGGER.info("dispatch: left without a last write: %s", error)
 
+    def _write_handoff(self) -> None:
+        """Tell the next term which tasks may run where; no order follows."""
+        if not self.ready.is_set() or not self.planner.knows_all_runs:
+            return
+        with self.lock:
+            placements = {
+                worker: [task.key.name for task in view.tasks.values()]
+                for worker, view in self.book.workers.items()
+            }
+        left = self._store.get(HANDOFF_KEY)
+        revision = Revision(0) if left is None else left.revision
+        self._store.transact(
+            {**self.term_condition, HANDOFF_KEY: revision},
+            (Put(HANDOFF_KEY, encode_handoff(placements)),),
+        )
+
     @property
     def token(self) -> int:
         """Return the fencing token of the term."""
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -15,11 +15,13 @@
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
+    HANDOFF_KEY,
     INTAKE_PREFIX,
     PROGRESS_PREFIX,
     accepted_key,
     apply_progress,
     cancelled_key,
+    decode_handoff,
     decode_job,
     decode_queue,
     progress_key,
@@ -156,6 +158,7 @@
                 self._take_item(item, found.get(progress_key(job_id)))
         for item in items:
             self._take_cancel(item)
+        self._take_handoff()
         self._revision = revision
         _LOGGER.info(
             "dispatch: read the accepted jobs",
@@ -166,6 +169,25 @@
             },
         )
 
+    def _take_handoff(self) -> None:
+        """Read what the last term left, and remove it before any order is given.
+
+        It tells exactly which tasks a worker out of reach may run, and is true
+        only for the term that comes right after.
+        """
+        if self._dispatcher.handoff_read:
+            return
+        item = self._store.get(HANDOFF_KEY)
+        if item is not None:
+            result = self._store.transact(
+                {**self._dispatcher.term_condition, HANDOFF_KEY: item.revision},
+                (),
+                (HANDOFF_KEY,),
+            )
+            if result.revision is not None:
+                self._dispatcher.handoff = decode_handoff(item.value)
+        self._dispatcher.handoff_read = True
+
     def _follow(self) -> None:
         answer = self._store.watch(INTAKE_PREFIX, self._revision, 0.0)
         for item in answer.events:
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -8,6 +8,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.backlog import Backlog, refusals
+from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.placing import WorkerRoom, plan_placements
@@ -46,7 +47,7 @@
         self._seen_config: FleetConfig | None = None
         self._pacer = Pacer()
         self._next_pace_s = 0.0
-        self._was_resolved = False
+        self.knows_all_runs = False
         self.speeds = WorkerSpeeds()
         self.backlog = Backlog()
         self.tickets = TicketBook(
@@ -183,29 +184,50 @@
     def _may_start(self, now_s: float) -> Callable[[Job], bool]:
         """Hold back inherited jobs while a run of an earlier term may exist unseen."""
         dispatcher = self._dispatcher
-        if not self._was_resolved:
-            self._was_resolved = (
-                now_s >= dispatcher.inherited_blocked_until_s
-                or self._all_workers_answered()
+        silent: list[WorkerView] | None = None
+        if not self.knows_all_runs:
+            silent = self._silent_workers()
+            self.knows_all_runs = now_s >= dispatcher.inherited_blocked_until_s or (
+                silent is not None and not silent
             )
-            if self._was_resolved:
+            if self.knows_all_runs:
                 _LOGGER.info("dispatch: all runs of earlier terms are known")
-        if self._was_resolved:
+        if self.knows_all_runs:
             return lambda job: True
-        return lambda job: not job.is_inherited
-
-    def _all_workers_answered(self) -> bool:
+        if silent is None:
+            return lambda job: not job.is_inherited
+        return self._unless_on(silent)
+
+    def _unless_on(self, silent: list[WorkerView]) -> Callable[[Job], bool]:
+        """Hold back the inherited jobs that a silent worker may run.
+
+        After an orderly end of the last term these are known by name, else they
+        are all jobs of the worker's pool.
+        """
+        handoff = self._dispatcher.handoff
+        if handoff is None:
+            pools = {view.worker.pool for view in silent}
+            return lambda job: not job.is_inherited or job.config.pool not in pools
+        held = {
+            name.partition(".")[0]
+            for view in silent
+            for name in handoff.get(view.worker.worker, ())
+        }
+        return lambda job: not job.is_inherited or job.spec.job not in held
+
+    def _silent_workers(self) -> list[WorkerView] | None:
+        """Return the workers that never answered this term, None if not all known."""
         dispatcher = self._dispatcher
-        if not dispatcher.worker_list_read:
-            return False
         views = dispatcher.book.workers
-        fleet = dispatcher.fleet
-        if any(
-            view.last_answer_s is None and fleet.is_present(view)
+        if not dispatcher.worker_list_read:
+            return None
+        if not dispatcher.fleet.knows_all_workers(views):
+            return None
+        return [
+            view
             for view in views.values()
-        ):
-            return False
-        return dispatcher.fleet.knows_all_workers(views)
+            if view.last_answer_s is None and dispatcher.fleet.is_present(view)
+        ]
 
     def _paces(self, now_s: float) -> list[tuple]:
         if now_s < self._next_pace_s:
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -22,6 +22,7 @@
     QueueName,
     RackName,
     Revision,
+    WorkerId,
 )
 
 TERM_KEY = "jayshunt/term"
@@ -30,6 +31,7 @@
 CANCELLED_PREFIX = INTAKE_PREFIX + "cancel/"
 PROGRESS_PREFIX = "jayshunt/progress/"
 WAVE_PREFIX = "jayshunt/wave/"
+HANDOFF_KEY = "jayshunt/handoff"
 
 # A long-running task may fail without end; only its last failures are kept.
 MAX_FAILED_RUNS = 32
@@ -186,6 +188,19 @@
     return job.task(TaskKey(job.spec.job, occurrence, step, index))
 
 
+def encode_handoff(placements: dict[WorkerId, list[str]]) -> bytes:
+    """Return which task may run on which worker at the orderly end of a term."""
+    return json.dumps(placements, separators=(",", ":")).encode()
+
+
+def decode_handoff(value: bytes) -> dict[WorkerId, frozenset[str]]:
+    """Return the names of the tasks that may run, by worker."""
+    return {
+        WorkerId(worker): frozenset(names)
+        for worker, names in json.loads(value).items()
+    }
+
+
 def encode_term(term: Term) -> bytes:
     """Return who dispatches."""
     fields = {
