Act on VMs right after a takeover, and place first what can still be in time

Change: the VMs of the last orders are stored before the orders go out, and only these are left alone; jobs that can meet their objective come before late ones; run times are predicted from estimates and from what was seen; failed holds of most workers hand the term over.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -29,8 +29,9 @@
 class WorkerView:
     """Hold one life of a worker: its clock, its lease, its runs and its ends.
 
-    `lease_end_s` is the steady time after which nothing that this term or the
-    answers of the worker gave a lease can run any more.
+    `is_failing` says that the last call to hold the lease failed. `lease_end_s` is
+    the steady time after which nothing that this term or the answers of the worker
+    gave a lease can run any more.
     """
 
     worker: Worker
@@ -44,6 +45,7 @@
     clock_received_s: float = 0.0
     lease_end_s: float = 0.0
     last_answer_s: float | None = None
+    is_failing: bool = False
     is_listed: bool = True
     is_over: bool = False
     full_until_s: float = 0.0
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -8,6 +8,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
+from jayshunt.dispatch.errors import TermOver
 from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.models import (
@@ -19,6 +20,7 @@
     VmState,
     Wave,
 )
+from jayshunt.dispatch.recent_orders import RecentOrders
 from jayshunt.dispatch.records import TERM_KEY, WAVE_PREFIX
 from jayshunt.dispatch.sizing import PoolSizer
 from jayshunt.dispatch.waves import choose_next
@@ -35,7 +37,10 @@
 
 ROUND_S = 0.15
 WAVES_POLL_S = 2.0
+NEEDS_LOG_S = 1.0
 CALL_RETRY_S = 0.3
+# Added to the time for which two holders must not give orders for one VM.
+TURN_MARGIN_S = 0.5
 
 
 @dataclass
@@ -75,9 +80,10 @@
         self._listed_s: float | None = None
         self._waves_s: float | None = None
         self._is_busy = False
+        self._needs_logged_s = 0.0
         self._evacuations: dict[VmId, Evacuation] = {}
-        # Two holders must not both give orders for one VM within this time.
-        self._may_act_s = clock.monotonic_s() + bounds.duty_turn_ms / 1000
+        self._turn_s = bounds.duty_turn_ms / 1000 + TURN_MARGIN_S
+        self._orders: RecentOrders | None = None
         self.moves = 0
 
     def leaves_soon(self, view: WorkerView) -> bool:
@@ -111,6 +117,8 @@
             if self._dispatcher.term_valid():
                 try:
                     self._round()
+                except TermOver as error:
+                    self._dispatcher.deposed(str(error))
                 except (StoreUnavailable, StoreOutcomeUnknown, JayshuntError) as error:
                     _LOGGER.info(
                         "dispatch: the duty for VMs waits", extra={"reason": str(error)}
@@ -121,8 +129,10 @@
     def _round(self) -> None:
         now_s = self._clock.monotonic_s()
         self._read(now_s)
-        if now_s < self._may_act_s or not self._dispatcher.ready.is_set():
+        if not self._dispatcher.ready.is_set():
             return
+        if self._orders is None:
+            self._orders = RecentOrders.read(self._store, now_s, self._turn_s)
         if self._config() is None or not self._dispatcher.worker_list_read:
             return
         self._plan_waves(now_s)
@@ -276,15 +286,28 @@
                 set(self._evacuations),
                 now_s,
             )
+            self._log_needs(now_s)
             for vm, pool in moves:
                 self._begin(vm, EvacuationReason.move(pool), views.get(vm), now_s)
 
+    def _log_needs(self, now_s: float) -> None:
+        """Log what pools have and need, once a second at most."""
+        if now_s - self._needs_logged_s < NEEDS_LOG_S:
+            return
+        self._needs_logged_s = now_s
+        needs = self.sizer.needs.values()
+        _LOGGER.info(
+            "dispatch: pool sizes",
+            extra={need.pool: f"{need.present}/{need.needed}" for need in needs},
+        )
+
     # --- evacuations ---
 
     def _evacuate(self, now_s: float) -> None:
         self._is_busy = bool(self._evacuations) or any(
             vm.state in (VmState.MOVING, VmState.UPKEEP) for vm in self.vms.values()
         )
+        leaving: list[tuple[Evacuation, WorkerView | None]] = []
         for evacuation in list(self._evacuations.values()):
             with self._dispatcher.lock:
                 view = self._views_by_vm().get(evacuation.vm)
@@ -295,10 +318,21 @@
                     stops = []
                 is_empty = view is None or not (view.tasks or view.strays)
             self._dispatcher.send_stops(stops)
-            if is_empty and self._may_go(evacuation):
-                self._go(evacuation, view, now_s)
+            is_free = self._orders.may_order(evacuation.vm, now_s)
+            if is_empty and is_free and self._may_go(evacuation, leaving):
+                leaving.append((evacuation, view))
+        if not leaving:
+            return
+        vms = [evacuation.vm for evacuation, _ in leaving]
+        self._orders.write(self._store, self._dispatcher.term_condition, vms, now_s)
+        for evacuation, view in leaving:
+            self._go(evacuation, view, now_s)
 
-    def _may_go(self, evacuation: Evacuation) -> bool:
+    def _may_go(
+        self,
+        evacuation: Evacuation,
+        leaving: list[tuple[Evacuation, WorkerView | None]],
+    ) -> bool:
         """Hold an upkeep back while as many VMs of its wave are down as may be."""
         if evacuation.reason.wave is None:
             return True
@@ -308,7 +342,9 @@
             for vm in state.wave.vms
             if vm in self.vms and self.vms[vm].state is VmState.UPKEEP
         ]
-        return len(down) < state.wave.max_down
+        wave = evacuation.reason.wave
+        going = sum(other.reason.wave == wave for other, _ in leaving)
+        return len(down) + going < state.wave.max_down
 
     def _go(
         self, evacuation: Evacuation, view: WorkerView | None, now_s: float
--- a/src/jayshunt/dispatch/handover.py
+++ b/src/jayshunt/dispatch/handover.py
@@ -23,7 +23,7 @@
 ANSWERED_MARGIN_S = 0.3
 # A worker in reach answers every 2 s at least, and its call ends 0.7 s later.
 WORKER_SILENT_S = 3.0
-MIN_TERM_AGE_S = 3.5
+MIN_TERM_AGE_S = 2.0
 MIN_WORKERS = 4
 # An entry that handed over leaves the term to others for this long; cuts of a
 # zone last about 6 s.
@@ -57,7 +57,7 @@
 
 
 def is_out_of_reach(answer_ages_s: Iterable[float | None]) -> bool:
-    """Return whether most workers are silent; None stands for one never heard."""
+    """Return whether most workers are silent; None stands for a failed call."""
     ages = list(answer_ages_s)
     if len(ages) < MIN_WORKERS:
         return False
@@ -104,7 +104,11 @@
             return
         with dispatcher.lock:
             ages = [
-                None if view.last_answer_s is None else now_s - view.last_answer_s
+                (
+                    None
+                    if view.last_answer_s is None or view.is_failing
+                    else now_s - view.last_answer_s
+                )
                 for view in dispatcher.book.workers.values()
                 if view.is_listed and dispatcher.fleet.is_present(view)
             ]
--- a/src/jayshunt/dispatch/placing.py
+++ b/src/jayshunt/dispatch/placing.py
@@ -46,8 +46,10 @@
 def order_jobs(jobs: Iterable[Job], now_s: float) -> list[Job]:
     """Return jobs in the order in which they get room.
 
-    Long-running jobs come first, as every second away counts for them. Then by
-    priority and deadline; jobs that can no longer earn come last.
+    Long-running jobs come first, as every second away counts for them. Then come
+    jobs that can still meet their objective, by priority and deadline: with more
+    work than room, an order by deadline alone would make every job late. Late
+    ones follow, and last those that are far beyond their objective.
     """
     return sorted(jobs, key=lambda job: _rank(job, now_s))
 
@@ -55,9 +57,11 @@
 def _rank(job: Job, now_s: float) -> tuple:
     objective_s = job.deadline_s - job.accepted_s
     hopeless = now_s > job.accepted_s + HOPELESS_FACTOR * objective_s
+    late = now_s + job.remaining_chain_s > job.deadline_s
     return (
         not job.spec.is_long_running,
         hopeless,
+        late,
         job.config.priority,
         job.deadline_s,
         job.spec.job,
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -8,6 +8,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.backlog import Backlog, refusals
+from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
@@ -49,6 +50,7 @@
         self._next_pace_s = 0.0
         self.knows_all_runs = False
         self.speeds = WorkerSpeeds()
+        self.run_times = RunTimes()
         self.backlog = Backlog()
         self.tickets = TicketBook(
             advice, ThreadPoolExecutor(1, "advice"), clock, self.wake
@@ -71,13 +73,16 @@
             self._clock.wait(stop, MIN_INTERVAL_S)
 
     def saw_job(self, job: Job, now_s: float) -> None:
-        """Count the demand of a job that came in."""
+        """Predict the work of a job that came in, and count its demand."""
+        job.chain_ms = self.run_times.chain_ms(job.spec)
         self.backlog.saw_job(job, now_s)
 
     def learn_run(self, job: Job, task: Task, now_s: float) -> None:
         """Learn from a run that ended well how fast its worker is."""
         if task.worker is not None and task.acked_s is not None:
-            self.speeds.learn(task, now_s - task.acked_s)
+            took_s = now_s - task.acked_s
+            self.speeds.learn(task, took_s)
+            self.run_times.learn(job.spec.queue, task.spec, took_s * 1000)
 
     def refusals(self) -> dict[QueueName, float]:
         """Return the queues that refuse jobs and when to come back, in seconds."""
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -32,6 +32,7 @@
 PROGRESS_PREFIX = "jayshunt/progress/"
 WAVE_PREFIX = "jayshunt/wave/"
 HANDOFF_KEY = "jayshunt/handoff"
+ORDERED_KEY = "jayshunt/ordered"
 
 # A long-running task may fail without end; only its last failures are kept.
 MAX_FAILED_RUNS = 32
--- a/src/jayshunt/dispatch/run_book.py
+++ b/src/jayshunt/dispatch/run_book.py
@@ -134,6 +134,7 @@
             return []
         view.saw_clock(answer.clock_ms, now_s)
         view.last_answer_s = now_s
+        view.is_failing = False
         for end in sorted(answer.ended, key=lambda e: e.number):
             if end.number > view.applied_upto:
                 view.applied_upto = end.number
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -205,6 +205,7 @@
         context, view = self._context, self.view
         with context.lock:
             now_s = context.clock.monotonic_s()
+            view.is_failing = True
             if now_s < view.lease_end_s + LEASE_MARGIN_S:
                 return
             if view.tasks or not view.is_listed:
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -126,6 +126,20 @@
         )
         return self.accepted_s + objective_ms / 1000
 
+    @property
+    def remaining_chain_s(self) -> float:
+        """Return the predicted time that the steps not yet done take, in seconds.
+
+        Steps are taken to be alike, as single estimates may be far off.
+        """
+        total = len(self.steps)
+        done = sum(
+            1
+            for key, tasks in self.steps.items()
+            if self.done_counts[key] >= len(tasks)
+        )
+        return self.chain_ms / 1000 * (1 - done / total) if total else 0.0
+
     def open_occurrence(self, occurrence: int) -> None:
         """Create the tasks of one occurrence, once."""
         if (occurrence, 0) in self.steps:
