Do not extend the lease of a worker that does not answer; tests of the dispatch

Cause: found by the walk over interleavings: each call to a silent worker carried a new lease, and as a call without an answer may have arrived, its runs could never be taken to be over; they waited for the worker's return. Change: after a call without an answer the next ones only look.

--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -161,7 +161,7 @@
         context, view = self._context, self.view
         with context.lock:
             sent_s = context.clock.monotonic_s()
-            until_ms = view.lease_until_ms(sent_s, context.lease_s)
+            until_ms = self._lease_until_ms(sent_s)
             if until_ms is not None:
                 view.lease_given(until_ms)
             noted = view.note_stored(context.book.stored_versions.__getitem__)
@@ -194,6 +194,16 @@
         context.changed()
         return True
 
+    def _lease_until_ms(self, now_s: float) -> int | None:
+        """Return the lease to ask for, None for a mere look.
+
+        A call that gets no answer may have arrived. Were each of them to extend the
+        lease, the runs of a lost worker could never be taken to be over.
+        """
+        if self.view.is_failing:
+            return None
+        return self.view.lease_until_ms(now_s, self._context.lease_s)
+
     def _wait_s(self, until_ms: int | None) -> float:
         if until_ms is None or any(
             task.phase is TaskPhase.STOPPING for task in self.view.tasks.values()
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_interleavings.py
@@ -0,0 +1,237 @@
+"""Walk over interleavings of orders, lost answers, cuts and changes of term."""
+
+import random
+import unittest
+from collections import Counter
+
+from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.models import HoldAnswer, OrderRefusal, RunEnd, StartOrder
+from jayshunt.dispatch.records import apply_progress, encode_progress
+from jayshunt.dispatch.run_book import RunBook
+from jayshunt.dispatch.tasks import Job, TaskPhase
+from jayshunt.dispatch.tests.builders import (
+    FakeWorker,
+    build_job,
+    build_step,
+    build_worker,
+)
+from jayshunt.ids import Revision
+
+LEASE_S = 5.0
+TERM_S = 4.0
+WORKERS = 3
+STEPS = 400
+SEEDS = range(150)
+
+
+class Walk:
+    """Drive one book after another against workers that lose answers and lapse."""
+
+    def __init__(self, seed: int) -> None:
+        """Start the first term."""
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.token = 0
+        self.stored: bytes | None = None
+        self.noted: set = set()
+        self.done_runs: set = set()
+        self.problems: list[str] = []
+        self.workers = {
+            f"w{n}": FakeWorker(f"w{n}", on_start=self.saw_start)
+            for n in range(WORKERS)
+        }
+        self.cut: set[str] = set()
+        self.late: list[tuple[float, str, StartOrder, int]] = []
+        self.new_term()
+
+    def saw_start(self, name: str, task, run: int) -> None:
+        """Check a start as the platform's workers see it."""
+        for other in self.workers.values():
+            if other.name != name and task in other.runs:
+                self.problems.append(f"{task.name} runs on {other.name} and {name}")
+        if task in self.noted:
+            self.problems.append(f"{task.name} was started after its noted end")
+
+    def new_term(self) -> None:
+        """Let a successor read the store; nothing of the last term acts any more."""
+        self.token += 100
+        job = self.build_job()
+        job.is_inherited = True
+        if self.stored is not None:
+            apply_progress(job, self.stored)
+        self.job = job
+        self.book = RunBook(Revision(self.token))
+        self.book.add_job(job)
+        self.knows_all = False
+        self.blocked_until_s = self.now_s + TERM_S + LEASE_S * 1.1
+        for name in self.workers:
+            self.add_view(name)
+
+    def build_job(self) -> Job:
+        """Return the job of the walk."""
+        return build_job(build_step(task_count=3), build_step(after=(0,)))
+
+    def add_view(self, name: str) -> WorkerView:
+        """Open a worker to the present term."""
+        view = WorkerView(build_worker(name), self.now_s)
+        view.lease_end_s = self.blocked_until_s
+        self.book.workers[view.worker.worker] = view
+        return view
+
+    def step(self) -> None:
+        """Do one random thing."""
+        action = self.rng.choices(
+            [self.pass_time, self.hold, self.start, self.store, self.end_run]
+            + [self.toggle_cut, self.run_late, self.change_term],
+            [6, 12, 8, 6, 4, 1, 2, 0.4],
+        )[0]
+        action()
+
+    def pass_time(self) -> None:
+        """Let up to a second pass on all clocks."""
+        seconds = self.rng.uniform(0.05, 1.0)
+        self.now_s += seconds
+        for worker in self.workers.values():
+            worker.advance(int(seconds * 1000 * self.rng.uniform(0.98, 1.0)))
+
+    def hold(self) -> None:
+        """Hold one worker; a silent one is over when its lease is."""
+        name = self.rng.choice(list(self.workers))
+        view = self.book.workers.get(name) or self.add_view(name)
+        until_ms = view.lease_until_ms(self.now_s, LEASE_S)
+        if view.is_failing:
+            until_ms = None
+        if until_ms is not None:
+            view.lease_given(until_ms)
+        noted = view.note_stored(self.book.stored_versions.__getitem__)
+        if name in self.cut:
+            view.is_failing = True
+            if self.now_s > view.lease_end_s + 0.3:
+                self.book.worker_over(view, self.now_s, "lease")
+            return
+        worker = self.workers[name]
+        for end in worker.ends:
+            if end.number <= noted and end.end is RunEnd.DONE:
+                self.noted.add(end.task)
+        answer = worker.hold(noted, until_ms, self.token)
+        if self.rng.random() < 0.1:
+            view.is_failing = True
+            return
+        self.assert_held(answer)
+        sent_s = self.now_s
+        stops = self.book.apply_hold(view, answer, sent_s, self.now_s)
+        for stop in stops:
+            target = self.workers[stop.worker]
+            if stop.worker not in self.cut and self.rng.random() < 0.8:
+                target.stop(stop.task, stop.run, self.token)
+                if self.rng.random() < 0.8:
+                    self.now_s += 0.001
+                    self.book.stopped(stop, self.now_s)
+        self.now_s += 0.001
+
+    def assert_held(self, answer) -> None:
+        """Check that only the present term's token is in use."""
+        if not isinstance(answer, HoldAnswer):
+            self.problems.append("the present term was fenced off")
+
+    def may_start(self) -> bool:
+        """Return whether runs of earlier terms are all known."""
+        views = self.book.workers.values()
+        answered = len(self.book.workers) == WORKERS and all(
+            view.last_answer_s is not None for view in views
+        )
+        self.knows_all = (
+            self.knows_all or answered or self.now_s >= self.blocked_until_s
+        )
+        return self.knows_all
+
+    def start(self) -> None:
+        """Order a waiting task; the answer or the order itself may be lost."""
+        if not self.may_start():
+            return
+        views = [
+            view
+            for view in self.book.workers.values()
+            if view.clock_ms is not None and view.last_answer_s is not None
+        ]
+        due = self.job.due_tasks()
+        if not due or not views:
+            return
+        task, view = self.rng.choice(due), self.rng.choice(views)
+        run = self.book.next_run(task)
+        self.book.order(task, view, run, self.now_s)
+        until_ms = view.lease_until_ms(self.now_s, LEASE_S)
+        view.lease_given(until_ms)
+        order = StartOrder(task.key, run, "", until_ms)
+        name = view.worker.worker
+        fate = self.rng.random()
+        if name in self.cut or fate < 0.15:
+            self.book.stop(task)
+            if fate < 0.1:
+                at_s = self.now_s + self.rng.uniform(1, 12)
+                self.late.append((at_s, name, order, self.token))
+            return
+        answer = self.workers[name].start(order, self.token)
+        if fate < 0.25:
+            self.book.stop(task)
+        elif answer.refusal is None:
+            self.now_s += 0.001
+            self.book.started(task, run, self.now_s)
+        elif answer.refusal is not OrderRefusal.FENCED:
+            self.book.not_started(task, run, self.now_s)
+
+    def store(self) -> None:
+        """Store the progress, unless the store is away."""
+        if self.rng.random() < 0.3:
+            return
+        self.book.dirty.clear()
+        self.stored = encode_progress(self.job)
+        version = self.book.versions[self.job.spec.job]
+        self.book.stored(self.job, version, self.job.state, self.now_s)
+
+    def end_run(self) -> None:
+        """Let a run end well or lapse."""
+        worker = self.rng.choice(list(self.workers.values()))
+        if worker.runs:
+            worker.end(self.rng.choice(list(worker.runs)), RunEnd.DONE)
+
+    def toggle_cut(self) -> None:
+        """Cut a worker off, or end its cut."""
+        self.cut ^= {self.rng.choice(list(self.workers))}
+
+    def run_late(self) -> None:
+        """Carry out orders that got no answer, long after they were given."""
+        due = [call for call in self.late if call[0] <= self.now_s]
+        self.late = [call for call in self.late if call[0] > self.now_s]
+        for _, name, order, token in due:
+            self.workers[name].start(order, token)
+
+    def change_term(self) -> None:
+        """Let the holder die and a successor begin when its lease is over."""
+        wait_s = self.rng.uniform(0, TERM_S)
+        self.now_s += wait_s
+        for worker in self.workers.values():
+            worker.advance(int(wait_s * 1000 * 0.98))
+        self.new_term()
+
+
+class InterleavingsTest(unittest.TestCase):
+    """Prove that no task runs twice at a time or after its noted end."""
+
+    def test_no_task_runs_twice(self) -> None:
+        """Lost and late orders, cuts and new terms must not double a task."""
+        counts: Counter[str] = Counter()
+        for seed in SEEDS:
+            walk = Walk(seed)
+            for _ in range(STEPS):
+                walk.step()
+                self.assertEqual([], walk.problems, f"seed {seed}")
+            done = [t for t in walk.job.tasks() if t.phase is TaskPhase.DONE]
+            counts["done"] += len(done)
+            counts["terms"] += walk.token // 100
+        self.assertGreater(counts["done"], len(SEEDS), "the walks do some work")
+        self.assertGreater(counts["terms"], len(SEEDS), "terms change")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_run_book.py
@@ -0,0 +1,154 @@
+"""Test what answers of workers mean for tasks."""
+
+import unittest
+
+from jayshunt.dispatch.models import JobState, RunEnd
+from jayshunt.dispatch.tasks import TaskPhase
+from jayshunt.dispatch.tests.builders import (
+    add_view,
+    build_book,
+    build_job,
+    build_step,
+    ended,
+    listed,
+    place,
+)
+
+
+class RunBookTest(unittest.TestCase):
+    """Cover starts, ends, lost answers and what an earlier term left."""
+
+    def test_inherited_run_is_kept(self) -> None:
+        """A successor that starts a running task again would run it twice."""
+        old, job = build_job(), build_job()
+        task = place(build_book(old), old, 0, add_view(build_book(old)))
+        book = build_book(job, token=9)
+        view = add_view(book)
+        stops = book.apply_hold(view, listed(task), 1.0, 1.0)
+        self.assertEqual([], stops)
+        self.assertEqual(TaskPhase.RUNNING, job.steps[0, 0][0].phase)
+        self.assertEqual([], job.due_tasks())
+
+    def test_second_run_of_a_task_is_stopped(self) -> None:
+        """A run thought to be over that shows up again must not go on beside."""
+        job = build_job()
+        book = build_book(job)
+        first, second = add_view(book, "w1"), add_view(book, "w2")
+        task = place(book, job, 0, first)
+        stray = listed(task)
+        task.reset(1.0)
+        first.release(task)
+        place(book, job, 0, second, 1.0)
+        stops = book.apply_hold(first, stray, 2.0, 2.0)
+        self.assertEqual(["w1"], [stop.worker for stop in stops])
+        self.assertEqual("w2", task.worker)
+
+    def test_unanswered_start_is_stopped_before_a_new_run(self) -> None:
+        """A start that got no answer may still be carried out seconds later."""
+        job = build_job()
+        book = build_book(job)
+        view = add_view(book)
+        task = job.steps[0, 0][0]
+        book.order(task, view, book.next_run(task), 0.0)
+        stop = book.stop(task)
+        book.apply_hold(view, listed(), 1.0, 1.1)
+        self.assertEqual([], job.due_tasks())
+        book.stopped(stop, 1.2)
+        book.apply_hold(view, listed(), 1.1, 1.3)
+        self.assertEqual([], job.due_tasks(), "the list may be older than the stop")
+        book.apply_hold(view, listed(), 1.4, 1.5)
+        self.assertEqual([task], job.due_tasks())
+
+    def test_failure_listed_again_counts_once(self) -> None:
+        """An end is listed until it is noted, also to a later term."""
+        job = build_job()
+        book = build_book(job)
+        view = add_view(book)
+        task = place(book, job, 0, view)
+        end = ended(1, task, RunEnd.FAILED)
+        book.apply_hold(view, listed(ended=[end]), 1.0, 1.0)
+        again = add_view(book, "w1")
+        book.apply_hold(again, listed(ended=[end]), 2.0, 2.0)
+        self.assertEqual(1, task.failures)
+        self.assertEqual(JobState.QUEUED, job.state)
+
+    def test_failures_on_two_workers_count_in_any_order(self) -> None:
+        """The end of an older run may be heard of after that of a newer one."""
+        job = build_job()
+        book = build_book(job, token=9)
+        first, second = add_view(book, "w1"), add_view(book, "w2")
+        task = job.steps[0, 0][0]
+        newer = ended(1, task, RunEnd.FAILED, run=33)
+        older = ended(1, task, RunEnd.FAILED, run=32)
+        book.apply_hold(second, listed(ended=[newer]), 1.0, 1.0)
+        book.apply_hold(first, listed(ended=[older]), 1.0, 1.1)
+        self.assertEqual(2, task.failures)
+        self.assertEqual(JobState.FAILED, job.state)
+
+    def test_end_is_noted_only_when_stored(self) -> None:
+        """An end that the worker forgot and the store never had would be lost."""
+        job = build_job()
+        book = build_book(job)
+        view = add_view(book)
+        task = place(book, job, 0, view)
+        end = ended(7, task, RunEnd.DONE)
+        book.apply_hold(view, listed(ended=[end]), 1.0, 1.0)
+        stored = book.stored_versions.__getitem__
+        self.assertEqual(0, view.note_stored(stored))
+        self.assertFalse(job.public_state().is_final)
+        book.stored(job, book.versions[job.spec.job], job.state, 2.0)
+        self.assertEqual(7, view.note_stored(stored))
+        self.assertEqual(JobState.COMPLETED, job.public_state())
+
+    def test_another_life_ends_all_runs(self) -> None:
+        """A worker that was started again runs nothing of before."""
+        job = build_job(build_step(task_count=2))
+        book = build_book(job)
+        view = add_view(book)
+        place(book, job, 0, view)
+        place(book, job, 1, view)
+        book.apply_hold(view, listed(born_ms=2), 1.0, 1.0)
+        self.assertEqual(2, len(job.due_tasks()))
+        self.assertNotIn(view.worker.worker, book.workers)
+
+    def test_step_waits_for_all_tasks_before_it(self) -> None:
+        """A task that starts before its input is ready does wrong work."""
+        job = build_job(build_step(task_count=2), build_step(after=(0,)))
+        book = build_book(job)
+        view = add_view(book)
+        first = place(book, job, 0, view)
+        place(book, job, 1, view)
+        end = ended(1, first, RunEnd.DONE)
+        second = job.steps[0, 0][1]
+        book.apply_hold(view, listed(second, ended=[end]), 1.0, 1.0)
+        self.assertEqual([], job.due_tasks())
+        end = ended(2, second, RunEnd.DONE)
+        book.apply_hold(view, listed(ended=[end]), 2.0, 2.0)
+        self.assertEqual([1], [task.key.step for task in job.due_tasks()])
+
+    def test_cancel_stops_every_run(self) -> None:
+        """Work of a cancelled job must end within the bound of the platform."""
+        job = build_job(build_step(task_count=2))
+        book = build_book(job)
+        view = add_view(book)
+        tasks = [place(book, job, index, view) for index in (0, 1)]
+        self.assertEqual(2, len(book.cancel(job.spec.job)))
+        self.assertEqual([], job.due_tasks())
+        stops = book.apply_hold(view, listed(*tasks), 1.0, 1.0)
+        self.assertEqual(2, len(stops), "a stop without an answer is repeated")
+
+    def test_long_running_task_runs_again_however_it_ends(self) -> None:
+        """A task that should last until its job is cancelled must be restarted."""
+        job = build_job(build_step(is_long_running=True))
+        book = build_book(job)
+        view = add_view(book)
+        for number, end in enumerate((RunEnd.DONE, RunEnd.FAILED, RunEnd.LAPSED), 1):
+            task = place(book, job, 0, view)
+            row = ended(number, task, end)
+            book.apply_hold(view, listed(ended=[row]), float(number), float(number))
+            self.assertEqual([task], job.due_tasks(), end)
+        self.assertEqual(JobState.QUEUED, job.state)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -0,0 +1,136 @@
+"""Test the calls to one worker."""
+
+import threading
+import unittest
+
+from jayshunt.clock import ManualClock
+from jayshunt.dispatch.models import OrderAnswer, OrderRefusal, StartOrder
+from jayshunt.dispatch.sessions import SessionContext, StartTask, WorkerSession
+from jayshunt.dispatch.tasks import TaskPhase
+from jayshunt.dispatch.tests.builders import (
+    add_view,
+    build_book,
+    build_job,
+    listed,
+    place,
+)
+from jayshunt.errors import JayshuntError, Outcome
+
+LEASE_S = 5.0
+
+
+class FakeCalls:
+    """Answer calls from a list, and keep what was sent."""
+
+    def __init__(self) -> None:
+        """Start with no answer left."""
+        self.holds: list = []
+        self.starts: list = []
+        self.sent: list = []
+
+    def hold(self, noted_upto, lease_until_ms, wait_ms, timeout_s):
+        """Return the next answer to a hold, or raise it."""
+        self.sent.append(lease_until_ms)
+        return self._next(self.holds)
+
+    def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
+        """Return the next answer to a start, or raise it."""
+        self.sent.append(order)
+        return self._next(self.starts)
+
+    def stop(self, task, run, timeout_s: float) -> OrderAnswer:
+        """Accept every stop."""
+        self.sent.append((task, run))
+        return OrderAnswer(None)
+
+    def _next(self, answers: list):
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def no_answer(outcome: Outcome) -> JayshuntError:
+    """Return the error of a call without an answer."""
+    return JayshuntError("no_answer", step="worker", outcome=outcome)
+
+
+class SessionTest(unittest.TestCase):
+    """Cover the lease of a silent worker and starts without an answer."""
+
+    def setUp(self) -> None:
+        """Open a session to a worker with one running task."""
+        self.clock = ManualClock(start_s=0.0)
+        self.job = build_job()
+        self.book = build_book(self.job)
+        self.view = add_view(self.book)
+        self.calls = FakeCalls()
+        self.deposed: list[str] = []
+        context = SessionContext(
+            self.book,
+            threading.RLock(),
+            self.clock,
+            LEASE_S,
+            lambda: True,
+            self.deposed.append,
+            lambda: None,
+        )
+        self.session = WorkerSession(self.view, self.calls, context)
+
+    def test_tasks_of_a_silent_worker_run_again_after_its_lease(self) -> None:
+        """Calls without an answer must not extend the lease for ever."""
+        task = place(self.book, self.job, 0, self.view)
+        self.calls.holds = [listed(task), *[no_answer(Outcome.UNKNOWN)] * 40]
+        self.session._hold_once()
+        for _ in range(40):
+            self.clock.advance(0.25)
+            self.session._hold_once()
+            if self.view.is_over:
+                break
+        self.assertEqual(TaskPhase.WAITING, task.phase)
+        self.assertGreaterEqual(self.clock.monotonic_s(), LEASE_S)
+        self.assertLess(self.clock.monotonic_s(), LEASE_S * 1.2)
+
+    def test_lease_is_extended_again_after_an_answer(self) -> None:
+        """A worker that was slow once keeps its runs."""
+        task = place(self.book, self.job, 0, self.view)
+        self.calls.holds = [no_answer(Outcome.UNKNOWN), listed(task), listed(task)]
+        for _ in range(3):
+            self.session._hold_once()
+        self.assertIsNone(self.calls.sent[1])
+        self.assertIsNotNone(self.calls.sent[2])
+
+    def test_start_without_an_answer_is_stopped(self) -> None:
+        """The run may come into being later, so that a second would double it."""
+        task = self.job.steps[0, 0][0]
+        self.book.order(task, self.view, 16, 0.0)
+        self.calls.starts = [no_answer(Outcome.UNKNOWN)]
+        self.session._start(StartTask(task, 16, "payload"))
+        self.assertEqual(TaskPhase.STOPPING, task.phase)
+        self.assertEqual([], self.job.due_tasks())
+
+    def test_start_that_was_not_sent_waits_again(self) -> None:
+        """A start that certainly did not go out costs no time."""
+        task = self.job.steps[0, 0][0]
+        self.book.order(task, self.view, 16, 0.0)
+        self.calls.starts = [no_answer(Outcome.NOT_RUN)]
+        self.session._start(StartTask(task, 16, "payload"))
+        self.assertEqual([task], self.job.due_tasks())
+
+    def test_cancelled_job_is_not_started(self) -> None:
+        """A start that was queued before the cancel must not go out after it."""
+        task = self.job.steps[0, 0][0]
+        self.book.order(task, self.view, 16, 0.0)
+        self.job.cancel()
+        self.session._start(StartTask(task, 16, "payload"))
+        self.assertEqual([], self.calls.sent)
+
+    def test_later_term_at_a_worker_ends_this_one(self) -> None:
+        """A holder that woke up late must not go on giving orders."""
+        self.calls.holds = [OrderAnswer(OrderRefusal.FENCED)]
+        self.session._hold_once()
+        self.assertEqual(1, len(self.deposed))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -0,0 +1,136 @@
+"""Test how many VMs pools get, and play queues that burst in turn."""
+
+import unittest
+
+from jayshunt.dispatch.models import Resources, Vm, VmState
+from jayshunt.dispatch.sizing import PoolSizer
+from jayshunt.dispatch.tests.builders import (
+    SPARE,
+    add_view,
+    build_book,
+    build_config,
+    build_job,
+    build_queue,
+    build_step,
+    build_vm,
+    place,
+)
+from jayshunt.ids import PoolName, VmId
+
+POOLS = tuple(PoolName(f"pool{n}") for n in range(4))
+TURN_S = 8.0
+MOVE_S = 2.0
+ROUND_S = 0.2
+
+
+class Fleet:
+    """Keep VMs that take a time to move, for a sizer to decide on."""
+
+    def __init__(self, per_pool: int = 8) -> None:
+        """Start with as many VMs in each pool, the spare one included."""
+        self.book = build_book()
+        self.vms: dict[VmId, Vm] = {}
+        self.views = {}
+        self.coming: dict[VmId, float] = {}
+        for pool in (*POOLS, SPARE):
+            for number in range(per_pool):
+                name = f"{pool}-{number}"
+                vm = build_vm(name, pool)
+                self.vms[vm.vm] = vm
+                self.views[vm.vm] = add_view(self.book, name, pool=pool)
+
+    def pass_to(self, now_s: float) -> None:
+        """Let workers answer and moves end."""
+        for vm, at_s in list(self.coming.items()):
+            if now_s >= at_s:
+                del self.coming[vm]
+                self.vms[vm] = build_vm(vm[3:], self.vms[vm].pool)
+        for view in self.views.values():
+            view.last_answer_s = now_s
+
+    def move(self, vm: VmId, pool: PoolName, now_s: float) -> None:
+        """Begin a move."""
+        self.vms[vm] = build_vm(vm[3:], pool, state=VmState.MOVING)
+        self.coming[vm] = now_s + MOVE_S
+
+    def count(self, pool: PoolName, state: VmState = VmState.UP) -> int:
+        """Return how many VMs of a pool are in a state."""
+        return sum(v.pool == pool and v.state is state for v in self.vms.values())
+
+
+class SizingTest(unittest.TestCase):
+    """Cover what is fetched, what is given back and what is never taken."""
+
+    def setUp(self) -> None:
+        """Build a fleet and a sizer."""
+        self.fleet = Fleet()
+        self.sizer = PoolSizer()
+        self.config = build_config(*POOLS)
+
+    def decide(self, jobs, now_s: float):
+        """Return the moves and begin them."""
+        self.fleet.pass_to(now_s)
+        fleet = self.fleet
+        moves = self.sizer.decide(
+            self.config, jobs, fleet.vms, fleet.views, set(), now_s
+        )
+        for vm, pool in moves:
+            fleet.move(vm, pool, now_s)
+        return moves
+
+    def test_idle_pools_give_back(self) -> None:
+        """VMs without work cost as much as busy ones."""
+        for round_number in range(100):
+            self.decide([], round_number * ROUND_S)
+        self.assertTrue(all(self.fleet.count(pool) <= 2 for pool in POOLS))
+        self.assertTrue(all(self.fleet.count(pool) >= 1 for pool in POOLS))
+
+    def test_vm_with_a_task_stays(self) -> None:
+        """A move ends everything that runs on the VM."""
+        job = build_job(build_step(is_long_running=True))
+        self.fleet.book.add_job(job)
+        view = self.fleet.views[VmId("vm-pool0-5")]
+        place(self.fleet.book, job, 0, view)
+        moved = set()
+        for round_number in range(100):
+            moved |= {vm for vm, _ in self.decide([job], round_number * ROUND_S)}
+        self.assertNotIn("vm-pool0-5", moved)
+
+    def test_burst_fetches_before_it_is_over(self) -> None:
+        """A burst over the pool's room is met with VMs of others in two seconds."""
+        step = build_step(task_count=30, resources=Resources(20_000, 1))
+        jobs = [
+            build_job(step, number=n + 1, queue=build_queue(pool=POOLS[0]))
+            for n in range(2)
+        ]
+        self.decide(jobs, 0.0)
+        self.decide(jobs, ROUND_S)
+        self.fleet.pass_to(ROUND_S + MOVE_S)
+        self.assertGreaterEqual(self.fleet.count(POOLS[0]), 18)
+
+    def test_turns_cost_less_than_a_static_split(self) -> None:
+        """Queues that burst in turn need one burst's VMs, not one for each pool."""
+        vm_seconds = 0.0
+        moves = 0
+        lacking_s = 0.0
+        now_s = 0.0
+        while now_s < 2 * len(POOLS) * TURN_S:
+            pool = POOLS[int(now_s / TURN_S) % len(POOLS)]
+            step = build_step(task_count=20, resources=Resources(18_000, 1))
+            number = 1 + int(now_s)
+            busy = build_job(step, number=number, queue=build_queue(pool=pool))
+            moves += len(self.decide([busy], now_s))
+            vm_seconds += ROUND_S * sum(
+                vm.pool != SPARE for vm in self.fleet.vms.values()
+            )
+            if self.fleet.count(pool) < 6:
+                lacking_s += ROUND_S
+            now_s += ROUND_S
+        static = len(POOLS) * 8 * now_s
+        self.assertLess(vm_seconds, 0.75 * static)
+        self.assertLess(lacking_s, now_s * 0.35)
+        self.assertLess(moves, 2 * 2 * len(POOLS) * 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -0,0 +1,295 @@
+"""Test the platform's protocol over loopback against small stand-ins."""
+
+import json
+import socket
+import struct
+import threading
+import unittest
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from jayshunt import http_client
+from jayshunt.dispatch.entry import Accepted
+from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
+from jayshunt.dispatch.models import Address, JobState, OrderRefusal, Put, TaskKey
+from jayshunt.dispatch.tests.builders import build_config, build_queue
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import JobId, Revision, WorkerId
+from jayshunt.platform.front_api import FrontApi
+from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
+from jayshunt.platform.worker_calls import WorkerCalls
+from jayshunt.serving.http_server import HttpServer
+from jayshunt.serving.limits import ServerLimits
+from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+
+HOST = "127.0.0.1"
+JOB = "5c0e7a21d94b36f8"
+
+
+class Scripted(ThreadingHTTPServer):
+    """Answer each request with the next scripted status and body."""
+
+    daemon_threads = True
+
+    def __init__(self) -> None:
+        """Listen on a free port."""
+        super().__init__((HOST, 0), _Handler)
+        self.answers: list[tuple[int, object]] = []
+        self.requests: list[tuple[str, str, dict, dict]] = []
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        return Address(HOST, self.server_address[1])
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def _serve(self) -> None:
+        length = int(self.headers.get("Content-Length", 0))
+        body = json.loads(self.rfile.read(length) or b"{}")
+        server: Scripted = self.server
+        server.requests.append((self.command, self.path, body, dict(self.headers)))
+        status, answer = server.answers.pop(0)
+        if status == 0:
+            self.close_connection = True
+            return
+        data = json.dumps(answer).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_POST = do_DELETE = _serve
+
+    def log_message(self, *_) -> None:
+        """Write nothing."""
+
+
+class StoreTest(unittest.TestCase):
+    """Cover what each answer of the store certifies."""
+
+    def setUp(self) -> None:
+        """Start a scripted store."""
+        self.server = Scripted()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.store = PlatformStore(self.server.address)
+
+    def test_transaction_on_the_wire(self) -> None:
+        """Conditions that are lost would let two entries accept one job."""
+        self.server.answers = [(200, {"rev": 5})]
+        result = self.store.transact({"k": Revision(0)}, (Put("k", b"v"),))
+        self.assertEqual(5, result.revision)
+        _, path, body, _ = self.server.requests[0]
+        self.assertEqual("/kv-txn", path)
+        self.assertEqual([{"key": "k", "rev": 0}], body["expectRev"])
+        self.assertEqual([{"key": "k", "value": "dg=="}], body["puts"])
+
+    def test_busy_store_did_nothing(self) -> None:
+        """Only then may a caller hear that its job was not accepted."""
+        for status in (429, 503):
+            self.server.answers = [(status, {})]
+            with self.assertRaises(StoreUnavailable):
+                self.store.transact({})
+
+    def test_lost_answer_is_unknown(self) -> None:
+        """The write may have been done."""
+        self.server.answers = [(0, None)]
+        with self.assertRaises(StoreOutcomeUnknown):
+            self.store.transact({})
+
+    def test_pages_are_joined(self) -> None:
+        """A successor that reads the first page only loses jobs."""
+        item = {"key": "a", "value": "dg==", "rev": 1, "createRev": 1, "lease": 0}
+        self.server.answers = [
+            (200, {"items": [item], "hasMore": True, "storeRevision": 7}),
+            (200, {"items": [{**item, "key": "b"}], "storeRevision": 9}),
+        ]
+        items, revision = self.store.list("")
+        self.assertEqual(["a", "b"], [item.key for item in items])
+        self.assertEqual(7, revision, "changes after the first page are watched")
+
+    def test_lost_history_and_ended_lease(self) -> None:
+        """Both must be told apart from an outage."""
+        self.server.answers = [(410, {}), (404, {})]
+        with self.assertRaises(HistoryGone):
+            self.store.watch("a", Revision(1), 0.1)
+        with self.assertRaises(LeaseGone):
+            self.store.renew_lease("5")
+
+
+class WorkerTest(unittest.TestCase):
+    """Cover orders and lists on the wire."""
+
+    def setUp(self) -> None:
+        """Start a scripted worker."""
+        self.server = Scripted()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.calls = WorkerCalls(WorkerId("i-1"), self.server.address, 7)
+
+    def test_hold_reads_both_lists(self) -> None:
+        """A row that is misread starts a task twice."""
+        self.server.answers = [
+            (
+                200,
+                {
+                    "clockMs": 9,
+                    "born": 3,
+                    "running": [["a.0.1.2", 4, "", 50, 12]],
+                    "ended": [[1, "a.0.1.3", 2, "failed", "s"]],
+                },
+            )
+        ]
+        answer = self.calls.hold(5, 800, 100, 1.0)
+        self.assertEqual(TaskKey(JobId("a"), 0, 1, 2), answer.running[0].task)
+        self.assertEqual(("s", 1), (answer.ended[0].checkpoint, answer.ended[0].number))
+        _, _, body, headers = self.server.requests[0]
+        self.assertEqual(
+            (7, 5, 800), tuple(body[k] for k in ("fencingToken", "seenUpto", "untilMs"))
+        )
+        self.assertEqual("i-1", headers["X-Expect-Instance"])
+
+    def test_refusals_are_told_apart(self) -> None:
+        """Each asks for something else of the dispatcher."""
+        self.server.answers = [
+            (409, {"reason": "fence"}),
+            (421, {}),
+            (503, {}),
+            (409, {"reason": "old", "clockMs": 4}),
+        ]
+        task = TaskKey(JobId("a"), 0, 0, 0)
+        found = [self.calls.stop(task, 1, 1.0).refusal for _ in range(4)]
+        self.assertEqual(
+            [
+                OrderRefusal.FENCED,
+                OrderRefusal.OTHER_LIFE,
+                OrderRefusal.UNHEALTHY,
+                OrderRefusal.SUPERSEDED,
+            ],
+            found,
+        )
+
+
+class FakeEntry:
+    """Answer the callers' calls from fields."""
+
+    def __init__(self) -> None:
+        """Accept everything."""
+        self.error: Exception | None = None
+        self.known: JobState | None = JobState.RUNNING
+
+    def submit(self, spec, queue, timeout_s) -> Accepted:
+        """Accept, or raise."""
+        if self.error is not None:
+            raise self.error
+        return Accepted(True)
+
+    def state(self, job, timeout_s):
+        """Return the state."""
+        return self.known
+
+    def cancel(self, job, timeout_s) -> bool:
+        """Return whether the job is known."""
+        return self.known is not None
+
+    def waiting(self, queue, timeout_s) -> int:
+        """Return a count."""
+        return 12
+
+
+class FrontTest(unittest.TestCase):
+    """Cover the callers' port."""
+
+    def setUp(self) -> None:
+        """Serve a fake entry on a free port."""
+        self.entry = FakeEntry()
+        self.config = build_config()
+        self.answered: list = []
+        api = FrontApi(
+            self.entry,
+            lambda: self.config,
+            lambda kind, status: self.answered.append((kind, status)),
+        )
+        limits = ServerLimits(drain_grace_s=0.0, drain_timeout_s=1.0)
+        self.server = HttpServer(HOST, 0, api, limits)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def call(self, method: str, path: str, body: bytes | None = None):
+        """Send one request."""
+        return http_client.request(
+            method,
+            f"http://{HOST}:{self.server.server_address[1]}{path}",
+            body=body,
+            headers={"Host": build_queue().host},
+            timeout_s=2.0,
+            step="test",
+        )
+
+    def submit(self):
+        """Submit a small job."""
+        body = json.dumps({"spec": "s", "steps": [{"count": 1}]}).encode()
+        return self.call("POST", f"/quotes/{JOB}", body)
+
+    def test_calls_and_answers(self) -> None:
+        """Callers read the outcome from the status alone."""
+        self.assertEqual(200, self.submit().status)
+        answer = self.call("GET", f"/quotes/{JOB}")
+        self.assertEqual({"state": "running"}, json.loads(answer.body))
+        self.assertEqual(200, self.call("DELETE", f"/quotes/{JOB}").status)
+        answer = self.call("GET", "/quotes/")
+        self.assertEqual({"waiting": 12}, json.loads(answer.body))
+        self.assertEqual(404, self.call("GET", "/other/").status)
+        self.entry.known = None
+        self.assertEqual(410, self.call("GET", f"/quotes/{JOB}").status)
+
+    def test_refusal_tells_when_to_come_back(self) -> None:
+        """A caller that comes back at once adds to the load."""
+        self.entry.error = JobRefused("queue_behind", 4.0, "far behind")
+        answer = self.submit()
+        self.assertEqual((429, "4"), (answer.status, answer.headers["retry-after"]))
+
+    def test_unknown_outcome_is_no_refusal(self) -> None:
+        """After a 503 the job must never run; after a 504 it may."""
+        self.entry.error = AcceptUnknown("no answer of the store")
+        self.assertEqual(504, self.submit().status)
+
+    def test_no_configuration_yet(self) -> None:
+        """A 404 would tell callers that the queue does not exist."""
+        self.config = None
+        self.assertEqual(503, self.submit().status)
+
+
+class BrokenConnectionTest(unittest.TestCase):
+    """Cover a kept connection that breaks after a request was sent."""
+
+    def test_refused_reconnect_after_a_send_is_unknown(self) -> None:
+        """curl sends again by itself: the first copy may have run."""
+        listener = socket.create_server((HOST, 0))
+        port = listener.getsockname()[1]
+        reset = struct.pack("ii", 1, 0)
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            connection.recv(65536)
+            listener.close()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            connection.close()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        url = f"http://{HOST}:{port}/"
+        http_client.request("POST", url, body=b"1", timeout_s=2.0, step="test")
+        with self.assertRaises(JayshuntError) as caught:
+            http_client.request("POST", url, body=b"2", timeout_s=2.0, step="test")
+        thread.join()
+        self.assertIs(Outcome.UNKNOWN, caught.exception.outcome)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/src/jayshunt/platform/tests/test_formats.py
@@ -0,0 +1,150 @@
+"""Test what is decoded from the operator, callers and workers."""
+
+import json
+import unittest
+
+from jayshunt.dispatch.models import Resources, WorkerState
+from jayshunt.ids import JobId, QueueName, RackName
+from jayshunt.platform.formats import (
+    MalformedSubmission,
+    decode_config,
+    decode_submission,
+    decode_wave,
+    decode_worker,
+    is_job_id,
+)
+from jayshunt.platform.settings import InvalidSettings, decode_settings
+
+WORKER = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "ash",
+    "state": "ready",
+    "capacity": {"cpu": 64000, "memMb": 1024, "gpu": 0},
+    "labels": ["a", "r1-2"],
+    "machine": "m-1",
+    "born": 5,
+}
+SETTINGS = {
+    "nodeName": "front-ash-1",
+    "zone": "ash",
+    "ip": "10.0.0.9",
+    "portRange": [7060, 7075],
+    "listenAddrs": {"front": "10.0.0.9:1", "readyAddr": "10.0.0.9:2"},
+    "platform": {"address": "10.0.0.1:3"},
+    "bounds": {"holdMaxMs": 6000, "graceS": 6, "status_s": 120},
+}
+
+
+class WorkerEntryTest(unittest.TestCase):
+    """Cover the list of workers, which others write to as well."""
+
+    def test_entry_is_read(self) -> None:
+        """A field that is misread sends work to the wrong place."""
+        worker = decode_worker("i-1", json.dumps(WORKER).encode())
+        self.assertEqual(RackName("r1-2"), worker.rack)
+        self.assertEqual(Resources(64000, 1024, 0), worker.capacity)
+        self.assertIs(WorkerState.READY, worker.state)
+
+    def test_entry_of_another_writer_names_no_worker(self) -> None:
+        """One entry that cannot be read must not cost the others."""
+        broken = [
+            b"\xff\x00",
+            b"[]",
+            b"{}",
+            json.dumps({**WORKER, "state": "odd"}).encode(),
+            json.dumps({**WORKER, "service": 7}).encode(),
+            json.dumps({**WORKER, "capacity": {"cpu": "x"}}).encode(),
+            json.dumps({**WORKER, "address": None}).encode(),
+        ]
+        for value in broken:
+            with self.assertLogs("jayshunt.platform.formats", "WARNING"):
+                self.assertIsNone(decode_worker("i-1", value), value)
+
+
+class SubmissionTest(unittest.TestCase):
+    """Cover jobs as callers submit them."""
+
+    def decode(self, fields: dict):
+        """Decode the body of a submission."""
+        body = json.dumps(fields).encode()
+        return decode_submission(JobId("a" * 16), QueueName("q"), body)
+
+    def test_job_is_read(self) -> None:
+        """A limit that is missed breaks the caller's rules."""
+        job = self.decode(
+            {
+                "spec": "text",
+                "steps": [
+                    {"count": 2, "cpu": 500, "memMb": 256, "antiAffinity": 1},
+                    {"after": [0], "longRunning": True, "mayMiss": 1, "fills": True},
+                ],
+            }
+        )
+        first, second = job.steps
+        self.assertEqual((2, 1), (first.task_count, first.max_per_worker))
+        self.assertEqual((0,), second.after)
+        self.assertTrue(second.is_long_running and second.fills)
+        self.assertEqual(1, second.max_unavailable)
+
+    def test_malformed_job_is_refused(self) -> None:
+        """A step that waits for itself would never start."""
+        for fields in (
+            {"steps": []},
+            {"steps": [{"after": [0]}]},
+            {"spec": "x" * 5000, "steps": [{}]},
+            {"steps": [{"count": 0}]},
+            [],
+        ):
+            with self.assertRaises(MalformedSubmission):
+                self.decode(fields)
+
+    def test_job_ids(self) -> None:
+        """A path that is no job id must not become a key of the store."""
+        self.assertTrue(is_job_id("5c0e7a21d94b36f8"))
+        self.assertFalse(is_job_id("5c0e7a21d94b36f"))
+        self.assertFalse(is_job_id("5c0e7a21d94b36/8"))
+
+
+class ConfigTest(unittest.TestCase):
+    """Cover the operator's configuration."""
+
+    def test_longest_prefix_selects_the_queue(self) -> None:
+        """A shorter prefix would send jobs to another pool."""
+        routes = [
+            {"name": "a", "host": "h", "prefix": "/x/", "service": "s"},
+            {"name": "b", "host": "h", "prefix": "/x/y/", "service": "s"},
+        ]
+        value = {"version": 3, "routes": routes, "services": [{"name": "s"}]}
+        config = decode_config(json.dumps(value).encode())
+        self.assertEqual("b", config.queue_of("H", "/x/y/1").queue)
+        self.assertEqual("a", config.queue_of("h", "/x/z").queue)
+        self.assertIsNone(config.queue_of("other", "/x/z"))
+
+    def test_wave_that_cannot_be_read_is_left_out(self) -> None:
+        """Another writer's key must not stop the waves that can be read."""
+        with self.assertLogs("jayshunt.platform.formats", "WARNING"):
+            self.assertIsNone(decode_wave(b"{}"))
+
+
+class SettingsTest(unittest.TestCase):
+    """Cover the settings file."""
+
+    def test_units_are_translated(self) -> None:
+        """Seconds taken for milliseconds would end every lease at once."""
+        node = decode_settings({**SETTINGS, "newField": 1})
+        self.assertEqual(6000, node.bounds.grace_ms)
+        self.assertEqual(120_000, node.bounds.status_ms)
+        self.assertEqual(6000, node.bounds.hold_max_ms)
+        self.assertEqual("10.0.0.9:7060", str(node.peer))
+
+    def test_missing_key_is_named(self) -> None:
+        """An operator has to see which key is wrong."""
+        for key in ("nodeName", "portRange", "platform"):
+            fields = {k: v for k, v in SETTINGS.items() if k != key}
+            with self.assertRaisesRegex(InvalidSettings, key):
+                decode_settings(fields)
+
+
+if __name__ == "__main__":
+    unittest.main()
