Leave VMs alone whose worker has not been heard in this term

Change: an order for a VM needs a list of its worker that is at most 3 s old and empty; without a worker, all runs of earlier terms must be known.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -7,6 +7,9 @@
 from jayshunt.dispatch.tasks import Task
 from jayshunt.ids import JobId
 
+# An idle worker answers every two seconds.
+EMPTY_HEARD_WITHIN_S = 3.0
+
 
 @dataclass(slots=True)
 class PendingEnd:
@@ -115,6 +118,15 @@
             and now_s >= self.set_aside_until_s
         )
 
+    def is_surely_empty(self, now_s: float) -> bool:
+        """Return whether the worker listed a moment ago that it runs nothing."""
+        return (
+            not self.tasks
+            and not self.strays
+            and self.last_answer_s is not None
+            and now_s - self.last_answer_s <= EMPTY_HEARD_WITHIN_S
+        )
+
     def saw_done(self, now_s: float) -> None:
         """Trust the worker again: a run ended well."""
         self.last_done_s = now_s
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -316,7 +316,7 @@
                     stops = evacuation.next_stops(view, self._dispatcher.book, now_s)
                 else:
                     stops = []
-                is_empty = view is None or not (view.tasks or view.strays)
+                is_empty = self._is_surely_empty(evacuation.vm, view, now_s)
             self._dispatcher.send_stops(stops)
             is_free = self._orders.may_order(evacuation.vm, now_s)
             if is_empty and is_free and self._may_go(evacuation, leaving):
@@ -328,6 +328,17 @@
         for evacuation, view in leaving:
             self._go(evacuation, view, now_s)
 
+    def _is_surely_empty(self, vm: VmId, view: WorkerView | None, now_s: float) -> bool:
+        """Return whether an order for a VM ends no run.
+
+        At the start of a term a worker that has not answered yet may run anything.
+        """
+        if self._is_spare(self.vms[vm].pool):
+            return True
+        if view is None:
+            return self._dispatcher.planner.knows_all_runs
+        return view.is_surely_empty(now_s)
+
     def _may_go(
         self,
         evacuation: Evacuation,
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -84,7 +84,7 @@
         self.needs = {
             pool: self._need(pool, demands, present, vms, now_s) for pool in pools
         }
-        idle = _idle_vms(vms, views, being_emptied)
+        idle = _idle_vms(vms, views, being_emptied, now_s)
         moves = self._fetch(idle, spare)
         moves += self._give_back(idle, spare, {vm for vm, _ in moves}, now_s)
         return moves[:MAX_MOVES_PER_ROUND]
@@ -250,7 +250,10 @@
 
 
 def _idle_vms(
-    vms: dict[VmId, Vm], views: dict[VmId, WorkerView], being_emptied: set[VmId]
+    vms: dict[VmId, Vm],
+    views: dict[VmId, WorkerView],
+    being_emptied: set[VmId],
+    now_s: float,
 ) -> dict[PoolName, list[VmId]]:
     """Return the VMs without a task by pool; those that are off count as well."""
     idle: dict[PoolName, list[VmId]] = {}
@@ -259,7 +262,7 @@
             continue
         view = views.get(vm.vm)
         if view is not None and (
-            view.tasks or view.strays or view.is_draining or view.duty is not None
+            not view.is_surely_empty(now_s) or view.is_draining or view.duty is not None
         ):
             continue
         idle.setdefault(vm.pool, []).append(vm.vm)
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -96,6 +96,22 @@
             moved |= {vm for vm, _ in self.decide([job], round_number * ROUND_S)}
         self.assertNotIn("vm-pool0-5", moved)
 
+    def test_vm_that_was_not_heard_yet_stays(self) -> None:
+        """A successor does not know yet what runs there."""
+        view = self.fleet.views[VmId("vm-pool0-5")]
+        moved = set()
+        for round_number in range(100):
+            now_s = round_number * ROUND_S
+            self.fleet.pass_to(now_s)
+            view.last_answer_s = None
+            fleet = self.fleet
+            for vm, pool in self.sizer.decide(
+                self.config, [], fleet.vms, fleet.views, set(), now_s
+            ):
+                fleet.move(vm, pool, now_s)
+                moved.add(vm)
+        self.assertNotIn("vm-pool0-5", moved)
+
     def test_burst_fetches_before_it_is_over(self) -> None:
         """A burst over the pool's room is met with VMs of others in two seconds."""
         step = build_step(task_count=30, resources=Resources(20_000, 1))
