--- a/deploy/platform_entry.py
+++ b/deploy/platform_entry.py
@@ -14,7 +14,7 @@
 
 def main() -> None:
     """Serve until SIGTERM."""
-    configure_logging(LogFormat.JSON, target=LogTarget.STDOUT)
+    logs = configure_logging(LogFormat.JSON, target=LogTarget.STDOUT, bounded=True)
     process = PlatformEntry(load_settings(settings_path()))
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -26,6 +26,7 @@
     while not stopped.wait(3600):
         pass
     process.stop()
+    logs.stop()
 
 
 if __name__ == "__main__":
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -274,6 +274,7 @@
                 for job_id in self.book.active
                 if (job := self.book.jobs[job_id]).spec.queue == queue
                 and not job.has_begun
+                and not job.spec.times
                 and not job.state.is_final
             )
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -23,6 +23,7 @@
 
 MIN_INTERVAL_S = 0.008
 IDLE_INTERVAL_S = 0.5
+DUE_INTERVAL_S = 0.1
 PACE_INTERVAL_S = 0.4
 # A worker that did not answer for this long gets no new runs.
 SILENT_S = 2.2
@@ -48,6 +49,7 @@
         self._seen_config: FleetConfig | None = None
         self._pacer = Pacer()
         self._next_pace_s = 0.0
+        self._has_times = False
         self.knows_all_runs = False
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
@@ -64,7 +66,7 @@
     def run(self, stop: threading.Event) -> None:
         """Place tasks until stopped."""
         while not stop.is_set():
-            self._wake.wait(IDLE_INTERVAL_S)
+            self._wake.wait(DUE_INTERVAL_S if self._has_times else IDLE_INTERVAL_S)
             self._wake.clear()
             if stop.is_set():
                 return
@@ -114,6 +116,7 @@
             now_s = self._clock.monotonic_s()
             self._follow_config()
             jobs = self._active_jobs()
+            self._open_due(jobs)
             rooms = self._rooms(now_s)
             may_start = self._may_start(now_s)
             starts = []
@@ -128,6 +131,15 @@
             else:
                 session.pace(item)
 
+    def _open_due(self, jobs: list[Job]) -> None:
+        """Create the tasks of jobs that run at set times when they are due."""
+        timed = [job for job in jobs if job.spec.times]
+        self._has_times = bool(timed)
+        wall_ms = self._clock.now_s() * 1000
+        for job in timed:
+            if job.open_due(wall_ms):
+                _LOGGER.info("dispatch: a job is due", extra={"job": job.spec.job})
+
     def _order(self, task: Task, worker, now_s: float) -> tuple:
         book = self._dispatcher.book
         job = book.jobs[task.key.job]
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -13,6 +13,9 @@
 )
 from jayshunt.ids import Revision, WorkerId
 
+# Clocks of VMs differ a little; a task must not start before its time.
+DUE_MARGIN_MS = 20
+
 
 class TaskPhase(Enum):
     """Name where a task stands.
@@ -114,9 +117,10 @@
     chain_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        """Create the tasks of the first occurrence."""
+        """Create the tasks, unless the job runs at set times."""
         self.chain_ms = longest_chain_ms(self.spec)
-        self.open_occurrence(0)
+        if not self.spec.times:
+            self.open_occurrence(0)
 
     @property
     def deadline_s(self) -> float:
@@ -140,6 +144,16 @@
         )
         return self.chain_ms / 1000 * (1 - done / total) if total else 0.0
 
+    def open_due(self, wall_ms: float) -> bool:
+        """Create the tasks of occurrences that are due; return whether any is new."""
+        before = len(self.steps)
+        for occurrence in range(self.spec.times):
+            due_ms = self.spec.start_at_ms + occurrence * self.spec.interval_ms
+            if wall_ms < due_ms + DUE_MARGIN_MS:
+                break
+            self.open_occurrence(occurrence)
+        return len(self.steps) > before
+
     def open_occurrence(self, occurrence: int) -> None:
         """Create the tasks of one occurrence, once."""
         if (occurrence, 0) in self.steps:
--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -104,7 +104,9 @@
     **changes,
 ) -> Job:
     """Return an accepted job."""
-    spec = build_spec(*steps, job=JobId(f"{number:016x}"))
+    names = ("times", "start_at_ms", "interval_ms")
+    times = {name: changes.pop(name) for name in names if name in changes}
+    spec = build_spec(*steps, job=JobId(f"{number:016x}"), **times)
     return Job(spec, queue or build_queue(), accepted_s, **changes)
 
 
--- a/src/jayshunt/dispatch/tests/test_run_book.py
+++ b/src/jayshunt/dispatch/tests/test_run_book.py
@@ -126,6 +126,18 @@
         book.apply_hold(view, listed(ended=[end]), 2.0, 2.0)
         self.assertEqual([1], [task.key.step for task in job.due_tasks()])
 
+    def test_occurrence_starts_at_its_time(self) -> None:
+        """A run before its time does work that nobody asked for yet."""
+        job = build_job(times=2, start_at_ms=10_000, interval_ms=500)
+        self.assertFalse(job.open_due(10_000))
+        self.assertEqual([], job.due_tasks())
+        self.assertTrue(job.open_due(10_100))
+        self.assertEqual([0], [task.key.occurrence for task in job.due_tasks()])
+        job.open_due(10_600)
+        self.assertEqual(2, len(job.due_tasks()))
+        job.mark_done(job.due_tasks()[0])
+        self.assertFalse(job.state.is_final, "one occurrence is still to run")
+
     def test_cancel_stops_every_run(self) -> None:
         """Work of a cancelled job must end within the bound of the platform."""
         job = build_job(build_step(task_count=2))
