Take arriving work by predicted run time, keep VMs for 2 s

Cause: arriving work was counted as the widest step of each job, about twice what was then in use, and all waiting work fetched VMs although half of it fits in before a VM comes. Change: work over time by predicted run time with 1.2 headroom, half of the waiting work, and 2 s of memory.

--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -76,7 +76,7 @@
         self._bounds = bounds
         self.vms: dict[VmId, Vm] = {}
         self.waves: dict[int, WaveState] = {}
-        self.sizer = PoolSizer()
+        self.sizer = PoolSizer(dispatcher.planner.run_times.predict_ms)
         self._listed_s: float | None = None
         self._waves_s: float | None = None
         self._is_busy = False
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -8,25 +8,28 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.models import FleetConfig, Resources, Vm, VmState
+from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec, Vm, VmState
 from jayshunt.dispatch.tasks import Job
-from jayshunt.ids import JobId, PoolName, VmId
+from jayshunt.ids import JobId, PoolName, QueueName, VmId
 
 # Part of a VM that packing fills before tasks no longer fit.
 PACKED_PART = 0.85
 # What a pool keeps free for its next jobs: about two wide jobs, in VMs.
 IDLE_FREE_VMS = 1.5
 # Arrivals of this time tell how much work comes in; a move takes about as long.
-RATE_WINDOW_S = 1.2
-# A rising demand is met for the time at which a VM ordered now is there.
-GROWTH_FACTOR = 1.3
+RATE_WINDOW_S = 1.5
+# Jobs come unevenly, and a rising demand is met for the time at which a VM ordered
+# now is there.
+HEADROOM = 1.2
+# Part of the waiting work that VMs are fetched for: the rest fits in before they come.
+WAITING_PART = 0.5
 # What a pool needed at any time within this span it keeps: two moves cost as much
 # as a VM costs in that time.
-KEEP_S = 2.5
+KEEP_S = 2.0
 MAX_MOVES_PER_ROUND = 8
 # A worker that did not answer for this long is no capacity.
 SILENT_S = 2.5
@@ -58,8 +61,12 @@
 
 @dataclass
 class PoolSizer:
-    """Own what was learned of the pools' demand; times are steady seconds."""
+    """Own what was learned of the pools' demand; times are steady seconds.
 
+    `predict_ms` tells how long a task of a step is likely to run.
+    """
+
+    predict_ms: Callable[[QueueName, StepSpec], float] = lambda _, s: s.estimate_ms
     arrivals: dict[PoolName, deque] = field(default_factory=dict)
     counted: set[JobId] = field(default_factory=set)
     recent_needs: dict[PoolName, deque] = field(default_factory=dict)
@@ -121,20 +128,23 @@
             return
         self.counted.add(job.spec.job)
         seen = self.arrivals.setdefault(job.config.pool, deque())
-        widest = max(
-            (step.reserved.cpu_millicores * step.task_count for step in job.spec.steps),
-            default=0,
+        work = sum(
+            step.reserved.cpu_millicores
+            * step.task_count
+            * self.predict_ms(job.spec.queue, step)
+            / 1000
+            for step in job.spec.steps
         )
-        seen.append((now_s, widest))
+        seen.append((now_s, work))
 
     def _arriving_millicores(self, pool: PoolName, now_s: float) -> float:
-        """Return the room that the jobs of the last time take at their widest."""
+        """Return the room that is in use on average if jobs go on coming like this."""
         seen = self.arrivals.get(pool)
         if not seen:
             return 0.0
         while seen and seen[0][0] < now_s - RATE_WINDOW_S:
             seen.popleft()
-        return sum(millicores for _, millicores in seen)
+        return sum(work for _, work in seen) / RATE_WINDOW_S
 
     def _need(
         self,
@@ -147,10 +157,10 @@
         demand = demands.get(pool, PoolDemand())
         size = _vm_size(vms, pool)
         arriving = self._arriving_millicores(pool, now_s)
-        now_millicores = demand.placed.cpu_millicores + demand.waiting.cpu_millicores
-        busy = max(now_millicores, arriving)
-        if arriving > size.cpu_millicores:
-            busy = max(busy, GROWTH_FACTOR * arriving)
+        now_millicores = (
+            demand.placed.cpu_millicores + WAITING_PART * demand.waiting.cpu_millicores
+        )
+        busy = max(now_millicores, HEADROOM * arriving)
         cpu = demand.long_running.cpu_millicores + busy
         memory = (demand.long_running + demand.placed + demand.waiting).memory_mb
         by_cpu = cpu / (PACKED_PART * size.cpu_millicores)
