Never take a worker to be over because the list of VMs says so

Change: that list ends no worker. A worker that a holder ordered away is known to a successor by the stored orders, together with the state of its VM. Tests: test_fleet_duty, of which the first and the third fail on the code before.

--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -131,8 +131,6 @@
         self._read(now_s)
         if not self._dispatcher.ready.is_set():
             return
-        if self._orders is None:
-            self._orders = RecentOrders.read(self._store, now_s, self._turn_s)
         if self._config() is None or not self._dispatcher.worker_list_read:
             return
         self._plan_waves(now_s)
@@ -141,6 +139,8 @@
         self._write_waves()
 
     def _read(self, now_s: float) -> None:
+        if self._orders is None:
+            self._orders = RecentOrders.read(self._store, now_s, self._turn_s)
         interval_s = MACHINES_POLL_S if self._is_busy else MACHINES_IDLE_POLL_S
         if self._listed_s is None or now_s - self._listed_s >= interval_s:
             vms = self._machines.list()
@@ -148,40 +148,25 @@
             with self._dispatcher.lock:
                 self.vms = {vm.vm: vm for vm in vms}
                 self._forget_gone()
-                self._end_replaced_lives(now_s)
             self._dispatcher.planner.wake()
         if self._waves_s is None or now_s - self._waves_s >= WAVES_POLL_S:
             self._read_waves(now_s)
             self._waves_s = now_s
 
     def is_present(self, view: WorkerView) -> bool:
-        """Return whether a worker belongs to a VM that is up, as far as is known.
+        """Return whether a worker may still run something, as far as is known.
 
-        The list of workers keeps entries of VMs that left for some seconds.
+        The list of workers keeps entries of VMs that left for some seconds, and the
+        list of VMs may be behind the list of workers. A life is over for certain
+        only if an earlier holder ordered its VM away and the VM shows that.
         """
+        if self._orders is None or not self._orders.has_ended(view.worker.worker):
+            return True
         known = self.vms.get(view.worker.vm) if view.worker.vm else None
         if known is None:
-            return self._listed_s is None or view.worker.vm is None
-        if self._is_spare(known.pool):
-            return False
+            return True
         return known.state is VmState.UP and known.worker == view.worker.worker
 
-    def _end_replaced_lives(self, now_s: float) -> None:
-        """End the workers whose VM moves, is in upkeep or has a newer worker."""
-        for view in list(self._dispatcher.book.workers.values()):
-            known = self.vms.get(view.worker.vm) if view.worker.vm else None
-            if known is None or view.first_seen_s > now_s:
-                continue
-            is_replaced = (
-                known.worker is not None and known.worker != view.worker.worker
-            )
-            if known.state in (VmState.MOVING, VmState.UPKEEP) or (
-                is_replaced and view.last_answer_s is None
-            ):
-                self._dispatcher.book.worker_over(
-                    view, now_s, f"its VM is {known.state.value} with another worker"
-                )
-
     def _forget_gone(self) -> None:
         for vm in [vm for vm in self._evacuations if vm not in self.vms]:
             self._evacuations.pop(vm)
@@ -323,8 +308,12 @@
                 leaving.append((evacuation, view))
         if not leaving:
             return
-        vms = [evacuation.vm for evacuation, _ in leaving]
-        self._orders.write(self._store, self._dispatcher.term_condition, vms, now_s)
+        ordered = {
+            evacuation.vm: None if view is None else view.worker.worker
+            for evacuation, view in leaving
+        }
+        condition = self._dispatcher.term_condition
+        self._orders.write(self._store, condition, ordered, now_s)
         for evacuation, view in leaving:
             self._go(evacuation, view, now_s)
 
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -25,7 +25,7 @@
     place,
 )
 from jayshunt.dispatch.waves import choose_next
-from jayshunt.ids import Revision, VmId
+from jayshunt.ids import Revision, VmId, WorkerId
 
 
 class HandoverTest(unittest.TestCase):
@@ -117,19 +117,21 @@
         """Two holders in turn on one VM within the bound break the rule of one."""
         store = FakeStore()
         first = RecentOrders.read(store, 0.0, 3.0)
-        first.write(store, {TERM_KEY: Revision(0)}, [VmId("a")], 1.0)
+        first.write(store, {TERM_KEY: Revision(0)}, {VmId("a"): WorkerId("w")}, 1.0)
         second = RecentOrders.read(store, 5.0, 3.0)
         self.assertFalse(second.may_order(VmId("a"), 7.9))
         self.assertTrue(second.may_order(VmId("a"), 8.0))
         self.assertTrue(second.may_order(VmId("b"), 5.0))
+        self.assertTrue(second.has_ended(WorkerId("w")))
+        self.assertFalse(second.has_ended(WorkerId("x")))
 
     def test_third_holder_knows_the_first_ones_orders(self) -> None:
         """Two changes of term may come within the bound."""
         store = FakeStore()
         first = RecentOrders.read(store, 0.0, 3.0)
-        first.write(store, {}, [VmId("a")], 1.0)
+        first.write(store, {}, {VmId("a"): None}, 1.0)
         second = RecentOrders.read(store, 2.0, 3.0)
-        second.write(store, {}, [VmId("b")], 2.5)
+        second.write(store, {}, {VmId("b"): None}, 2.5)
         third = RecentOrders.read(store, 3.0, 3.0)
         self.assertFalse(third.may_order(VmId("a"), 3.5))
         self.assertFalse(third.may_order(VmId("b"), 3.5))
@@ -139,7 +141,7 @@
         store = FakeStore()
         orders = RecentOrders.read(store, 0.0, 3.0)
         with self.assertRaises(TermOver):
-            orders.write(store, {TERM_KEY: Revision(5)}, [VmId("a")], 1.0)
+            orders.write(store, {TERM_KEY: Revision(5)}, {VmId("a"): None}, 1.0)
 
 
 class PacerTest(unittest.TestCase):
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -0,0 +1,118 @@
+"""Test what the list of VMs means for workers."""
+
+import threading
+import unittest
+from types import SimpleNamespace
+
+from jayshunt.clock import ManualClock
+from jayshunt.dispatch.fleet_duty import FleetDuty
+from jayshunt.dispatch.models import Bounds, DutyAnswer, Put, VmState
+from jayshunt.dispatch.records import ORDERED_KEY
+from jayshunt.dispatch.tests.builders import (
+    POOL,
+    FakeStore,
+    add_view,
+    build_book,
+    build_config,
+    build_job,
+    build_vm,
+    place,
+)
+from jayshunt.ids import VmId
+
+
+class FakeMachines:
+    """List VMs and record the orders for them."""
+
+    def __init__(self, *vms) -> None:
+        """Keep the VMs."""
+        self.vms = vms
+        self.orders: list = []
+
+    def list(self):
+        """Return the VMs."""
+        return self.vms
+
+    def move(self, vm, pool, token) -> DutyAnswer:
+        """Record a move."""
+        self.orders.append((vm, pool))
+        return DutyAnswer(None)
+
+
+class FleetDutyTest(unittest.TestCase):
+    """Cover lists that are behind, and what an earlier holder ordered."""
+
+    def setUp(self) -> None:
+        """Build the duty on fakes, with one worker."""
+        self.job = build_job()
+        self.book = build_book(self.job)
+        self.view = add_view(self.book)
+        self.store = FakeStore()
+        self.clock = ManualClock(0.0)
+        run_times = SimpleNamespace(predict_ms=lambda _, step: step.estimate_ms)
+        self.dispatcher = SimpleNamespace(
+            book=self.book,
+            lock=threading.RLock(),
+            planner=SimpleNamespace(
+                run_times=run_times, wake=lambda: None, knows_all_runs=True
+            ),
+            ready=threading.Event(),
+            term_valid=lambda: True,
+            term_condition={},
+            token=1,
+            worker_list_read=True,
+            send_stops=lambda stops: None,
+            deposed=lambda reason: None,
+        )
+        self.dispatcher.ready.set()
+
+    def duty(self, *vms) -> FleetDuty:
+        """Return the duty with a list of VMs."""
+        self.machines = FakeMachines(*vms)
+        return FleetDuty(
+            self.dispatcher,
+            self.store,
+            self.machines,
+            self.clock,
+            build_config,
+            Bounds(),
+        )
+
+    def test_list_that_is_behind_ends_no_worker(self) -> None:
+        """A VM may be shown as moving although its new worker is at work."""
+        task = place(self.book, self.job, 0, self.view)
+        self.duty(build_vm("w1", state=VmState.MOVING, worker=None))._round()
+        self.assertEqual(self.view.worker.worker, task.worker)
+        self.assertFalse(self.view.is_over)
+
+    def test_worker_ordered_away_by_an_earlier_holder_is_not_waited_for(self) -> None:
+        """Its entry stays in the list of workers for seconds."""
+        self.view.last_answer_s = None
+        moving = build_vm("w1", state=VmState.MOVING, worker=None)
+        duty = self.duty(moving)
+        duty._round()
+        self.assertTrue(duty.is_present(self.view))
+        self.store.transact({}, (Put(ORDERED_KEY, b'{"vm-w1": "w1"}'),))
+        duty = self.duty(moving)
+        duty._round()
+        self.assertFalse(duty.is_present(self.view))
+
+    def test_worker_not_heard_in_this_term_is_left_alone(self) -> None:
+        """It may run tasks that a successor does not know yet."""
+        idle = [add_view(self.book, f"w{n}") for n in range(2, 9)]
+        vms = [build_vm(view.worker.worker) for view in (self.view, *idle)]
+        duty = self.duty(*vms)
+        for _ in range(30):
+            self.clock.advance(0.2)
+            for view in idle:
+                view.last_answer_s = self.clock.monotonic_s()
+            self.view.last_answer_s = None
+            duty._round()
+        ordered = {vm for vm, _ in self.machines.orders}
+        self.assertTrue(ordered, "idle VMs of the pool go back")
+        self.assertNotIn(VmId("vm-w1"), ordered)
+        self.assertEqual({POOL}, {vm.pool for vm in vms})
+
+
+if __name__ == "__main__":
+    unittest.main()
