Metrics with latency histograms, and the story of a job from the logs

Change: answers and waits for a start are histograms of prometheus_client; store calls, runs, pool sizes and active jobs are read at the scrape; jayshunt explain tells one job's story from logs.

--- a/src/jayshunt/cli/main.py
+++ b/src/jayshunt/cli/main.py
@@ -60,6 +60,28 @@
     """Manage fleet capacity and maintenance for shared upstreams."""
 
 
+@app.command()
+def explain(
+    job: Annotated[str, typer.Argument(help="Id of the job.")],
+    logs: Annotated[
+        list[Path] | None, typer.Argument(help="Log files; standard input if none.")
+    ] = None,
+) -> None:
+    """Tell what happened to one job from the logs of all entries."""
+    from jayshunt.dispatch.explain import explain as explain_job
+
+    lines: list[str] = []
+    for path in logs or ():
+        lines += path.read_text(errors="replace").splitlines()
+    if not logs:
+        lines = sys.stdin.read().splitlines()
+    story = explain_job(job, lines)
+    if not story:
+        typer.echo(f"no line of these logs names the job {job}", err=True)
+        raise typer.Exit(ExitCode.FAILED)
+    typer.echo("\n".join(story))
+
+
 @app.command()
 def entry(
     settings: Annotated[Path, typer.Option(help="TOML file with the settings.")],
--- /dev/null
+++ b/src/jayshunt/dispatch/explain.py
@@ -0,0 +1,87 @@
+"""Tell the story of one job from the logs of any number of processes."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import datetime
+
+HIDDEN_FIELDS = frozenset({"time", "level", "logger", "message"})
+# Changes that touch every job: who dispatches, the store, the pools.
+CONTEXT_MESSAGES = (
+    "dispatch: took over",
+    "dispatch: gave up the term",
+    "dispatch: hands over",
+    "dispatch: all runs of earlier terms are known",
+    "dispatch: progress was not stored",
+    "dispatch: the term was",
+    "config: the store is",
+    "dispatch: a worker is over",
+    "dispatch: a worker is set aside",
+)
+
+
+@dataclass(frozen=True)
+class Line:
+    """Hold one record of a log."""
+
+    time: datetime
+    message: str
+    fields: dict
+
+    @property
+    def text(self) -> str:
+        """Return the record as one line."""
+        pairs = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        stamp = self.time.strftime("%H:%M:%S.%f")[:-3]
+        return f"{stamp}  {self.message}  {pairs}".rstrip()
+
+
+def parse(line: str) -> Line | None:
+    """Return the record of one line; text before its object is left out."""
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(line[start:])
+        time = datetime.fromisoformat(fields["time"])
+        message = fields["message"]
+    except (ValueError, KeyError, TypeError):
+        return None
+    return Line(
+        time, message, {k: v for k, v in fields.items() if k not in HIDDEN_FIELDS}
+    )
+
+
+def explain(job: str, lines: Iterable[str]) -> list[str]:
+    """Return what happened to a job in order, with what touched all jobs meanwhile.
+
+    Workers that are named are those of the job's own runs.
+    """
+    records = [record for record in map(parse, lines) if record is not None]
+    own = [record for record in records if _is_of(job, record)]
+    if not own:
+        return []
+    workers = {record.fields.get("worker") for record in own} - {None}
+    first = min(record.time for record in own)
+    last = max(record.time for record in own)
+    around = [
+        record
+        for record in records
+        if first <= record.time <= last and _is_context(record, workers)
+    ]
+    story = {id(record): record for record in [*own, *around]}
+    return [r.text for r in sorted(story.values(), key=lambda record: record.time)]
+
+
+def _is_of(job: str, record: Line) -> bool:
+    task = record.fields.get("task")
+    return record.fields.get("job") == job or (
+        isinstance(task, str) and task.partition(".")[0] == job
+    )
+
+
+def _is_context(record: Line, workers: set) -> bool:
+    if not record.message.startswith(CONTEXT_MESSAGES):
+        return False
+    worker = record.fields.get("worker")
+    return worker is None or worker in workers
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -1,37 +1,98 @@
-"""Count what an entry does, in the text format of Prometheus."""
+"""Count what an entry does and how long it takes, for Prometheus."""
 
-import threading
-from collections import Counter
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+# From an answer of the dispatcher on the same VM to a caller's whole time.
+ANSWER_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
+# From a start at once to far beyond the objective of a job.
+WAIT_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
 class EntryMetrics:
-    """Own the counters of one entry."""
+    """Own the counters and histograms of one entry."""
 
     def __init__(self, store, link) -> None:
-        """Start at zero."""
-        self._store = store
-        self._link = link
-        self._lock = threading.Lock()
-        self._answers: Counter[tuple[str, int]] = Counter()
+        """Start at zero; state of the dispatch is read at the scrape."""
+        self._registry = CollectorRegistry()
+        self._answers = Counter(
+            "jayshunt_answers",
+            "Answers to callers.",
+            ["method", "status"],
+            registry=self._registry,
+        )
+        self._answer_s = Histogram(
+            "jayshunt_answer_seconds",
+            "Time from a caller's whole request to its answer.",
+            ["method"],
+            buckets=ANSWER_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._wait_s = Histogram(
+            "jayshunt_task_wait_seconds",
+            "Time from a task's turn to its start.",
+            ["pool"],
+            buckets=WAIT_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._registry.register(_StateCollector(store, link))
 
-    def answered(self, kind: str, status: int) -> None:
+    def answered(self, method: str, status: int, took_s: float) -> None:
         """Count one answer to a caller."""
-        with self._lock:
-            self._answers[kind, status] += 1
+        self._answers.labels(method, str(status)).inc()
+        self._answer_s.labels(method).observe(took_s)
+
+    def task_waited(self, pool: str, waited_s: float) -> None:
+        """Take in how long a task waited for its start."""
+        self._wait_s.labels(pool).observe(waited_s)
 
     def render(self) -> bytes:
-        """Return every counter as text."""
-        lines = ["# TYPE jayshunt_answers_total counter"]
-        with self._lock:
-            for (kind, status), count in sorted(self._answers.items()):
-                labels = f'method="{kind}",status="{status}"'
-                lines.append(f"jayshunt_answers_total{{{labels}}} {count}")
-        lines.append("# TYPE jayshunt_store_calls_total counter")
+        """Return every metric as text."""
+        return generate_latest(self._registry)
+
+
+class _StateCollector(Collector):
+    """Read counts that others own, at each scrape."""
+
+    def __init__(self, store, link) -> None:
+        """Keep the owners."""
+        self._store = store
+        self._link = link
+
+    def collect(self):
+        """Yield the store's calls and, on the dispatcher, its state."""
+        calls = CounterMetricFamily(
+            "jayshunt_store_calls", "Calls to the platform's store.", labels=["call"]
+        )
         for call, count in sorted(self._store.calls.items()):
-            lines.append(f'jayshunt_store_calls_total{{call="{call}"}} {count}')
+            calls.add_metric([call], count)
+        yield calls
         dispatcher = self._link.own_dispatcher
-        if dispatcher is not None:
-            lines.append("# TYPE jayshunt_runs_total counter")
-            for name, count in sorted(dispatcher.book.counts.items()):
-                lines.append(f'jayshunt_runs_total{{what="{name}"}} {count}')
-        return ("\n".join(lines) + "\n").encode()
+        if dispatcher is None or not dispatcher.term_valid():
+            return
+        runs = CounterMetricFamily(
+            "jayshunt_runs", "Runs of tasks by what became of them.", labels=["what"]
+        )
+        with dispatcher.lock:
+            for what, count in sorted(dispatcher.book.counts.items()):
+                runs.add_metric([what], count)
+            yield runs
+            yield from _pool_gauges(dispatcher)
+
+
+def _pool_gauges(dispatcher):
+    present = GaugeMetricFamily(
+        "jayshunt_pool_vms", "VMs that serve a pool.", labels=["pool"]
+    )
+    needed = GaugeMetricFamily(
+        "jayshunt_pool_vms_needed", "VMs that a pool needs.", labels=["pool"]
+    )
+    for need in dispatcher.fleet.sizer.needs.values():
+        present.add_metric([need.pool], need.present)
+        needed.add_metric([need.pool], need.needed)
+    yield present
+    yield needed
+    active = GaugeMetricFamily("jayshunt_jobs_active", "Jobs that have not ended.")
+    active.add_metric([], len(dispatcher.book.active))
+    yield active
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -57,6 +57,7 @@
         self.tickets = TicketBook(
             advice, ThreadPoolExecutor(1, "advice"), clock, self.wake
         )
+        self.observe_wait: Callable[[str, float], None] = lambda pool, waited_s: None
         self.rounds = 0
 
     def wake(self) -> None:
@@ -162,6 +163,7 @@
                 "free_millicores": view.free().cpu_millicores,
             },
         )
+        self.observe_wait(job.config.pool, now_s - task.waiting_since_s)
         ticket = self.tickets.ticket(task, worker)
         return self._dispatcher.sessions[worker], StartTask(
             task, run, job.spec.payload, ticket
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 from collections.abc import Callable
 
 from jayshunt.dispatch.entry import JobEntry
@@ -33,9 +34,9 @@
         self,
         entry: JobEntry,
         config: Callable[[], FleetConfig | None],
-        observe: Callable[[str, int], None],
+        observe: Callable[[str, int, float], None],
     ) -> None:
-        """Keep the entry; `observe` counts each answer by kind and status."""
+        """Keep the entry; `observe` takes method, status and seconds of an answer."""
         self._entry = entry
         self._config = config
         self._observe = observe
@@ -44,11 +45,12 @@
         """Answer one request."""
         request: IncomingRequest = environ["jayshunt.request"]
         kind = request.head.method
+        begun_s = time.monotonic()
         try:
             status, body, headers = self._answer(request, environ)
         except JayshuntError as error:
             status, body, headers = _problem(error)
-        self._observe(kind, status)
+        self._observe(kind, status, time.monotonic() - begun_s)
         data = b"" if body is None else json.dumps(body).encode()
         start_response(f"{status} -", [JSON_TYPE, *headers])
         return [data]
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -211,7 +211,7 @@
         api = FrontApi(
             self.entry,
             lambda: self.config,
-            lambda kind, status: self.answered.append((kind, status)),
+            lambda *answer: self.answered.append(answer),
         )
         limits = ServerLimits(drain_grace_s=0.0, drain_timeout_s=1.0)
         self.server = HttpServer(HOST, 0, api, limits)
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -126,6 +126,7 @@
             self._config.current,
             lambda reason: self._deposed(own, reason),
         )
+        dispatcher.planner.observe_wait = self._metrics.task_waited
         self._link.own_dispatcher = dispatcher
         self._link.handover_lease = None
         return dispatcher
