--- a/src/jayshunt/cli/main.py
+++ b/src/jayshunt/cli/main.py
@@ -141,7 +141,21 @@
     app.command()(command)
 
 
+def _check_platform_settings(file: Path) -> InvalidFile | None:
+    from jayshunt.platform.settings import InvalidSettings
+    from jayshunt.platform.settings import load_settings as load_platform_settings
+
+    try:
+        load_platform_settings(file)
+    except InvalidSettings as error:
+        return InvalidFile(file, [str(error)])
+    typer.echo(f"{file}: platform settings without mistakes")
+    return None
+
+
 def _check_file(file: Path) -> InvalidFile | None:
+    if _has_keys(file, {"nodeName"}):
+        return _check_platform_settings(file)
     try:
         if _is_settings(file):
             load_settings(file)
@@ -156,12 +170,16 @@
 
 
 def _is_settings(file: Path) -> bool:
+    # The loader explains the mistake in a file that cannot be read.
+    return _has_keys(file, {"identity", "listen", "platform"}, unreadable=True)
+
+
+def _has_keys(file: Path, keys: set[str], unreadable: bool = False) -> bool:
     try:
         content = tomllib.loads(file.read_text())
     except (OSError, ValueError):
-        # The loader explains the mistake.
-        return True
-    return bool({"identity", "listen", "platform"} & content.keys())
+        return unreadable
+    return bool(keys & content.keys())
 
 
 def exit_code_of(error: JayshuntError) -> ExitCode:
--- a/src/jayshunt/dispatch/commits.py
+++ b/src/jayshunt/dispatch/commits.py
@@ -133,7 +133,10 @@
             now_s = self._clock.monotonic_s()
             for record in records:
                 record.job.progress_revision = result.revision
+                is_news = not record.job.stored_state.is_final
                 self._book.stored(record.job, record.version, record.state, now_s)
+                if is_news and record.state.is_final:
+                    _log_end(record.job, now_s)
         with self._stored:
             self._stored.notify_all()
 
@@ -148,3 +151,17 @@
             raise TermOver("the term's key changed")
         for record in records:
             record.job.progress_revision = found.get(record.put.key, Revision(0))
+
+
+def _log_end(job: Job, now_s: float) -> None:
+    """Log the end of a job, with what its objective was."""
+    _LOGGER.info(
+        "dispatch: a job ended",
+        extra={
+            "job": job.spec.job,
+            "queue": job.spec.queue,
+            "state": job.stored_state.value,
+            "took_ms": round((now_s - job.accepted_s) * 1000),
+            "objective_ms": round((job.deadline_s - job.accepted_s) * 1000),
+        },
+    )
--- a/src/jayshunt/dispatch/run_book.py
+++ b/src/jayshunt/dispatch/run_book.py
@@ -294,6 +294,8 @@
             self.on_run_end(job, task, now_s)
         if job.mark_done(task):
             self._changed(job)
+            if job.is_step_done(task.key.occurrence, task.key.step):
+                job.begin_turns(task.key.occurrence, task.key.step, now_s)
 
     def _count_failure(
         self, view: WorkerView, job: Job, task: Task, end: EndedRun, now_s: float
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -9,6 +9,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
+    CLOCK_SKEW,
     HOLD_RETRY_S,
     HOLD_TIMEOUT_SLACK_S,
     HOLD_WAIT_S,
@@ -179,6 +180,8 @@
             now_s = context.clock.monotonic_s()
             is_first = view.last_answer_s is None
             stops = context.book.apply_hold(view, answer, sent_s, now_s)
+            if is_first:
+                self._bound_inherited_lease(now_s)
         if is_first:
             _LOGGER.info(
                 "dispatch: a worker answered",
@@ -194,6 +197,15 @@
         context.changed()
         return True
 
+    def _bound_inherited_lease(self, now_s: float) -> None:
+        """Shorten the bound on leases of earlier terms after the first answer.
+
+        The worker refuses older orders from now on, so that no lease can be longer
+        than one given at this moment.
+        """
+        left_s = self._context.lease_s / (1 - CLOCK_SKEW) + LEASE_MARGIN_S
+        self.view.lease_end_s = min(self.view.lease_end_s, now_s + left_s)
+
     def _lease_until_ms(self, now_s: float) -> int | None:
         """Return the lease to ask for, None for a mere look.
 
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -219,6 +219,13 @@
         self._update_state()
         return True
 
+    def begin_turns(self, occurrence: int, done_step: int, now_s: float) -> None:
+        """Date the wait of tasks whose turn has come with the end of a step."""
+        for number, step in enumerate(self.spec.steps):
+            if done_step in step.after and self.is_step_ready(occurrence, number):
+                for task in self.steps[occurrence, number]:
+                    task.waiting_since_s = now_s
+
     def mark_failed(self, task: Task, run: int, worker: WorkerId | None) -> bool:
         """Count a failed run once; the job fails when a task has used up its runs.
 
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_explain.py
@@ -0,0 +1,63 @@
+"""Follow three failed requests from their ids to their causes."""
+
+import json
+import unittest
+
+from jayshunt.dispatch.explain import explain
+
+# Lines of a recorded day, as the entries wrote them, in the order of files.
+RECORDED = [
+    ("11.574", "entry: refused", {"job": "a1", "reason": "the queue is far behind"}),
+    ("12.645", "entry: accepted", {"job": "a1", "revision": 204}),
+    ("17.463", "dispatch: placed", {"task": "b1.0.2.1", "run": 4784, "worker": "w1"}),
+    ("26.314", "dispatch: placed", {"task": "b1.0.2.1", "run": 4785, "worker": "w2"}),
+    ("26.303", "dispatch: a worker is over", {"worker": "w1", "reason": "its lease"}),
+    ("26.303", "dispatch: a worker is over", {"worker": "w9", "reason": "its lease"}),
+    ("27.770", "entry: not accepted", {"job": "c1", "outcome": "not_run"}),
+    ("30.592", "entry: not accepted", {"job": "c1", "outcome": "not_run"}),
+    ("28.786", "dispatch: the term was not renewed", {"valid": True}),
+    ("40.000", "dispatch: the term was not renewed", {"valid": False}),
+]
+
+
+def lines() -> list[str]:
+    """Return the recorded lines as a log collector shows them."""
+    return [
+        "front-1 | "
+        + json.dumps(
+            {"time": f"2026-03-07T06:55:{at}+00:00", "message": text, **fields}
+        )
+        for at, text, fields in RECORDED
+    ] + ["not a record", '{"time": 3}']
+
+
+class ExplainTest(unittest.TestCase):
+    """Cover the three walks of docs/OPERATIONS.md."""
+
+    def test_refused_job(self) -> None:
+        """The reason of a refusal and the later acceptance belong together."""
+        story = explain("a1", lines())
+        self.assertEqual(2, len(story))
+        self.assertIn("the queue is far behind", story[0])
+
+    def test_job_late_after_a_lost_worker(self) -> None:
+        """The loss of the job's own worker stands between its two runs."""
+        story = explain("b1", lines())
+        self.assertEqual(3, len(story))
+        self.assertIn("worker=w1", story[1])
+        self.assertIn("a worker is over", story[1])
+        self.assertIn("run=4785", story[2])
+
+    def test_job_held_up_by_the_store(self) -> None:
+        """What touched all jobs is shown while the job was handed in."""
+        story = explain("c1", lines())
+        self.assertEqual(3, len(story))
+        self.assertIn("the term was not renewed", story[1])
+
+    def test_unknown_job(self) -> None:
+        """An id that no entry saw must not look like a job without trouble."""
+        self.assertEqual([], explain("d1", lines()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -91,6 +91,14 @@
         self.assertGreaterEqual(self.clock.monotonic_s(), LEASE_S)
         self.assertLess(self.clock.monotonic_s(), LEASE_S * 1.2)
 
+    def test_first_answer_bounds_the_leases_of_earlier_terms(self) -> None:
+        """Tasks of a worker lost after a takeover would wait twice as long."""
+        self.view.last_answer_s = None
+        self.view.lease_end_s = 100.0
+        self.calls.holds = [listed()]
+        self.session._hold_once()
+        self.assertLess(self.view.lease_end_s, LEASE_S * 1.1)
+
     def test_lease_is_extended_again_after_an_answer(self) -> None:
         """A worker that was slow once keeps its runs."""
         task = place(self.book, self.job, 0, self.view)
