--- a/src/jayshunt/dispatch/commits.py
+++ b/src/jayshunt/dispatch/commits.py
@@ -7,9 +7,10 @@
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import COMMIT_GATHER_S, MAX_PUTS_PER_COMMIT
 from jayshunt.dispatch.errors import TermOver
-from jayshunt.dispatch.models import Item, JobState, Put, TransactionResult
+from jayshunt.dispatch.models import JobState
 from jayshunt.dispatch.records import TERM_KEY, encode_progress, progress_key
 from jayshunt.dispatch.run_book import RunBook
+from jayshunt.dispatch.store_models import Item, Put, TransactionResult
 from jayshunt.dispatch.tasks import Job
 from jayshunt.ids import JobId, Revision
 from jayshunt.platform.store import LeaseGone, PlatformStore
--- a/src/jayshunt/dispatch/config_follower.py
+++ b/src/jayshunt/dispatch/config_follower.py
@@ -6,7 +6,8 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import CONFIG_WATCH_S
-from jayshunt.dispatch.models import FleetConfig, Item
+from jayshunt.dispatch.models import FleetConfig
+from jayshunt.dispatch.store_models import Item
 from jayshunt.ids import Revision
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -41,6 +41,6 @@
             ],
             "waves": {
                 number: {"done": sorted(state.done), "completed": state.is_completed}
-                for number, state in dispatcher.fleet.waves.items()
+                for number, state in dispatcher.fleet.waves.states.items()
             },
         }
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -18,13 +18,8 @@
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.intake_reader import IntakeReader
-from jayshunt.dispatch.models import (
-    EntryNode,
-    FleetConfig,
-    JobState,
-    Put,
-    Worker,
-)
+from jayshunt.dispatch.messages import Calls, SessionContext
+from jayshunt.dispatch.models import EntryNode, FleetConfig, JobState, Worker
 from jayshunt.dispatch.planner import Planner
 from jayshunt.dispatch.records import (
     HANDOFF_KEY,
@@ -34,7 +29,8 @@
     encode_handoff,
 )
 from jayshunt.dispatch.run_book import RunBook, StopOrder
-from jayshunt.dispatch.sessions import Calls, SessionContext, WorkerSession
+from jayshunt.dispatch.sessions import WorkerSession
+from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.worker_list import WorkerList
 from jayshunt.ids import JobId, QueueName, Revision, WorkerId
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -8,7 +8,7 @@
 from jayshunt.dispatch.const import ACCEPT_TIMEOUT_S, DEFAULT_RETRY_AFTER_S
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
 from jayshunt.dispatch.link import DispatcherLink
-from jayshunt.dispatch.models import JobSpec, JobState, Put, QueueConfig
+from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig
 from jayshunt.dispatch.records import (
     accepted_key,
     cancelled_key,
@@ -16,6 +16,7 @@
     progress_key,
     stored_state,
 )
+from jayshunt.dispatch.store_models import Put
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, QueueName, Revision
 from jayshunt.platform.store import PlatformStore
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -1,34 +1,22 @@
 """Move VMs between pools and take them through waves of planned stops."""
 
-import json
 import logging
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
 from jayshunt.dispatch.errors import TermOver
 from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.models import (
-    Bounds,
-    DutyRefusal,
-    FleetConfig,
-    Put,
-    Vm,
-    VmState,
-    Wave,
-)
+from jayshunt.dispatch.models import Bounds, FleetConfig
 from jayshunt.dispatch.recent_orders import RecentOrders
-from jayshunt.dispatch.records import TERM_KEY, WAVE_PREFIX
 from jayshunt.dispatch.sizing import PoolSizer
+from jayshunt.dispatch.vms import DutyRefusal, Vm, VmState
+from jayshunt.dispatch.wave_book import WaveBook, WaveState
 from jayshunt.dispatch.waves import choose_next
 from jayshunt.errors import JayshuntError
 from jayshunt.ids import PoolName, VmId, WorkerId
-from jayshunt.platform.const import WAVE_PREFIX as DECLARED_PREFIX
-from jayshunt.platform.const import WAVE_STATUS_PREFIX
-from jayshunt.platform.formats import decode_wave, encode_wave_status
 from jayshunt.platform.machine_calls import MachineCalls
 from jayshunt.platform.store import PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
@@ -43,18 +31,6 @@
 TURN_MARGIN_S = 0.5
 
 
-@dataclass
-class WaveState:
-    """Hold a declared wave and what of it is done; times are steady seconds."""
-
-    wave: Wave
-    seen_s: float
-    done: set[VmId] = field(default_factory=set)
-    status_written: bool = False
-    is_completed: bool = False
-    needs_write: bool = True
-
-
 class FleetDuty:
     """Own the orders for VMs of one term."""
 
@@ -75,7 +51,7 @@
         self._config = config
         self._bounds = bounds
         self.vms: dict[VmId, Vm] = {}
-        self.waves: dict[int, WaveState] = {}
+        self.waves = WaveBook()
         self.sizer = PoolSizer(dispatcher.planner.run_times.predict_ms)
         self._listed_s: float | None = None
         self._waves_s: float | None = None
@@ -88,12 +64,7 @@
 
     def leaves_soon(self, view: WorkerView) -> bool:
         """Return whether a wave that is not done names the worker's VM."""
-        vm = view.worker.vm
-        return any(
-            vm in state.wave.vms and vm not in state.done
-            for state in self.waves.values()
-            if not state.is_completed
-        )
+        return self.waves.names(view.worker.vm)
 
     def knows_all_workers(self, views: dict[WorkerId, WorkerView]) -> bool:
         """Return whether each VM that is up belongs to a worker in the views."""
@@ -136,7 +107,7 @@
         self._plan_waves(now_s)
         self._plan_moves(now_s)
         self._evacuate(now_s)
-        self._write_waves()
+        self.waves.write(self._store, self._dispatcher.term_condition)
 
     def _read(self, now_s: float) -> None:
         if self._orders is None:
@@ -150,7 +121,7 @@
                 self._forget_gone()
             self._dispatcher.planner.wake()
         if self._waves_s is None or now_s - self._waves_s >= WAVES_POLL_S:
-            self._read_waves(now_s)
+            self.waves.read(self._store)
             self._waves_s = now_s
 
     def is_present(self, view: WorkerView) -> bool:
@@ -171,41 +142,10 @@
         for vm in [vm for vm in self._evacuations if vm not in self.vms]:
             self._evacuations.pop(vm)
 
-    def _read_waves(self, now_s: float) -> None:
-        items, _ = self._store.list(DECLARED_PREFIX)
-        for item in items:
-            wave = decode_wave(item.value)
-            if wave is None or wave.number in self.waves:
-                continue
-            state = WaveState(wave, now_s)
-            stored = self._store.get(f"{WAVE_PREFIX}{wave.number}")
-            if stored is not None:
-                fields = json.loads(stored.value)
-                state.done = {VmId(vm) for vm in fields["done"]}
-                state.is_completed = fields["completed"]
-                state.needs_write = False
-            self.waves[wave.number] = state
-            _LOGGER.info(
-                "dispatch: a wave was declared",
-                extra={
-                    "wave": wave.number,
-                    "vms": len(wave.vms),
-                    "max_down": wave.max_down,
-                    "deadline_s": wave.deadline_s,
-                    "done": len(state.done),
-                },
-            )
-
     # --- waves ---
 
     def _plan_waves(self, now_s: float) -> None:
-        for state in self.waves.values():
-            if state.is_completed:
-                continue
-            if all(vm in state.done or vm not in self.vms for vm in state.wave.vms):
-                state.is_completed = True
-                state.needs_write = True
-                continue
+        for state in self.waves.open_states(set(self.vms)):
             self._begin_evacuations(state, now_s)
 
     def _begin_evacuations(self, state: WaveState, now_s: float) -> None:
@@ -336,7 +276,7 @@
         """Hold an upkeep back while as many VMs of its wave are down as may be."""
         if evacuation.reason.wave is None:
             return True
-        state = self.waves[evacuation.reason.wave]
+        state = self.waves.states[evacuation.reason.wave]
         down = [
             vm
             for vm in state.wave.vms
@@ -397,8 +337,7 @@
                         view, self._clock.monotonic_s(), f"its VM left: {reason}"
                     )
                 if reason.wave is not None:
-                    self.waves[reason.wave].done.add(vm)
-                    self.waves[reason.wave].needs_write = True
+                    self.waves.mark_done(reason.wave, vm)
                 else:
                     self.moves += 1
                 return
@@ -413,27 +352,7 @@
                 view.duty = None
             self._evacuations.pop(vm, None)
             if refusal is DutyRefusal.NOT_OF_WAVE:
-                self.waves[reason.wave].done.add(vm)
-
-    def _write_waves(self) -> None:
-        for state in self.waves.values():
-            if not state.needs_write:
-                continue
-            number = state.wave.number
-            record = {"done": sorted(state.done), "completed": state.is_completed}
-            self._store.transact(
-                {TERM_KEY: self._dispatcher.token},
-                (
-                    Put(f"{WAVE_PREFIX}{number}", json.dumps(record).encode()),
-                    Put(
-                        f"{WAVE_STATUS_PREFIX}{number}",
-                        encode_wave_status(number, state.is_completed),
-                    ),
-                ),
-            )
-            state.needs_write = False
-            if state.is_completed:
-                _LOGGER.info("dispatch: a wave is completed", extra={"wave": number})
+                self.waves.mark_done(reason.wave, vm)
 
     def _is_spare(self, pool: PoolName) -> bool:
         config = self._config()
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -11,7 +11,7 @@
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
-from jayshunt.dispatch.models import FleetConfig, Item, QueueConfig, StepSpec
+from jayshunt.dispatch.models import FleetConfig, QueueConfig, StepSpec
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -26,6 +26,7 @@
     decode_queue,
     progress_key,
 )
+from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.tasks import Job
 from jayshunt.ids import JobId, QueueName, Revision
 from jayshunt.platform.store import HistoryGone, PlatformStore
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -17,7 +17,8 @@
 from jayshunt.dispatch.dispatcher import Dispatcher
 from jayshunt.dispatch.errors import NoDispatcher
 from jayshunt.dispatch.handover import EntryReport
-from jayshunt.dispatch.models import JobState, Term
+from jayshunt.dispatch.models import JobState
+from jayshunt.dispatch.store_models import Term
 from jayshunt.dispatch.term import TermKeeper
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, LeaseId, QueueName
--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -1,6 +1,6 @@
 """Define jobs, workers, VMs and what is exchanged with them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
 
@@ -8,11 +8,9 @@
     ConfigVersion,
     EntryId,
     JobId,
-    LeaseId,
     PoolName,
     QueueName,
     RackName,
-    Revision,
     VmId,
     WorkerId,
     ZoneName,
@@ -358,117 +356,3 @@
     born_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
-
-
-# --- VMs and waves ---------------------------------------------------------------
-
-
-class VmState(Enum):
-    """Name the state of a VM in the platform's list."""
-
-    UP = "up"
-    MOVING = "moving"
-    UPKEEP = "upkeep"
-    DOWN = "down"
-
-
-@dataclass(frozen=True)
-class Vm:
-    """Hold one VM of the platform's list."""
-
-    vm: VmId
-    pool: PoolName
-    state: VmState
-    zone: ZoneName
-    rack: RackName
-    labels: frozenset[str]
-    capacity: Resources
-    worker: WorkerId | None = None
-
-
-class DutyRefusal(Enum):
-    """Name why the platform refused an order for a VM."""
-
-    FENCED = "fenced"
-    BUSY = "busy"
-    NOT_OF_WAVE = "not of that wave"
-    OTHER = "refused"
-
-
-@dataclass(frozen=True)
-class DutyAnswer:
-    """Hold the answer to an order for a VM."""
-
-    refusal: DutyRefusal | None
-
-
-@dataclass(frozen=True)
-class Wave:
-    """Hold a wave of planned stops: VMs due for upkeep, `max_down` at once."""
-
-    number: int
-    vms: tuple[VmId, ...]
-    deadline_s: float
-    max_down: int = 1
-
-
-# --- the store -------------------------------------------------------------------
-
-
-@dataclass(frozen=True)
-class Item:
-    """Hold an item of the store; a value of None means that it was removed."""
-
-    key: str
-    value: bytes | None
-    revision: Revision
-    created: Revision = Revision(0)
-    lease: LeaseId = LeaseId("0")
-
-
-@dataclass(frozen=True)
-class Put:
-    """Hold one write of a transaction."""
-
-    key: str
-    value: bytes
-    lease: LeaseId | None = None
-
-
-@dataclass(frozen=True)
-class KeyLease:
-    """Hold a lease of the store."""
-
-    lease: LeaseId
-    ttl_s: float
-
-
-@dataclass(frozen=True)
-class WatchAnswer:
-    """Hold changes of the store and the revision to continue from."""
-
-    events: tuple[Item, ...]
-    revision: Revision
-
-
-@dataclass(frozen=True)
-class TransactionResult:
-    """Hold the revision of a transaction, or the items that differed."""
-
-    revision: Revision | None
-    conflicts: tuple[Item, ...] = field(default=())
-
-
-@dataclass(frozen=True)
-class Term:
-    """Hold who dispatches: the entry, where it listens and its fencing token.
-
-    The token is the revision at which the key of the term was created, so it
-    rises from one holder to the next without a counter of its own.
-    """
-
-    entry: EntryId
-    peer: Address
-    incarnation: str
-    token: Revision = Revision(0)
-    lease: LeaseId = LeaseId("0")
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -10,10 +10,10 @@
 from jayshunt.dispatch.backlog import Backlog, refusals
 from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.messages import PaceTask, StartTask
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.placing import WorkerRoom, plan_placements
-from jayshunt.dispatch.sessions import PaceTask, StartTask
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.tickets import TicketBook
--- a/src/jayshunt/dispatch/recent_orders.py
+++ b/src/jayshunt/dispatch/recent_orders.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 
 from jayshunt.dispatch.errors import TermOver
-from jayshunt.dispatch.models import Put
 from jayshunt.dispatch.records import ORDERED_KEY
+from jayshunt.dispatch.store_models import Put
 from jayshunt.ids import Revision, VmId, WorkerId
 from jayshunt.platform.store import PlatformStore
 
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -11,8 +11,8 @@
     Resources,
     StepSpec,
     TaskKey,
-    Term,
 )
+from jayshunt.dispatch.store_models import Term
 from jayshunt.dispatch.tasks import Job, TaskPhase
 from jayshunt.ids import (
     EntryId,
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -3,11 +3,7 @@
 import logging
 import queue
 import threading
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
 
-from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
     CLOCK_SKEW,
     HOLD_RETRY_S,
@@ -17,15 +13,10 @@
     ORDER_TIMEOUT_S,
 )
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.models import (
-    HoldAnswer,
-    OrderAnswer,
-    OrderRefusal,
-    StartOrder,
-    TaskKey,
-)
-from jayshunt.dispatch.run_book import RunBook, StopOrder
-from jayshunt.dispatch.tasks import Task, TaskPhase
+from jayshunt.dispatch.messages import Calls, PaceTask, SessionContext, StartTask
+from jayshunt.dispatch.models import OrderAnswer, OrderRefusal, StartOrder, TaskKey
+from jayshunt.dispatch.run_book import StopOrder
+from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.errors import JayshuntError, Outcome
 
 _LOGGER = logging.getLogger(__name__)
@@ -42,67 +33,6 @@
 NOTE_POLL_S = 0.025
 
 
-@dataclass(frozen=True, slots=True)
-class StartTask:
-    """Ask for a run of a task to be started."""
-
-    task: Task
-    run: int
-    payload: str
-    ticket: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class PaceTask:
-    """Ask for a run to work at a share of its speed."""
-
-    task: TaskKey
-    run: int
-    percent: int
-
-
-class Calls(Protocol):
-    """Call a worker; the platform's adapter and test fakes provide it."""
-
-    def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
-        """Start a run."""
-
-    def stop(self, task: TaskKey, run: int, timeout_s: float) -> OrderAnswer:
-        """Stop a run."""
-
-    def pace(
-        self, task: TaskKey, run: int, percent: int, timeout_s: float
-    ) -> OrderAnswer:
-        """Slow a run down."""
-
-    def hold(
-        self,
-        noted_upto: int,
-        lease_until_ms: int | None,
-        wait_ms: int,
-        timeout_s: float,
-    ) -> HoldAnswer | OrderAnswer:
-        """Extend the lease and list the runs."""
-
-
-@dataclass
-class SessionContext:
-    """Hold what all sessions of a term share.
-
-    `lock` guards the book. `term_valid` tells whether orders may be given,
-    `deposed` is called when a worker has seen a later term, `changed` when there
-    may be something to place or to store.
-    """
-
-    book: RunBook
-    lock: threading.RLock
-    clock: Clock
-    lease_s: float
-    term_valid: Callable[[], bool]
-    deposed: Callable[[str], None]
-    changed: Callable[[], None]
-
-
 class WorkerSession:
     """Own the calls to one life of a worker."""
 
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec, Vm, VmState
+from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec
 from jayshunt.dispatch.tasks import Job
+from jayshunt.dispatch.vms import Vm, VmState
 from jayshunt.ids import JobId, PoolName, QueueName, VmId
 
 # Part of a VM that packing fills before tasks no longer fit.
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -22,8 +22,9 @@
     TERM_RENEW_S,
     TERM_WATCH_S,
 )
-from jayshunt.dispatch.models import EntryNode, Put, Term
+from jayshunt.dispatch.models import EntryNode
 from jayshunt.dispatch.records import TERM_KEY, decode_term, encode_term
+from jayshunt.dispatch.store_models import Put, Term
 from jayshunt.ids import EntryId, LeaseId, Revision
 from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -9,13 +9,10 @@
     EndedRun,
     FleetConfig,
     HoldAnswer,
-    Item,
     JobSpec,
-    KeyLease,
     OrderAnswer,
     OrderRefusal,
     PoolConfig,
-    Put,
     QueueConfig,
     Resources,
     RunEnd,
@@ -23,16 +20,20 @@
     StartOrder,
     StepSpec,
     TaskKey,
-    TransactionResult,
-    Vm,
-    VmState,
-    WatchAnswer,
     Worker,
     WorkerState,
 )
 from jayshunt.dispatch.placing import WorkerRoom
 from jayshunt.dispatch.run_book import RunBook
+from jayshunt.dispatch.store_models import (
+    Item,
+    KeyLease,
+    Put,
+    TransactionResult,
+    WatchAnswer,
+)
 from jayshunt.dispatch.tasks import Job
+from jayshunt.dispatch.vms import Vm, VmState
 from jayshunt.ids import (
     ConfigVersion,
     JobId,
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -7,7 +7,7 @@
 from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.evacuation import may_take_away
 from jayshunt.dispatch.handover import EntryReport, is_out_of_reach, is_turned_away
-from jayshunt.dispatch.models import Resources, RunningRun, VmState, Wave
+from jayshunt.dispatch.models import Resources, RunningRun
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.recent_orders import RecentOrders
 from jayshunt.dispatch.records import TERM_KEY
@@ -24,6 +24,7 @@
     listed,
     place,
 )
+from jayshunt.dispatch.vms import VmState, Wave
 from jayshunt.dispatch.waves import choose_next
 from jayshunt.ids import Revision, VmId, WorkerId
 
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -6,8 +6,9 @@
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.fleet_duty import FleetDuty
-from jayshunt.dispatch.models import Bounds, DutyAnswer, Put, VmState
+from jayshunt.dispatch.models import Bounds
 from jayshunt.dispatch.records import ORDERED_KEY
+from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import (
     POOL,
     FakeStore,
@@ -18,6 +19,7 @@
     build_vm,
     place,
 )
+from jayshunt.dispatch.vms import DutyAnswer, VmState
 from jayshunt.ids import VmId
 
 
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -4,8 +4,9 @@
 import unittest
 
 from jayshunt.clock import ManualClock
+from jayshunt.dispatch.messages import SessionContext, StartTask
 from jayshunt.dispatch.models import OrderAnswer, OrderRefusal, StartOrder
-from jayshunt.dispatch.sessions import SessionContext, StartTask, WorkerSession
+from jayshunt.dispatch.sessions import WorkerSession
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     add_view,
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from jayshunt.dispatch.models import Resources, Vm, VmState
+from jayshunt.dispatch.models import Resources
 from jayshunt.dispatch.sizing import PoolSizer
 from jayshunt.dispatch.tests.builders import (
     SPARE,
@@ -15,6 +15,7 @@
     build_vm,
     place,
 )
+from jayshunt.dispatch.vms import Vm, VmState
 from jayshunt.ids import PoolName, VmId
 
 POOLS = tuple(PoolName(f"pool{n}") for n in range(4))
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -8,7 +8,7 @@
 from jayshunt.dispatch.commits import ProgressWriter
 from jayshunt.dispatch.entry import JobEntry
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused, NoDispatcher, TermOver
-from jayshunt.dispatch.models import Address, Bounds, EntryNode, JobState, Put, RunEnd
+from jayshunt.dispatch.models import Address, Bounds, EntryNode, JobState, RunEnd
 from jayshunt.dispatch.records import (
     TERM_KEY,
     accepted_key,
@@ -19,6 +19,7 @@
     progress_key,
     stored_state,
 )
+from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.term import OwnTerm, TermKeeper
 from jayshunt.dispatch.tests.builders import (
     FakeStore,
--- /dev/null
+++ b/src/jayshunt/dispatch/wave_book.py
@@ -0,0 +1,101 @@
+"""Keep the waves of planned stops that the operator declared."""
+
+import json
+import logging
+from dataclasses import dataclass, field
+
+from jayshunt.dispatch.records import WAVE_PREFIX
+from jayshunt.dispatch.store_models import Put
+from jayshunt.dispatch.vms import Wave
+from jayshunt.ids import Revision, VmId
+from jayshunt.platform.const import WAVE_PREFIX as DECLARED_PREFIX
+from jayshunt.platform.const import WAVE_STATUS_PREFIX
+from jayshunt.platform.formats import decode_wave, encode_wave_status
+from jayshunt.platform.store import PlatformStore
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass
+class WaveState:
+    """Hold a declared wave and what of it is done."""
+
+    wave: Wave
+    done: set[VmId] = field(default_factory=set)
+    is_completed: bool = False
+    needs_write: bool = True
+
+    def is_open_for(self, vm: VmId) -> bool:
+        """Return whether a VM is due for upkeep in this wave."""
+        return not self.is_completed and vm in self.wave.vms and vm not in self.done
+
+
+class WaveBook:
+    """Own the waves of one term, and their records in the store."""
+
+    def __init__(self) -> None:
+        """Start without a wave."""
+        self.states: dict[int, WaveState] = {}
+
+    def names(self, vm: VmId | None) -> bool:
+        """Return whether a wave that is not done names a VM."""
+        return any(state.is_open_for(vm) for state in self.states.values())
+
+    def open_states(self, known: set[VmId]) -> list[WaveState]:
+        """Return the waves with VMs left; VMs that no longer exist do not count."""
+        for state in self.states.values():
+            left = [vm for vm in state.wave.vms if vm in known and vm not in state.done]
+            if not left and not state.is_completed:
+                state.is_completed = True
+                state.needs_write = True
+        return [state for state in self.states.values() if not state.is_completed]
+
+    def mark_done(self, number: int, vm: VmId) -> None:
+        """Record that a VM had its upkeep."""
+        state = self.states[number]
+        state.done.add(vm)
+        state.needs_write = True
+
+    def read(self, store: PlatformStore) -> None:
+        """Take over waves that were declared, with what earlier terms did."""
+        items, _ = store.list(DECLARED_PREFIX)
+        for item in items:
+            wave = decode_wave(item.value)
+            if wave is None or wave.number in self.states:
+                continue
+            state = WaveState(wave)
+            stored = store.get(f"{WAVE_PREFIX}{wave.number}")
+            if stored is not None:
+                fields = json.loads(stored.value)
+                state.done = {VmId(vm) for vm in fields["done"]}
+                state.is_completed = fields["completed"]
+                state.needs_write = False
+            self.states[wave.number] = state
+            _LOGGER.info(
+                "dispatch: a wave was declared",
+                extra={
+                    "wave": wave.number,
+                    "vms": len(wave.vms),
+                    "max_down": wave.max_down,
+                    "deadline_s": wave.deadline_s,
+                    "done": len(state.done),
+                },
+            )
+
+    def write(self, store: PlatformStore, condition: dict[str, Revision]) -> None:
+        """Store what changed, and the status that the operator reads."""
+        for number, state in self.states.items():
+            if not state.needs_write:
+                continue
+            record = {"done": sorted(state.done), "completed": state.is_completed}
+            status = encode_wave_status(number, state.is_completed)
+            store.transact(
+                condition,
+                (
+                    Put(f"{WAVE_PREFIX}{number}", json.dumps(record).encode()),
+                    Put(f"{WAVE_STATUS_PREFIX}{number}", status),
+                ),
+            )
+            state.needs_write = False
+            if state.is_completed:
+                _LOGGER.info("dispatch: a wave is completed", extra={"wave": number})
--- a/src/jayshunt/dispatch/waves.py
+++ b/src/jayshunt/dispatch/waves.py
@@ -1,7 +1,7 @@
 """Choose which VMs of a wave to empty next, without network or clock."""
 
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.models import Vm, VmState, Wave
+from jayshunt.dispatch.vms import Vm, VmState, Wave
 from jayshunt.ids import PoolName, VmId
 
 # VMs are emptied ahead of their turn, as a task may take a while to end.
--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -5,7 +5,8 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import WORKER_LIST_REFRESH_S, WORKER_LIST_WAIT_S
-from jayshunt.dispatch.models import Item, Worker
+from jayshunt.dispatch.models import Worker
+from jayshunt.dispatch.store_models import Item
 from jayshunt.ids import Revision, WorkerId
 from jayshunt.platform.const import WORKER_PREFIX
 from jayshunt.platform.formats import decode_worker
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -12,10 +12,10 @@
     QueueConfig,
     Resources,
     StepSpec,
-    Wave,
     Worker,
     WorkerState,
 )
+from jayshunt.dispatch.vms import Wave
 from jayshunt.ids import (
     ConfigVersion,
     JobId,
--- a/src/jayshunt/platform/machine_calls.py
+++ b/src/jayshunt/platform/machine_calls.py
@@ -3,13 +3,8 @@
 import json
 
 from jayshunt import http_client
-from jayshunt.dispatch.models import (
-    Address,
-    DutyAnswer,
-    DutyRefusal,
-    Vm,
-    VmState,
-)
+from jayshunt.dispatch.models import Address
+from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, Vm, VmState
 from jayshunt.errors import JayshuntError
 from jayshunt.ids import EntryId, PoolName, VmId, WorkerId, ZoneName
 from jayshunt.platform.const import HOLDER_HEADER, TOKEN_HEADER
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -8,8 +8,8 @@
 from urllib.parse import quote, urlencode
 
 from jayshunt import http_client
-from jayshunt.dispatch.models import (
-    Address,
+from jayshunt.dispatch.models import Address
+from jayshunt.dispatch.store_models import (
     Item,
     KeyLease,
     Put,
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -10,7 +10,8 @@
 from jayshunt import http_client
 from jayshunt.dispatch.entry import Accepted
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
-from jayshunt.dispatch.models import Address, JobState, OrderRefusal, Put, TaskKey
+from jayshunt.dispatch.models import Address, JobState, OrderRefusal, TaskKey
+from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import build_config, build_queue
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, Revision, WorkerId
