--- a/src/jayshunt/dispatch/backlog.py
+++ b/src/jayshunt/dispatch/backlog.py
@@ -6,9 +6,7 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from jayshunt.dispatch.models import FleetConfig
 from jayshunt.dispatch.tasks import Job, TaskPhase
@@ -17,31 +15,6 @@
 # Jobs earn next to nothing beyond three times their objective, which is about 2 s.
 MAX_WAIT_S = 5.0
 MAX_RETRY_AFTER_S = 10
-DEMAND_WINDOW_S = 40.0
-
-
-@dataclass
-class Backlog:
-    """Hold the demand of the last time by pool: arrival and core-seconds."""
-
-    arrivals: dict[PoolName, deque] = field(default_factory=dict)
-
-    def saw_job(self, job: Job, now_s: float) -> None:
-        """Count a job that came in."""
-        if job.spec.is_long_running:
-            return
-        seen = self.arrivals.setdefault(job.config.pool, deque())
-        seen.append((now_s, core_seconds(job)))
-        while seen and seen[0][0] < now_s - DEMAND_WINDOW_S:
-            seen.popleft()
-
-
-def core_seconds(job: Job) -> float:
-    """Return the estimated work of a job."""
-    return sum(
-        step.task_count * step.estimate_ms / 1000 * step.reserved.cpu_millicores / 1000
-        for step in job.spec.steps
-    )
 
 
 def remaining_core_seconds(job: Job) -> float:
--- a/src/jayshunt/dispatch/commits.py
+++ b/src/jayshunt/dispatch/commits.py
@@ -12,7 +12,7 @@
 from jayshunt.dispatch.run_book import RunBook
 from jayshunt.dispatch.store_models import Item, Put, TransactionResult
 from jayshunt.dispatch.tasks import Job
-from jayshunt.ids import JobId, Revision
+from jayshunt.ids import Revision
 from jayshunt.platform.store import LeaseGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -53,7 +53,6 @@
         self._term = term
         self._clock = clock
         self._wake = threading.Event()
-        self._stored = threading.Condition()
 
     def wake(self) -> None:
         """Say that there may be something to write."""
@@ -78,14 +77,6 @@
                 return False
         return not self._book.dirty
 
-    def wait_stored(self, job: JobId, version: int, timeout_s: float) -> bool:
-        """Wait until a version of a job is stored."""
-        self._wake.set()
-        with self._stored:
-            return self._stored.wait_for(
-                lambda: self._book.stored_versions[job] >= version, timeout_s
-            )
-
     def write_once(self) -> bool:
         """Write one batch; return False if the store did not take it."""
         records = self._collect()
@@ -138,8 +129,6 @@
                 self._book.stored(record.job, record.version, record.state, now_s)
                 if is_news and record.state.is_final:
                     _log_end(record.job, now_s)
-        with self._stored:
-            self._stored.notify_all()
 
     def _take_conflicts(self, records: list[_Record], items: tuple[Item, ...]) -> None:
         """Learn the revisions after a refused write.
--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -37,9 +37,7 @@
 PEER_CALL_TIMEOUT_S = 0.6
 STATUS_INTERVAL_S = 0.4
 NOTIFY_RETRY_S = 0.2
-ACCEPT_GATHER_S = 0.004
 ACCEPT_TIMEOUT_S = 2.4
-MAX_JOBS_PER_ACCEPT = 16
 DEFAULT_RETRY_AFTER_S = 1
 
 # A worker is set aside when this many of its last runs failed, over several jobs.
@@ -52,5 +50,3 @@
 # Finished jobs are readable for the time in the settings and this long after it.
 RETENTION_MARGIN_S = 60.0
 RETENTION_CHECK_S = 10.0
-
-MAX_RUNS_PER_TERM = 4096
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -3,7 +3,6 @@
 import logging
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.commits import ProgressWriter
@@ -47,14 +46,6 @@
 STOP_TIMEOUT_S = 0.05
 
 
-@dataclass(frozen=True)
-class QueueView:
-    """Hold what entries are told of a queue; 0 s means that jobs are welcome."""
-
-    refuse_retry_after_s: float
-    waiting: int
-
-
 class Dispatcher:
     """Own all state of a term; made anew for each term and never reused."""
 
@@ -273,11 +264,3 @@
                 and not job.spec.times
                 and not job.state.is_final
             )
-
-    def queue_views(self) -> dict[QueueName, QueueView]:
-        """Return which queues refuse jobs and when to come back."""
-        refusals = self.planner.refusals()
-        return {
-            queue: QueueView(retry_after_s, 0)
-            for queue, retry_after_s in refusals.items()
-        }
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -129,7 +129,7 @@
         with lock:
             added = book.add_job(job)
         if added and not job.state.is_final:
-            self._dispatcher.planner.saw_job(job, now_s)
+            self._dispatcher.planner.saw_job(job)
             _LOGGER.info(
                 "dispatch: a job came in",
                 extra={
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -1,10 +1,10 @@
 """Reach the dispatcher from an entry: in the same process or over HTTP."""
 
+import contextlib
 import json
 import logging
 import queue
 import threading
-import time
 
 from jayshunt import http_client
 from jayshunt.clock import Clock
@@ -164,12 +164,12 @@
             )
 
     def _take_batch(self) -> list[dict]:
-        try:
-            batch = [self._notices.get(timeout=0.5)]
+        """Return the notices that wait, after at most half a second none."""
+        batch: list[dict] = []
+        with contextlib.suppress(queue.Empty):
+            batch.append(self._notices.get(timeout=0.5))
             while len(batch) < JOBS_PER_NOTICE:
                 batch.append(self._notices.get_nowait())
-        except queue.Empty:
-            return locals().get("batch", [])
         return batch
 
     def _ask(self, call: str, body: dict, wait_s: float) -> dict:
@@ -236,10 +236,7 @@
         case "waiting":
             return {"waiting": dispatcher.waiting(QueueName(body["queue"]))}
         case "refusals":
-            views = dispatcher.queue_views()
-            return {
-                "refusals": {q: view.refuse_retry_after_s for q, view in views.items()}
-            }
+            return {"refusals": dispatcher.planner.refusals()}
         case "submit":
             return dispatcher.submit(body["key"], body["value"].encode())
         case "cancel":
@@ -260,8 +257,3 @@
             dispatcher.notify_accepted(job, value, notice["rev"])
         case "cancelled":
             dispatcher.notify_cancelled(job)
-
-
-def wall_time_s() -> float:
-    """Return the wall time, to date accepted jobs."""
-    return time.time()
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -7,7 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from jayshunt.clock import Clock
-from jayshunt.dispatch.backlog import Backlog, refusals
+from jayshunt.dispatch.backlog import refusals
 from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.messages import PaceTask, StartTask
@@ -53,7 +53,6 @@
         self.knows_all_runs = False
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
-        self.backlog = Backlog()
         self.tickets = TicketBook(
             advice, ThreadPoolExecutor(1, "advice"), clock, self.wake
         )
@@ -75,10 +74,9 @@
                 self._round()
             self._clock.wait(stop, MIN_INTERVAL_S)
 
-    def saw_job(self, job: Job, now_s: float) -> None:
-        """Predict the work of a job that came in, and count its demand."""
+    def saw_job(self, job: Job) -> None:
+        """Predict the work of a job that came in."""
         job.chain_ms = self.run_times.chain_ms(job.spec)
-        self.backlog.saw_job(job, now_s)
 
     def learn_run(self, job: Job, task: Task, now_s: float) -> None:
         """Learn from a run that ended well how fast its worker is."""
--- a/src/jayshunt/dispatch/run_book.py
+++ b/src/jayshunt/dispatch/run_book.py
@@ -330,10 +330,6 @@
             )
         self._unplace(task, now_s)
 
-    def stops_of_ended_jobs(self, job: Job) -> list[StopOrder]:
-        """Return the runs of a job that ended while some of it still runs."""
-        return self._stop_all(job)
-
     def _stop_all(self, job: Job) -> list[StopOrder]:
         orders = (self.stop(task) for task in job.tasks())
         return [order for order in orders if order is not None]
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -3,14 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from jayshunt.dispatch.models import (
-    JobSpec,
-    JobState,
-    QueueConfig,
-    RunEnd,
-    StepSpec,
-    TaskKey,
-)
+from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig, StepSpec, TaskKey
 from jayshunt.ids import Revision, WorkerId
 
 # Clocks of VMs differ a little; a task must not start before its time.
@@ -277,8 +270,3 @@
         start = max((ends[before] for before in step.after), default=0.0)
         ends.append(start + step.estimate_ms)
     return max(ends, default=0.0)
-
-
-def ends_run(end: RunEnd) -> bool:
-    """Return whether an end leaves the task to be run again."""
-    return end is not RunEnd.DONE
--- a/src/jayshunt/platform/const.py
+++ b/src/jayshunt/platform/const.py
@@ -3,7 +3,6 @@
 SETTINGS_VARIABLE = "JAYSHUNT_CONFIG"
 
 CONFIG_KEY = "op/config"
-OPERATOR_PREFIX = "op/"
 WAVE_PREFIX = "op/wave/"
 WAVE_STATUS_PREFIX = "status/wave/"
 WORKER_PREFIX = "servers/"
@@ -13,9 +12,5 @@
 HOLDER_HEADER = "X-Duty-Holder"
 TOKEN_HEADER = "X-Fencing-Token"
 
-# The store takes at most this many conditions, writes and removals in one call.
-MAX_TRANSACTION_ENTRIES = 32
 # A hold may wait this long for the end of a task.
 MAX_HOLD_WAIT_MS = 2_000
-# The advice service takes at most this many workers in one call.
-MAX_ADVICE_WORKERS = 100
