Keep every worker that orders for VMs ended, not the last of each VM

Its record of earlier orders kept one worker for each VM; VM m-63e1e was ordered twice within 2.5 s (23.147 and 25.608), so that its first worker i-490ebbdace, still listed, looked present and was waited for.

Change: the record holds a row for each order.

--- a/src/jayshunt/dispatch/recent_orders.py
+++ b/src/jayshunt/dispatch/recent_orders.py
@@ -2,11 +2,12 @@
 
 The VMs of a holder's last orders are stored before the orders go out, with the
 workers that they end. A successor leaves just these VMs alone for a while, may act
-on all others at once, and knows which listed workers have gone.
+on all others at once, and knows which listed workers have gone. A VM may be ordered
+twice within that time: each of its workers stays listed for some seconds.
 """
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from jayshunt.dispatch.errors import TermOver
 from jayshunt.dispatch.records import ORDERED_KEY
@@ -22,37 +23,35 @@
 class VmOrder:
     """Hold when a VM was ordered, in steady seconds, and the worker it ends."""
 
+    vm: VmId
     at_s: float
     worker: WorkerId | None
 
 
 @dataclass
 class RecentOrders:
-    """Hold the last orders of earlier holders and the own ones."""
+    """Hold the last orders of earlier holders and the own ones, the oldest first."""
 
     turn_s: float
     left_alone_until_s: float = 0.0
-    earlier: dict[VmId, VmOrder] = field(default_factory=dict)
-    own: dict[VmId, VmOrder] = field(default_factory=dict)
+    earlier: tuple[VmOrder, ...] = ()
+    own: tuple[VmOrder, ...] = ()
 
     @classmethod
     def read(cls, store: PlatformStore, now_s: float, turn_s: float) -> "RecentOrders":
         """Read the last orders of earlier holders."""
         item = store.get(ORDERED_KEY)
-        fields = {} if item is None else json.loads(item.value)
-        earlier = {
-            VmId(vm): VmOrder(now_s, WorkerId(worker) if worker else None)
-            for vm, worker in fields.items()
-        }
+        earlier = () if item is None else _decode(item.value, now_s)
         return cls(turn_s, now_s + turn_s, earlier)
 
     def may_order(self, vm: VmId, now_s: float) -> bool:
         """Return whether an order for a VM may go out."""
-        return vm not in self.earlier or now_s >= self.left_alone_until_s
+        is_earlier = any(order.vm == vm for order in self.earlier)
+        return not is_earlier or now_s >= self.left_alone_until_s
 
     def has_ended(self, worker: WorkerId) -> bool:
         """Return whether an earlier holder was about to end a worker."""
-        return any(order.worker == worker for order in self.earlier.values())
+        return any(order.worker == worker for order in self.earlier)
 
     def write(
         self,
@@ -65,15 +64,30 @@
 
         Raise JayshuntError if that is not certain: then no order may go out.
         """
-        for vm, worker in ordered.items():
-            self.own[vm] = VmOrder(now_s, worker)
-        recent = {
-            vm: order.worker
-            for vm, order in {**self.earlier, **self.own}.items()
-            if now_s - order.at_s <= ENDED_KEPT_S
-        }
-        self.own = {vm: order for vm, order in self.own.items() if vm in recent}
-        value = json.dumps(recent, sort_keys=True).encode()
+        new = tuple(VmOrder(vm, now_s, worker) for vm, worker in ordered.items())
+        self.own = tuple(
+            order for order in self.own if now_s - order.at_s <= ENDED_KEPT_S
+        )
+        self.own += new
+        earlier = (o for o in self.earlier if now_s - o.at_s <= ENDED_KEPT_S)
+        value = _encode((*earlier, *self.own))
         result = store.transact(condition, (Put(ORDERED_KEY, value),))
         if result.revision is None:
             raise TermOver("the term's key changed before orders for VMs")
+
+
+def _encode(orders: tuple[VmOrder, ...]) -> bytes:
+    """Return rows of VM and worker; a worker is empty if none was known."""
+    return json.dumps([[order.vm, order.worker or ""] for order in orders]).encode()
+
+
+def _decode(value: bytes, read_s: float) -> tuple[VmOrder, ...]:
+    """Return stored orders as if they were given when they were read."""
+    rows = json.loads(value)
+    if isinstance(rows, dict):
+        # The version before kept one worker for each VM.
+        rows = rows.items()
+    return tuple(
+        VmOrder(VmId(vm), read_s, WorkerId(worker) if worker else None)
+        for vm, worker in rows
+    )
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -126,6 +126,16 @@
         self.assertTrue(second.has_ended(WorkerId("w")))
         self.assertFalse(second.has_ended(WorkerId("x")))
 
+    def test_both_workers_of_a_vm_ordered_twice_are_known_to_be_over(self) -> None:
+        """A successor waited 10 s for the first of them, which stayed listed."""
+        store = FakeStore()
+        first = RecentOrders.read(store, 0.0, 3.0)
+        first.write(store, {}, {VmId("a"): WorkerId("before")}, 1.0)
+        first.write(store, {}, {VmId("a"): WorkerId("after")}, 3.5)
+        second = RecentOrders.read(store, 5.0, 3.0)
+        self.assertTrue(second.has_ended(WorkerId("before")))
+        self.assertTrue(second.has_ended(WorkerId("after")))
+
     def test_third_holder_knows_the_first_ones_orders(self) -> None:
         """Two changes of term may come within the bound."""
         store = FakeStore()
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -94,7 +94,7 @@
         duty = self.duty(moving)
         duty._round()
         self.assertTrue(duty.is_present(self.view))
-        self.store.transact({}, (Put(ORDERED_KEY, b'{"vm-w1": "w1"}'),))
+        self.store.transact({}, (Put(ORDERED_KEY, b'[["vm-w1", "w1"]]'),))
         duty = self.duty(moving)
         duty._round()
         self.assertFalse(duty.is_present(self.view))
