Name the worker of a VM in stored orders when its view is gone

Worker i-b5a2d92bce had been behind a cut; its lease ran out at 39.333, its view was dropped, and the order for its VM at 39.538 stored no worker. Listed again, it looked present to the successor.

Change: the stored order names the worker that the list of VMs shows.

--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -249,7 +249,7 @@
         if not leaving:
             return
         ordered = {
-            evacuation.vm: None if view is None else view.worker.worker
+            evacuation.vm: self._worker_on(evacuation.vm, view)
             for evacuation, view in leaving
         }
         condition = self._dispatcher.term_condition
@@ -257,6 +257,14 @@
         for evacuation, view in leaving:
             self._go(evacuation, view, now_s)
 
+    def _worker_on(self, vm: VmId, view: WorkerView | None) -> WorkerId | None:
+        """Return the worker that an order for a VM ends.
+
+        One whose lease was over without an answer has no view any more, and is
+        listed again when it comes back.
+        """
+        return self.vms[vm].worker if view is None else view.worker.worker
+
     def _is_surely_empty(self, vm: VmId, view: WorkerView | None, now_s: float) -> bool:
         """Return whether an order for a VM ends no run.
 
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -1,10 +1,12 @@
 """Test what the list of VMs means for workers."""
 
+import json
 import threading
 import unittest
 from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
+from jayshunt.dispatch.evacuation import EvacuationReason
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.models import Bounds
 from jayshunt.dispatch.records import ORDERED_KEY
@@ -20,7 +22,7 @@
     place,
 )
 from jayshunt.dispatch.vms import DutyAnswer, VmState
-from jayshunt.ids import VmId
+from jayshunt.ids import PoolName, VmId
 
 
 class FakeMachines:
@@ -99,6 +101,18 @@
         duty._round()
         self.assertFalse(duty.is_present(self.view))
 
+    def test_order_names_a_worker_whose_lease_was_over(self) -> None:
+        """A successor waited 10 s for it, as only workers with a view were named."""
+        self.book.worker_over(self.view, 0.0, "its lease is over")
+        duty = self.duty(build_vm("w1"))
+        duty._round()
+        move = EvacuationReason.move(PoolName("other"))
+        duty._begin(VmId("vm-w1"), move, None, 0.0)
+        duty._evacuate(0.0)
+        self.assertEqual(
+            [["vm-w1", "w1"]], json.loads(self.store.get(ORDERED_KEY).value)
+        )
+
     def test_worker_not_heard_in_this_term_is_left_alone(self) -> None:
         """It may run tasks that a successor does not know yet."""
         idle = [add_view(self.book, f"w{n}") for n in range(2, 9)]
