Send orders for VMs together at the platform's rate, and see a burst while it is young

A burst of 8 s wants about 150 VMs. The need itself rose slowly, as arrivals were counted over 1.5 s only: after half a second it showed a third of the rate.

The dispatcher's processor time binds next at the grown size.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -89,7 +89,9 @@
         )
         advice = None if node.advice is None else AdviceCalls(node.advice)
         self.planner = Planner(self, clock, config, node.bounds, advice)
-        self.fleet = FleetDuty(self, store, machines, clock, config, node.bounds)
+        self.fleet = FleetDuty(
+            self, store, machines, clock, config, node.bounds, node.vm_orders_per_s
+        )
         self.book.on_run_end = self.planner.learn_run
 
     # --- the term ---
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
@@ -10,6 +11,7 @@
 from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.models import Bounds, FleetConfig
+from jayshunt.dispatch.order_budget import DEFAULT_PER_S, OrderBudget
 from jayshunt.dispatch.recent_orders import RecentOrders
 from jayshunt.dispatch.sizing import PoolSizer
 from jayshunt.dispatch.vms import DutyRefusal, Vm, VmState
@@ -27,6 +29,8 @@
 WAVES_POLL_S = 2.0
 NEEDS_LOG_S = 1.0
 CALL_RETRY_S = 0.3
+# One order takes about 5 ms; this many in flight use the rate of a large fleet.
+MAX_CALLS_AT_ONCE = 12
 # Added to the time for which two holders must not give orders for one VM.
 TURN_MARGIN_S = 0.5
 
@@ -42,6 +46,7 @@
         clock: Clock,
         config: Callable[[], FleetConfig | None],
         bounds: Bounds,
+        orders_per_s: float = DEFAULT_PER_S,
     ) -> None:
         """Start without a list of VMs."""
         self._dispatcher = dispatcher
@@ -60,6 +65,8 @@
         self._evacuations: dict[VmId, Evacuation] = {}
         self._turn_s = bounds.duty_turn_ms / 1000 + TURN_MARGIN_S
         self._orders: RecentOrders | None = None
+        self._budget = OrderBudget(orders_per_s)
+        self._callers = ThreadPoolExecutor(MAX_CALLS_AT_ONCE, "vm-orders")
         self.moves = 0
 
     def leaves_soon(self, view: WorkerView) -> bool:
@@ -210,6 +217,7 @@
                 views,
                 set(self._evacuations),
                 now_s,
+                self._budget.available(now_s),
             )
             self._log_needs(now_s)
             for vm, pool in moves:
@@ -246,16 +254,24 @@
             is_free = self._orders.may_order(evacuation.vm, now_s)
             if is_empty and is_free and self._may_go(evacuation, leaving):
                 leaving.append((evacuation, view))
+        leaving = leaving[: self._budget.available(now_s)]
         if not leaving:
             return
+        self._budget.take(len(leaving))
         ordered = {
             evacuation.vm: self._worker_on(evacuation.vm, view)
             for evacuation, view in leaving
         }
         condition = self._dispatcher.term_condition
         self._orders.write(self._store, condition, ordered, now_s)
-        for evacuation, view in leaving:
-            self._go(evacuation, view, now_s)
+        calls = [
+            self._callers.submit(self._go, evacuation, view, now_s)
+            for evacuation, view in leaving
+        ]
+        errors = [call.exception() for call in calls]
+        for error in errors:
+            if error is not None:
+                raise error
 
     def _worker_on(self, vm: VmId, view: WorkerView | None) -> WorkerId | None:
         """Return the worker that an order for a VM ends.
--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from jayshunt.dispatch.order_budget import DEFAULT_PER_S
 from jayshunt.ids import (
     ConfigVersion,
     EntryId,
@@ -53,7 +54,10 @@
 
 @dataclass(frozen=True)
 class EntryNode:
-    """Hold the settings of an entry that runs on the platform."""
+    """Hold the settings of an entry that runs on the platform.
+
+    `vm_orders_per_s` is what the platform takes from all entries together.
+    """
 
     entry: EntryId
     zone: ZoneName
@@ -67,6 +71,7 @@
     memory_mb: int
     heartbeat_ms: int
     bounds: Bounds
+    vm_orders_per_s: float = DEFAULT_PER_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -21,8 +21,9 @@
 PACKED_PART = 0.85
 # What a pool keeps free for its next jobs: about two wide jobs, in VMs.
 IDLE_FREE_VMS = 1.5
-# Arrivals of this time tell how much work comes in; a move takes about as long.
-RATE_WINDOW_S = 1.5
+# Arrivals of these times tell how much work comes in. The longest is about as long
+# as a move takes; short ones show the rise of a burst while it is still young.
+RATE_WINDOWS_S = (0.4, 0.8, 1.5)
 # Jobs come unevenly, and a rising demand is met for the time at which a VM ordered
 # now is there.
 HEADROOM = 1.2
@@ -31,7 +32,6 @@
 # What a pool needed at any time within this span it keeps: two moves cost as much
 # as a VM costs in that time.
 KEEP_S = 2.0
-MAX_MOVES_PER_ROUND = 8
 # A worker that did not answer for this long is no capacity.
 SILENT_S = 2.5
 
@@ -81,8 +81,9 @@
         views: dict[VmId, WorkerView],
         being_emptied: set[VmId],
         now_s: float,
+        max_moves: int,
     ) -> list[tuple[VmId, PoolName]]:
-        """Return the moves to begin now."""
+        """Return the moves to begin now, at most `max_moves`."""
         spare = {pool.pool for pool in config.pools if pool.is_spare}
         if not spare:
             return []
@@ -95,7 +96,7 @@
         idle = _idle_vms(vms, views, being_emptied, now_s)
         moves = self._fetch(idle, spare)
         moves += self._give_back(idle, spare, {vm for vm, _ in moves}, now_s)
-        return moves[:MAX_MOVES_PER_ROUND]
+        return moves[:max_moves]
 
     def _demands(
         self,
@@ -139,13 +140,17 @@
         seen.append((now_s, work))
 
     def _arriving_millicores(self, pool: PoolName, now_s: float) -> float:
-        """Return the room that is in use on average if jobs go on coming like this."""
+        """Return the room that is in use on average if jobs go on coming like this.
+
+        The highest rate of several windows counts. Few arrivals say little, so that
+        the rate of a window is lowered by its standard error.
+        """
         seen = self.arrivals.get(pool)
         if not seen:
             return 0.0
-        while seen and seen[0][0] < now_s - RATE_WINDOW_S:
+        while seen and seen[0][0] < now_s - RATE_WINDOWS_S[-1]:
             seen.popleft()
-        return sum(work for _, work in seen) / RATE_WINDOW_S
+        return max(_rate(seen, window_s, now_s) for window_s in RATE_WINDOWS_S)
 
     def _need(
         self,
@@ -223,6 +228,16 @@
         return moves
 
 
+def _rate(seen: Iterable[tuple[float, float]], window_s: float, now_s: float) -> float:
+    """Return the work a second that came in a window, less its standard error."""
+    works = [work for at_s, work in seen if at_s >= now_s - window_s]
+    if not works:
+        return 0.0
+    is_longest = window_s == RATE_WINDOWS_S[-1]
+    certain_part = 1.0 if is_longest else 1.0 - 1.0 / math.sqrt(len(works))
+    return certain_part * sum(works) / window_s
+
+
 def _vm_size(vms: dict[VmId, Vm], pool: PoolName) -> Resources:
     """Return the size of a usual VM of a pool."""
     sizes = [vm.capacity for vm in vms.values() if vm.pool == pool] or [
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -32,13 +32,16 @@
         """Keep the VMs."""
         self.vms = vms
         self.orders: list = []
+        self.together: threading.Barrier | None = None
 
     def list(self):
         """Return the VMs."""
         return self.vms
 
     def move(self, vm, pool, token) -> DutyAnswer:
-        """Record a move."""
+        """Record a move; with `together` set, once as many came at a time."""
+        if self.together is not None:
+            self.together.wait(timeout=5.0)
         self.orders.append((vm, pool))
         return DutyAnswer(None)
 
@@ -113,6 +116,18 @@
             [["vm-w1", "w1"]], json.loads(self.store.get(ORDERED_KEY).value)
         )
 
+    def test_orders_for_many_vms_go_out_together(self) -> None:
+        """One after the other, a fleet takes most of a burst to follow it."""
+        vms = [build_vm(f"w{n}") for n in range(1, 9)]
+        duty = self.duty(*vms)
+        duty._read(0.0)
+        for vm in vms:
+            move = EvacuationReason.move(PoolName("other"))
+            duty._begin(vm.vm, move, None, 0.0)
+        self.machines.together = threading.Barrier(len(vms))
+        duty._evacuate(0.0)
+        self.assertEqual(len(vms), len(self.machines.orders))
+
     def test_worker_not_heard_in_this_term_is_left_alone(self) -> None:
         """It may run tasks that a successor does not know yet."""
         idle = [add_view(self.book, f"w{n}") for n in range(2, 9)]
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -22,6 +22,8 @@
 TURN_S = 8.0
 MOVE_S = 2.0
 ROUND_S = 0.2
+# What the platform takes in one round at today's size.
+MAX_MOVES = 8
 
 
 class Fleet:
@@ -73,7 +75,7 @@
         self.fleet.pass_to(now_s)
         fleet = self.fleet
         moves = self.sizer.decide(
-            self.config, jobs, fleet.vms, fleet.views, set(), now_s
+            self.config, jobs, fleet.vms, fleet.views, set(), now_s, MAX_MOVES
         )
         for vm, pool in moves:
             fleet.move(vm, pool, now_s)
@@ -107,7 +109,7 @@
             view.last_answer_s = None
             fleet = self.fleet
             for vm, pool in self.sizer.decide(
-                self.config, [], fleet.vms, fleet.views, set(), now_s
+                self.config, [], fleet.vms, fleet.views, set(), now_s, MAX_MOVES
             ):
                 fleet.move(vm, pool, now_s)
                 moved.add(vm)
@@ -125,6 +127,25 @@
         self.fleet.pass_to(ROUND_S + MOVE_S)
         self.assertGreaterEqual(self.fleet.count(POOLS[0]), 18)
 
+    def test_rise_is_met_while_it_is_young(self) -> None:
+        """A window of 1.5 s alone saw a third of a burst after half a second."""
+        step = build_step(task_count=6, resources=Resources(5_000, 1), estimate_ms=900)
+        queue = build_queue(pool=POOLS[0])
+        jobs = []
+        for number in range(20):
+            jobs.append(build_job(step, number=number + 1, queue=queue))
+            self.decide(jobs, number * 0.025)
+        steady_vms = 40 * 6 * 5.0 * 0.9 / 64
+        self.assertGreaterEqual(self.sizer.needs[POOLS[0]].needed, 0.9 * steady_vms)
+
+    def test_few_arrivals_fetch_no_fleet(self) -> None:
+        """Two jobs within a moment are no burst."""
+        step = build_step(task_count=6, resources=Resources(5_000, 1), estimate_ms=900)
+        queue = build_queue(pool=POOLS[0])
+        jobs = [build_job(step, number=n, queue=queue) for n in (1, 2)]
+        self.decide(jobs, 0.0)
+        self.assertLessEqual(self.sizer.needs[POOLS[0]].needed, 3)
+
     def test_turns_cost_less_than_a_static_split(self) -> None:
         """Queues that burst in turn need one burst's VMs, not one for each pool."""
         vm_seconds = 0.0
--- a/src/jayshunt/platform/settings.py
+++ b/src/jayshunt/platform/settings.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from jayshunt.dispatch.models import Address, Bounds, EntryNode
+from jayshunt.dispatch.order_budget import DEFAULT_PER_S
 from jayshunt.ids import EntryId, ZoneName
 from jayshunt.platform.const import SETTINGS_VARIABLE
 
@@ -49,6 +50,9 @@
         memory_mb=int(fields.get("limits", {}).get("memoryMb", 0)),
         heartbeat_ms=int(fields.get("heartbeatMs", 1_500)),
         bounds=_bounds(fields.get("bounds", {})),
+        vm_orders_per_s=float(
+            fields.get("cloudApi", {}).get("dutiesPerS", DEFAULT_PER_S)
+        ),
     )
 
 
