Leave VMs alone that may not be ordered, count VMs that can be fetched, choose holders by link and age

Change: VMs held are neither chosen for moves nor for waves; a VM in a spare pool whose worker has not answered is off; refusals count VMs that can be fetched and leave late jobs out, and are kept for 0.2 s; candidates wait by cores, link and age; a list may take 4 s unless it stalls.

Takeovers beside a cut zone still wait about 4 s.

--- a/src/jayshunt/dispatch/backlog.py
+++ b/src/jayshunt/dispatch/backlog.py
@@ -31,17 +31,23 @@
     jobs: Iterable[Job],
     cores: dict[PoolName, float],
     now_s: float,
+    fetchable_cores: float = 0.0,
 ) -> dict[QueueName, float]:
-    """Return the queues whose pool is too far behind, with seconds to stay away."""
+    """Return the queues whose pool is too far behind, with seconds to stay away.
+
+    `cores` are those at work in each pool. `fetchable_cores` can join any of them
+    within the time of a move, which is short against the wait that is allowed. Jobs
+    past their deadline do not count, as they are placed after those in time.
+    """
     waiting: dict[PoolName, float] = {}
     for job in jobs:
-        if job.spec.is_long_running:
+        if job.spec.is_long_running or now_s > job.deadline_s:
             continue
         pool = job.config.pool
         waiting[pool] = waiting.get(pool, 0.0) + remaining_core_seconds(job)
     refused: dict[QueueName, float] = {}
     for queue in config.queues:
-        usable = cores.get(queue.pool, 0.0)
+        usable = cores.get(queue.pool, 0.0) + fetchable_cores
         wait_s = waiting.get(queue.pool, 0.0) / usable if usable else 0.0
         if wait_s > MAX_WAIT_S:
             refused[queue.queue] = float(
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -164,6 +164,15 @@
         return self.noted_upto
 
 
+def is_unheard(view: WorkerView | None) -> bool:
+    """Return whether no answer of this term speaks for a worker.
+
+    A VM in a spare pool is off, and the list of workers keeps the entry of the
+    worker that it had for some seconds.
+    """
+    return view is None or view.last_answer_s is None
+
+
 def is_other_life(view: WorkerView, answer: HoldAnswer) -> bool:
     """Return whether an answer comes from another life at the same id."""
     born_ms = view.worker.born_ms
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -9,7 +9,7 @@
 from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
 from jayshunt.dispatch.errors import TermOver
 from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
-from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.fleet import WorkerView, is_unheard
 from jayshunt.dispatch.models import Bounds, FleetConfig
 from jayshunt.dispatch.order_budget import DEFAULT_PER_S, OrderBudget
 from jayshunt.dispatch.recent_orders import RecentOrders
@@ -87,6 +87,15 @@
             and not self._is_spare(vm.pool)
         )
 
+    def fetchable_cores(self) -> float:
+        """Return the cores of VMs that any pool may be given: off, or not needed."""
+        off = sum(
+            vm.capacity.cpu_millicores
+            for vm in self.vms.values()
+            if vm.state is VmState.UP and self._is_spare(vm.pool)
+        )
+        return off / 1000 + self.sizer.surplus_cores(self.vms)
+
     def run(self, stop: threading.Event) -> None:
         """Follow waves and demand until stopped."""
         if self._machines is None:
@@ -165,6 +174,7 @@
                 views,
                 set(self._evacuations),
                 {p.pool for p in self._config().pools if p.is_spare},
+                self._orders.held(now_s),
             )
             for vm in chosen:
                 reason = EvacuationReason.upkeep(state.wave.number)
@@ -197,8 +207,11 @@
             if vm.worker is not None and vm.worker in workers:
                 views[vm.vm] = workers[vm.worker]
         for view in workers.values():
-            if view.worker.vm is not None:
-                views[view.worker.vm] = view
+            vm = view.worker.vm
+            known = views.get(vm)
+            # An entry that stayed in the list must not hide the present worker.
+            if vm is not None and (known is None or is_unheard(known)):
+                views[vm] = view
         return views
 
     # --- moves ---
@@ -218,6 +231,7 @@
                 set(self._evacuations),
                 now_s,
                 self._budget.available(now_s),
+                self._orders.held(now_s),
             )
             self._log_needs(now_s)
             for vm, pool in moves:
@@ -231,7 +245,11 @@
         needs = self.sizer.needs.values()
         _LOGGER.info(
             "dispatch: pool sizes",
-            extra={need.pool: f"{need.present}/{need.needed}" for need in needs},
+            extra={
+                **{need.pool: f"{need.present}/{need.needed}" for need in needs},
+                "off": sum(self._is_spare(vm.pool) for vm in self.vms.values()),
+                "being_emptied": len(self._evacuations),
+            },
         )
 
     # --- evacuations ---
@@ -286,7 +304,7 @@
 
         At the start of a term a worker that has not answered yet may run anything.
         """
-        if self._is_spare(self.vms[vm].pool):
+        if self._is_spare(self.vms[vm].pool) and is_unheard(view):
             return True
         if view is None:
             return self._dispatcher.planner.knows_all_runs
--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -72,6 +72,7 @@
     heartbeat_ms: int
     bounds: Bounds
     vm_orders_per_s: float = DEFAULT_PER_S
+    link_mbps: float = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -26,6 +26,8 @@
 # multiple of the time that it took.
 REST_PART = 2.0
 IDLE_INTERVAL_S = 0.5
+# Every entry asks for the refusals 2.5 times a second; all get the same answer.
+REFUSALS_VALID_S = 0.2
 DUE_INTERVAL_S = 0.1
 PACE_INTERVAL_S = 0.4
 # A worker that did not answer for this long gets no new runs.
@@ -53,6 +55,8 @@
         self._pacer = Pacer()
         self._next_pace_s = 0.0
         self._has_times = False
+        self._refusals: dict[QueueName, float] = {}
+        self._refusals_until_s = 0.0
         self.knows_all_runs = False
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
@@ -97,9 +101,17 @@
         if config is None:
             return {}
         with self._dispatcher.lock:
-            return refusals(
-                config, self._active_jobs(), self._cores(), self._clock.monotonic_s()
-            )
+            now_s = self._clock.monotonic_s()
+            if now_s >= self._refusals_until_s:
+                self._refusals = refusals(
+                    config,
+                    self._active_jobs(),
+                    self._cores(),
+                    now_s,
+                    self._dispatcher.fleet.fetchable_cores(),
+                )
+                self._refusals_until_s = now_s + REFUSALS_VALID_S
+            return self._refusals
 
     def _active_jobs(self) -> list[Job]:
         book = self._dispatcher.book
--- a/src/jayshunt/dispatch/recent_orders.py
+++ b/src/jayshunt/dispatch/recent_orders.py
@@ -46,8 +46,13 @@
 
     def may_order(self, vm: VmId, now_s: float) -> bool:
         """Return whether an order for a VM may go out."""
-        is_earlier = any(order.vm == vm for order in self.earlier)
-        return not is_earlier or now_s >= self.left_alone_until_s
+        return vm not in self.held(now_s)
+
+    def held(self, now_s: float) -> set[VmId]:
+        """Return the VMs that are left alone, as an earlier holder ordered them."""
+        if now_s >= self.left_alone_until_s:
+            return set()
+        return {order.vm for order in self.earlier}
 
     def has_ended(self, worker: WorkerId) -> bool:
         """Return whether an earlier holder was about to end a worker."""
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -130,6 +130,7 @@
                 "dispatch: a worker answered",
                 extra={
                     "worker": view.worker.worker,
+                    "vm": view.worker.vm,
                     "pool": view.worker.pool,
                     "running": len(answer.running),
                     "ended": len(answer.ended),
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -8,10 +8,10 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass, field
 
-from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.fleet import WorkerView, is_unheard
 from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec
 from jayshunt.dispatch.tasks import Job
 from jayshunt.dispatch.vms import Vm, VmState
@@ -82,8 +82,9 @@
         being_emptied: set[VmId],
         now_s: float,
         max_moves: int,
+        held: Set[VmId] = frozenset(),
     ) -> list[tuple[VmId, PoolName]]:
-        """Return the moves to begin now, at most `max_moves`."""
+        """Return the moves to begin now, at most `max_moves`; none of VMs held."""
         spare = {pool.pool for pool in config.pools if pool.is_spare}
         if not spare:
             return []
@@ -93,11 +94,19 @@
         self.needs = {
             pool: self._need(pool, demands, present, vms, now_s) for pool in pools
         }
-        idle = _idle_vms(vms, views, being_emptied, now_s)
+        idle = _idle_vms(vms, views, being_emptied | held, spare, now_s)
         moves = self._fetch(idle, spare)
         moves += self._give_back(idle, spare, {vm for vm, _ in moves}, now_s)
         return moves[:max_moves]
 
+    def surplus_cores(self, vms: dict[VmId, Vm]) -> float:
+        """Return the cores of VMs that their pools do not need at the moment."""
+        return sum(
+            -need.lacking * _vm_size(vms, need.pool).cpu_millicores / 1000
+            for need in self.needs.values()
+            if need.lacking < 0
+        )
+
     def _demands(
         self,
         jobs: Iterable[Job],
@@ -278,6 +287,7 @@
     vms: dict[VmId, Vm],
     views: dict[VmId, WorkerView],
     being_emptied: set[VmId],
+    spare: set[PoolName],
     now_s: float,
 ) -> dict[PoolName, list[VmId]]:
     """Return the VMs without a task by pool; those that are off count as well."""
@@ -286,8 +296,15 @@
         if vm.vm in being_emptied or vm.state is not VmState.UP:
             continue
         view = views.get(vm.vm)
-        if view is not None and (
-            not view.is_surely_empty(now_s) or view.is_draining or view.duty is not None
+        is_off = vm.pool in spare and is_unheard(view)
+        if (
+            not is_off
+            and view is not None
+            and (
+                not view.is_surely_empty(now_s)
+                or view.is_draining
+                or view.duty is not None
+            )
         ):
             continue
         idle.setdefault(vm.pool, []).append(vm.vm)
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -31,12 +31,32 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# An entry of one core leaves a free term to larger ones for this long, a smaller one
+# accordingly longer; a store call takes about 5 ms.
+STAND_DELAY_CORE_S = 0.06
+# One that has run for as long as a rolling restart takes waits this much more.
+STAND_DELAY_AGE_S = 0.05
+SETTLED_AFTER_S = 45.0
+STAND_JITTER_S = 0.02
+# The dispatch of 180 workers moves about 8 Mbit/s, and reads a megabyte of jobs at
+# its start; a link below this counts as a part of a core.
+LINK_MBPS_PER_CORE = 40.0
+# Bounds the delay of the smallest entry to 0.6 s.
+MIN_SIZE = 0.1
+
 
 def suspend_aware_s() -> float:
     """Return a steady time in seconds that also counts while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def stand_delay_s(cpu_cores: float, link_mbps: float, age_s: float) -> float:
+    """Return how long an entry leaves a free term to others that suit it better."""
+    size = min(cpu_cores, link_mbps / LINK_MBPS_PER_CORE)
+    for_size_s = STAND_DELAY_CORE_S / max(MIN_SIZE, size)
+    return for_size_s + STAND_DELAY_AGE_S * min(1.0, age_s / SETTLED_AFTER_S)
+
+
 class TermHolder(Protocol):
     """Run the duties of a term; the dispatcher provides it."""
 
@@ -98,6 +118,7 @@
         self._revision: Revision | None = None
         self._leaving = threading.Event()
         self._stand_after_s = 0.0
+        self._started_s = clock.monotonic_s()
         self.terms_held = 0
 
     @property
@@ -223,9 +244,12 @@
     def _stand(self, stop: threading.Event) -> None:
         """Create the term's key, unless another entry is faster.
 
-        Entries with more processor time stand earlier.
+        Entries with more processor time stand earlier, and so do those that started
+        lately: a rolling restart has passed them.
         """
-        delay_s = 0.03 / max(0.1, self._node.cpu_cores) + self._rng.uniform(0, 0.03)
+        age_s = self._clock.monotonic_s() - self._started_s
+        delay_s = stand_delay_s(self._node.cpu_cores, self._node.link_mbps, age_s)
+        delay_s += self._rng.uniform(0, STAND_JITTER_S)
         if self._clock.wait(stop, delay_s) or self._leaving.is_set():
             return
         if self._clock.monotonic_s() < self._stand_after_s:
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -109,6 +109,8 @@
         wave = Wave(1, tuple(vms), 20.0, max_down=1)
         chosen = choose_next(wave, set(), vms, views, {VmId("x")}, set())
         self.assertEqual("vm-w1", chosen[0])
+        held = choose_next(wave, set(), vms, views, {VmId("x")}, set(), {"vm-w1"})
+        self.assertEqual(["vm-w0"], held)
 
 
 class RecentOrdersTest(unittest.TestCase):
@@ -136,6 +138,15 @@
         self.assertTrue(second.has_ended(WorkerId("before")))
         self.assertTrue(second.has_ended(WorkerId("after")))
 
+    def test_vms_are_held_for_one_turn(self) -> None:
+        """A successor emptied 152 of 180 VMs that it could not order for 3.5 s."""
+        store = FakeStore()
+        first = RecentOrders.read(store, 0.0, 3.0)
+        first.write(store, {}, {VmId("a"): WorkerId("w")}, 1.0)
+        second = RecentOrders.read(store, 5.0, 3.0)
+        self.assertEqual({"a"}, second.held(7.9))
+        self.assertEqual(set(), second.held(8.0))
+
     def test_third_holder_knows_the_first_ones_orders(self) -> None:
         """Two changes of term may come within the bound."""
         store = FakeStore()
@@ -204,6 +215,21 @@
         refused = refusals(build_config(), [job], {POOL: 100.0}, 0.0)
         self.assertEqual({QUEUE: 6.0}, refused)
 
+    def test_vms_that_can_be_fetched_count_as_room(self) -> None:
+        """Callers were turned away at the start of a burst with half a fleet off."""
+        step = build_step(task_count=100, resources=Resources(10_000, 1))
+        refused = refusals(build_config(), [build_job(step)], {POOL: 100.0}, 0.0, 400.0)
+        self.assertEqual({}, refused)
+
+    def test_late_jobs_keep_no_one_out(self) -> None:
+        """They are placed last, so that a new caller does not wait for them."""
+        step = build_step(task_count=100, resources=Resources(10_000, 1))
+        job = build_job(step)
+        refused = refusals(
+            build_config(), [job], {POOL: 100.0}, job.deadline_s + 0.1, 0.0
+        )
+        self.assertEqual({}, refused)
+
     def test_queue_with_room_accepts(self) -> None:
         """A refusal with room at hand loses the caller."""
         self.assertEqual(
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -115,6 +115,36 @@
                 moved.add(vm)
         self.assertNotIn("vm-pool0-5", moved)
 
+    def test_vm_that_is_off_is_fetched_beside_an_old_entry(self) -> None:
+        """A successor left 33 of 180 VMs alone for 10 s, as their last workers were
+        still listed."""
+        for number in range(8):
+            self.fleet.views[VmId(f"vm-{SPARE}-{number}")].last_answer_s = None
+        views = self.fleet.views
+        step = build_step(task_count=200, resources=Resources(20_000, 1))
+        job = build_job(step, queue=build_queue(pool=POOLS[0]))
+        moves = self.sizer.decide(
+            self.config, [job], self.fleet.vms, views, set(), 0.0, 40
+        )
+        fetched = {vm for vm, _ in moves}
+        self.assertIn(f"vm-{SPARE}-5", fetched)
+
+    def test_vm_that_may_not_be_ordered_goes_on_serving(self) -> None:
+        """Chosen for a move that has to wait, it would serve no pool meanwhile."""
+        held = {VmId("vm-pool0-5")}
+        moved = set()
+        for round_number in range(50):
+            now_s = round_number * ROUND_S
+            self.fleet.pass_to(now_s)
+            fleet = self.fleet
+            moves = self.sizer.decide(
+                self.config, [], fleet.vms, fleet.views, set(), now_s, MAX_MOVES, held
+            )
+            for vm, pool in moves:
+                fleet.move(vm, pool, now_s)
+                moved.add(vm)
+        self.assertNotIn("vm-pool0-5", moved)
+
     def test_burst_fetches_before_it_is_over(self) -> None:
         """A burst over the pool's room is met with VMs of others in two seconds."""
         step = build_step(task_count=30, resources=Resources(20_000, 1))
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -20,7 +20,12 @@
     stored_state,
 )
 from jayshunt.dispatch.store_models import Put
-from jayshunt.dispatch.term import OwnTerm, TermKeeper
+from jayshunt.dispatch.term import (
+    STAND_JITTER_S,
+    OwnTerm,
+    TermKeeper,
+    stand_delay_s,
+)
 from jayshunt.dispatch.tests.builders import (
     FakeStore,
     add_view,
@@ -104,6 +109,21 @@
         self.assertIsNone(second.own)
         self.assertEqual(EntryId("entry-1"), second.term.entry)
 
+    def test_large_and_lately_started_entries_stand_first(self) -> None:
+        """In a rolling restart the term went to entries that were to stop next."""
+        large_new = stand_delay_s(2.15, 100.0, 5.0)
+        large_old = stand_delay_s(2.15, 100.0, 900.0)
+        small_new = stand_delay_s(0.5, 100.0, 5.0)
+        self.assertLess(large_new + STAND_JITTER_S, large_old)
+        self.assertLess(large_old + STAND_JITTER_S, small_new)
+
+    def test_entry_with_a_thin_link_stands_last(self) -> None:
+        """One with 5 Mbit/s held the term for 7 s without reading all jobs."""
+        thin = stand_delay_s(2.15, 5.0, 5.0)
+        small = stand_delay_s(0.5, 100.0, 900.0)
+        self.assertLess(small + STAND_JITTER_S, thin)
+        self.assertLess(thin, 0.7)
+
     def test_token_rises_from_term_to_term(self) -> None:
         """Workers refuse orders below the highest token."""
         first, second = self.keeper("entry-1"), self.keeper("entry-2")
--- a/src/jayshunt/dispatch/waves.py
+++ b/src/jayshunt/dispatch/waves.py
@@ -1,5 +1,7 @@
 """Choose which VMs of a wave to empty next, without network or clock."""
 
+from collections.abc import Set
+
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.vms import Vm, VmState, Wave
 from jayshunt.ids import PoolName, VmId
@@ -15,8 +17,12 @@
     views: dict[VmId, WorkerView],
     being_emptied: set[VmId],
     spare_pools: set[PoolName],
+    held: Set[VmId] = frozenset(),
 ) -> list[VmId]:
-    """Return the VMs to empty now, those with the least to lose first."""
+    """Return the VMs to empty now, those with the least to lose first.
+
+    VMs held are those that may not be ordered yet: emptied, they would stand idle.
+    """
     in_work = sum(
         1
         for vm in wave.vms
@@ -30,6 +36,7 @@
         for vm in wave.vms
         if vm in vms
         and vm not in done
+        and vm not in held
         and vm not in being_emptied
         and vms[vm].state is VmState.UP
     ]
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -10,6 +10,8 @@
 from jayshunt.errors import JayshuntError, Outcome
 
 CONNECT_TIMEOUT_MS = 500
+# An answer that comes slower than this has stalled: the thinnest links carry 5 Mbit/s.
+MIN_BYTES_PER_S = 1_000
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 # With these curl errors no connection was made, so no byte of the request left.
@@ -46,6 +48,7 @@
     stop: threading.Event | None = None,
     authority_file: Path | None = None,
     handle: pycurl.Curl | None = None,
+    stall_s: int | None = None,
 ) -> HttpAnswer:
     """Send one request and return the whole answer.
 
@@ -53,7 +56,8 @@
     UNKNOWN if the request may have reached the peer but no whole answer came
     within `timeout_s` seconds. A request that waits at the peer is given up
     within a second after `stop` is set. `handle` replaces the one of the calling
-    thread, so that many threads can share few connections.
+    thread, so that many threads can share few connections. With `stall_s`, an
+    answer of which next to nothing came for that many seconds is given up earlier.
     """
     handle = handle or _thread_handle()
     handle.reset()
@@ -70,6 +74,9 @@
     handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
     handle.setopt(pycurl.WRITEFUNCTION, sink.write)
     handle.setopt(pycurl.HEADERFUNCTION, lines.append)
+    if stall_s is not None:
+        handle.setopt(pycurl.LOW_SPEED_LIMIT, MIN_BYTES_PER_S)
+        handle.setopt(pycurl.LOW_SPEED_TIME, stall_s)
     if stop is not None:
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(stop.is_set()))
--- a/src/jayshunt/platform/settings.py
+++ b/src/jayshunt/platform/settings.py
@@ -50,6 +50,7 @@
         memory_mb=int(fields.get("limits", {}).get("memoryMb", 0)),
         heartbeat_ms=int(fields.get("heartbeatMs", 1_500)),
         bounds=_bounds(fields.get("bounds", {})),
+        link_mbps=float(fields.get("limits", {}).get("linkMbps", 1_000.0)),
         vm_orders_per_s=float(
             fields.get("cloudApi", {}).get("dutiesPerS", DEFAULT_PER_S)
         ),
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -22,6 +22,10 @@
 
 # One answer takes 4 ms, and up to 360 ms while the store is slow.
 CALL_TIMEOUT_S = 1.2
+# A page of a list has up to 1 MB, which takes 2 s on a link of 5 Mbit/s.
+LIST_TIMEOUT_S = 4.0
+# A connection that went silent shows within this time and one second more.
+LIST_STALL_S = 1
 WATCH_SLACK_S = 0.6
 
 
@@ -72,7 +76,13 @@
                 query["after"] = after
             if stale:
                 query["staleOk"] = "1"
-            answer = self._call("list", "GET", "/kv-range?" + urlencode(query))
+            answer = self._call(
+                "list",
+                "GET",
+                "/kv-range?" + urlencode(query),
+                timeout_s=LIST_TIMEOUT_S,
+                stall_s=LIST_STALL_S,
+            )
             document = json.loads(answer.body)
             items += [_item(fields) for fields in document["items"]]
             if revision is None:
@@ -169,6 +179,7 @@
         body: dict | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         stop: threading.Event | None = None,
+        stall_s: int | None = None,
     ) -> http_client.HttpAnswer:
         step = f"store.{step}"
         with self._lock:
@@ -184,6 +195,7 @@
                 timeout_s=timeout_s,
                 step=step,
                 stop=stop,
+                stall_s=stall_s,
             )
         except JayshuntError as error:
             if stop is None or not stop.is_set():
