Add a fault soak: the real programs under seeded faults from outside

The entries run as processes against a stand-in of the users' platform (store, list of VMs, workers by rack), through relays that delay, cut, silence or lose one direction; processes are stopped, paused, killed and restarted by signals.

--- /dev/null
+++ b/src/jayshunt_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs under seeded faults and check what callers were promised."""
--- /dev/null
+++ b/src/jayshunt_soak/bed.py
@@ -0,0 +1,200 @@
+"""Start and stop the processes of a soak, and keep the paths between them."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from jayshunt_soak.const import (
+    ENTRIES,
+    GRACE_S,
+    HOST,
+    POOLS,
+    RACKS,
+    RESTART_S,
+    SPARE,
+    VMS_PER_RACK,
+)
+from jayshunt_soak.platform import formats
+from jayshunt_soak.platform.machines import ListedVm, MachinesStandIn
+from jayshunt_soak.platform.store import PlatformStoreStandIn
+from jayshunt_standins.relay import Relay
+
+ROOT = Path(__file__).resolve().parents[2]
+WATCH_S = 0.05
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free ports of loopback below the range of outgoing connections."""
+    found: list[int] = []
+    port = 12_000 + os.getpid() % 500 * 40
+    while len(found) < count:
+        port += 1
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
+
+
+@dataclass
+class Program:
+    """Hold one process, restarted whenever it ends; `lives` are pid and end."""
+
+    name: str
+    command: list[str]
+    environment: dict[str, str]
+    log: Path
+    process: subprocess.Popen | None = None
+    restart_s: float | None = 0.0
+    ends: list[float] | None = None
+
+    def send(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Bed:
+    """Own every process and relay of one run."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        """Lay out ports, relays and programs; nothing runs yet."""
+        self.folder = folder
+        vms = [f"m-{r}-{n}" for r in range(RACKS) for n in range(VMS_PER_RACK)]
+        ports = free_ports(len(vms) + 3 * ENTRIES)
+        self.vm_ports = dict(zip(vms, ports))
+        self.store = PlatformStoreStandIn(seed)
+        pools = (*POOLS, SPARE)
+        self._listed = [
+            ListedVm(vm, vm[2], pools[n % len(pools)], f"{HOST}:{self.vm_ports[vm]}")
+            for n, vm in enumerate(vms)
+        ]
+        self.machines = MachinesStandIn(self._listed, self.store)
+        self.vm_relays = {vm: Relay(f"{HOST}:{p}") for vm, p in self.vm_ports.items()}
+        self.store_relays = [Relay(self.store.address) for _ in range(ENTRIES)]
+        entry_ports = ports[len(vms) :]
+        self.entry_ports = [entry_ports[3 * n : 3 * n + 3] for n in range(ENTRIES)]
+        self.entries = [self._entry(n) for n in range(ENTRIES)]
+        self.racks = [self._rack(str(r), seed) for r in range(RACKS)]
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Start everything and write the first configuration."""
+        for server in (self.store, self.machines):
+            server.start()
+        for relay in (*self.vm_relays.values(), *self.store_relays):
+            relay.start()
+        self.store.put(formats.CONFIG_KEY, formats.config(1))
+        threading.Thread(target=self._keep_running, daemon=True).start()
+
+    def stop(self) -> None:
+        """End every process that this bed started, and the stand-ins."""
+        self._stopping.set()
+        with self._lock:
+            for program in (*self.entries, *self.racks):
+                program.send(signal.SIGCONT)
+                program.send(signal.SIGKILL)
+                if program.process is not None:
+                    program.process.wait()
+        for relay in (*self.vm_relays.values(), *self.store_relays):
+            relay.stop()
+        for server in (self.store, self.machines):
+            server.stop()
+
+    def heal(self) -> None:
+        """End every fault."""
+        self.store.faults = type(self.store.faults)()
+        for relay in (*self.vm_relays.values(), *self.store_relays):
+            relay.restore()
+        for program in (*self.entries, *self.racks):
+            program.send(signal.SIGCONT)
+
+    def term(self, program: Program) -> None:
+        """Ask a process to stop, and kill it after the grace."""
+        process = program.process
+        program.send(signal.SIGTERM)
+
+        def kill() -> None:
+            if process is not None and process.poll() is None:
+                process.kill()
+
+        threading.Timer(GRACE_S, kill).start()
+
+    def events(self) -> list[dict]:
+        """Return what the workers recorded, and when their processes ended."""
+        rows: list[dict] = []
+        for program in self.racks:
+            log = self.folder / f"{program.name}.events"
+            for line in log.read_text().splitlines():
+                rows.append({**json.loads(line), "process": program.name})
+            ends = program.ends or []
+            rows += [
+                {"at_s": at, "event": "killed", "process": program.name} for at in ends
+            ]
+        return sorted(rows, key=lambda row: row["at_s"])
+
+    def _keep_running(self) -> None:
+        while not self._stopping.wait(WATCH_S):
+            with self._lock:
+                if self._stopping.is_set():
+                    return
+                for program in (*self.entries, *self.racks):
+                    self._keep(program)
+
+    def _keep(self, program: Program) -> None:
+        now_s = time.monotonic()
+        if program.process is not None and program.process.poll() is not None:
+            program.ends = [*(program.ends or []), now_s]
+            program.process, program.restart_s = None, now_s + RESTART_S
+        if program.process is None and now_s >= program.restart_s:
+            with program.log.open("ab") as log:
+                program.process = subprocess.Popen(
+                    program.command,
+                    env={**os.environ, **program.environment},
+                    stdout=log,
+                    stderr=log,
+                    cwd=ROOT,
+                )
+
+    def _entry(self, number: int) -> Program:
+        name = f"entry-{number}"
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(
+            formats.entry_settings(
+                name,
+                self.entry_ports[number],
+                self.store_relays[number].address,
+                self.machines.address,
+            )
+        )
+        command = [sys.executable, str(ROOT / "deploy" / "platform_entry.py")]
+        environment = {"JAYSHUNT_CONFIG": str(settings)}
+        return Program(name, command, environment, self.folder / f"{name}.log")
+
+    def _rack(self, rack: str, seed: int) -> Program:
+        name = f"rack-{rack}"
+        vms = {vm.vm: vm.pool for vm in self._listed if vm.rack == rack}
+        plan = {
+            "rack": rack,
+            "vms": vms,
+            "ports": {vm: self.vm_ports[vm] for vm in vms},
+            "shown": {vm: self.vm_relays[vm].address for vm in vms},
+            "platform": self.machines.address,
+            "log": str(self.folder / f"{name}.events"),
+            "seed": seed,
+        }
+        command = [sys.executable, "-m", "jayshunt_soak.platform.rack"]
+        command.append(json.dumps(plan))
+        environment = {"PYTHONPATH": str(ROOT / "src")}
+        return Program(name, command, environment, self.folder / f"{name}.log")
--- /dev/null
+++ b/src/jayshunt_soak/platform/formats.py
@@ -0,0 +1,81 @@
+"""Write what the operator, callers and the platform write for an entry."""
+
+import json
+
+from jayshunt_soak.const import (
+    HEARTBEAT_S,
+    HOLD_MAX_MS,
+    HOST,
+    MOVE_S,
+    POOLS,
+    QUEUE_HOST,
+    SPARE,
+    STATUS_S,
+    STOP_MS,
+)
+
+CONFIG_KEY = "op/config"
+
+
+def queue_path(pool: str) -> str:
+    """Return the path under which the jobs of a pool are handed in."""
+    return f"/{pool}/"
+
+
+def config(version: int) -> bytes:
+    """Return the operator's configuration: one queue for each pool."""
+    routes = [
+        {
+            "name": f"q-{pool}",
+            "host": QUEUE_HOST,
+            "prefix": queue_path(pool),
+            "service": pool,
+            "priority": number,
+            "attempts": 3,
+            "stretch": 2.0,
+            "targetLatencyMs": 600,
+        }
+        for number, pool in enumerate(POOLS)
+    ]
+    services = [{"name": pool, "rejectsOverload": True} for pool in POOLS]
+    services.append({"name": SPARE, "rejectsOverload": True, "spare": True})
+    document = {"version": version, "routes": routes, "services": services}
+    return json.dumps({**document, "limits": {}}).encode()
+
+
+def submission(steps: list[dict]) -> bytes:
+    """Return a job of steps with count, ms, cpu, memory_mb, fails and after."""
+    work = max(steps, key=lambda step: step["ms"])
+    payload = {key: work[key] for key in ("ms", "cpu", "memory_mb", "fails")}
+    rows = [
+        {
+            "count": step["count"],
+            "cpu": work["cpu"],
+            "memMb": work["memory_mb"],
+            "estimateMs": work["ms"],
+            **({"after": step["after"]} if step["after"] else {}),
+        }
+        for step in steps
+    ]
+    return json.dumps({"spec": json.dumps(payload), "steps": rows}).encode()
+
+
+def entry_settings(name: str, ports: list[int], store: str, machines: str) -> str:
+    """Return the settings file of one entry; ports are front, ready and peer."""
+    front, ready, peer = ports
+    bounds = {"stopMs": STOP_MS, "holdMaxMs": HOLD_MAX_MS, "leaseMs": 1000}
+    bounds |= {"graceS": 6, "status_s": STATUS_S, "moveS": MOVE_S}
+    tables = {
+        "listenAddrs": {"front": f"{HOST}:{front}", "readyAddr": f"{HOST}:{ready}"},
+        "limits": {"cpuShare": 0.5, "cores": 2, "memoryMb": 300},
+        "bounds": bounds,
+        "platform": {"address": store, "writesPerS": 400, "readsPerS": 2000},
+        "cloudApi": {"address": machines, "dutiesPerS": 64.0},
+    }
+    top = {"nodeName": name, "zone": "z1", "ip": HOST, "portRange": [peer, peer]}
+    lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
+    lines.append(f"heartbeatMs = {int(HEARTBEAT_S * 1000)}")
+    for table, fields in tables.items():
+        lines.append(f"[{table}]")
+        lines += [f"{key} = {json.dumps(value)}" for key, value in fields.items()]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/jayshunt_soak/platform/machines.py
@@ -0,0 +1,97 @@
+"""Stand in for the list of VMs and the orders for them."""
+
+import json
+import threading
+import time
+from dataclasses import dataclass
+
+from jayshunt import http_client
+from jayshunt.errors import JayshuntError
+from jayshunt_soak.const import CORES_PER_VM, MEMORY_MB_PER_VM, MOVE_S
+from jayshunt_soak.platform.store import PlatformStoreStandIn
+from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
+
+CONTROL_TIMEOUT_S = 1.0
+
+
+@dataclass
+class ListedVm:
+    """Hold what the platform knows of one VM."""
+
+    vm: str
+    rack: str
+    pool: str
+    address: str
+    busy_until_s: float = 0.0
+    worker: str = ""
+
+
+class MachinesStandIn(StandInServer):
+    """List VMs, move them, and take the heartbeats of their workers."""
+
+    def __init__(self, vms: list[ListedVm], store: PlatformStoreStandIn) -> None:
+        """Keep the VMs."""
+        super().__init__()
+        self._vms = {vm.vm: vm for vm in vms}
+        self._store = store
+        self._lock = threading.Lock()
+
+    def answer(self, call: Call) -> Reply:
+        """Answer one call."""
+        match call.method, call.path:
+            case "GET", "/machines":
+                rows = [self._row(vm) for vm in self._vms.values()]
+                return Reply(200, {"machines": rows})
+            case "POST", "/machine-move":
+                return self._move(call.json())
+            case "POST", "/standin/beat":
+                return self._beat(call.json())
+        return Reply(400, {})
+
+    def pools(self) -> dict[str, str]:
+        """Return the pool of each VM."""
+        return {vm.vm: vm.pool for vm in self._vms.values()}
+
+    def _beat(self, body: dict) -> Reply:
+        vm = self._vms[body["entry"]["machine"]]
+        pool = body["entry"]["service"]
+        with self._lock:
+            if pool != vm.pool and time.monotonic() < vm.busy_until_s:
+                # A heartbeat from before the move.
+                return Reply(200, {})
+            # An order without an answer may have been carried out late.
+            vm.pool, vm.worker = pool, body["worker"]
+        self._store.beat(body["worker"], json.dumps(body["entry"]).encode())
+        return Reply(200, {})
+
+    def _row(self, vm: ListedVm) -> dict:
+        is_busy = time.monotonic() < vm.busy_until_s
+        row = {"machine": vm.vm, "pool": vm.pool, "zone": vm.rack}
+        row |= {"state": "moving" if is_busy else "up", "labels": ["a", f"r-{vm.rack}"]}
+        row["capacity"] = {"cpu": CORES_PER_VM, "memMb": MEMORY_MB_PER_VM}
+        if vm.worker and not is_busy:
+            row["id"] = vm.worker
+        return row
+
+    def _move(self, body: dict) -> Reply:
+        vm = self._vms.get(body["machine"])
+        if vm is None:
+            return Reply(400, {})
+        with self._lock:
+            if vm.pool == body["pool"]:
+                return Reply(200, {})
+            if time.monotonic() < vm.busy_until_s:
+                return Reply(409, {"reason": "busy"})
+            try:
+                http_client.request(
+                    "POST",
+                    f"http://{vm.address}/standin/move",
+                    body=json.dumps({"pool": body["pool"]}).encode(),
+                    timeout_s=CONTROL_TIMEOUT_S,
+                    step="soak.move",
+                )
+            except JayshuntError as error:
+                raise DropConnection from error
+            vm.pool, vm.worker = body["pool"], ""
+            vm.busy_until_s = time.monotonic() + MOVE_S
+        return Reply(200, {})
--- /dev/null
+++ b/src/jayshunt_soak/platform/store.py
@@ -0,0 +1,212 @@
+"""Stand in for the platform's metadata store, with faults on request."""
+
+import base64
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from jayshunt_soak.const import HEARTBEAT_S, SILENT_BEATS
+from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
+
+PAGE_ITEMS = 200
+WATCH_POLL_S = 0.2
+SILENCE_S = 8.0
+
+
+@dataclass
+class StoreFaults:
+    """Choose how the store fails.
+
+    `lost_part` of the writes take effect without an answer, `late_part` take effect
+    only up to two seconds after their connection was closed.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+    delay_s: float = 0.0
+    lost_part: float = 0.0
+    late_part: float = 0.0
+
+
+class PlatformStoreStandIn(StandInServer):
+    """Keep keys, leases and their history; workers register here as well."""
+
+    def __init__(self, seed: int, port: int = 0) -> None:
+        """Start empty at revision 1."""
+        super().__init__(port)
+        self.faults = StoreFaults()
+        self._rng = random.Random(seed)
+        self._changed = threading.Condition()
+        self._items: dict[str, dict] = {}
+        self._log: list[dict] = []
+        self._revision = 1
+        self._kept_after = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._beats: dict[str, float] = {}
+
+    def answer(self, call: Call) -> Reply:
+        """Return the answer to one call."""
+        faults = self.faults
+        if faults.is_silent:
+            time.sleep(SILENCE_S)
+            raise DropConnection
+        if faults.is_down:
+            return Reply(503, {})
+        if faults.delay_s:
+            time.sleep(faults.delay_s)
+        with self._changed:
+            self._expire()
+        name = call.path.strip("/").split("/")
+        match call.method, name[0]:
+            case "GET", "kv-key":
+                return self._get(call.query["key"])
+            case "GET", "kv-range":
+                return self._range(call.query)
+            case "GET", "kv-watch":
+                return self._watch(call.query)
+            case "POST", "kv-txn":
+                return self._faulty(lambda: self._transact(call.json()))
+            case "POST", "kv-lease":
+                return self._grant(call.json()["ttlMs"] / 1000)
+            case "POST", "kv-keep":
+                return self._keep(int(name[1]))
+            case "DELETE", "kv-lease-end":
+                return self._end(int(name[1]))
+        return Reply(404, {})
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key as the operator or a worker does."""
+        with self._changed:
+            self._write(key, base64.b64encode(value).decode(), 0)
+
+    def beat(self, worker: str, value: bytes) -> None:
+        """Take a worker's heartbeat; its entry goes after three that are missing."""
+        key = f"servers/{worker}"
+        text = base64.b64encode(value).decode()
+        with self._changed:
+            self._beats[key] = time.monotonic()
+            if key not in self._items or self._items[key]["value"] != text:
+                self._write(key, text, 0)
+
+    def forget_history(self) -> None:
+        """Discard all changes: watches from before have to read anew."""
+        with self._changed:
+            self._kept_after = self._revision
+            self._log.clear()
+
+    def _faulty(self, write) -> Reply:
+        drawn = self._rng.random()
+        if drawn < self.faults.late_part:
+            delay_s = self._rng.uniform(0.2, 2.0)
+            threading.Timer(delay_s, write).start()
+            raise DropConnection
+        reply = write()
+        if drawn < self.faults.late_part + self.faults.lost_part:
+            raise DropConnection
+        return reply
+
+    def _get(self, key: str) -> Reply:
+        with self._changed:
+            item = self._items.get(key)
+            shown = None if item is None else self._with_revision(item)
+        return Reply(404, {}) if shown is None else Reply(200, shown)
+
+    def _range(self, query: dict) -> Reply:
+        with self._changed:
+            keys = sorted(
+                key
+                for key in self._items
+                if key.startswith(query["prefix"]) and key > query.get("after", "")
+            )
+            items = [self._items[key] for key in keys[:PAGE_ITEMS]]
+            shown = {"items": items, "hasMore": len(keys) > PAGE_ITEMS}
+            return Reply(200, self._with_revision(shown))
+
+    def _watch(self, query: dict) -> Reply:
+        prefix, after = query["prefix"], int(query["after"])
+        end_s = time.monotonic() + int(query["waitMs"]) / 1000
+        with self._changed:
+            while True:
+                if after < self._kept_after:
+                    return Reply(410, {})
+                events = [
+                    e
+                    for e in self._log
+                    if e["rev"] > after and e["key"].startswith(prefix)
+                ]
+                left_s = end_s - time.monotonic()
+                if events or left_s <= 0:
+                    return Reply(200, self._with_revision({"events": events}))
+                self._changed.wait(min(left_s, WATCH_POLL_S))
+                self._expire()
+                if self.faults.is_down or self.faults.is_silent:
+                    raise DropConnection
+
+    def _transact(self, body: dict) -> Reply:
+        with self._changed:
+            self._expire()
+            expected = body.get("expectRev", [])
+            found = [self._items.get(row["key"]) for row in expected]
+            revisions = [item["rev"] if item else 0 for item in found]
+            if revisions != [row["rev"] for row in expected]:
+                return Reply(412, {"items": [item for item in found if item]})
+            puts = body.get("puts", [])
+            if any(p.get("lease", 0) not in {0, *self._leases} for p in puts):
+                return Reply(404, {})
+            for put in puts:
+                self._write(put["key"], put["value"], put.get("lease", 0))
+            for key in body.get("remove", []):
+                self._remove(key)
+            return Reply(200, {"rev": self._revision})
+
+    def _grant(self, ttl_s: float) -> Reply:
+        with self._changed:
+            self._revision += 1
+            lease = self._revision
+            self._leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+        return Reply(200, {"lease": lease, "ttlMs": int(ttl_s * 1000)})
+
+    def _keep(self, lease: int) -> Reply:
+        with self._changed:
+            if lease not in self._leases:
+                return Reply(404, {})
+            ttl_s = self._leases[lease][1]
+            self._leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+        return Reply(200, {})
+
+    def _end(self, lease: int) -> Reply:
+        with self._changed:
+            if lease in self._leases:
+                self._leases[lease] = (0.0, 0.0)
+                self._expire()
+        return Reply(200, {})
+
+    def _with_revision(self, shown: dict) -> dict:
+        return {**shown, "storeRevision": self._revision}
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        self._revision += 1
+        before = self._items.get(key)
+        item = {"key": key, "value": value, "rev": self._revision, "lease": lease}
+        item["createRev"] = before["createRev"] if before else self._revision
+        self._items[key] = item
+        self._log.append(item)
+        self._changed.notify_all()
+
+    def _remove(self, key: str) -> None:
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+            self._log.append({"key": key, "rev": self._revision, "removed": True})
+            self._changed.notify_all()
+
+    def _expire(self) -> None:
+        now_s = time.monotonic()
+        for lease in [k for k, (end_s, _) in self._leases.items() if end_s <= now_s]:
+            del self._leases[lease]
+            for key in [k for k, i in self._items.items() if i["lease"] == lease]:
+                self._remove(key)
+        silent_s = SILENT_BEATS * HEARTBEAT_S
+        for key in [k for k, at_s in self._beats.items() if now_s - at_s > silent_s]:
+            del self._beats[key]
+            self._remove(key)
--- /dev/null
+++ b/src/jayshunt_soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the fault soak itself, and run a short one."""
--- a/src/jayshunt_standins/relay.py
+++ b/src/jayshunt_standins/relay.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 from jayshunt_standins.server import LOOPBACK
 
@@ -14,11 +15,14 @@
 
     `cut` resets open connections and refuses new ones, as a network that answers
     does. `silence` keeps connections open and passes nothing on, as a network
-    that drops packets does; new connections open and stay silent too.
+    that drops packets does; new connections open and stay silent too. `delay_s`
+    holds each piece back, `is_one_way` drops what the target answers.
     """
 
     def __init__(self, target: str) -> None:
         """Listen on a free port of loopback; `target` is IP:PORT."""
+        self.delay_s = 0.0
+        self.is_one_way = False
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._server = socket.create_server((LOOPBACK, 0), backlog=256)
@@ -59,6 +63,8 @@
         """Pass everything on again; silenced connections stay silent for good."""
         self._close_open()
         self._refusing = False
+        self.delay_s = 0.0
+        self.is_one_way = False
         self._passing.set()
 
     def _accept(self) -> None:
@@ -83,14 +89,19 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with self._lock:
             self._open |= {client, server}
-        threading.Thread(target=self._pump, args=(client, server), daemon=True).start()
-        self._pump(server, client)
+        threading.Thread(
+            target=self._pump, args=(client, server, False), daemon=True
+        ).start()
+        self._pump(server, client, True)
 
-    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+    def _pump(self, source: socket.socket, sink: socket.socket, is_back: bool) -> None:
         try:
             while data := source.recv(CHUNK_BYTES):
                 self._passing.wait()
-                sink.sendall(data)
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                if not (is_back and self.is_one_way):
+                    sink.sendall(data)
         except OSError:
             pass
         for connection in (source, sink):
