Replace a silent holder of the term by suspicion, and bridge longer outages of the store

Change: two entries of two zones that reach the store and find the holder silent for 2 s end its lease; the lease is 7 s; a holder whose renewals stalled asks the store before it gives orders; a successor waits for the leases of silent workers from the end of the last term, a term longer only if others ended it.

--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -1,13 +1,18 @@
 """Name the limits of the dispatch of jobs; times are seconds unless named."""
 
-# The dispatcher's lease in the store. A successor acts this long after a silent
-# loss; an outage of the store of 4.5 s is bridged almost whole.
-TERM_LEASE_S = 4.0
+# The dispatcher's lease in the store. It bridges an outage of the store of 5.5 s; a
+# silent holder is replaced earlier, by suspicion of the other entries.
+TERM_LEASE_S = 7.0
+# A holder whose renewals stalled for longer was suspended, and asks the store first.
+RENEW_STALL_S = 2.3
 TERM_RENEW_S = 0.8
 # The platform's clocks may differ by 2% in speed.
 CLOCK_SKEW = 0.02
 TERM_MARGIN_S = 0.25
 CANDIDATE_RETRY_S = 0.3
+# A predecessor whose lease ran out, or that gave up, acts no longer; its last calls
+# may still arrive within this time.
+PREDECESSOR_TAIL_S = 1.0
 
 # A lease on a worker outlives the change to a successor after a silent loss.
 WORKER_LEASE_S = 5.5
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
     CLOCK_SKEW,
     HOLD_MAX_PART,
     LEASE_MARGIN_S,
+    PREDECESSOR_TAIL_S,
     TERM_LEASE_S,
     WORKER_LEASE_S,
 )
@@ -75,6 +76,7 @@
         )
         self._started_s = clock.monotonic_s()
         self.worker_list_read = False
+        self.was_suspected = True
         self.handoff: dict[WorkerId, frozenset[str]] | None = None
         self.handoff_read = False
         self.retention_s = node.bounds.status_ms / 1000
@@ -178,10 +180,12 @@
     def inherited_blocked_until_s(self) -> float:
         """Return until when a worker out of reach may run tasks of earlier terms.
 
-        The last holder may have given a lease up to the end of its term.
+        The last holder may have given a lease up to the end of its term. Only if
+        others ended the term may that lie after the start of this one.
         """
         lease_s = self.lease_s / (1 - CLOCK_SKEW) + LEASE_MARGIN_S
-        return self._started_s + TERM_LEASE_S + lease_s
+        tail_s = TERM_LEASE_S if self.was_suspected else PREDECESSOR_TAIL_S
+        return self._started_s + tail_s + lease_s
 
     def add_worker(self, worker: Worker) -> None:
         """Open a session with a worker that was not known."""
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -18,6 +18,7 @@
     HANDOFF_KEY,
     INTAKE_PREFIX,
     PROGRESS_PREFIX,
+    SUSPECT_KEY,
     accepted_key,
     apply_progress,
     cancelled_key,
@@ -27,6 +28,7 @@
     progress_key,
 )
 from jayshunt.dispatch.store_models import Item
+from jayshunt.dispatch.suspicion import decode_suspicion
 from jayshunt.dispatch.tasks import Job
 from jayshunt.ids import JobId, QueueName, Revision
 from jayshunt.platform.store import HistoryGone, PlatformStore
@@ -74,6 +76,7 @@
         self._clock = clock
         self._config = config
         self._revision: Revision | None = None
+        self._suspicion_revision: Revision | None = None
         self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
 
     def run(self, stop: threading.Event) -> None:
@@ -90,6 +93,7 @@
                 self._follow()
                 self._clock.wait(stop, INTAKE_POLL_S)
                 self._remove_old()
+                self._forget_suspicion()
             except HistoryGone:
                 _LOGGER.info("dispatch: the store's history is gone, reading anew")
                 self._revision = None
@@ -160,6 +164,7 @@
         for item in items:
             self._take_cancel(item)
         self._take_handoff()
+        self._take_suspicion()
         self._revision = revision
         _LOGGER.info(
             "dispatch: read the accepted jobs",
@@ -189,6 +194,29 @@
                 self._dispatcher.handoff = decode_handoff(item.value)
         self._dispatcher.handoff_read = True
 
+    def _take_suspicion(self) -> None:
+        """Learn whether others ended the last term, and forget it in due time."""
+        dispatcher = self._dispatcher
+        item = self._store.get(SUSPECT_KEY)
+        stored = decode_suspicion(item)
+        if self._suspicion_revision is None:
+            dispatcher.was_suspected = stored is not None and stored.is_ended
+            self._suspicion_revision = Revision(0) if item is None else item.revision
+            return
+        if item is not None and item.revision == self._suspicion_revision:
+            self._store.transact(
+                {**dispatcher.term_condition, SUSPECT_KEY: item.revision},
+                (),
+                (SUSPECT_KEY,),
+            )
+        self._suspicion_revision = Revision(0)
+
+    def _forget_suspicion(self) -> None:
+        """Remove the record of an ended term once its holder certainly acts no more."""
+        is_due = self._clock.monotonic_s() > self._dispatcher.inherited_blocked_until_s
+        if self._dispatcher.was_suspected and is_due and self._suspicion_revision:
+            self._take_suspicion()
+
     def _follow(self) -> None:
         answer = self._store.watch(INTAKE_PREFIX, self._revision, 0.0)
         for item in answer.events:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -19,6 +19,7 @@
 from jayshunt.dispatch.handover import EntryReport
 from jayshunt.dispatch.models import JobState
 from jayshunt.dispatch.store_models import Term
+from jayshunt.dispatch.suspicion import TermSuspect
 from jayshunt.dispatch.term import TermKeeper
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, LeaseId, QueueName
@@ -37,8 +38,15 @@
     `own_dispatcher` is the dispatcher of this process while it holds the term.
     """
 
-    def __init__(self, keeper: TermKeeper, store: PlatformStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        keeper: TermKeeper,
+        store: PlatformStore,
+        clock: Clock,
+        suspect: TermSuspect,
+    ) -> None:
         """Start with no notice to send."""
+        self._suspect = suspect
         self._keeper = keeper
         self._store = store
         self._clock = clock
@@ -113,8 +121,10 @@
     def follow_refusals(self, stop: threading.Event) -> None:
         """Learn which queues refuse jobs."""
         while not stop.is_set():
+            term = self._keeper.term
             try:
                 answer = self._ask("refusals", self._own_report(), 0.0)
+                self._suspect.answered()
                 self._end_lease(answer.get("end_lease"))
                 self._refusals = {
                     QueueName(name): after_s
@@ -123,8 +133,14 @@
                 self._refusals_s = self._clock.monotonic_s()
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: refusals are not known: %s", error)
+                if term is not None and self._is_of_others(term):
+                    self._suspect.unanswered(term)
             self._clock.wait(stop, STATUS_INTERVAL_S)
 
+    def _is_of_others(self, term: Term) -> bool:
+        """Return whether a term is not one of this process."""
+        return term.incarnation != self._keeper.incarnation
+
     def reports(self) -> list[EntryReport]:
         """Return what other entries said of themselves."""
         return list(self._reports.values())
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -33,6 +33,7 @@
 WAVE_PREFIX = "jayshunt/wave/"
 HANDOFF_KEY = "jayshunt/handoff"
 ORDERED_KEY = "jayshunt/ordered"
+SUSPECT_KEY = "jayshunt/suspect"
 
 # A long-running task may fail without end; only its last failures are kept.
 MAX_FAILED_RUNS = 32
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -17,6 +17,7 @@
 from jayshunt.dispatch.const import (
     CANDIDATE_RETRY_S,
     CLOCK_SKEW,
+    RENEW_STALL_S,
     TERM_LEASE_S,
     TERM_MARGIN_S,
     TERM_RENEW_S,
@@ -77,18 +78,29 @@
         self.term = term
         self._now_s = now_s
         self._valid_until_s = 0.0
+        self._attempted_s = 0.0
         self.is_over = False
         self.renewed(renewed_s)
 
+    def attempted(self) -> None:
+        """Record that a renewal was tried, whether or not the store answered."""
+        self._attempted_s = self._now_s()
+
     def renewed(self, sent_s: float) -> None:
         """Extend the view of the lease from the time a renewal was sent."""
+        self.attempted()
         usable_s = TERM_LEASE_S * (1 - CLOCK_SKEW) - TERM_MARGIN_S
         self._valid_until_s = max(self._valid_until_s, sent_s + usable_s)
 
     @property
     def is_valid(self) -> bool:
-        """Return whether orders may be given."""
-        return not self.is_over and self._now_s() < self._valid_until_s
+        """Return whether orders may be given.
+
+        After a suspension the store is asked first: others may have ended the term.
+        """
+        now_s = self._now_s()
+        has_stalled = now_s - self._attempted_s > RENEW_STALL_S
+        return not self.is_over and not has_stalled and now_s < self._valid_until_s
 
 
 class TermKeeper:
@@ -193,6 +205,7 @@
                 "dispatch: the term was not renewed",
                 extra={"reason": str(error), "valid": own.is_valid},
             )
+            own.attempted()
         else:
             own.renewed(sent_s)
 
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -14,6 +14,7 @@
 from jayshunt.dispatch.metrics import EntryMetrics
 from jayshunt.dispatch.models import Address, EntryNode
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
+from jayshunt.dispatch.suspicion import TermSuspect
 from jayshunt.dispatch.term import OwnTerm, TermKeeper
 from jayshunt.platform.const import CONFIG_KEY
 from jayshunt.platform.formats import decode_config
@@ -63,7 +64,8 @@
         self._keeper = TermKeeper(
             node, self._store, self._clock, rng, self._make_dispatcher
         )
-        self._link = DispatcherLink(self._keeper, self._store, self._clock)
+        suspect = TermSuspect(node.entry, node.zone, self._store, self._clock)
+        self._link = DispatcherLink(self._keeper, self._store, self._clock, suspect)
         self._guard = HandoverGuard(self._keeper, self._link, self._store, self._clock)
         self._metrics = EntryMetrics(self._store, self._link)
         entry = JobEntry(self._store, self._link, self._clock)
