--- a/src/jayshunt/dispatch/suspicion.py
+++ b/src/jayshunt/dispatch/suspicion.py
@@ -115,9 +115,14 @@
     def _act(self, term: Term, silent_s: float) -> None:
         item = self._store.get(SUSPECT_KEY)
         own = Suspicion(term.token, self._entry, self._zone)
-        step = next_step(own, decode_suspicion(item), silent_s)
+        stored = decode_suspicion(item)
+        step = next_step(own, stored, silent_s)
         if step is Step.WAIT:
             return
+        if step is Step.END and stored.is_ended:
+            # Written again, the record would outlive the successor's care for it.
+            self._store.end_lease(term.lease)
+            return
         put = own if step is Step.RECORD else replace(own, is_ended=True)
         revision = Revision(0) if item is None else item.revision
         result = self._store.transact(
--- a/src/jayshunt/dispatch/tests/test_suspicion.py
+++ b/src/jayshunt/dispatch/tests/test_suspicion.py
@@ -88,6 +88,15 @@
         self.assertEqual([LeaseId("9")], self.ended)
         self.assertTrue(self.stored().is_ended)
 
+    def test_record_of_an_ended_term_is_not_written_again(self) -> None:
+        """A later revision made every next holder wait a term longer."""
+        self.test_silent_holder_loses_its_term()
+        revision = self.store.get(SUSPECT_KEY).revision
+        self.clock.advance(LONG_S)
+        self.first.unanswered(self.term)
+        self.assertEqual(revision, self.store.get(SUSPECT_KEY).revision)
+        self.assertEqual(2, len(self.ended))
+
     def test_answer_withdraws_the_record(self) -> None:
         """A record that stays would make one later suspicion enough."""
         self.first.unanswered(self.term)
