Give a pool the VMs that its long-running steps have to be spread over

Of a step of 14 tasks, two of which may share a VM, two never ran: the pool had processors for them, but only on VMs that held two already. They counted as away, so that no task of the step could be stopped within its budget.

Change: a pool needs as many VMs as its widest long-running step has to be spread over.

--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -52,12 +52,17 @@
 
 @dataclass
 class PoolDemand:
-    """Hold what the tasks of a pool take and wait for."""
+    """Hold what the tasks of a pool take and wait for.
+
+    `spread_vms` is how many VMs the widest long-running step needs, as only some
+    of its tasks may share one.
+    """
 
     long_running: Resources = Resources()
     placed: Resources = Resources()
     waiting: Resources = Resources()
     vms_with_long_running: set[VmId] = field(default_factory=set)
+    spread_vms: int = 0
 
 
 @dataclass
@@ -126,6 +131,10 @@
             if job.state.is_final:
                 continue
             self._count_arrival(job, now_s)
+            spread_vms = _spread_vms(job)
+            if spread_vms:
+                demand = demands.setdefault(job.config.pool, PoolDemand())
+                demand.spread_vms = max(demand.spread_vms, spread_vms)
             due = job.due_tasks()
             if due:
                 demand = demands.setdefault(job.config.pool, PoolDemand())
@@ -183,7 +192,7 @@
             IDLE_FREE_VMS + demand.long_running.cpu_millicores / size.cpu_millicores
         )
         needed = math.ceil(max(by_cpu, by_memory, idle_need))
-        needed = max(needed, len(demand.vms_with_long_running))
+        needed = max(needed, len(demand.vms_with_long_running), demand.spread_vms)
         return PoolNeed(pool, len(present.get(pool, ())), needed)
 
     def _needed_lately(self, need: PoolNeed, now_s: float) -> int:
@@ -236,6 +245,16 @@
         return moves
 
 
+def _spread_vms(job: Job) -> int:
+    """Return how many VMs a long-running job has to be spread over."""
+    if not job.spec.is_long_running:
+        return 0
+    return max(
+        math.ceil(step.task_count / step.max_per_worker) if step.max_per_worker else 0
+        for step in job.spec.steps
+    )
+
+
 def _rate(seen: Iterable[tuple[float, float]], window_s: float, now_s: float) -> float:
     """Return the work a second that came in a window, less its standard error."""
     works = [work for at_s, work in seen if at_s >= now_s - window_s]
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -145,6 +145,20 @@
                 moved.add(vm)
         self.assertNotIn("vm-pool0-5", moved)
 
+    def test_spread_of_a_long_running_step_is_given_vms(self) -> None:
+        """Two of 14 tasks never ran, as processors for them were at hand on VMs that
+        held as many of the step as may share one; no VM could be emptied then."""
+        step = build_step(
+            task_count=14,
+            resources=Resources(500, 1),
+            is_long_running=True,
+            max_per_worker=2,
+        )
+        job = build_job(step, queue=build_queue(pool=POOLS[0]))
+        for round_number in range(60):
+            self.decide([job], round_number * ROUND_S)
+        self.assertGreaterEqual(self.fleet.count(POOLS[0]), 7)
+
     def test_burst_fetches_before_it_is_over(self) -> None:
         """A burst over the pool's room is met with VMs of others in two seconds."""
         step = build_step(task_count=30, resources=Resources(20_000, 1))
