Name unstored ends in the handoff of a term, and judge noted ends by the lease

Change: the handoff also names the jobs of ends that are not stored; workers of the soak record when their lease lapses, and an end noted after a lapse does not count.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -130,10 +130,7 @@
         if not self.ready.is_set() or not self.planner.knows_all_runs:
             return
         with self.lock:
-            placements = {
-                worker: [task.key.name for task in view.tasks.values()]
-                for worker, view in self.book.workers.items()
-            }
+            placements = self.book.left_on_workers()
         left = self._store.get(HANDOFF_KEY)
         revision = Revision(0) if left is None else left.revision
         self._store.transact(
--- a/src/jayshunt/dispatch/run_book.py
+++ b/src/jayshunt/dispatch/run_book.py
@@ -176,6 +176,23 @@
 
     # --- the store ---
 
+    def left_on_workers(self) -> dict[WorkerId, list[str]]:
+        """Return by worker which tasks may run there or ended there unstored.
+
+        Only the worker can tell a successor of an end that is not stored, so that
+        its job must not go on before the worker answered.
+        """
+        left: dict[WorkerId, list[str]] = {}
+        for worker, view in self.workers.items():
+            names = [task.key.name for task in view.tasks.values()]
+            names += [
+                end.job
+                for end in view.pending
+                if end.job is not None and self.stored_versions[end.job] < end.version
+            ]
+            left[worker] = names
+        return left
+
     def stored(self, job: Job, version: int, state: JobState, now_s: float) -> None:
         """Record that a version of a job's progress is stored."""
         job_id = job.spec.job
--- a/src/jayshunt/dispatch/tests/test_run_book.py
+++ b/src/jayshunt/dispatch/tests/test_run_book.py
@@ -72,6 +72,20 @@
         self.assertEqual(1, task.failures)
         self.assertEqual(JobState.QUEUED, job.state)
 
+    def test_unstored_end_is_left_to_the_successor(self) -> None:
+        """Soak seed 2114: a holder gave up before an end was stored, and its handoff
+        did not name the worker that listed it; the task ran again."""
+        job = build_job()
+        book = build_book(job)
+        view = add_view(book)
+        task = place(book, job, 0, view)
+        done = ended(1, task, RunEnd.DONE)
+        book.apply_hold(view, listed(ended=(done,)), 1.0, 1.1)
+        worker, job_id = view.worker.worker, job.spec.job
+        self.assertEqual({worker: [job_id]}, book.left_on_workers())
+        book.stored(job, book.versions[job_id], job.state, 1.2)
+        self.assertEqual({worker: []}, book.left_on_workers())
+
     def test_failures_on_two_workers_count_in_any_order(self) -> None:
         """The end of an older run may be heard of after that of a newer one."""
         job = build_job()
--- a/src/jayshunt_soak/checks.py
+++ b/src/jayshunt_soak/checks.py
@@ -28,6 +28,7 @@
     """Return the runs that workers recorded; a killed process ends its own."""
     runs: dict[tuple[str, str, int], Interval] = {}
     process_of: dict[str, str] = {}
+    lapses: dict[str, list[float]] = defaultdict(list)
     for row in sorted(events, key=lambda row: row["at_s"]):
         if row["event"] == "killed":
             for key, run in runs.items():
@@ -37,13 +38,20 @@
         if row["event"] == "life":
             process_of[row["worker"]] = row["process"]
             continue
+        if row["event"] == "lapse":
+            lapses[row["worker"]].append(row["at_s"])
+            continue
         key = (row["worker"], row["task"], row["run"])
         if row["event"] == "start":
             runs[key] = Interval(row["task"], row["run"], row["worker"], row["at_s"])
         elif row["event"] == "end":
             runs[key].ended_s, runs[key].how = row["at_s"], row["how"]
         elif row["event"] == "noted":
-            runs[key].noted_s = row["at_s"]
+            run = runs[key]
+            # An end does not count as noted if the lease lapsed before: the worker
+            # was taken to be over meanwhile, and its tasks may run elsewhere.
+            if not any(run.ended_s <= at <= row["at_s"] for at in lapses[run.worker]):
+                run.noted_s = row["at_s"]
     return list(runs.values())
 
 
--- a/src/jayshunt_soak/platform/life.py
+++ b/src/jayshunt_soak/platform/life.py
@@ -42,6 +42,7 @@
         self._changed = threading.Condition()
         self._token = 0
         self._lease_ms = 0
+        self._lapsed_ms = 0
         self._runs: dict[str, Run] = {}
         self._over: dict[str, int] = {}
         self._ends: list[list] = []
@@ -146,6 +147,9 @@
                 self._end(task, "failed" if run.fails else "done", run.done_s)
             elif lease_s <= now_s:
                 self._end(task, "lapsed", lease_s)
+        if lease_s <= now_s and self._lapsed_ms != self._lease_ms:
+            self._lapsed_ms = self._lease_ms
+            self._record({"event": "lapse", "at_s": lease_s})
 
     def _end(self, task: str, how: str, at_s: float) -> None:
         run = self._runs.pop(task)
--- a/src/jayshunt_soak/tests/test_checks.py
+++ b/src/jayshunt_soak/tests/test_checks.py
@@ -43,6 +43,16 @@
         """What was done and noted must not begin again."""
         self.assertEqual(["done before"], self.broken(start(3.0, 2, "w2")))
 
+    def test_run_after_an_end_that_was_noted_past_its_lease(self) -> None:
+        """Seed 2003: a worker behind a silent path lists its end seconds too late."""
+        lapse = {"at_s": 5.0, "event": "lapse", "worker": "w1"}
+        events = [life("w1"), life("w2", "rack-1"), start(1.0, 1), end(2.0, 1), lapse]
+        events += [start(5.5, 2, "w2"), end(6.0, 2, worker="w2"), noted(7.0, 1)]
+        self.assertEqual([], check([build_told()], events))
+        before = {**lapse, "at_s": 1.5}
+        events[4] = before
+        self.assertEqual(1, len(check([build_told()], events)))
+
     def test_refused_job_that_runs(self) -> None:
         """A refusal that says not run must be true."""
         changes = {"accepted_s": None, "is_refused": True, "states": []}
