--- a/src/jayshunt_soak/bed.py
+++ b/src/jayshunt_soak/bed.py
@@ -48,7 +48,10 @@
 
 @dataclass
 class Program:
-    """Hold one process, restarted whenever it ends; `lives` are pid and end."""
+    """Hold one process that is restarted whenever it ends.
+
+    `ends` are the steady seconds at which it ended, `restart_s` when it begins anew.
+    """
 
     name: str
     command: list[str]
--- a/src/jayshunt_soak/platform/life.py
+++ b/src/jayshunt_soak/platform/life.py
@@ -52,7 +52,7 @@
     def start(self, body: dict) -> tuple[int, dict]:
         """Begin a run, or say why not."""
         with self._changed:
-            self._pass()
+            self._advance()
             refusal = self._refusal(body)
             if refusal is not None:
                 return self._answer(409, reason=refusal)
@@ -91,7 +91,7 @@
     def stop(self, body: dict) -> tuple[int, dict]:
         """End a run, or shut out one that has not come yet."""
         with self._changed:
-            self._pass()
+            self._advance()
             if body["fencingToken"] < self._token:
                 return self._answer(409, reason="fence")
             self._token = body["fencingToken"]
@@ -106,7 +106,7 @@
         """Extend the lease, forget noted ends, wait for news and list everything."""
         end_s = time.monotonic() + body.get("waitMs", 0) / 1000
         with self._changed:
-            self._pass()
+            self._advance()
             if body["fencingToken"] < self._token:
                 return self._answer(409, reason="fence")
             self._token = body["fencingToken"]
@@ -120,7 +120,7 @@
                 if left_s <= 0:
                     break
                 self._changed.wait(min(left_s, 0.02))
-                self._pass()
+                self._advance()
             running = [[t, r.number, "", 100, 0] for t, r in self._runs.items()]
             ended = self._ends[:MAX_ENDS_LISTED]
             status, answer = self._answer(200)
@@ -129,13 +129,13 @@
     def end(self) -> None:
         """End everything at once: the VM is taken away."""
         with self._changed:
-            self._pass()
+            self._advance()
             self.is_over = True
             for task in list(self._runs):
                 self._end(task, "gone", time.monotonic())
             self._changed.notify_all()
 
-    def _pass(self) -> None:
+    def _advance(self) -> None:
         """Take in what the time has done: ends of work, and of the lease.
 
         A life that was paused past its lease has ended its runs back then.
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -1,7 +1,7 @@
 """Run the workers of one rack as a process of its own.
 
-The process takes a TOML-free plan as JSON in its first argument: rack, VMs with
-their pools and service addresses, the address of the platform and its log file.
+The process takes its plan as JSON in the first argument: the rack, its VMs with
+their pools, ports and shown addresses, the platform, the log file and the seed.
 """
 
 import json
