Never let curl send a request with a body twice

Change: the body is given to curl so that it cannot be read again; curl fails in place of sending a second copy, and the outcome is unknown.

A start that a worker carried out while its copy was refused is excluded in the same way.

--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -82,7 +82,7 @@
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(stop.is_set()))
     sent = [f"{name}: {value}" for name, value in (headers or {}).items()]
     if body is not None:
-        handle.setopt(pycurl.POSTFIELDS, body)
+        _send_once(handle, body)
     handle.setopt(pycurl.HTTPHEADER, [*sent, "Expect:"])
     if authority_file is not None:
         handle.setopt(pycurl.CAINFO, str(authority_file))
@@ -109,6 +109,18 @@
     return HttpAnswer(status, parse_headers(lines), sink.getvalue())
 
 
+def _send_once(handle: pycurl.Curl, body: bytes) -> None:
+    """Let curl read the body, but not a second time.
+
+    curl sends a request again by itself when a kept connection breaks without an
+    answer. The second copy's refusal would say that nothing ran, while the first
+    may still be carried out. As the body cannot be read again, curl fails instead.
+    """
+    handle.setopt(pycurl.POST, 1)
+    handle.setopt(pycurl.POSTFIELDSIZE, len(body))
+    handle.setopt(pycurl.READFUNCTION, io.BytesIO(body).read)
+
+
 def parse_headers(lines: list[bytes]) -> dict[str, str]:
     """Return the headers of the last header block."""
     headers: dict[str, str] = {}
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -291,6 +291,39 @@
         thread.join()
         self.assertIs(Outcome.UNKNOWN, caught.exception.outcome)
 
+    def test_refusal_of_a_second_copy_is_not_taken_for_the_first(self) -> None:
+        """Soak seed 3114: the store carried a write out late and closed, curl sent
+        it again, and the 503 for the copy told the caller that nothing had run."""
+        listener = socket.create_server((HOST, 0))
+        port = listener.getsockname()[1]
+        copies: list[bytes] = []
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            copies.append(connection.recv(65536))
+            connection.close()
+            listener.settimeout(0.5)
+            try:
+                connection, _ = listener.accept()
+            except TimeoutError:
+                return
+            copies.append(connection.recv(65536))
+            connection.sendall(b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n")
+            connection.close()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        url = f"http://{HOST}:{port}/"
+        http_client.request("POST", url, body=b"1", timeout_s=2.0, step="test")
+        with self.assertRaises(JayshuntError) as caught:
+            http_client.request("POST", url, body=b"2", timeout_s=2.0, step="test")
+        thread.join()
+        listener.close()
+        self.assertIs(Outcome.UNKNOWN, caught.exception.outcome)
+        self.assertIn(b"2", copies[0])
+
 
 if __name__ == "__main__":
     unittest.main()
