--- a/src/jayshunt_soak/tests/test_soak.py
+++ b/src/jayshunt_soak/tests/test_soak.py
@@ -16,6 +16,8 @@
     "the check counted them as noted",
     2114: "a handoff did not name the worker that listed an end not yet stored, and "
     "its task ran again",
+    3114: "curl sent a write a second time by itself, and the refusal of the copy "
+    "was taken for the whole",
 }
 
 
