--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -112,11 +112,14 @@
 
     def start(self) -> None:
         """Start the threads that read the store and take over the workers."""
-        self._group.start(self._run_intake)
-        self._group.start(self._workers.run)
-        self._group.start(self._guard(self.progress.run))
-        self._group.start(self.planner.run)
-        self._group.start(self.fleet.run)
+        for task in (
+            self._run_intake,
+            self._workers.run,
+            self._guard(self.progress.run),
+            self.planner.run,
+            self.fleet.run,
+        ):
+            self._group.supervise(task)
 
     def stop(self, is_graceful: bool) -> None:
         """Stop giving orders and end all threads.
@@ -234,8 +237,8 @@
                 if not known.view.is_ended
             }
             self.sessions[view.worker.worker] = session
-        self._group.start(session.run_poll_loop)
-        self._group.start(session.run_order_loop)
+        self._group.supervise(session.run_poll_loop)
+        self._group.supervise(session.run_order_loop)
         return session
 
     def _notify_sessions(self) -> None:
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -111,7 +111,7 @@
             self._link.poll_refusals,
             self._handover_monitor.run,
         ):
-            self._tasks.start(task)
+            self._tasks.supervise(task)
         for server in (self._peer_server, self._ready_server, self._front_server):
             server.start()
 
--- /dev/null
+++ b/src/jayshunt/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules that all packages share."""
