Treat malformed input as a failed call instead of an unexpected error

Cause: numbers such as 1e999, deeply nested JSON, rows of another type and bytes that are no text raised OverflowError, RecursionError, KeyError or AttributeError past the handlers in the clients of store, workers and VM service and in the decoders of jobs, workers and waves. One such message ended the loop that had read it, or broke the caller's connection. A write of the store that was answered 500, 502 or 504 was reported as not run. A job with a billion occurrences was accepted. Change: DECODE_ERRORS names what decoding can raise; calls turn it into their usual error, with an unknown outcome for writes and orders; a report of runs or list of VMs with one malformed row is refused as a whole, since the rest would show a run or VM as gone; counts are checked; ids that no job can have are answered at once.

--- a/src/jayshunt/dispatch/config_follower.py
+++ b/src/jayshunt/dispatch/config_follower.py
@@ -8,6 +8,7 @@
 from jayshunt.dispatch.const import CONFIG_WATCH_S
 from jayshunt.dispatch.models import FleetConfig
 from jayshunt.dispatch.store_models import Item
+from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import Revision
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
@@ -94,7 +95,7 @@
     def _apply(self, item: Item) -> None:
         try:
             config = self._decode(item.value)
-        except (ValueError, KeyError, TypeError) as error:
+        except DECODE_ERRORS as error:
             _LOGGER.error(
                 "config: failed to decode a version", extra={"reason": str(error)}
             )
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -30,7 +30,8 @@
 from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.suspicion import decode_suspicion
 from jayshunt.dispatch.tasks import Job
-from jayshunt.ids import JobId, QueueName, Revision
+from jayshunt.errors import DECODE_ERRORS
+from jayshunt.ids import JobId, QueueName, Revision, WorkerId
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -195,9 +196,20 @@
                 (HANDOFF_KEY,),
             )
             if result.revision is not None:
-                self._dispatcher.handoff = decode_handoff(item.value)
+                self._dispatcher.handoff = self._decode_handoff(item)
         self._dispatcher.handoff_read = True
 
+    @staticmethod
+    def _decode_handoff(item: Item) -> dict[WorkerId, frozenset[str]] | None:
+        """Return the handoff, or None, as without one, if it is malformed."""
+        try:
+            return decode_handoff(item.value)
+        except DECODE_ERRORS as error:
+            _LOGGER.warning(
+                "dispatch: ignoring a malformed handoff", extra={"reason": repr(error)}
+            )
+            return None
+
     def _read_or_delete_suspicion(self) -> None:
         """Read whether other entries ended the last term on suspicion.
 
@@ -247,7 +259,7 @@
         job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
         try:
             self.add_job(job_id, item.value, item.created, False, progress)
-        except (ValueError, KeyError, TypeError) as error:
+        except DECODE_ERRORS as error:
             _LOGGER.error(
                 "dispatch: cannot decode a stored job",
                 extra={"job": job_id, "reason": str(error)},
--- a/src/jayshunt/dispatch/suspicion.py
+++ b/src/jayshunt/dispatch/suspicion.py
@@ -16,7 +16,7 @@
 from jayshunt.clock import Clock
 from jayshunt.dispatch.records import SUSPECT_KEY
 from jayshunt.dispatch.store_models import Item, Put, Term
-from jayshunt.errors import JayshuntError
+from jayshunt.errors import DECODE_ERRORS, JayshuntError
 from jayshunt.ids import EntryId, Revision, ZoneName
 from jayshunt.platform.store import PlatformStore
 
@@ -75,10 +75,22 @@
 
 
 def decode_suspicion(item: Item | None) -> Suspicion | None:
-    """Return the suspicion in a store item, or None if the item is absent."""
+    """Return the suspicion in a store item, or None if it is absent or malformed."""
     if item is None or item.value is None:
         return None
-    return Suspicion(**json.loads(item.value))
+    try:
+        fields = json.loads(item.value)
+        return Suspicion(
+            Revision(int(fields["token"])),
+            EntryId(str(fields["entry"])),
+            ZoneName(str(fields["zone"])),
+            bool(fields["is_ended"]),
+        )
+    except DECODE_ERRORS as error:
+        _LOGGER.warning(
+            "dispatch: ignoring a malformed suspicion", extra={"reason": repr(error)}
+        )
+        return None
 
 
 class DispatcherFailureDetector:
--- a/src/jayshunt/errors.py
+++ b/src/jayshunt/errors.py
@@ -2,6 +2,17 @@
 
 from enum import Enum
 
+# What decoding a malformed document can raise: OverflowError for a number such as
+# 1e999, RecursionError for deeply nested JSON.
+DECODE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
 
 class Outcome(Enum):
     """Whether the work of a failed call ran.
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -16,6 +16,7 @@
     WorkerState,
 )
 from jayshunt.dispatch.vms import Wave
+from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import (
     ConfigVersion,
     JobId,
@@ -32,6 +33,10 @@
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
+# Limits the memory of one job at the dispatcher to about 20 MB, with all occurrences.
+MAX_TASKS_PER_JOB = 50_000
+# Amounts of resources and durations above this are malformed; it is 24 days in ms.
+MAX_COUNT = 2**31
 JOB_ID_CHARS = 16
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
@@ -91,14 +96,14 @@
     """Decode a submitted job; raise MalformedSubmission if that is impossible."""
     try:
         return job_from_fields(job, queue, json.loads(body))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedSubmission(str(error)) from error
 
 
 def job_from_fields(job: JobId, queue: QueueName, fields: dict) -> JobSpec:
     """Build a job from the decoded fields of its submission.
 
-    Raise ValueError, KeyError, TypeError or AttributeError on malformed fields.
+    Raise one of DECODE_ERRORS on malformed fields.
     """
     payload = fields.get("spec", "")
     if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
@@ -107,14 +112,17 @@
     if not isinstance(rows, list) or not 1 <= len(rows) <= MAX_STEPS:
         raise ValueError(f"steps: a list of 1 to {MAX_STEPS} entries")
     steps = tuple(_decode_step(number, row) for number, row in enumerate(rows))
+    times = _read_count(fields, "times")
+    if max(1, times) * sum(step.task_count for step in steps) > MAX_TASKS_PER_JOB:
+        raise ValueError(f"steps: at most {MAX_TASKS_PER_JOB} tasks in all occurrences")
     return JobSpec(
         job=job,
         queue=queue,
         payload=payload,
         steps=steps,
-        times=int(fields.get("times", 0)),
+        times=times,
         start_at_ms=int(fields.get("startAtMs", 0)),
-        interval_ms=int(fields.get("intervalMs", 0)),
+        interval_ms=_read_count(fields, "intervalMs"),
     )
 
 
@@ -128,32 +136,40 @@
     return StepSpec(
         task_count=count,
         resources=decode_resources(row),
-        estimate_ms=int(row.get("estimateMs", 0)),
+        estimate_ms=_read_count(row, "estimateMs"),
         after=after,
         has_checkpoints=bool(row.get("checkpoint", False)),
         is_gang=bool(row.get("gang", False)),
         same_rack=bool(row.get("sameRack", False)),
         required_label=str(row.get("requires", "") or ""),
         data_rack=RackName(str(row.get("affinity", "") or "")),
-        max_per_worker=int(row.get("antiAffinity", 0) or 0),
+        max_per_worker=_read_count(row, "antiAffinity"),
         is_speculative=bool(row.get("speculative", False)),
         is_long_running=bool(row.get("longRunning", False)),
         image=str(row.get("image", "") or ""),
-        target_ms=int(row.get("targetMs", 0) or 0),
+        target_ms=_read_count(row, "targetMs"),
         fills=bool(row.get("fills", False)),
-        max_unavailable=int(row.get("mayMiss", 0) or 0),
+        max_unavailable=_read_count(row, "mayMiss"),
     )
 
 
 def decode_resources(fields: dict) -> Resources:
     """Decode CPU (millicores), memory (MB) and GPU counts; missing fields are 0."""
     return Resources(
-        cpu_millicores=int(fields.get("cpu", 0)),
-        memory_mb=int(fields.get("memMb", 0)),
-        gpus=int(fields.get("gpu", 0)),
+        cpu_millicores=_read_count(fields, "cpu"),
+        memory_mb=_read_count(fields, "memMb"),
+        gpus=_read_count(fields, "gpu"),
     )
 
 
+def _read_count(fields: dict, name: str) -> int:
+    """Return a whole number from 0 to MAX_COUNT; a missing or empty field is 0."""
+    count = int(fields.get(name) or 0)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f"{name}: {count} is not from 0 to {MAX_COUNT}")
+    return count
+
+
 def rack_of(labels: object) -> RackName:
     """Return the rack of a VM: its first label that starts with `r` and has a `-`.
 
@@ -193,7 +209,7 @@
             vm=VmId(fields["machine"]) if fields.get("machine") else None,
             started_ms=int(fields.get("born", 0)),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         _LOGGER.warning(
             "platform: ignoring a malformed record of the worker list",
             extra={"worker": worker, "reason": str(error)},
@@ -220,7 +236,7 @@
             deadline_s=float(fields.get("deadlineS", 0)),
             max_down=max(1, int(fields.get("maxCount", 1))),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         _LOGGER.warning(
             "platform: ignoring a malformed wave", extra={"reason": str(error)}
         )
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -20,6 +20,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 DEFAULT_DEADLINE_S = 3.0
+# A longer deadline in a request is malformed, as are nan and inf.
+MAX_DEADLINE_S = 3_600.0
 # Fraction of the caller's deadline that processing may use; the rest is left for
 # sending the response.
 DEADLINE_FRACTION = 0.85
@@ -78,16 +80,18 @@
             return 404, {"error": "no such queue"}, []
         rest = path[len(queue.path_prefix) :].strip("/")
         timeout_s = _timeout_s(environ)
+        if rest and not is_job_id(rest):
+            return _answer_invalid_id(request.head.method)
         match request.head.method, rest:
             case "GET", "":
                 return self._waiting_count(queue, timeout_s)
-            case "POST", job if is_job_id(job):
+            case "POST", job if job:
                 return self._submit(queue, JobId(job), request.body, timeout_s)
             case "GET", job:
                 return self._state(JobId(job), timeout_s)
             case "DELETE", job:
                 return self._cancel(JobId(job), timeout_s)
-        return 400, {"error": "a job id has 16 hexadecimal digits"}, []
+        return 400, {"error": "a job id or another method is needed"}, []
 
     def _waiting_count(self, queue: QueueConfig, timeout_s: float) -> Answer:
         return 200, {"waiting": self._entry.waiting(queue.queue, timeout_s)}, []
@@ -117,12 +121,21 @@
         return 410, {"error": "no such job"}, []
 
 
+def _answer_invalid_id(method: str) -> Answer:
+    """Return the response to a call for an id that no job can have."""
+    if method == "POST":
+        return 400, {"error": "a job id has 16 hexadecimal digits"}, []
+    return 410, {"error": "no such job"}, []
+
+
 def _timeout_s(environ: dict) -> float:
     header = "HTTP_" + DEADLINE_HEADER.upper().replace("-", "_")
     try:
         deadline_s = float(environ.get(header, DEFAULT_DEADLINE_S * 1000)) / 1000
     except ValueError:
         deadline_s = DEFAULT_DEADLINE_S
+    if not 0 < deadline_s <= MAX_DEADLINE_S:
+        deadline_s = DEFAULT_DEADLINE_S
     return max(0.05, deadline_s * DEADLINE_FRACTION)
 
 
--- a/src/jayshunt/platform/machine_calls.py
+++ b/src/jayshunt/platform/machine_calls.py
@@ -5,7 +5,7 @@
 from jayshunt import http_client
 from jayshunt.dispatch.models import Address
 from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, Vm, VmState
-from jayshunt.errors import JayshuntError
+from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import EntryId, PoolName, VmId, WorkerId, ZoneName
 from jayshunt.platform.const import FENCING_TOKEN_HEADER, HOLDER_HEADER
 from jayshunt.platform.formats import decode_resources, rack_of
@@ -38,11 +38,23 @@
         vms: list[Vm] = []
         path = "/machines"
         while True:
-            fields = json.loads(self._call("GET", path, None, {}).body)
-            vms += [_decode_vm(row) for row in fields["machines"]]
-            if not fields.get("nextToken"):
+            answer = self._call("GET", path, None, {})
+            try:
+                fields = json.loads(answer.body)
+                vms += [_decode_vm(row) for row in fields["machines"]]
+                next_token = fields.get("nextToken")
+            except DECODE_ERRORS as error:
+                # A list without the malformed row would show its VM as gone.
+                raise JayshuntError(
+                    "unreadable_answer",
+                    step="machines/machines",
+                    outcome=Outcome.UNKNOWN,
+                    retry_after_s=1.0,
+                    detail=f"malformed list of VMs: {error!r}",
+                ) from error
+            if not next_token:
                 return tuple(vms)
-            path = f"/machines?pageToken={fields['nextToken']}"
+            path = f"/machines?pageToken={next_token}"
 
     def move(self, vm: VmId, pool: PoolName, token: int) -> DutyAnswer:
         """Move a VM to a pool; the platform ends all its runs immediately."""
@@ -58,8 +70,7 @@
         if answer.status == 200:
             return DutyAnswer(None)
         if answer.status == 409:
-            reason = json.loads(answer.body).get("reason")
-            return DutyAnswer(_REFUSALS.get(reason, DutyRefusal.OTHER))
+            return DutyAnswer(_decode_refusal(answer.body))
         return DutyAnswer(DutyRefusal.OTHER)
 
     def _call(
@@ -85,6 +96,14 @@
         )
 
 
+def _decode_refusal(body: bytes) -> DutyRefusal:
+    """Return the reason of a refused order, OTHER if it can't be decoded."""
+    try:
+        return _REFUSALS.get(json.loads(body).get("reason"), DutyRefusal.OTHER)
+    except DECODE_ERRORS:
+        return DutyRefusal.OTHER
+
+
 def _decode_vm(row: dict) -> Vm:
     return Vm(
         vm=VmId(row["machine"]),
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -5,10 +5,12 @@
 """
 
 import base64
+import contextlib
 import json
 import threading
 import time
 from collections import Counter
+from collections.abc import Iterator
 from urllib.parse import quote, urlencode
 
 from jayshunt import http_client
@@ -20,7 +22,7 @@
     TransactionResult,
     WatchAnswer,
 )
-from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import LeaseId, Revision
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -46,10 +48,11 @@
 class PlatformStore:
     """Client for reads, compare-and-swap transactions, watches and leases.
 
-    A POST without a response raises StoreOutcomeUnknown if it may have taken effect
-    or may still do so. Every other failure raises StoreUnavailable: a call that was
-    not sent, a failed read, an unexpected status, or an `end_lease` (DELETE) without
-    a response, which may have taken effect.
+    A POST raises StoreOutcomeUnknown if it may have taken effect or may still do so:
+    without a response, with one that can't be decoded, and with a server error other
+    than 503. Every other failure raises StoreUnavailable: a call that was not sent or
+    was rejected, a failed read, or an `end_lease` (DELETE) without a response, which
+    may have taken effect.
     """
 
     def __init__(self, address: Address) -> None:
@@ -66,7 +69,8 @@
         answer = self._call("get", "GET", "/kv-key?" + urlencode({"key": key}))
         if answer.status == 404:
             return None
-        return _decode_item(json.loads(answer.body))
+        with self._decoding("get"):
+            return _decode_item(json.loads(answer.body))
 
     def list(
         self, prefix: str, stale: bool = False
@@ -93,13 +97,16 @@
                 timeout_s=LIST_TIMEOUT_S,
                 stall_s=LIST_STALL_S,
             )
-            document = json.loads(answer.body)
-            items += [_decode_item(fields) for fields in document["items"]]
-            if revision is None:
-                revision = Revision(document["storeRevision"])
-            if not document.get("hasMore") or not document["items"]:
+            with self._decoding("list"):
+                document = json.loads(answer.body)
+                page = [_decode_item(fields) for fields in document["items"]]
+                has_more = bool(page and document.get("hasMore"))
+                if revision is None:
+                    revision = Revision(document["storeRevision"])
+            items += page
+            if not has_more:
                 return tuple(items), revision
-            after = document["items"][-1]["key"]
+            after = page[-1].key
 
     def watch(
         self,
@@ -126,9 +133,10 @@
         )
         if answer.status == 410:
             raise HistoryGone(prefix)
-        document = json.loads(answer.body)
-        events = tuple(_decode_item(fields) for fields in document["events"])
-        return WatchAnswer(events, Revision(document["storeRevision"]))
+        with self._decoding("watch"):
+            document = json.loads(answer.body)
+            events = tuple(_decode_item(fields) for fields in document["events"])
+            return WatchAnswer(events, Revision(document["storeRevision"]))
 
     def transact(
         self,
@@ -150,19 +158,21 @@
         answer = self._call("txn", "POST", "/kv-txn", body)
         if answer.status == 404:
             raise LeaseGone("txn")
-        document = json.loads(answer.body)
-        if answer.status == 412:
-            items = tuple(_decode_item(f) for f in document.get("items", ()))
-            return TransactionResult(None, items)
-        return TransactionResult(Revision(document["rev"]))
+        with self._decoding("txn", is_write=True):
+            document = json.loads(answer.body)
+            if answer.status == 412:
+                items = tuple(_decode_item(f) for f in document.get("items", ()))
+                return TransactionResult(None, items)
+            return TransactionResult(Revision(document["rev"]))
 
     def grant_lease(self, ttl_s: float) -> KeyLease:
         """Create a lease; its keys are removed if it is not renewed for `ttl_s`."""
         answer = self._call(
             "lease", "POST", "/kv-lease", {"ttlMs": round(ttl_s * 1000)}
         )
-        document = json.loads(answer.body)
-        return KeyLease(LeaseId(str(document["lease"])), document["ttlMs"] / 1000)
+        with self._decoding("lease", is_write=True):
+            document = json.loads(answer.body)
+            return KeyLease(LeaseId(str(document["lease"])), document["ttlMs"] / 1000)
 
     def renew_lease(self, lease: LeaseId) -> None:
         """Renew a lease; raise LeaseGone if it has ended."""
@@ -225,9 +235,27 @@
             self._last_success_s = time.monotonic()
             return answer
         self._record_failure()
-        # 429 and 503 guarantee that the call had no effect; other statuses are
-        # treated in the same way.
-        raise StoreUnavailable(step, self._peer, f"status {answer.status}")
+        detail = f"status {answer.status}"
+        # 429 and 503 guarantee that the call had no effect. Something between here and
+        # the store may answer 500, 502 or 504 for a write that was carried out.
+        is_rejected = answer.status < 500 or answer.status == 503
+        if method == "POST" and not is_rejected:
+            raise StoreOutcomeUnknown(step, self._peer, detail)
+        raise StoreUnavailable(step, self._peer, detail)
+
+    @contextlib.contextmanager
+    def _decoding(self, call: str, is_write: bool = False) -> Iterator[None]:
+        """Raise a StoreOutcomeUnknown or StoreUnavailable for a malformed response.
+
+        A write whose response can't be decoded may have taken effect.
+        """
+        try:
+            yield
+        except DECODE_ERRORS as error:
+            self._record_failure()
+            failure = StoreOutcomeUnknown if is_write else StoreUnavailable
+            detail = f"malformed response: {error!r}"
+            raise failure(f"store.{call}", self._peer, detail) from error
 
 
 def _decode_item(fields: dict) -> Item:
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -13,9 +13,11 @@
 from jayshunt.dispatch.models import Address, JobState, OrderRefusal, TaskKey
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import build_config, build_queue
+from jayshunt.dispatch.vms import DutyRefusal
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import JobId, Revision, WorkerId
+from jayshunt.ids import EntryId, JobId, PoolName, Revision, VmId, WorkerId
 from jayshunt.platform.front_api import FrontApi
+from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
 from jayshunt.platform.worker_calls import WorkerClient
 from jayshunt.serving.http_server import HttpServer
@@ -24,12 +26,13 @@
 
 HOST = "127.0.0.1"
 JOB = "5c0e7a21d94b36f8"
+MALFORMED_BODIES = (b"[", b"\xff", b"7", b"[]", b"{}", b"[" * 200_000)
 
 
 class ScriptedServer(ThreadingHTTPServer):
     """HTTP server that answers each request with the next scripted status and body.
 
-    Status 0 closes the connection without a response.
+    Status 0 closes the connection without a response. A body of bytes is sent as it is.
     """
 
     daemon_threads = True
@@ -59,7 +62,7 @@
         if status == 0:
             self.close_connection = True
             return
-        data = json.dumps(answer).encode()
+        data = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
@@ -108,6 +111,29 @@
         with self.assertRaises(StoreOutcomeUnknown):
             self.store.transact({})
 
+    def test_server_error_of_a_write_is_unknown(self) -> None:
+        """A 500, 502 or 504 may follow a write that was carried out.
+
+        An entry that takes it for "not run" tells the caller that its job never runs.
+        """
+        for status in (500, 502, 504):
+            self.server.answers = [(status, {})]
+            with self.assertRaises(StoreOutcomeUnknown):
+                self.store.transact({})
+
+    def test_malformed_answer_is_an_outage(self) -> None:
+        """Another exception would end the loop that made the call."""
+        for body in MALFORMED_BODIES:
+            self.server.answers = [(200, body)] * 4
+            with self.assertRaises(StoreOutcomeUnknown):
+                self.store.transact({})
+            with self.assertRaises(StoreUnavailable):
+                self.store.list("a")
+            with self.assertRaises(StoreUnavailable):
+                self.store.watch("a", Revision(1), 0.1)
+            with self.assertRaises(StoreUnavailable):
+                self.store.get("a")
+
     def test_pages_are_joined(self) -> None:
         """A new dispatcher that reads only the first page would lose jobs."""
         item = {"key": "a", "value": "dg==", "rev": 1, "createRev": 1, "lease": 0}
@@ -181,6 +207,48 @@
         )
 
 
+    def test_malformed_report_has_an_unknown_outcome(self) -> None:
+        """A report without the malformed row would show that its run has ended."""
+        task = TaskKey(JobId("a"), 0, 0, 0)
+        reports = [
+            *MALFORMED_BODIES,
+            {"clockMs": 9, "running": [["a.0.1", 4, "", 50]]},
+            {"clockMs": 9, "running": [["a.0.1.2", None, "", 50]]},
+            {"clockMs": 9, "ended": [[1, "a.0.1.3", 2, "odd", ""]]},
+        ]
+        for report in reports:
+            self.server.answers = [(200, report)]
+            with self.assertRaises(JayshuntError) as caught:
+                self.calls.poll_runs(0, 800, 0, 1.0)
+            self.assertIs(Outcome.UNKNOWN, caught.exception.outcome)
+        self.server.answers = [(200, b"["), (409, [1])]
+        self.assertIsNone(self.calls.stop(task, 1, 1.0).refusal)
+        self.assertIs(OrderRefusal.OTHER, self.calls.stop(task, 1, 1.0).refusal)
+
+
+class VmServiceTest(unittest.TestCase):
+    """Test the list of VMs and the orders on the wire."""
+
+    def test_malformed_list_is_refused_as_a_whole(self) -> None:
+        """A VM that is missing from the list would count as gone."""
+        server = ScriptedServer()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        calls = VmServiceClient(server.address, EntryId("entry-1"))
+        vm = {"machine": "m-1", "pool": "desk", "state": "up"}
+        server.answers = [
+            *((200, body) for body in MALFORMED_BODIES),
+            (200, {"machines": [vm, {**vm, "capacity": {"cpu": "x"}}]}),
+        ]
+        for _ in range(len(server.answers)):
+            with self.assertRaises(JayshuntError):
+                calls.list()
+        server.answers = [(409, b"["), (409, {"reason": ["fence"]})]
+        for _ in range(2):
+            answer = calls.move(VmId("m-1"), PoolName("desk"), 7)
+            self.assertIs(DutyRefusal.OTHER, answer.refusal)
+
+
 class FakeEntry:
     """Fake job entry that answers from its attributes."""
 
@@ -265,6 +333,15 @@
         self.entry.error = AcceptUnknown("no answer of the store")
         self.assertEqual(504, self.submit().status)
 
+    def test_malformed_requests_get_an_answer(self) -> None:
+        """A caller whose connection breaks would send the same request again."""
+        for body in (b"[" * 200_000, b'{"steps":[{"cpu":1e999}]}', b"\xff"):
+            answer = self.call("POST", f"/quotes/{JOB}", body)
+            self.assertEqual(400, answer.status)
+        self.assertEqual(400, self.call("POST", "/quotes/odd", b"{}").status)
+        self.assertEqual(410, self.call("GET", "/quotes/" + "x" * 500).status)
+        self.assertEqual(410, self.call("DELETE", "/quotes/odd").status)
+
     def test_no_configuration_yet(self) -> None:
         """Before the first configuration, a 404 would deny that the queue exists."""
         self.config = None
--- a/src/jayshunt/platform/tests/test_formats.py
+++ b/src/jayshunt/platform/tests/test_formats.py
@@ -25,6 +25,8 @@
     "machine": "m-1",
     "born": 5,
 }
+# Nested more deeply than the decoder can follow.
+DEEP_JSON = b"[" * 200_000
 SETTINGS = {
     "nodeName": "front-ash-1",
     "zone": "ash",
@@ -56,6 +58,10 @@
             json.dumps({**WORKER, "service": 7}).encode(),
             json.dumps({**WORKER, "capacity": {"cpu": "x"}}).encode(),
             json.dumps({**WORKER, "address": None}).encode(),
+            json.dumps({**WORKER, "born": 0}).replace(": 0}", ": 1e999}").encode(),
+            json.dumps({**WORKER, "capacity": {"cpu": -1, "memMb": 1}}).encode(),
+            json.dumps({**WORKER, "labels": [{}]}).encode(),
+            DEEP_JSON,
         ]
         for value in broken:
             with self.assertLogs("jayshunt.platform.formats", "WARNING"):
@@ -99,6 +105,30 @@
             with self.assertRaises(MalformedSubmission):
                 self.decode(fields)
 
+    def test_hostile_documents_are_refused(self) -> None:
+        """Other errors than MalformedSubmission would break the caller's connection."""
+        bodies = [
+            DEEP_JSON,
+            b"\xff",
+            b'{"steps":[{"cpu":1e999}]}',
+            b'{"steps":[{"estimateMs":-1}]}',
+            b'{"steps":[{"memMb":' + b"9" * 5_000 + b"}]}",
+            b'{"steps":[{"after":7}]}',
+            b'{"steps":[null]}',
+            b'{"spec":"\\ud800","steps":[{}]}',
+        ]
+        for body in bodies:
+            with self.assertRaises(MalformedSubmission, msg=body[:40]):
+                decode_submission(JobId("a" * 16), QueueName("q"), body)
+
+    def test_job_with_too_many_tasks_is_refused(self) -> None:
+        """All due occurrences are created at once, which must not use up the memory."""
+        with self.assertRaises(MalformedSubmission):
+            self.decode({"steps": [{"count": 10_000}] * 64})
+        with self.assertRaises(MalformedSubmission):
+            self.decode({"steps": [{}], "times": 1_000_000_000})
+        self.assertEqual(1_000, self.decode({"steps": [{}], "times": 1_000}).times)
+
     def test_job_ids(self) -> None:
         """If a malformed id passed, a submission could turn any path into a key."""
         self.assertTrue(is_job_id("5c0e7a21d94b36f8"))
@@ -123,8 +153,9 @@
 
     def test_wave_that_cannot_be_read_is_left_out(self) -> None:
         """A malformed wave of another program must not stop the valid ones."""
-        with self.assertLogs("jayshunt.platform.formats", "WARNING"):
-            self.assertIsNone(decode_wave(b"{}"))
+        for value in (b"{}", b"[]", b'{"wave":1e999,"machines":[]}', DEEP_JSON):
+            with self.assertLogs("jayshunt.platform.formats", "WARNING"):
+                self.assertIsNone(decode_wave(value))
 
 
 class SettingsTest(unittest.TestCase):
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -14,7 +14,7 @@
     StartOrder,
     TaskKey,
 )
-from jayshunt.errors import JayshuntError
+from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import WorkerId
 from jayshunt.platform.const import INSTANCE_HEADER, MAX_HOLD_WAIT_MS
 
@@ -35,7 +35,8 @@
 
     Every call names the instance, so that a restarted worker at the same address
     refuses it. Calls raise JayshuntError; its outcome is UNKNOWN if no response
-    arrived, since the order may have been executed or may still be executed.
+    arrived or it can't be decoded, since the order may have been executed or may
+    still be executed.
     """
 
     def __init__(self, worker: WorkerId, address: Address, token: int) -> None:
@@ -102,13 +103,17 @@
         answer = self._call("/hold", body, timeout_s)
         if answer.status != 200:
             return _order_answer(answer)
-        fields = json.loads(answer.body)
-        return RunReport(
-            clock_ms=int(fields["clockMs"]),
-            started_ms=int(fields.get("born", 0)),
-            running=tuple(_decode_running(row) for row in fields.get("running", ())),
-            ended=tuple(_decode_ended(row) for row in fields.get("ended", ())),
-        )
+        try:
+            return _decode_report(json.loads(answer.body))
+        except DECODE_ERRORS as error:
+            # A report without the malformed row would show its run as ended.
+            raise JayshuntError(
+                "unreadable_answer",
+                step="worker/hold",
+                peer=self._base.removeprefix("http://"),
+                outcome=Outcome.UNKNOWN,
+                detail=f"malformed report of runs: {error!r}",
+            ) from error
 
     def _send_order(self, path: str, body: dict, timeout_s: float) -> OrderAnswer:
         return _order_answer(self._call(path, body, timeout_s))
@@ -125,17 +130,12 @@
 
 
 def _order_answer(answer: http_client.HttpAnswer) -> OrderAnswer:
-    try:
-        fields = json.loads(answer.body) if answer.body else {}
-    except ValueError:
-        fields = {}
-    clock_ms = fields.get("clockMs")
+    clock_ms, reason = _decode_refusal(answer.body)
     match answer.status:
         case 200:
             return OrderAnswer(None, clock_ms)
         case 409:
-            reason = _REFUSALS.get(fields.get("reason"), OrderRefusal.OTHER)
-            return OrderAnswer(reason, clock_ms)
+            return OrderAnswer(_REFUSALS.get(reason, OrderRefusal.OTHER), clock_ms)
         case 421:
             return OrderAnswer(OrderRefusal.OTHER_INCARNATION, clock_ms)
         case 429 | 503:
@@ -144,15 +144,42 @@
             return OrderAnswer(OrderRefusal.OTHER, clock_ms)
 
 
+def _decode_refusal(body: bytes) -> tuple[int | None, str]:
+    """Return the worker's clock and the reason, None and "" where malformed.
+
+    The status alone tells whether the order was carried out.
+    """
+    try:
+        fields = json.loads(body) if body else {}
+        reason = fields.get("reason", "")
+        clock_ms = fields.get("clockMs")
+        clock_ms = None if clock_ms is None else int(clock_ms)
+    except DECODE_ERRORS:
+        return None, ""
+    return clock_ms, reason if isinstance(reason, str) else ""
+
+
+def _decode_report(fields: dict) -> RunReport:
+    return RunReport(
+        clock_ms=int(fields["clockMs"]),
+        started_ms=int(fields.get("born", 0)),
+        running=tuple(_decode_running(row) for row in fields.get("running", ())),
+        ended=tuple(_decode_ended(row) for row in fields.get("ended", ())),
+    )
+
+
 def _decode_running(row: list) -> RunningRun:
     load = row[4] if len(row) > 4 and isinstance(row[4], (int, float)) else 0
-    return RunningRun(TaskKey.parse(row[0]), int(row[1]), row[2] or "", row[3], load)
+    checkpoint = str(row[2] or "")
+    return RunningRun(
+        TaskKey.parse(row[0]), int(row[1]), checkpoint, int(row[3]), load
+    )
 
 
 def _decode_ended(row: list) -> EndedRun:
     saved = row[4] if len(row) > 4 and row[4] else ""
     return EndedRun(
-        int(row[0]), TaskKey.parse(row[1]), int(row[2]), _RUN_ENDS[row[3]], saved
+        int(row[0]), TaskKey.parse(row[1]), int(row[2]), _RUN_ENDS[row[3]], str(saved)
     )
 
 
@@ -179,6 +206,13 @@
             raise JayshuntError(
                 "advice_refused", step="advice.ask", detail=f"status {answer.status}"
             )
-        fields = json.loads(answer.body)
-        tickets = {WorkerId(row[0]): str(row[1]) for row in fields["good"]}
-        return tickets, fields.get("validMs", 0) / 1000
+        try:
+            fields = json.loads(answer.body)
+            tickets = {WorkerId(row[0]): str(row[1]) for row in fields["good"]}
+            return tickets, fields.get("validMs", 0) / 1000
+        except DECODE_ERRORS as error:
+            raise JayshuntError(
+                "unreadable_answer",
+                step="advice.ask",
+                detail=f"malformed advice: {error!r}",
+            ) from error
--- a/src/jayshunt/store/errors.py
+++ b/src/jayshunt/store/errors.py
@@ -7,8 +7,8 @@
     """Raised when a call failed and is taken to have had no effect.
 
     It covers calls that were not sent, failed reads and error responses: status 429
-    or 5xx, in `PlatformStore` any unexpected status. A write without a response
-    raises StoreOutcomeUnknown instead, except `PlatformStore.end_lease`.
+    or 5xx, in `PlatformStore` 503 and any unexpected status below 500. A write without
+    a response raises StoreOutcomeUnknown instead, except `PlatformStore.end_lease`.
     """
 
     def __init__(self, step: str, peer: str, detail: str) -> None:
