Send orders to workers from shared threads and wait longer for slow workers

Cause: each worker had two threads, in a group limited to 2,048 threads; beyond about 1,020 workers a session waited for a thread in silence, so that a worker got no lease or its orders never went out. A worker that answered each call 1.2 s late lost its lease and its work was started again elsewhere: every retry timed out after 0.7 s. An unexpected error in an order left its task ordered for good. Change: up to 256 shared threads send the orders of all workers, those of one worker in order, on a connection of its own; the timeout of polls adapts to the answer times of the worker, up to 2 s; an order with an unexpected error counts as unanswered. test_slow_worker_keeps_its_lease failed before; the others test the new parts.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.commits import ProgressWriter
@@ -45,6 +46,11 @@
 CANCEL_STORE_TIMEOUT_S = 2.0
 FLUSH_TIMEOUT_S = 0.8
 STOP_TIMEOUT_S = 0.05
+# One session and one thread for each worker, including those that left a while ago.
+MAX_SESSIONS = 4_096
+# Threads that send orders. Each worker of a lost zone may hold one of them until its
+# calls time out, and the others must go on getting orders.
+MAX_ORDER_SENDERS = 256
 
 
 class Dispatcher:
@@ -78,7 +84,8 @@
         self.lock = threading.RLock()
         self.tracker = RunTracker(own.term.token)
         self.sessions: dict[WorkerId, WorkerSession] = {}
-        self._group = TaskGroup("dispatch", max_tasks=2048)
+        self._group = TaskGroup("dispatch", max_tasks=MAX_SESSIONS)
+        self._order_senders = ThreadPoolExecutor(MAX_ORDER_SENDERS, "orders")
         self.ready = threading.Event()
         self.lease_s = min(
             WORKER_LEASE_S, node.bounds.max_lease_ms / 1000 * MAX_LEASE_FRACTION
@@ -135,6 +142,7 @@
         if is_graceful:
             self._flush()
         self._group.stop(STOP_TIMEOUT_S)
+        self._order_senders.shutdown(wait=False, cancel_futures=True)
 
     def _flush(self) -> None:
         try:
@@ -218,7 +226,7 @@
         self.open_session(view, worker_api)
 
     def open_session(self, view: WorkerView, worker_api: WorkerApi) -> WorkerSession:
-        """Start the threads that renew a worker's lease and send it orders."""
+        """Start renewing a worker's lease, and make its orders go out."""
         context = SessionContext(
             tracker=self.tracker,
             lock=self.lock,
@@ -227,6 +235,7 @@
             term_valid=self.term_valid,
             on_deposed=self._on_deposed,
             notify_changed=self.notify_changed,
+            run_in_background=self._run_in_background,
         )
         session = WorkerSession(view, worker_api, context)
         with self.lock:
@@ -238,9 +247,16 @@
             }
             self.sessions[view.worker.worker] = session
         self._group.supervise(session.run_poll_loop)
-        self._group.supervise(session.run_order_loop)
         return session
 
+    def _run_in_background(self, call: Callable[[], None]) -> None:
+        if self._group.stopping.is_set():
+            return
+        try:
+            self._order_senders.submit(call)
+        except RuntimeError:
+            _LOGGER.debug("dispatch: an order was dropped, the term is ending")
+
     def _notify_sessions(self) -> None:
         for session in list(self.sessions.values()):
             session.notify_stored()
--- a/src/jayshunt/dispatch/messages.py
+++ b/src/jayshunt/dispatch/messages.py
@@ -67,7 +67,7 @@
     """Share the state and callbacks of a term with its worker sessions.
 
     `lock` guards the tracker. `term_valid` returns whether orders may be given.
-    Sessions call `on_deposed` when a worker has seen a later term, and `notify_changed`
+    `run_in_background` calls a function in another thread soon. Sessions call `on_deposed` when a worker has seen a later term, and `notify_changed`
     when there may be something to place or to store.
     """
 
@@ -78,3 +78,4 @@
     term_valid: Callable[[], bool]
     on_deposed: Callable[[str], None]
     notify_changed: Callable[[], None]
+    run_in_background: Callable[[Callable[[], None]], object]
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -1,8 +1,8 @@
-"""Call one worker: one thread renews its lease, another sends it orders."""
+"""Call one worker: one task renews its lease, another sends it orders."""
 
 import logging
-import queue
 import threading
+from collections import deque
 
 from jayshunt.dispatch.const import (
     CLOCK_SKEW,
@@ -22,8 +22,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 IDLE_POLL_WAIT_S = 2.0
-# Limits the wait for an order; normally an order or `wake` ends it early.
-ORDER_POLL_S = 5.0
 # A stop order is repeated if the run is still reported after this time.
 STOP_REPEAT_S = 0.8
 # No runs are placed on a worker for this long after it refused a start because it had
@@ -33,6 +31,12 @@
 UNHEALTHY_PAUSE_S = 2.0
 # How long the next poll is delayed so that reported ends can be stored first.
 STORE_WAIT_S = 0.6
+# A worker that answers slowly keeps its lease: its polls time out up to this late.
+MAX_ANSWER_SLACK_S = 2.0
+SLACK_PER_LATE_S = 1.5
+SLACK_DECAY = 0.9
+
+Order = StartTask | StopOrder | PaceTask
 
 
 class WorkerSession:
@@ -41,21 +45,24 @@
     def __init__(
         self, view: WorkerView, worker_api: WorkerApi, context: SessionContext
     ):
-        """Initialize the session with an empty order queue."""
+        """Initialize the session without orders to send."""
         self.view = view
         self._worker_api = worker_api
         self._context = context
-        self._orders: queue.SimpleQueue = queue.SimpleQueue()
+        self._orders: deque[Order] = deque()
+        self._orders_lock = threading.Lock()
+        self._is_sending = False
+        self._answer_slack_s = POLL_TIMEOUT_SLACK_S
         self._stops_sent: dict[tuple[TaskKey, int], float] = {}
         self._stored = threading.Event()
 
     def start(self, item: StartTask) -> None:
         """Queue a start order."""
-        self._orders.put(item)
+        self._queue_order(item)
 
     def pace(self, item: PaceTask) -> None:
         """Queue a change of a run's speed."""
-        self._orders.put(item)
+        self._queue_order(item)
 
     def stop(self, order: StopOrder) -> None:
         """Queue a stop order unless the same one was queued within STOP_REPEAT_S."""
@@ -67,7 +74,7 @@
         if len(self._stops_sent) > 1000:
             self._stops_sent.clear()
         self._stops_sent[key] = now_s
-        self._orders.put(order)
+        self._queue_order(order)
 
     def notify_stored(self) -> None:
         """Signal that ends of this worker's runs may have been stored."""
@@ -75,9 +82,8 @@
             self._stored.set()
 
     def wake(self) -> None:
-        """Wake both threads of the session so that they check whether to stop."""
+        """Wake the poll loop so that it checks whether to stop."""
         self._stored.set()
-        self._orders.put(None)
 
     # --- the lease ---
 
@@ -91,7 +97,6 @@
                 self._context.clock.wait(stop, POLL_RETRY_S)
                 continue
             self._wait_until_stored(stop)
-        self._orders.put(None)
 
     def _wait_until_stored(self, stop: threading.Event) -> None:
         """Wait until the reported ends are stored, for at most STORE_WAIT_S.
@@ -123,11 +128,13 @@
             wait_s = self._poll_wait_s(until_ms)
         try:
             answer = self._worker_api.poll_runs(
-                noted, until_ms, int(wait_s * 1000), wait_s + POLL_TIMEOUT_SLACK_S
+                noted, until_ms, int(wait_s * 1000), wait_s + self._answer_slack_s
             )
         except JayshuntError as error:
+            self._answer_slack_s = min(MAX_ANSWER_SLACK_S, 2 * self._answer_slack_s)
             self._handle_no_answer(str(error))
             return False
+        self._learn_answer_time(context.clock.monotonic_s() - sent_s - wait_s)
         if isinstance(answer, OrderAnswer):
             return self._handle_poll_refusal(answer)
         with context.lock:
@@ -152,6 +159,17 @@
         context.notify_changed()
         return True
 
+    def _learn_answer_time(self, late_s: float) -> None:
+        """Adapt the timeout of polls to a worker that answers slowly.
+
+        `late_s` is the time that the answer took beyond the wait that the call allowed.
+        """
+        self._answer_slack_s = max(
+            POLL_TIMEOUT_SLACK_S,
+            SLACK_PER_LATE_S * late_s,
+            SLACK_DECAY * self._answer_slack_s,
+        )
+
     def _bound_inherited_lease(self, now_s: float) -> None:
         """Lower the limit on leases of earlier terms after the first answer.
 
@@ -220,20 +238,47 @@
 
     # --- orders ---
 
-    def run_order_loop(self, stop: threading.Event) -> None:
-        """Send the queued orders one by one."""
-        while not stop.is_set() and not self.view.is_ended:
+    def _queue_order(self, order: Order) -> None:
+        """Queue an order, and send the queued ones in the background.
+
+        The orders of a worker are sent one after the other in the order of the calls.
+        Sessions share the threads for it, as few have orders at the same time.
+        """
+        with self._orders_lock:
+            self._orders.append(order)
+            if self._is_sending:
+                return
+            self._is_sending = True
+        self._context.run_in_background(self._send_orders)
+
+    def _send_orders(self) -> None:
+        while (order := self._take_order()) is not None:
             try:
-                item = self._orders.get(timeout=ORDER_POLL_S)
-            except queue.Empty:
-                continue
-            match item:
-                case StartTask():
-                    self._send_start(item)
-                case StopOrder():
-                    self._send_stop(item)
-                case PaceTask():
-                    self._send_pace(item)
+                self._send_order(order)
+            except Exception as error:
+                _LOGGER.exception(
+                    "dispatch: unexpected error while sending an order to %s",
+                    self.view.worker.worker,
+                )
+                if isinstance(order, StartTask):
+                    self._handle_start_error(order, _unexpected(error))
+
+    def _take_order(self) -> Order | None:
+        """Return the next order; None ends the sending until another is queued."""
+        with self._orders_lock:
+            if self._orders and not self.view.is_ended:
+                return self._orders.popleft()
+            self._is_sending = False
+            return None
+
+    def _send_order(self, order: Order) -> None:
+        match order:
+            case StartTask():
+                self._send_start(order)
+            case StopOrder():
+                self._send_stop(order)
+            case PaceTask():
+                self._send_pace(order)
 
     def _send_start(self, item: StartTask) -> None:
         order = self._prepare_start(item)
@@ -362,3 +407,13 @@
                 "dispatch: a change of pace got no answer",
                 extra={"task": item.task.name, "reason": str(error)},
             )
+
+
+def _unexpected(error: Exception) -> JayshuntError:
+    """Return the error of an order that may have been sent."""
+    return JayshuntError(
+        "internal_error",
+        step="worker/run-start",
+        outcome=Outcome.UNKNOWN,
+        detail=repr(error),
+    )
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -2,11 +2,13 @@
 
 import threading
 import unittest
+from collections.abc import Callable
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.fleet import PendingEnd
-from jayshunt.dispatch.messages import SessionContext, StartTask
+from jayshunt.dispatch.messages import PaceTask, SessionContext, StartTask
 from jayshunt.dispatch.models import OrderAnswer, OrderRefusal, StartOrder
+from jayshunt.dispatch.run_tracker import StopOrder
 from jayshunt.dispatch.sessions import WorkerSession
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
@@ -19,6 +21,7 @@
 from jayshunt.errors import JayshuntError, Outcome
 
 LEASE_S = 5.0
+SLOW_ANSWER_S = 1.2
 
 
 class FakeWorkerApi:
@@ -68,6 +71,7 @@
         self.view = add_worker_view(self.tracker)
         self.worker_api = FakeWorkerApi()
         self.deposed: list[str] = []
+        self.background: list[Callable[[], None]] = []
         context = SessionContext(
             self.tracker,
             threading.RLock(),
@@ -76,6 +80,7 @@
             lambda: True,
             self.deposed.append,
             lambda: None,
+            self.background.append,
         )
         self.session = WorkerSession(self.view, self.worker_api, context)
 
@@ -127,6 +132,27 @@
         self.assertFalse(self.view.pending)
         self.assertEqual(1, self.view.noted_upto)
 
+    def test_slow_worker_keeps_its_lease(self) -> None:
+        """A worker that only answers slowly must not lose its running work."""
+        task = place(self.tracker, self.job, 0, self.view)
+
+        def answer_slowly(noted, until_ms, wait_ms, timeout_s):
+            took_s = min(wait_ms / 1000 + SLOW_ANSWER_S, timeout_s)
+            self.clock.advance(took_s)
+            if took_s >= timeout_s:
+                raise no_answer(Outcome.UNKNOWN)
+            leases.append(until_ms)
+            return build_report(task, clock_ms=int(self.clock.monotonic_s() * 1000))
+
+        leases: list[int | None] = []
+        self.worker_api.poll_runs = answer_slowly
+        while self.clock.monotonic_s() < 4 * LEASE_S:
+            self.session._poll_once()
+            self.clock.advance(0.25)
+        self.assertEqual(TaskPhase.RUNNING, task.phase)
+        now_ms = self.clock.monotonic_s() * 1000
+        self.assertGreater(max(t for t in leases if t is not None), now_ms)
+
     def test_lease_is_extended_again_after_an_answer(self) -> None:
         """A single unanswered poll must not make a worker lose its runs."""
         task = place(self.tracker, self.job, 0, self.view)
@@ -165,6 +191,33 @@
         self.session._send_start(StartTask(task, 16, "payload"))
         self.assertEqual([], self.worker_api.sent)
 
+    def test_orders_of_one_worker_share_one_background_call(self) -> None:
+        """Two orders in flight could overtake each other: a stop its own start."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.worker_api.start_answers = [OrderAnswer(None)]
+        self.session.start(StartTask(task, 16, "payload"))
+        self.session.stop(self.tracker.stop(task))
+        self.assertEqual(1, len(self.background))
+        task.phase = TaskPhase.ORDERED
+        self.background.pop()()
+        kinds = [type(item).__name__ for item in self.worker_api.sent]
+        self.assertEqual(["StartOrder", "tuple"], kinds)
+        self.session.pace(PaceTask(task.key, 16, 50))
+        self.assertEqual(1, len(self.background), "the next order starts the sending")
+
+    def test_unexpected_error_does_not_block_later_orders(self) -> None:
+        """One order that can't be sent must not hold back all others of a worker."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.worker_api.start_answers = [RuntimeError("unexpected")]
+        self.session.start(StartTask(task, 16, "payload"))
+        self.session.stop(StopOrder(self.view.worker.worker, task.key, 16))
+        with self.assertLogs("jayshunt.dispatch.sessions", "ERROR"):
+            self.background.pop()()
+        self.assertEqual((task.key, 16), self.worker_api.sent[-1])
+        self.assertEqual(TaskPhase.STOPPING, task.phase, "it may have been started")
+
     def test_later_term_at_a_worker_ends_this_one(self) -> None:
         """A dispatcher resumed after a later term began must stop giving orders."""
         self.worker_api.poll_answers = [OrderAnswer(OrderRefusal.FENCED)]
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -40,8 +40,13 @@
     """
 
     def __init__(self, worker: WorkerId, address: Address, token: int) -> None:
-        """Create a client; `token` is the fencing token of the dispatcher's term."""
+        """Create a client; `token` is the fencing token of the dispatcher's term.
+
+        Polls use a connection of the calling thread, and orders one of the client, on
+        which the caller sends one order at a time from any thread.
+        """
         self._base = f"http://{address}"
+        self._order_handle = http_client.new_handle()
         self._headers = {
             INSTANCE_HEADER: worker,
             "Content-Type": "application/json",
@@ -100,7 +105,7 @@
             body["untilMs"] = lease_until_ms
         if wait_ms > 0:
             body["waitMs"] = min(int(wait_ms), MAX_HOLD_WAIT_MS)
-        answer = self._call("/hold", body, timeout_s)
+        answer = self._call("/hold", body, timeout_s, None)
         if answer.status != 200:
             return _order_answer(answer)
         try:
@@ -116,9 +121,9 @@
             ) from error
 
     def _send_order(self, path: str, body: dict, timeout_s: float) -> OrderAnswer:
-        return _order_answer(self._call(path, body, timeout_s))
+        return _order_answer(self._call(path, body, timeout_s, self._order_handle))
 
-    def _call(self, path: str, body: dict, timeout_s: float):
+    def _call(self, path: str, body: dict, timeout_s: float, handle):
         return http_client.request(
             "POST",
             self._base + path,
@@ -126,6 +131,7 @@
             headers=self._headers,
             timeout_s=timeout_s,
             step=f"worker{path}",
+            handle=handle,
         )
 
 
