Place advised steps by their own tickets and note writes whose term has ended

Causes: with two ready steps of an advised queue, the workers of the last one were used for both, so that workers refused starts without a ticket. The results of conditional writes of waves and removals were not looked at. A VM that was busy at its upkeep left its worker marked as being emptied. Change: one placement per step; TermEnded where the condition failed; the mark is removed; one index a round, and a set of the wave's VMs.

--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -13,6 +13,7 @@
 from jayshunt.dispatch.models import Bounds, FleetConfig
 from jayshunt.dispatch.order_budget import DEFAULT_PER_S, OrderBudget
 from jayshunt.dispatch.recent_orders import RecentOrders
+from jayshunt.dispatch.run_tracker import StopOrder
 from jayshunt.dispatch.sizing import PoolSizer
 from jayshunt.dispatch.vms import DutyRefusal, Vm, VmState
 from jayshunt.dispatch.wave_book import WaveBook, WaveState
@@ -268,24 +269,8 @@
         self._is_busy = bool(self._evacuations) or any(
             vm.state in (VmState.MOVING, VmState.UPKEEP) for vm in self.vms.values()
         )
-        leaving: list[tuple[Evacuation, WorkerView | None]] = []
-        for evacuation in list(self._evacuations.values()):
-            with self._dispatcher.lock:
-                view = self._views_by_vm().get(evacuation.vm)
-                if view is not None:
-                    view.evacuation_reason = evacuation.reason
-                    stops = evacuation.next_stops(view, self._dispatcher.tracker, now_s)
-                else:
-                    stops = []
-                is_empty = self._runs_nothing(evacuation.vm, view, now_s)
-            self._dispatcher.send_stops(stops)
-            is_allowed = self._orders.may_order(evacuation.vm, now_s)
-            if (
-                is_empty
-                and is_allowed
-                and self._is_within_max_down(evacuation, leaving)
-            ):
-                leaving.append((evacuation, view))
+        leaving, stops = self._advance_evacuations(now_s)
+        self._dispatcher.send_stops(stops)
         leaving = leaving[: self._budget.available(now_s)]
         if not leaving:
             return
@@ -305,6 +290,29 @@
             if error is not None:
                 raise error
 
+    def _advance_evacuations(
+        self, now_s: float
+    ) -> tuple[list[tuple[Evacuation, WorkerView | None]], list[StopOrder]]:
+        """Return the VMs that may leave now, and the runs to stop on the others."""
+        leaving: list[tuple[Evacuation, WorkerView | None]] = []
+        stops: list[StopOrder] = []
+        with self._dispatcher.lock:
+            views = self._views_by_vm()
+            for evacuation in list(self._evacuations.values()):
+                view = views.get(evacuation.vm)
+                if view is not None:
+                    view.evacuation_reason = evacuation.reason
+                    stops += evacuation.next_stops(
+                        view, self._dispatcher.tracker, now_s
+                    )
+                if (
+                    self._runs_nothing(evacuation.vm, view, now_s)
+                    and self._orders.may_order(evacuation.vm, now_s)
+                    and self._is_within_max_down(evacuation, leaving)
+                ):
+                    leaving.append((evacuation, view))
+        return leaving, stops
+
     def _worker_on(self, vm: VmId, view: WorkerView | None) -> WorkerId | None:
         """Return the worker that an order for a VM ends.
 
@@ -405,8 +413,7 @@
                 return
             if refusal is DutyRefusal.BUSY and reason.wave is not None:
                 # The VM is already down or leaving; the next VM list shows which.
-                self._evacuations.pop(vm, None)
-                return
+                _LOGGER.info("dispatch: a VM is busy", extra={"vm": vm})
             if view is not None:
                 view.evacuation_reason = None
             self._evacuations.pop(vm, None)
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -293,7 +293,11 @@
         for job in expired:
             job_id = job.spec.job
             keys += [accepted_key(job_id), cancelled_key(job_id), progress_key(job_id)]
-        self._store.transact(self._dispatcher.term_condition, (), tuple(keys))
+        condition = self._dispatcher.term_condition
+        result = self._store.transact(condition, (), tuple(keys))
+        if result.revision is None:
+            self._dispatcher.report_deposed("the term's key changed")
+            return
         with lock:
             for job in expired:
                 tracker.jobs.pop(job.spec.job, None)
--- a/src/jayshunt/dispatch/messages.py
+++ b/src/jayshunt/dispatch/messages.py
@@ -67,8 +67,9 @@
     """Share the state and callbacks of a term with its worker sessions.
 
     `lock` guards the tracker. `term_valid` returns whether orders may be given.
-    `run_in_background` calls a function in another thread soon. Sessions call `on_deposed` when a worker has seen a later term, and `notify_changed`
-    when there may be something to place or to store.
+    `run_in_background` calls a function in another thread soon. Sessions call
+    `on_deposed` when a worker has seen a later term, and `notify_changed` when there
+    may be something to place or to store.
     """
 
     tracker: RunTracker
--- a/src/jayshunt/dispatch/placing.py
+++ b/src/jayshunt/dispatch/placing.py
@@ -61,11 +61,12 @@
     candidates: dict[PoolName, list[CandidateWorker]],
     now_s: float,
     may_start=None,
+    only_step: StepKey | None = None,
 ) -> list[Placement]:
     """Return the placements to start now and reserve them on the candidates.
 
     `may_start` returns False for a job that may still have unknown runs from an
-    earlier term; it is not placed.
+    earlier term; it is not placed. With `only_step`, tasks of other steps are left out.
     """
     placements: list[Placement] = []
     pools: dict[PoolName, CandidateIndex] = {}
@@ -75,16 +76,18 @@
             continue
         if pool not in pools:
             pools[pool] = CandidateIndex(candidates[pool])
-        placements += _place_job(job, pools[pool])
+        placements += _place_job(job, pools[pool], only_step)
     return placements
 
 
-def _place_job(job: Job, pool: CandidateIndex) -> list[Placement]:
+def _place_job(
+    job: Job, pool: CandidateIndex, only_step: StepKey | None
+) -> list[Placement]:
     placements: list[Placement] = []
     skipped_steps: set[StepKey] = set()
     for task in job.ready_tasks():
         key = step_key(task)
-        if key in skipped_steps:
+        if key in skipped_steps or only_step not in (None, key):
             continue
         if task.spec.is_gang:
             skipped_steps.add(key)
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -6,10 +6,11 @@
 from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
+from jayshunt.dispatch.errors import TermEnded
 from jayshunt.dispatch.evacuation import EvacuationReason
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.models import Bounds
-from jayshunt.dispatch.records import ORDERED_KEY
+from jayshunt.dispatch.records import ORDERED_KEY, TERM_KEY
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import (
     POOL,
@@ -21,8 +22,9 @@
     build_vm,
     place,
 )
-from jayshunt.dispatch.vms import DutyAnswer, VmState
-from jayshunt.ids import PoolName, VmId
+from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, VmState, Wave
+from jayshunt.dispatch.wave_book import WaveState
+from jayshunt.ids import PoolName, Revision, VmId
 
 
 class FakeMachines:
@@ -132,6 +134,25 @@
         duty._evacuate(0.0)
         self.assertEqual(len(vms), len(self.machines.orders))
 
+    def test_busy_vm_does_not_keep_its_worker_unused(self) -> None:
+        """The worker stays up if the platform was busy with something else."""
+        duty = self.duty(build_vm("w1"))
+        duty._read(0.0)
+        upkeep = EvacuationReason.upkeep(1)
+        duty._begin_evacuation(VmId("vm-w1"), upkeep, self.view, 0.0)
+        evacuation = duty._evacuations[VmId("vm-w1")]
+        duty._apply_answer(evacuation, self.view, DutyRefusal.BUSY)
+        self.assertIsNone(self.view.evacuation_reason)
+        self.assertFalse(duty._evacuations)
+
+    def test_wave_is_not_completed_by_a_term_that_ended(self) -> None:
+        """A write whose condition failed must not count as stored."""
+        duty = self.duty(build_vm("w1"))
+        duty.waves.states[1] = WaveState(Wave(1, (VmId("vm-w1"),), 20.0))
+        with self.assertRaises(TermEnded):
+            duty.waves.write(self.store, {TERM_KEY: Revision(9)})
+        self.assertTrue(duty.waves.states[1].needs_write)
+
     def test_worker_without_an_answer_in_this_term_is_left_alone(self) -> None:
         """The worker may run tasks that a new dispatcher does not know yet."""
         idle = [add_worker_view(self.tracker, f"w{n}") for n in range(2, 9)]
--- a/src/jayshunt/dispatch/tickets.py
+++ b/src/jayshunt/dispatch/tickets.py
@@ -66,9 +66,8 @@
     ) -> list[Placement]:
         """Plan placements: first of queues without advice, then of the others.
 
-        A job of a queue with advice is placed once there are valid tickets for all its
-        ready steps, and only on workers that have a ticket for one of these steps, not
-        necessarily for that of the task. `plan` is `plan_placements`.
+        A step of a queue with advice is placed once there are valid tickets for it, and
+        only on the workers that have one. `plan` is `plan_placements`.
         """
         free = [job for job in jobs if job.config.advice is None]
         placements = plan(free, candidates, now_s, may_start)
@@ -85,21 +84,21 @@
         now_s: float,
         plan: Callable,
     ) -> list[Placement]:
-        ready = {(t.key.occurrence, t.key.step) for t in job.ready_tasks()}
         pool_candidates = candidates.get(job.config.pool, [])
-        allowed: list[CandidateWorker] = []
-        for occurrence, step in ready:
-            key = (job.spec.job, occurrence, step)
+        placements: list[Placement] = []
+        for key in sorted({step_key(task) for task in job.ready_tasks()}):
             tickets = self._tickets.get(key)
             if tickets is None or now_s >= tickets.until_s - VALID_MARGIN_S:
                 self._request_if_due(key, pool_candidates, now_s)
-                return []
+                continue
             allowed = [
                 candidate
                 for candidate in pool_candidates
                 if candidate.worker.worker in tickets.by_worker
             ]
-        return plan([job], {job.config.pool: allowed}, now_s)
+            pools = {job.config.pool: allowed}
+            placements += plan([job], pools, now_s, only_step=key)
+        return placements
 
     def _request_if_due(
         self, key: StepKey, candidates: list[CandidateWorker], now_s: float
--- a/src/jayshunt/dispatch/wave_book.py
+++ b/src/jayshunt/dispatch/wave_book.py
@@ -4,6 +4,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from jayshunt.dispatch.errors import TermEnded
 from jayshunt.dispatch.records import WAVE_PREFIX
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.vms import Wave
@@ -25,9 +26,13 @@
     is_completed: bool = False
     needs_write: bool = True
 
-    def is_open_for(self, vm: VmId) -> bool:
+    def __post_init__(self) -> None:
+        """Index the VMs of the wave, which every placement round looks up."""
+        self._members = frozenset(self.wave.vms)
+
+    def is_open_for(self, vm: VmId | None) -> bool:
         """Return whether a VM is due for upkeep in this wave."""
-        return not self.is_completed and vm in self.wave.vms and vm not in self.done
+        return not self.is_completed and vm in self._members and vm not in self.done
 
 
 class WaveBook:
@@ -90,19 +95,24 @@
             )
 
     def write(self, store: PlatformStore, condition: dict[str, Revision]) -> None:
-        """Store the changed waves and the status that the operator reads."""
+        """Store the changed waves and the status that the operator reads.
+
+        Raise TermEnded if the term's key changed; nothing is stored then.
+        """
         for number, state in self.states.items():
             if not state.needs_write:
                 continue
             record = {"done": sorted(state.done), "completed": state.is_completed}
             status = encode_wave_status(number, state.is_completed)
-            store.transact(
+            result = store.transact(
                 condition,
                 (
                     Put(f"{WAVE_PREFIX}{number}", json.dumps(record).encode()),
                     Put(f"{WAVE_STATUS_PREFIX}{number}", status),
                 ),
             )
+            if result.revision is None:
+                raise TermEnded("the term's key changed before a wave was stored")
             state.needs_write = False
             if state.is_completed:
                 _LOGGER.info("dispatch: a wave is completed", extra={"wave": number})
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -206,7 +206,6 @@
             found,
         )
 
-
     def test_malformed_report_has_an_unknown_outcome(self) -> None:
         """A report without the malformed row would show that its run has ended."""
         task = TaskKey(JobId("a"), 0, 0, 0)
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -177,9 +177,7 @@
 def _decode_running(row: list) -> RunningRun:
     load = row[4] if len(row) > 4 and isinstance(row[4], (int, float)) else 0
     checkpoint = str(row[2] or "")
-    return RunningRun(
-        TaskKey.parse(row[0]), int(row[1]), checkpoint, int(row[3]), load
-    )
+    return RunningRun(TaskKey.parse(row[0]), int(row[1]), checkpoint, int(row[3]), load)
 
 
 def _decode_ended(row: list) -> EndedRun:
