Run all calls to workers on one thread with curl's multi interface

Cause: the dispatcher had a thread for each worker's polls. Change: TaskLoop runs sessions as generators on one thread, HttpMulti their calls over curl's multi interface with shared connections; http_client.Transfer holds what both ways of sending have in common.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -3,7 +3,6 @@
 import logging
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.commits import ProgressWriter
@@ -39,6 +38,7 @@
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import AdviceClient, WorkerClient
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+from jayshunt.task_loop import TaskLoop
 from jayshunt.tasks import TaskGroup
 
 _LOGGER = logging.getLogger(__name__)
@@ -46,11 +46,6 @@
 CANCEL_STORE_TIMEOUT_S = 2.0
 FLUSH_TIMEOUT_S = 0.8
 STOP_TIMEOUT_S = 0.05
-# One session and one thread for each worker, including those that left a while ago.
-MAX_SESSIONS = 4_096
-# Threads that send orders. Each worker of a lost zone may hold one of them until its
-# calls time out, and the others must go on getting orders.
-MAX_ORDER_SENDERS = 256
 
 
 class Dispatcher:
@@ -62,7 +57,8 @@
     last term on suspicion; it is True until the suspicion record is read. `handoff` is
     the record of the last term (see `_write_handoff`), None without one, and
     `handoff_read` is set once it was looked up.
-    `on_deposed` is called with a reason once this term is lost.
+    `on_deposed` is called with a reason once this term is lost. `build_worker_api`
+    returns the client of a worker; it may be replaced before `start`.
     """
 
     def __init__(
@@ -84,8 +80,8 @@
         self.lock = threading.RLock()
         self.tracker = RunTracker(own.term.token)
         self.sessions: dict[WorkerId, WorkerSession] = {}
-        self._group = TaskGroup("dispatch", max_tasks=MAX_SESSIONS)
-        self._order_senders = ThreadPoolExecutor(MAX_ORDER_SENDERS, "orders")
+        self._group = TaskGroup("dispatch")
+        self._worker_loop = TaskLoop("workers")
         self.ready = threading.Event()
         self.lease_s = min(
             WORKER_LEASE_S, node.bounds.max_lease_ms / 1000 * MAX_LEASE_FRACTION
@@ -114,11 +110,13 @@
             self, store, machines, clock, config, node.bounds, node.vm_orders_per_s
         )
         self.tracker.on_task_done = self.planner.learn_run
+        self.build_worker_api: Callable[[Worker], WorkerApi] = self._build_client
 
     # --- the term ---
 
     def start(self) -> None:
         """Start the threads that read the store and take over the workers."""
+        self._worker_loop.start()
         for task in (
             self._run_intake,
             self._workers.run,
@@ -137,12 +135,10 @@
         self._own.has_ended = not is_graceful
         self._group.stopping.set()
         self.notify_changed()
-        for session in list(self.sessions.values()):
-            session.wake()
         if is_graceful:
             self._flush()
+        self._worker_loop.stop()
         self._group.stop(STOP_TIMEOUT_S)
-        self._order_senders.shutdown(wait=False, cancel_futures=True)
 
     def _flush(self) -> None:
         try:
@@ -222,11 +218,13 @@
         now_s = self._clock.monotonic_s()
         view = WorkerView(worker, now_s)
         view.lease_end_s = self.inherited_runs_end_s
-        worker_api = WorkerClient(worker.worker, worker.address, self.token)
-        self.open_session(view, worker_api)
+        self.open_session(view, self.build_worker_api(worker))
+
+    def _build_client(self, worker: Worker) -> WorkerClient:
+        return WorkerClient(worker.worker, worker.address, self.token)
 
     def open_session(self, view: WorkerView, worker_api: WorkerApi) -> WorkerSession:
-        """Start renewing a worker's lease, and make its orders go out."""
+        """Start renewing a worker's lease."""
         context = SessionContext(
             tracker=self.tracker,
             lock=self.lock,
@@ -235,27 +233,23 @@
             term_valid=self.term_valid,
             on_deposed=self._on_deposed,
             notify_changed=self.notify_changed,
-            run_in_background=self._run_in_background,
+            spawn=self._worker_loop.spawn,
         )
         session = WorkerSession(view, worker_api, context)
         with self.lock:
             self.tracker.workers[view.worker.worker] = view
-            self.sessions = {
-                worker: known
-                for worker, known in self.sessions.items()
-                if not known.view.is_ended
-            }
+            self._remove_ended_sessions()
             self.sessions[view.worker.worker] = session
-        self._group.supervise(session.run_poll_loop)
+        self._worker_loop.spawn(session.run_polls, restarts=True)
         return session
 
-    def _run_in_background(self, call: Callable[[], None]) -> None:
-        if self._group.stopping.is_set():
+    def _remove_ended_sessions(self) -> None:
+        """Remove ended sessions once they make up half of the known ones."""
+        if len(self.sessions) <= 2 * len(self.tracker.workers):
             return
-        try:
-            self._order_senders.submit(call)
-        except RuntimeError:
-            _LOGGER.debug("dispatch: an order was dropped, the term is ending")
+        for worker, session in list(self.sessions.items()):
+            if session.view.is_ended:
+                del self.sessions[worker]
 
     def _notify_sessions(self) -> None:
         for session in list(self.sessions.values()):
--- a/src/jayshunt/dispatch/messages.py
+++ b/src/jayshunt/dispatch/messages.py
@@ -1,7 +1,7 @@
 """Define the interfaces between the planner, the sessions, and worker clients."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -9,6 +9,7 @@
 from jayshunt.dispatch.models import OrderAnswer, RunReport, StartOrder, TaskKey
 from jayshunt.dispatch.run_tracker import RunTracker
 from jayshunt.dispatch.tasks import Task
+from jayshunt.task_loop import Step, Steps
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,18 +34,24 @@
     percent: int
 
 
+OrderSteps = Generator[Step, object, OrderAnswer]
+
+
 class WorkerApi(Protocol):
-    """Define the calls to a worker; implemented by WorkerClient and by test fakes."""
+    """Define the calls to a worker; implemented by WorkerClient and by test fakes.
+
+    Each call is a generator whose steps a TaskLoop runs and whose result is the answer.
+    """
 
-    def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
+    def start(self, order: StartOrder, timeout_s: float) -> OrderSteps:
         """Start a run."""
 
-    def stop(self, task: TaskKey, run: int, timeout_s: float) -> OrderAnswer:
+    def stop(self, task: TaskKey, run: int, timeout_s: float) -> OrderSteps:
         """Stop a run."""
 
     def pace(
         self, task: TaskKey, run: int, percent: int, timeout_s: float
-    ) -> OrderAnswer:
+    ) -> OrderSteps:
         """Set the speed of a run to a percentage of full speed."""
 
     def poll_runs(
@@ -53,7 +60,7 @@
         lease_until_ms: int | None,
         wait_ms: int,
         timeout_s: float,
-    ) -> RunReport | OrderAnswer:
+    ) -> Generator[Step, object, RunReport | OrderAnswer]:
         """Extend the worker's lease and return its runs.
 
         If `lease_until_ms` is None, the lease is not extended. The worker may wait up
@@ -67,9 +74,9 @@
     """Share the state and callbacks of a term with its worker sessions.
 
     `lock` guards the tracker. `term_valid` returns whether orders may be given.
-    `run_in_background` calls a function in another thread soon. Sessions call
-    `on_deposed` when a worker has seen a later term, and `notify_changed` when there
-    may be something to place or to store.
+    `spawn` starts a task in the term's TaskLoop. Sessions call `on_deposed` when a
+    worker has seen a later term, and `notify_changed` when there may be something to
+    place or to store.
     """
 
     tracker: RunTracker
@@ -79,4 +86,4 @@
     term_valid: Callable[[], bool]
     on_deposed: Callable[[str], None]
     notify_changed: Callable[[], None]
-    run_in_background: Callable[[Callable[[], None]], object]
+    spawn: Callable[[Callable[[], Steps]], None]
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 from collections import deque
+from collections.abc import Generator
 
 from jayshunt.dispatch.const import (
     CLOCK_SKEW,
@@ -18,6 +19,7 @@
 from jayshunt.dispatch.run_tracker import StopOrder
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.task_loop import Signal, Sleep, Step, Steps, Wait
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -54,7 +56,7 @@
         self._is_sending = False
         self._answer_slack_s = POLL_TIMEOUT_SLACK_S
         self._stops_sent: dict[tuple[TaskKey, int], float] = {}
-        self._stored = threading.Event()
+        self._stored = Signal()
 
     def start(self, item: StartTask) -> None:
         """Queue a start order."""
@@ -81,30 +83,26 @@
         if self.view.pending:
             self._stored.set()
 
-    def wake(self) -> None:
-        """Wake the poll loop so that it checks whether to stop."""
-        self._stored.set()
-
     # --- the lease ---
 
-    def run_poll_loop(self, stop: threading.Event) -> None:
+    def run_polls(self) -> Steps:
         """Renew the lease and apply the worker's reports until it is removed."""
-        while not stop.is_set() and not self.view.is_ended:
+        while not self.view.is_ended:
             if not self._context.term_valid():
-                self._context.clock.wait(stop, POLL_RETRY_S / 2)
+                yield Sleep(POLL_RETRY_S / 2)
                 continue
-            if not self._poll_once():
-                self._context.clock.wait(stop, POLL_RETRY_S)
+            if not (yield from self._poll_once()):
+                yield Sleep(POLL_RETRY_S)
                 continue
-            self._wait_until_stored(stop)
+            yield from self._wait_until_stored()
 
-    def _wait_until_stored(self, stop: threading.Event) -> None:
+    def _wait_until_stored(self) -> Steps:
         """Wait until the reported ends are stored, for at most STORE_WAIT_S.
 
         While ends are not acknowledged, the worker answers a poll at once.
         """
         end_s = self._context.clock.monotonic_s() + STORE_WAIT_S
-        while self.view.pending and not stop.is_set():
+        while self.view.pending:
             self._stored.clear()
             with self._context.lock:
                 self.view.acknowledge_stored_ends(
@@ -113,9 +111,9 @@
             left_s = end_s - self._context.clock.monotonic_s()
             if not self.view.pending or left_s <= 0:
                 return
-            self._context.clock.wait(self._stored, left_s)
+            yield Wait(self._stored, left_s)
 
-    def _poll_once(self) -> bool:
+    def _poll_once(self) -> Generator[Step, object, bool]:
         context, view = self._context, self.view
         with context.lock:
             sent_s = context.clock.monotonic_s()
@@ -127,7 +125,7 @@
             )
             wait_s = self._poll_wait_s(until_ms)
         try:
-            answer = self._worker_api.poll_runs(
+            answer = yield from self._worker_api.poll_runs(
                 noted, until_ms, int(wait_s * 1000), wait_s + self._answer_slack_s
             )
         except JayshuntError as error:
@@ -241,20 +239,19 @@
     def _queue_order(self, order: Order) -> None:
         """Queue an order, and send the queued ones in the background.
 
-        The orders of a worker are sent one after the other in the order of the calls.
-        Sessions share the threads for it, as few have orders at the same time.
+        The orders of a worker are sent one after the other, in the order of the calls.
         """
         with self._orders_lock:
             self._orders.append(order)
             if self._is_sending:
                 return
             self._is_sending = True
-        self._context.run_in_background(self._send_orders)
+        self._context.spawn(self._send_orders)
 
-    def _send_orders(self) -> None:
+    def _send_orders(self) -> Steps:
         while (order := self._take_order()) is not None:
             try:
-                self._send_order(order)
+                yield from self._send_order(order)
             except Exception as error:
                 _LOGGER.exception(
                     "dispatch: unexpected error while sending an order to %s",
@@ -271,22 +268,22 @@
             self._is_sending = False
             return None
 
-    def _send_order(self, order: Order) -> None:
+    def _send_order(self, order: Order) -> Steps:
         match order:
             case StartTask():
-                self._send_start(order)
+                yield from self._send_start(order)
             case StopOrder():
-                self._send_stop(order)
+                yield from self._send_stop(order)
             case PaceTask():
-                self._send_pace(order)
+                yield from self._send_pace(order)
 
-    def _send_start(self, item: StartTask) -> None:
+    def _send_start(self, item: StartTask) -> Steps:
         order = self._prepare_start(item)
         if order is None:
             return
         context, task = self._context, item.task
         try:
-            answer = self._worker_api.start(order, ORDER_TIMEOUT_S)
+            answer = yield from self._worker_api.start(order, ORDER_TIMEOUT_S)
         except JayshuntError as error:
             self._handle_start_error(item, error)
             return
@@ -377,12 +374,14 @@
             self.stop(stop)
         context.notify_changed()
 
-    def _send_stop(self, order: StopOrder) -> None:
+    def _send_stop(self, order: StopOrder) -> Steps:
         context = self._context
         if not context.term_valid():
             return
         try:
-            answer = self._worker_api.stop(order.task, order.run, ORDER_TIMEOUT_S)
+            answer = yield from self._worker_api.stop(
+                order.task, order.run, ORDER_TIMEOUT_S
+            )
         except JayshuntError as error:
             _LOGGER.info(
                 "dispatch: a stop got no answer",
@@ -397,11 +396,13 @@
             if answer.refusal is None:
                 context.tracker.record_stop_accepted(order, now_s)
 
-    def _send_pace(self, item: PaceTask) -> None:
+    def _send_pace(self, item: PaceTask) -> Steps:
         if not self._context.term_valid():
             return
         try:
-            self._worker_api.pace(item.task, item.run, item.percent, ORDER_TIMEOUT_S)
+            yield from self._worker_api.pace(
+                item.task, item.run, item.percent, ORDER_TIMEOUT_S
+            )
         except JayshuntError as error:
             _LOGGER.info(
                 "dispatch: a change of pace got no answer",
--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -48,6 +48,7 @@
 )
 from jayshunt.platform.store import LeaseGone
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+from jayshunt.task_loop import Sleep, Wait
 
 POOL = PoolName("desk")
 SPARE = PoolName("shared")
@@ -369,3 +370,21 @@
     def _rev(self, key: str) -> int:
         item = self.items.get(key)
         return 0 if item is None else item.revision
+
+
+def run_steps(steps, clock=None):
+    """Run a task whose calls are fakes to its end and return its result.
+
+    With a clock, each sleep and wait advances it; without one they are not expected.
+    """
+    try:
+        while True:
+            match next(steps):
+                case Sleep(duration_s) if clock is not None:
+                    clock.advance(duration_s)
+                case Wait(_, timeout_s) if clock is not None:
+                    clock.advance(timeout_s)
+                case step:
+                    raise AssertionError(f"unexpected step {step!r}")
+    except StopIteration as end:
+        return end.value
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_scale.py
@@ -0,0 +1,58 @@
+"""Test one dispatcher with as many workers as the largest deployments have."""
+
+import time
+import unittest
+from collections.abc import Callable
+
+from jayshunt.dispatch.const import WORKER_LEASE_S
+from jayshunt.dispatch.tests.fleet_builders import TASKS_PER_JOB, FakeFleet
+
+WORKERS = 1_600
+JOBS = 20
+# A takeover may use what the workers' leases leave after the loss was noticed.
+TAKEOVER_LIMIT_S = WORKER_LEASE_S / 2
+WAIT_S = 20.0
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float = WAIT_S) -> bool:
+    """Wait until a condition holds; return whether it did in time."""
+    end_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end_s:
+            return False
+        time.sleep(0.02)
+    return True
+
+
+class ScaleTest(unittest.TestCase):
+    """Test a takeover over a large fleet whose workers run long tasks."""
+
+    def test_successor_renews_every_lease_in_time(self) -> None:
+        """A session that waits for a thread gets no lease, and its runs end.
+
+        With two threads a worker and a limit of 2,048, the workers beyond 1,020 got no
+        lease or no orders, and their tasks ran again elsewhere.
+        """
+        fleet = FakeFleet(WORKERS)
+        fleet.add_long_running_jobs(JOBS)
+        first = fleet.build_dispatcher("entry-1")
+        first.start()
+        self.addCleanup(first.stop, False)
+        self.assertTrue(wait_until(lambda: fleet.leased(first.token) == WORKERS))
+        self.assertTrue(wait_until(lambda: fleet.running() == JOBS * TASKS_PER_JOB))
+        first.stop(is_graceful=False)
+        second = fleet.build_dispatcher("entry-2")
+        second.start()
+        self.addCleanup(second.stop, False)
+        self.assertTrue(
+            wait_until(lambda: fleet.leased(second.token) == WORKERS, TAKEOVER_LIMIT_S),
+            f"{fleet.leased(second.token)} of {WORKERS} workers have a lease",
+        )
+        self.assertTrue(wait_until(lambda: second.planner.knows_all_runs))
+        self.assertEqual([], fleet.doubled)
+        self.assertEqual(0, fleet.lapsed)
+        self.assertEqual({1}, set(fleet.starts.values()), "no task ran again")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -17,15 +17,20 @@
     build_report,
     build_tracker,
     place,
+    run_steps,
 )
 from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.task_loop import Steps
 
 LEASE_S = 5.0
 SLOW_ANSWER_S = 1.2
 
 
 class FakeWorkerApi:
-    """Return prepared answers and record the calls."""
+    """Return prepared answers and record the calls.
+
+    The `yield` at the end makes each call a generator, as in WorkerClient.
+    """
 
     def __init__(self) -> None:
         """Initialize the fake without answers."""
@@ -37,16 +42,19 @@
         """Return the next answer to a poll, or raise it."""
         self.sent.append(lease_until_ms)
         return self._next(self.poll_answers)
+        yield
 
     def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
         """Return the next answer to a start, or raise it."""
         self.sent.append(order)
         return self._next(self.start_answers)
+        yield
 
     def stop(self, task, run, timeout_s: float) -> OrderAnswer:
         """Accept every stop."""
         self.sent.append((task, run))
         return OrderAnswer(None)
+        yield
 
     def _next(self, answers: list):
         answer = answers.pop(0)
@@ -71,7 +79,7 @@
         self.view = add_worker_view(self.tracker)
         self.worker_api = FakeWorkerApi()
         self.deposed: list[str] = []
-        self.background: list[Callable[[], None]] = []
+        self.background: list[Callable[[], Steps]] = []
         context = SessionContext(
             self.tracker,
             threading.RLock(),
@@ -91,10 +99,10 @@
             build_report(task),
             *[no_answer(Outcome.UNKNOWN)] * 40,
         ]
-        self.session._poll_once()
+        run_steps(self.session._poll_once())
         for _ in range(40):
             self.clock.advance(0.25)
-            self.session._poll_once()
+            run_steps(self.session._poll_once())
             if self.view.is_ended:
                 break
         self.assertEqual(TaskPhase.WAITING, task.phase)
@@ -109,7 +117,7 @@
         self.view.last_answer_s = None
         self.view.lease_end_s = 100.0
         self.worker_api.poll_answers = [build_report()]
-        self.session._poll_once()
+        run_steps(self.session._poll_once())
         self.assertLess(self.view.lease_end_s, LEASE_S * 1.1)
 
     def test_stored_progress_ends_the_wait_of_just_its_sessions(self) -> None:
@@ -118,17 +126,14 @@
         Sessions that checked 40 times a second used a tenth of the CPU.
         """
         self.view.pending.append(PendingEnd(1, self.job.spec.job, 1))
-        waits: list[float] = []
-
-        def store_while_waiting(event, timeout_s) -> bool:
-            waits.append(timeout_s)
-            self.tracker.stored_versions[self.job.spec.job] = 1
-            self.session.notify_stored()
-            return event.is_set()
-
-        self.clock.wait = store_while_waiting
-        self.session._wait_until_stored(threading.Event())
-        self.assertEqual(1, len(waits))
+        steps = self.session._wait_until_stored()
+        wait = next(steps)
+        self.assertFalse(wait.signal.is_set)
+        self.tracker.stored_versions[self.job.spec.job] = 1
+        self.session.notify_stored()
+        self.assertTrue(wait.signal.is_set)
+        with self.assertRaises(StopIteration):
+            next(steps)
         self.assertFalse(self.view.pending)
         self.assertEqual(1, self.view.noted_upto)
 
@@ -143,11 +148,12 @@
                 raise no_answer(Outcome.UNKNOWN)
             leases.append(until_ms)
             return build_report(task, clock_ms=int(self.clock.monotonic_s() * 1000))
+            yield
 
         leases: list[int | None] = []
         self.worker_api.poll_runs = answer_slowly
         while self.clock.monotonic_s() < 4 * LEASE_S:
-            self.session._poll_once()
+            run_steps(self.session._poll_once())
             self.clock.advance(0.25)
         self.assertEqual(TaskPhase.RUNNING, task.phase)
         now_ms = self.clock.monotonic_s() * 1000
@@ -162,7 +168,7 @@
             build_report(task),
         ]
         for _ in range(3):
-            self.session._poll_once()
+            run_steps(self.session._poll_once())
         self.assertIsNone(self.worker_api.sent[1])
         self.assertIsNotNone(self.worker_api.sent[2])
 
@@ -171,7 +177,7 @@
         task = self.job.steps[0, 0][0]
         self.tracker.record_order(task, self.view, 16, 0.0)
         self.worker_api.start_answers = [no_answer(Outcome.UNKNOWN)]
-        self.session._send_start(StartTask(task, 16, "payload"))
+        run_steps(self.session._send_start(StartTask(task, 16, "payload")))
         self.assertEqual(TaskPhase.STOPPING, task.phase)
         self.assertEqual([], self.job.ready_tasks())
 
@@ -180,7 +186,7 @@
         task = self.job.steps[0, 0][0]
         self.tracker.record_order(task, self.view, 16, 0.0)
         self.worker_api.start_answers = [no_answer(Outcome.NOT_RUN)]
-        self.session._send_start(StartTask(task, 16, "payload"))
+        run_steps(self.session._send_start(StartTask(task, 16, "payload")))
         self.assertEqual([task], self.job.ready_tasks())
 
     def test_cancelled_job_is_not_started(self) -> None:
@@ -188,7 +194,7 @@
         task = self.job.steps[0, 0][0]
         self.tracker.record_order(task, self.view, 16, 0.0)
         self.job.cancel()
-        self.session._send_start(StartTask(task, 16, "payload"))
+        run_steps(self.session._send_start(StartTask(task, 16, "payload")))
         self.assertEqual([], self.worker_api.sent)
 
     def test_orders_of_one_worker_share_one_background_call(self) -> None:
@@ -200,7 +206,7 @@
         self.session.stop(self.tracker.stop(task))
         self.assertEqual(1, len(self.background))
         task.phase = TaskPhase.ORDERED
-        self.background.pop()()
+        run_steps(self.background.pop()())
         kinds = [type(item).__name__ for item in self.worker_api.sent]
         self.assertEqual(["StartOrder", "tuple"], kinds)
         self.session.pace(PaceTask(task.key, 16, 50))
@@ -214,14 +220,14 @@
         self.session.start(StartTask(task, 16, "payload"))
         self.session.stop(StopOrder(self.view.worker.worker, task.key, 16))
         with self.assertLogs("jayshunt.dispatch.sessions", "ERROR"):
-            self.background.pop()()
+            run_steps(self.background.pop()())
         self.assertEqual((task.key, 16), self.worker_api.sent[-1])
         self.assertEqual(TaskPhase.STOPPING, task.phase, "it may have been started")
 
     def test_later_term_at_a_worker_ends_this_one(self) -> None:
         """A dispatcher resumed after a later term began must stop giving orders."""
         self.worker_api.poll_answers = [OrderAnswer(OrderRefusal.FENCED)]
-        self.session._poll_once()
+        run_steps(self.session._poll_once())
         self.assertEqual(1, len(self.deposed))
 
 
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -39,6 +39,80 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """Request to send; it fails if there is no complete response in `timeout_s`.
+
+    `step` names the call in errors.
+    """
+
+    method: str
+    url: str
+    timeout_s: float
+    step: str
+    body: bytes | None = None
+    headers: dict[str, str] | None = None
+
+
+class Transfer:
+    """One call on a curl handle, whose response is read when curl has finished it."""
+
+    def __init__(self, handle: pycurl.Curl, call: HttpCall) -> None:
+        """Set the options of the call on the handle."""
+        self._handle = handle
+        self._call = call
+        self._response_body = io.BytesIO()
+        self._header_lines: list[bytes] = []
+        self._status = 0
+        self._sent_bytes = 0
+        handle.reset()
+        handle.setopt(pycurl.URL, call.url)
+        handle.setopt(pycurl.CUSTOMREQUEST, call.method)
+        # The default lists every library of the build, about 100 bytes per request.
+        handle.setopt(pycurl.USERAGENT, "jayshunt")
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
+        handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
+        handle.setopt(pycurl.WRITEFUNCTION, self._response_body.write)
+        handle.setopt(pycurl.HEADERFUNCTION, self._header_lines.append)
+        sent = [f"{name}: {value}" for name, value in (call.headers or {}).items()]
+        if call.body is not None:
+            _send_once(handle, call.body)
+        handle.setopt(pycurl.HTTPHEADER, [*sent, "Expect:"])
+        if call.method == "HEAD":
+            handle.setopt(pycurl.NOBODY, 1)
+
+    def read_info(self) -> None:
+        """Read from the handle what `answer` and `error` need, before its next use."""
+        self._status = self._handle.getinfo(pycurl.RESPONSE_CODE)
+        self._sent_bytes = self._handle.getinfo(pycurl.REQUEST_SIZE)
+
+    def answer(self) -> HttpAnswer:
+        """Return the complete response."""
+        headers = parse_headers(self._header_lines)
+        return HttpAnswer(self._status, headers, self._response_body.getvalue())
+
+    def error(self, number: int, text: str) -> JayshuntError:
+        """Return the error for a curl error number and its text.
+
+        `peer_unreachable` with outcome NOT_RUN means that no connection could be made,
+        `no_answer` with UNKNOWN that the request may have reached the peer.
+        """
+        # curl retries a request on its own when a reused connection breaks, so that a
+        # failed connect may follow a request that was sent.
+        is_not_run = number in NOT_SENT_ERRORS and self._sent_bytes == 0
+        return JayshuntError(
+            "peer_unreachable" if is_not_run else "no_answer",
+            step=self._call.step,
+            peer=self._call.url.split("/")[2],
+            outcome=Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN,
+            retry_after_s=1.0,
+            detail=text,
+        )
+
+
 def request(
     method: str,
     url: str,
@@ -63,53 +137,22 @@
     than MIN_BYTES_PER_S for that many seconds is aborted before its timeout.
     """
     handle = handle or _thread_handle()
-    handle.reset()
-    response_body = io.BytesIO()
-    header_lines: list[bytes] = []
-    handle.setopt(pycurl.URL, url)
-    handle.setopt(pycurl.CUSTOMREQUEST, method)
-    # The default lists every library of the build, about 100 bytes in each request.
-    handle.setopt(pycurl.USERAGENT, "jayshunt")
-    handle.setopt(pycurl.NOSIGNAL, 1)
-    handle.setopt(pycurl.PROXY, "")
-    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-    handle.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
-    handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
-    handle.setopt(pycurl.WRITEFUNCTION, response_body.write)
-    handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+    transfer = Transfer(handle, HttpCall(method, url, timeout_s, step, body, headers))
     if stall_s is not None:
         handle.setopt(pycurl.LOW_SPEED_LIMIT, MIN_BYTES_PER_S)
         handle.setopt(pycurl.LOW_SPEED_TIME, stall_s)
     if stop is not None:
         handle.setopt(pycurl.NOPROGRESS, 0)
         handle.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(stop.is_set()))
-    sent = [f"{name}: {value}" for name, value in (headers or {}).items()]
-    if body is not None:
-        _send_once(handle, body)
-    handle.setopt(pycurl.HTTPHEADER, [*sent, "Expect:"])
     if authority_file is not None:
         handle.setopt(pycurl.CAINFO, str(authority_file))
-    if method == "HEAD":
-        handle.setopt(pycurl.NOBODY, 1)
     try:
         handle.perform()
     except pycurl.error as error:
-        number, text = error.args[0], str(error.args[1])
-        # curl retries a request on its own when a reused connection breaks, so that a
-        # failed connect may follow a request that was sent.
-        is_sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
-        is_not_run = number in NOT_SENT_ERRORS and not is_sent
-        outcome = Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
-        raise JayshuntError(
-            "peer_unreachable" if outcome is Outcome.NOT_RUN else "no_answer",
-            step=step,
-            peer=url.split("/")[2],
-            outcome=outcome,
-            retry_after_s=1.0,
-            detail=text,
-        ) from error
-    status = handle.getinfo(pycurl.RESPONSE_CODE)
-    return HttpAnswer(status, parse_headers(header_lines), response_body.getvalue())
+        transfer.read_info()
+        raise transfer.error(error.args[0], str(error.args[1])) from error
+    transfer.read_info()
+    return transfer.answer()
 
 
 def _send_once(handle: pycurl.Curl, body: bytes) -> None:
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -23,6 +23,7 @@
 from jayshunt.serving.http_server import HttpServer
 from jayshunt.serving.limits import ServerLimits
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
+from jayshunt.tests.builders import run_in_loop
 
 HOST = "127.0.0.1"
 JOB = "5c0e7a21d94b36f8"
@@ -177,7 +178,7 @@
                 },
             )
         ]
-        answer = self.calls.poll_runs(5, 800, 100, 1.0)
+        answer = run_in_loop(self.calls.poll_runs(5, 800, 100, 1.0))
         self.assertEqual(TaskKey(JobId("a"), 0, 1, 2), answer.running[0].task)
         self.assertEqual(("s", 1), (answer.ended[0].checkpoint, answer.ended[0].number))
         _, _, body, headers = self.server.requests[0]
@@ -195,7 +196,7 @@
             (409, {"reason": "old", "clockMs": 4}),
         ]
         task = TaskKey(JobId("a"), 0, 0, 0)
-        found = [self.calls.stop(task, 1, 1.0).refusal for _ in range(4)]
+        found = [run_in_loop(self.calls.stop(task, 1, 1.0)).refusal for _ in range(4)]
         self.assertEqual(
             [
                 OrderRefusal.FENCED,
@@ -218,11 +219,13 @@
         for report in reports:
             self.server.answers = [(200, report)]
             with self.assertRaises(JayshuntError) as caught:
-                self.calls.poll_runs(0, 800, 0, 1.0)
+                run_in_loop(self.calls.poll_runs(0, 800, 0, 1.0))
             self.assertIs(Outcome.UNKNOWN, caught.exception.outcome)
         self.server.answers = [(200, b"["), (409, [1])]
-        self.assertIsNone(self.calls.stop(task, 1, 1.0).refusal)
-        self.assertIs(OrderRefusal.OTHER, self.calls.stop(task, 1, 1.0).refusal)
+        self.assertIsNone(run_in_loop(self.calls.stop(task, 1, 1.0)).refusal)
+        self.assertIs(
+            OrderRefusal.OTHER, run_in_loop(self.calls.stop(task, 1, 1.0)).refusal
+        )
 
 
 class VmServiceTest(unittest.TestCase):
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -1,6 +1,7 @@
 """Clients of the workers and of the advice service."""
 
 import json
+from collections.abc import Generator
 
 from jayshunt import http_client
 from jayshunt.dispatch.models import (
@@ -15,6 +16,7 @@
     TaskKey,
 )
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
+from jayshunt.http_client import HttpAnswer, HttpCall
 from jayshunt.ids import WorkerId
 from jayshunt.platform.const import INSTANCE_HEADER, MAX_HOLD_WAIT_MS
 
@@ -29,31 +31,29 @@
 }
 _RUN_ENDS = {end.value: end for end in RunEnd}
 
+OrderSteps = Generator[HttpCall, HttpAnswer, OrderAnswer]
+
 
 class WorkerClient:
     """Client of one worker instance.
 
-    Every call names the instance, so that a restarted worker at the same address
-    refuses it. Calls raise JayshuntError; its outcome is UNKNOWN if no response
+    Calls are steps of a task in a TaskLoop, used with `yield from`. Every call names
+    the instance, so that a restarted worker at the same address refuses it. Calls raise
+    JayshuntError; its outcome is UNKNOWN if no response
     arrived or it can't be decoded, since the order may have been executed or may
     still be executed.
     """
 
     def __init__(self, worker: WorkerId, address: Address, token: int) -> None:
-        """Create a client; `token` is the fencing token of the dispatcher's term.
-
-        Polls use a connection of the calling thread, and orders one of the client, on
-        which the caller sends one order at a time from any thread.
-        """
+        """Create a client; `token` is the fencing token of the dispatcher's term."""
         self._base = f"http://{address}"
-        self._order_handle = http_client.new_handle()
         self._headers = {
             INSTANCE_HEADER: worker,
             "Content-Type": "application/json",
         }
         self._token = token
 
-    def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
+    def start(self, order: StartOrder, timeout_s: float) -> OrderSteps:
         """Start a run of a task.
 
         The order also extends the lease that all runs of the worker share to
@@ -72,7 +72,7 @@
             body["ticket"] = order.ticket
         return self._send_order("/run-start", body, timeout_s)
 
-    def stop(self, task: TaskKey, run: int, timeout_s: float) -> OrderAnswer:
+    def stop(self, task: TaskKey, run: int, timeout_s: float) -> OrderSteps:
         """Stop a run.
 
         Its capacity is free only when `poll_runs` lists the run as ended.
@@ -81,7 +81,7 @@
 
     def pace(
         self, task: TaskKey, run: int, percent: int, timeout_s: float
-    ) -> OrderAnswer:
+    ) -> OrderSteps:
         """Throttle a run to a percentage of its full speed."""
         body = {"task": task.name, "run": run, "percent": percent}
         return self._send_order("/pace", body, timeout_s)
@@ -92,7 +92,7 @@
         lease_until_ms: int | None,
         wait_ms: int,
         timeout_s: float,
-    ) -> RunReport | OrderAnswer:
+    ) -> Generator[HttpCall, HttpAnswer, RunReport | OrderAnswer]:
         """Extend the lease of all runs, and return the running and the ended runs.
 
         The lease is extended to `lease_until_ms` on the worker's clock, or left as
@@ -105,7 +105,7 @@
             body["untilMs"] = lease_until_ms
         if wait_ms > 0:
             body["waitMs"] = min(int(wait_ms), MAX_HOLD_WAIT_MS)
-        answer = self._call("/hold", body, timeout_s, None)
+        answer = yield self._call("/hold", body, timeout_s)
         if answer.status != 200:
             return _order_answer(answer)
         try:
@@ -120,22 +120,22 @@
                 detail=f"malformed report of runs: {error!r}",
             ) from error
 
-    def _send_order(self, path: str, body: dict, timeout_s: float) -> OrderAnswer:
-        return _order_answer(self._call(path, body, timeout_s, self._order_handle))
+    def _send_order(self, path: str, body: dict, timeout_s: float) -> OrderSteps:
+        answer = yield self._call(path, body, timeout_s)
+        return _order_answer(answer)
 
-    def _call(self, path: str, body: dict, timeout_s: float, handle):
-        return http_client.request(
+    def _call(self, path: str, body: dict, timeout_s: float) -> HttpCall:
+        return HttpCall(
             "POST",
             self._base + path,
-            body=json.dumps({**body, "fencingToken": self._token}).encode(),
-            headers=self._headers,
             timeout_s=timeout_s,
             step=f"worker{path}",
-            handle=handle,
+            body=json.dumps({**body, "fencingToken": self._token}).encode(),
+            headers=self._headers,
         )
 
 
-def _order_answer(answer: http_client.HttpAnswer) -> OrderAnswer:
+def _order_answer(answer: HttpAnswer) -> OrderAnswer:
     clock_ms, reason = _decode_refusal(answer.body)
     match answer.status:
         case 200:
