Detect a lost dispatcher sooner, and only by silence that is not one's own

At 38.8 s, as a cut zone came back, two of its entries ended the term of a healthy holder: they reached the store before the holder, with 4.5 s of silence that was their own. By reading: a renewal that was interrupted by a suspension counted as an attempt after it, so that a replaced holder could act; a job whose first submission had an unknown outcome was later refused as if it never ran; an entry that reached neither store nor dispatcher sent submissions into the void, answered after 2.4 s with 504. Change: silence counts from the sending of the first unanswered call, and only while the store is reached; calls follow each other closely then; a stalled holder asks the store first after 1.9 s, below the 2.0 s of suspicion, and interrupted renewals do not count; unknown submissions are remembered; an isolated entry refuses new jobs at once. The new tests failed before.

--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -4,9 +4,13 @@
 # entries suspect and replace an unresponsive dispatcher before the lease expires.
 TERM_LEASE_S = 7.0
 # A dispatcher whose renewals stalled for longer was suspended; it attempts a renewal
-# before it gives further orders.
-RENEW_STALL_S = 2.3
+# before it gives further orders. It is below suspicion.SUSPECT_AFTER_S, after which
+# other entries may have ended its term.
+RENEW_STALL_S = 1.9
 TERM_RENEW_S = 0.8
+# A renewal that took longer, of which 1.2 s are the timeout of the call, may have been
+# interrupted by a suspension, and its answer may be older than the end of the term.
+MAX_RENEWAL_S = 1.5
 # The rates of the platform's clocks may differ by 2%.
 CLOCK_SKEW = 0.02
 # Subtracted from the time for which the dispatcher relies on its lease.
@@ -48,6 +52,11 @@
 DISPATCHER_WAIT_S = 1.6
 PEER_CALL_TIMEOUT_S = 0.6
 STATUS_INTERVAL_S = 0.4
+# Pause between unanswered polls of the dispatcher, which shows its loss sooner.
+SILENT_INTERVAL_S = 0.1
+# An entry that has reached neither the store nor the dispatcher for this long is
+# isolated: it is not ready and refuses new jobs at once.
+ISOLATED_AFTER_S = 1.5
 NOTIFY_RETRY_S = 0.2
 ACCEPT_TIMEOUT_S = 2.4
 DEFAULT_RETRY_AFTER_S = 1
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -1,11 +1,18 @@
 """Serve job callers on one entry: submit, query, cancel and count jobs."""
 
 import logging
+import threading
 import time
+from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NoReturn
 
 from jayshunt.clock import Clock
-from jayshunt.dispatch.const import ACCEPT_TIMEOUT_S, DEFAULT_RETRY_AFTER_S
+from jayshunt.dispatch.const import (
+    ACCEPT_TIMEOUT_S,
+    DEFAULT_RETRY_AFTER_S,
+    ISOLATED_AFTER_S,
+)
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig
@@ -25,6 +32,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 RETRY_S = 0.1
+# How many submissions with an unknown outcome an entry remembers, the latest ones.
+MAX_UNKNOWN = 10_000
 
 
 @dataclass(frozen=True)
@@ -48,9 +57,23 @@
         self._store = store
         self._link = link
         self._clock = clock
+        self._unknown: OrderedDict[JobId, None] = OrderedDict()
+        self._unknown_lock = threading.Lock()
+
+    def is_isolated(self) -> bool:
+        """Return whether this entry has reached neither store nor dispatcher lately.
+
+        It can't serve callers then; the balancer should send them to other entries.
+        """
+        is_cut_off = self._store.failing_for_s() > ISOLATED_AFTER_S
+        return is_cut_off and not self._link.is_reachable()
 
     def submit(self, spec: JobSpec, queue: QueueConfig, timeout_s: float) -> Accepted:
         """Accept a job, or raise JobRefused (it never runs) or AcceptUnknown."""
+        if self.is_isolated():
+            self._refuse(
+                spec, "isolated", DEFAULT_RETRY_AFTER_S, "the entry is cut off"
+            )
         retry_after_s = self._link.refuse_retry_after_s(queue.queue)
         if retry_after_s > 0 and not spec.is_long_running:
             return self._refuse_unless_known(spec, retry_after_s)
@@ -150,18 +173,28 @@
                 "entry: failed to check the store before a refusal",
                 extra={"job": spec.job, "reason": str(error)},
             )
+        reason = "the queue is too far behind its target"
+        self._refuse(spec, "queue_behind", retry_after_s, reason)
+
+    def _refuse(
+        self, spec: JobSpec, code: str, retry_after_s: float, reason: str
+    ) -> NoReturn:
+        """Refuse a job of which this call sent nothing.
+
+        Raise AcceptUnknown instead if an earlier call may have stored the job.
+        """
+        if spec.job in self._unknown:
+            raise AcceptUnknown("an earlier submission may have been accepted")
         _LOGGER.info(
             "entry: refused",
             extra={
                 "job": spec.job,
                 "queue": spec.queue,
-                "reason": "the queue is far behind",
+                "reason": reason,
                 "retry_after_s": retry_after_s,
             },
         )
-        raise JobRefused(
-            "queue_behind", retry_after_s, "the queue is too far behind its target"
-        )
+        raise JobRefused(code, retry_after_s, reason)
 
     def _give_up_if_due(
         self, spec: JobSpec, is_unknown: bool, end_s: float, error: JayshuntError
@@ -178,9 +211,17 @@
             },
         )
         if is_unknown:
+            self._remember_unknown(spec.job)
+        if spec.job in self._unknown:
             raise AcceptUnknown(str(error))
         raise JobRefused("store_unavailable", DEFAULT_RETRY_AFTER_S, str(error))
 
+    def _remember_unknown(self, job: JobId) -> None:
+        with self._unknown_lock:
+            self._unknown[job] = None
+            if len(self._unknown) > MAX_UNKNOWN:
+                self._unknown.popitem(last=False)
+
     def _resolve_conflict(
         self, spec: JobSpec, conflicts: tuple, is_unknown: bool, value: bytes
     ) -> Accepted:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -12,6 +12,7 @@
     DISPATCHER_WAIT_S,
     NOTIFY_RETRY_S,
     PEER_CALL_TIMEOUT_S,
+    SILENT_INTERVAL_S,
     STATUS_INTERVAL_S,
 )
 from jayshunt.dispatch.dispatcher import Dispatcher
@@ -135,6 +136,8 @@
         """
         while not stop.is_set():
             term = self._election.term
+            interval_s = STATUS_INTERVAL_S
+            sent_s = self._clock.monotonic_s()
             try:
                 answer = self._call("refusals", self._own_report(), 0.0)
                 self._failure_detector.record_answer()
@@ -147,8 +150,9 @@
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: failed to read refusals: %s", error)
                 if term is not None and self._is_remote(term):
-                    self._failure_detector.record_silence(term)
-            self._clock.wait(stop, STATUS_INTERVAL_S)
+                    interval_s = SILENT_INTERVAL_S
+                    self._failure_detector.record_silence(term, sent_s)
+            self._clock.wait(stop, interval_s)
 
     def _is_remote(self, term: Term) -> bool:
         """Return whether a term is held by another process."""
--- a/src/jayshunt/dispatch/suspicion.py
+++ b/src/jayshunt/dispatch/suspicion.py
@@ -22,8 +22,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# A holder suspended for less than this can renew its lease before it is replaced. A
-# call between entries may take 0.6 s, so one slow call does not suffice.
+# A holder suspended for less than this can renew its lease before it is replaced. It
+# exceeds RENEW_STALL_S, so that a replaced holder asks the store before it acts. A call
+# between entries may take 0.6 s, so one slow call does not suffice.
 SUSPECT_AFTER_S = 2.0
 # Two suspecting entries of one zone wait for this long, as their zone itself may be
 # partitioned from the others.
@@ -115,17 +116,20 @@
             self._has_stored_suspicion = False
             self._withdraw()
 
-    def record_silence(self, term: Term) -> None:
+    def record_silence(self, term: Term, sent_s: float) -> None:
         """Record an unanswered call and act once the holder was silent for too long.
 
-        An entry that does not reach the store itself does nothing.
+        The silence counts from `sent_s`, when its first unanswered call was sent, and
+        only while this entry reaches the store: an entry that comes back from a network
+        partition usually reaches the store first, and the holder a moment later.
         """
-        now_s = self._clock.monotonic_s()
         if self._token != term.token:
-            self._token, self._silent_since_s = term.token, now_s
-            return
-        silent_s = now_s - self._silent_since_s
-        if silent_s < SUSPECT_AFTER_S or self._store.failing_for_s() > 0:
+            self._token, self._silent_since_s = term.token, sent_s
+        silent_s = min(
+            self._clock.monotonic_s() - self._silent_since_s,
+            self._store.reachable_for_s(),
+        )
+        if silent_s < SUSPECT_AFTER_S:
             return
         try:
             self._act(term, silent_s)
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -18,6 +18,7 @@
 from jayshunt.dispatch.const import (
     CANDIDATE_RETRY_S,
     CLOCK_SKEW,
+    MAX_RENEWAL_S,
     RENEW_STALL_S,
     TERM_LEASE_S,
     TERM_MARGIN_S,
@@ -83,25 +84,38 @@
         """Count the lease from `renewed_s`, when it was requested from the store.
 
         `has_ended` is set once the entry gave up or lost the term, also by what runs
-        during the term; `is_valid` is False from then on.
+        during the term; `is_valid` is False from then on. `is_failing` means that the
+        store did not answer the last renewal.
         """
         self.term = term
         self._now_s = now_s
         self._valid_until_s = 0.0
-        self._last_attempt_s = 0.0
+        self._last_attempt_s = renewed_s
         self.has_ended = False
+        self.is_failing = False
         self.record_renewal(renewed_s)
 
-    def record_attempt(self) -> None:
-        """Record that a renewal was attempted, whether or not the store answered."""
-        self._last_attempt_s = self._now_s()
+    def record_failed_attempt(self, sent_s: float) -> None:
+        """Record that a renewal was attempted, but the store did not answer."""
+        self.is_failing = True
+        self._record_attempt(sent_s)
+
+    def _record_attempt(self, sent_s: float) -> None:
+        """Record an attempt unless the process was suspended while it lasted.
+
+        The answer to such an attempt may be older than the end of the term.
+        """
+        now_s = self._now_s()
+        if now_s - sent_s <= MAX_RENEWAL_S:
+            self._last_attempt_s = now_s
 
     def record_renewal(self, sent_s: float) -> None:
         """Extend the lease's validity, counted from when the renewal was sent.
 
         The duration is reduced by the clock skew and a safety margin.
         """
-        self.record_attempt()
+        self.is_failing = False
+        self._record_attempt(sent_s)
         usable_s = TERM_LEASE_S * (1 - CLOCK_SKEW) - TERM_MARGIN_S
         self._valid_until_s = max(self._valid_until_s, sent_s + usable_s)
 
@@ -205,7 +219,8 @@
             )
 
     def _renew_interval_s(self, own: OwnTerm) -> float:
-        return TERM_RENEW_S if own.is_valid else CANDIDATE_RETRY_S
+        is_healthy = own.is_valid and not own.is_failing
+        return TERM_RENEW_S if is_healthy else CANDIDATE_RETRY_S
 
     def _renew_once(self, own: OwnTerm) -> None:
         sent_s = self._now_s()
@@ -221,7 +236,7 @@
                 "dispatch: the term was not renewed",
                 extra={"reason": str(error), "valid": own.is_valid},
             )
-            own.record_attempt()
+            own.record_failed_attempt(sent_s)
         else:
             own.record_renewal(sent_s)
 
--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -277,11 +277,16 @@
         self.fault: Callable[[str], str] = lambda step: ""
         self.late: list[tuple] = []
         self.failing_s = 0.0
+        self.reachable_s = float("inf")
 
     def failing_for_s(self) -> float:
         """Return how long calls have been failing."""
         return self.failing_s
 
+    def reachable_for_s(self) -> float:
+        """Return how long calls have been succeeding."""
+        return 0.0 if self.failing_s else self.reachable_s
+
     def get(self, key: str) -> Item | None:
         """Return one item."""
         self._check("get")
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -273,6 +273,11 @@
         self.notified: list = []
         self.state = None
         self.submit_error: Exception | None = NoDispatcher("test")
+        self.reachable = True
+
+    def is_reachable(self) -> bool:
+        """Return whether the dispatcher answers."""
+        return self.reachable
 
     def refuse_retry_after_s(self, queue) -> float:
         """Return after how long refused callers may retry."""
@@ -338,6 +343,35 @@
         self.link.submit_error = None
         self.assertTrue(self.submit().is_new)
 
+    def test_isolated_entry_refuses_at_once(self) -> None:
+        """The caller could try another entry meanwhile.
+
+        After calls without an answer it would be told that its job may run, and could
+        not try again.
+        """
+        calls: list[str] = []
+        self.store.fault = lambda step: calls.append(step) or "lost"
+        self.store.failing_s = 2.0
+        self.link.reachable = False
+        with self.assertRaises(JobRefused):
+            self.submit(2.0)
+        self.assertEqual([], calls)
+        self.assertEqual({}, self.store.items)
+
+    def test_refusal_after_an_unknown_outcome_is_unknown(self) -> None:
+        """A refused retry would tell the caller that its first call never ran."""
+        self.store.fault = lambda step: "late"
+        with self.assertRaises(AcceptUnknown):
+            self.submit()
+        self.store.fault = lambda step: "down"
+        with self.assertRaises(AcceptUnknown):
+            self.submit()
+        self.link.refuse_s = 3.0
+        with self.assertRaises(AcceptUnknown):
+            self.submit()
+        self.store.run_late()
+        self.assertIn(accepted_key(self.spec.job), self.store.items)
+
     def test_accepted_job_is_known_without_a_dispatcher(self) -> None:
         """A caller submits its job again if it is reported as nonexistent."""
         self.submit()
--- a/src/jayshunt/dispatch/tests/test_suspicion.py
+++ b/src/jayshunt/dispatch/tests/test_suspicion.py
@@ -66,7 +66,6 @@
         """Build a store, a term and two entries in different zones."""
         self.clock = ManualClock(0.0)
         self.store = FakeStore()
-        self.store.failing_for_s = lambda: 0.0
         self.ended: list[LeaseId] = []
         self.store.end_lease = self.ended.append
         self.term = Term(
@@ -88,8 +87,8 @@
     def test_silent_holder_loses_its_term(self) -> None:
         """When two entries agree, the suspicion is marked ended and the lease ends."""
         for _ in range(2):
-            self.first.record_silence(self.term)
-            self.second.record_silence(self.term)
+            self.first.record_silence(self.term, self.clock.monotonic_s())
+            self.second.record_silence(self.term, self.clock.monotonic_s())
             self.clock.advance(LONG_S)
         self.assertEqual([LeaseId("9")], self.ended)
         self.assertTrue(self.stored().is_ended)
@@ -102,27 +101,52 @@
         self.test_silent_holder_loses_its_term()
         revision = self.store.get(SUSPECT_KEY).revision
         self.clock.advance(LONG_S)
-        self.first.record_silence(self.term)
+        self.first.record_silence(self.term, self.clock.monotonic_s())
         self.assertEqual(revision, self.store.get(SUSPECT_KEY).revision)
         self.assertEqual(2, len(self.ended))
 
     def test_answer_withdraws_the_record(self) -> None:
         """With a leftover record, a single later suspicion could end the term."""
-        self.first.record_silence(self.term)
+        self.first.record_silence(self.term, self.clock.monotonic_s())
         self.clock.advance(LONG_S)
-        self.first.record_silence(self.term)
+        self.first.record_silence(self.term, self.clock.monotonic_s())
         self.assertIsNotNone(self.stored())
         self.first.record_answer()
         self.assertIsNone(self.stored())
 
     def test_entry_without_the_store_suspects_nobody(self) -> None:
         """An entry that can't reach the store is probably the partitioned one."""
-        self.store.failing_for_s = lambda: 1.0
-        self.first.record_silence(self.term)
+        self.store.failing_s = 1.0
+        self.first.record_silence(self.term, self.clock.monotonic_s())
         self.clock.advance(LONG_S)
-        self.first.record_silence(self.term)
+        self.first.record_silence(self.term, self.clock.monotonic_s())
         self.assertIsNone(self.stored())
 
+    def test_silence_counts_from_the_first_unanswered_call(self) -> None:
+        """Counted from its timeout, each silent loss lasts 0.6 s longer."""
+        sent_s = self.clock.monotonic_s()
+        self.clock.advance(SUSPECT_AFTER_S)
+        self.first.record_silence(self.term, sent_s)
+        self.assertIsNotNone(self.stored())
+
+    def test_zone_that_returns_does_not_end_the_term(self) -> None:
+        """The entries of a zone reach the store before the holder when a cut ends.
+
+        They ended the term of a holder that served all other zones, after silence
+        that was their own (further/kpdm-jaya scale-2, 38.8 s).
+        """
+        zone = [self.entry("c", "wes"), self.second]
+        sent_s = self.clock.monotonic_s()
+        self.store.failing_s = 4.0
+        self.clock.advance(ONE_ZONE_AFTER_S + 1.0)
+        for entry in zone:
+            entry.record_silence(self.term, sent_s)
+        self.store.failing_s, self.store.reachable_s = 0.0, 0.2
+        for entry in zone:
+            entry.record_silence(self.term, self.clock.monotonic_s())
+        self.assertIsNone(self.stored())
+        self.assertEqual([], self.ended)
+
 
 class StalledHolderTest(unittest.TestCase):
     """Test a holder whose process was suspended."""
@@ -135,12 +159,28 @@
         self.assertTrue(own.is_valid)
         now[0] += RENEW_STALL_S + 0.1
         self.assertFalse(own.is_valid)
-        own.record_attempt()
+        own.record_failed_attempt(now[0])
         self.assertTrue(own.is_valid)
         now[0] = 100.0 + TERM_LEASE_S
-        own.record_attempt()
+        own.record_failed_attempt(now[0])
         self.assertFalse(own.is_valid)
 
+    def test_holder_suspended_during_a_renewal_renews_again(self) -> None:
+        """The answer may be older than the end of the term by other entries."""
+        for record in (OwnTerm.record_renewal, OwnTerm.record_failed_attempt):
+            now = [100.0]
+            term = Term(EntryId("h"), Address("127.0.0.1", 1), "x", Revision(5))
+            own = OwnTerm(term, 100.0, lambda now=now: now[0])
+            now[0] += SUSPECT_AFTER_S + 0.5
+            record(own, 100.1)
+            self.assertFalse(own.is_valid, record.__name__)
+            record(own, now[0])
+            self.assertTrue(own.is_valid, record.__name__)
+
+    def test_replaced_holder_has_stalled(self) -> None:
+        """Other entries must not end a term that its holder still trusts."""
+        self.assertLess(RENEW_STALL_S, SUSPECT_AFTER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -33,6 +33,8 @@
 # A list call whose connection delivers almost no data fails within this time plus
 # one second.
 LIST_STALL_S = 1
+# Calls that fail for longer are an outage or a partition rather than a lost answer.
+OUTAGE_S = 0.5
 # Time beyond the wait of a watch that its response may take.
 WATCH_SLACK_S = 0.6
 
@@ -63,6 +65,7 @@
         self.calls: Counter[str] = Counter()
         self._failing_since_s: float | None = None
         self._last_success_s: float | None = None
+        self._reachable_since_s: float | None = None
 
     def get(self, key: str) -> Item | None:
         """Return the item of a key, or None if the key does not exist."""
@@ -189,11 +192,25 @@
         since_s = self._failing_since_s
         return 0.0 if since_s is None else time.monotonic() - since_s
 
+    def reachable_for_s(self) -> float:
+        """Return the time since the last longer outage ended, 0 while calls fail."""
+        if self._failing_since_s is not None or self._reachable_since_s is None:
+            return 0.0
+        return time.monotonic() - self._reachable_since_s
+
     def last_success_age_s(self) -> float | None:
         """Return the time since the last successful call, None before the first."""
         last_success_s = self._last_success_s
         return None if last_success_s is None else time.monotonic() - last_success_s
 
+    def _record_success(self) -> None:
+        now_s = time.monotonic()
+        failing_since_s, self._failing_since_s = self._failing_since_s, None
+        was_out = failing_since_s is not None and now_s - failing_since_s > OUTAGE_S
+        if was_out or self._reachable_since_s is None:
+            self._reachable_since_s = now_s
+        self._last_success_s = now_s
+
     def _record_failure(self) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = time.monotonic()
@@ -231,8 +248,7 @@
                 raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
             raise StoreUnavailable(step, self._peer, error.detail) from error
         if answer.status in (200, 404, 410, 412):
-            self._failing_since_s = None
-            self._last_success_s = time.monotonic()
+            self._record_success()
             return answer
         self._record_failure()
         detail = f"status {answer.status}"
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -37,9 +37,6 @@
 # The sum with READY_GRACE_S stays below the 6 s after which the platform sends
 # SIGKILL. The stops of the background tasks and of the two other servers add to it.
 DRAIN_TIMEOUT_S = 2.2
-# An entry that has reached neither the store nor the dispatcher for this long is
-# not ready, so that the balancer sends callers to other entries.
-ISOLATED_AFTER_S = 1.5
 CALLER_LIMITS = ServerLimits(
     max_connections=1_500,
     max_body_bytes=MAX_BODY_BYTES,
@@ -80,11 +77,13 @@
             self._election, self._link, self._store, self._clock
         )
         self._metrics = EntryMetrics(self._store, self._link)
-        entry = EntryJobService(self._store, self._link, self._clock)
+        self._job_service = EntryJobService(self._store, self._link, self._clock)
         self._tasks = TaskGroup("entry")
         self._front_server = _build_server(
             node.front,
-            FrontApi(entry, self._config.current, self._metrics.observe_answer),
+            FrontApi(
+                self._job_service, self._config.current, self._metrics.observe_answer
+            ),
             CALLER_LIMITS,
         )
         self._ready_server = _build_server(
@@ -129,9 +128,7 @@
     def _is_ready(self) -> bool:
         if self._config.current() is None or self._front_server.draining:
             return False
-        # An entry that reaches neither store nor dispatcher cannot serve callers.
-        is_isolated = self._store.failing_for_s() > ISOLATED_AFTER_S
-        return not is_isolated or self._link.is_reachable()
+        return not self._job_service.is_isolated()
 
     def _make_dispatcher(self, own: OwnTerm) -> Dispatcher:
         dispatcher = Dispatcher(
