Count an outage of the store from the sending of the call that failed

Change: a failure counts from the sending of the call, or from the last answer if that came later; a dispatcher whose store calls fail refuses submissions at once. Both tests failed before.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -288,8 +288,12 @@
         """Store a job for an entry that cannot reach the store.
 
         `is_new` in the answer is False if the job's id was already stored. Raise
-        StoreUnavailable or StoreOutcomeUnknown as the store does.
+        StoreUnavailable or StoreOutcomeUnknown as the store does, and StoreUnavailable
+        at once while calls fail: the entry would not wait for their timeout, and could
+        not tell its caller that the job does not run.
         """
+        if self._store.failing_for_s() > 0:
+            raise StoreUnavailable("store.txn", self._node.entry, "calls are failing")
         result = self._store.transact({key: Revision(0)}, (Put(key, value),))
         created = result.revision
         if created is None:
--- a/src/jayshunt/dispatch/tests/test_scale.py
+++ b/src/jayshunt/dispatch/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 from jayshunt.dispatch.const import WORKER_LEASE_S
 from jayshunt.dispatch.tests.fleet_builders import TASKS_PER_JOB, FakeFleet
+from jayshunt.store.errors import StoreUnavailable
 
 WORKERS = 1_600
 JOBS = 20
@@ -54,5 +55,24 @@
         self.assertEqual({1}, set(fleet.starts.values()), "no task ran again")
 
 
+class SubmissionTest(unittest.TestCase):
+    """Test jobs that other entries submit through the dispatcher."""
+
+    def test_dispatcher_without_the_store_refuses_at_once(self) -> None:
+        """An entry gives up before the dispatcher's call to the store times out.
+
+        It then told the caller that the job may run, so that the caller could not try
+        again.
+        """
+        fleet = FakeFleet(0)
+        dispatcher = fleet.build_dispatcher()
+        fleet.store.failing_s = 0.5
+        calls: list[str] = []
+        fleet.store.fault = lambda step: calls.append(step) or "late"
+        with self.assertRaises(StoreUnavailable):
+            dispatcher.submit("jayshunt/in/job/00000000000000a1", b"{}")
+        self.assertEqual([], calls)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -188,7 +188,10 @@
         self._call("end_lease", "DELETE", f"/kv-lease-end/{quote(lease)}")
 
     def failing_for_s(self) -> float:
-        """Return the time since calls began to fail, 0 while calls succeed."""
+        """Return the time since the first call that failed was sent.
+
+        It is 0 while calls succeed, and until the first call has failed.
+        """
         since_s = self._failing_since_s
         return 0.0 if since_s is None else time.monotonic() - since_s
 
@@ -211,9 +214,10 @@
             self._reachable_since_s = now_s
         self._last_success_s = now_s
 
-    def _record_failure(self) -> None:
+    def _record_failure(self, sent_s: float) -> None:
+        """Record a failed call; the failure counts from when the call was sent."""
         if self._failing_since_s is None:
-            self._failing_since_s = time.monotonic()
+            self._failing_since_s = max(sent_s, self._last_success_s or sent_s)
 
     def _call(
         self,
@@ -226,6 +230,7 @@
         stall_s: int | None = None,
     ) -> http_client.HttpAnswer:
         step = f"store.{step}"
+        sent_s = time.monotonic()
         with self._lock:
             self.calls[step] += 1
         try:
@@ -243,14 +248,14 @@
             )
         except JayshuntError as error:
             if stop is None or not stop.is_set():
-                self._record_failure()
+                self._record_failure(sent_s)
             if method == "POST" and error.outcome is Outcome.UNKNOWN:
                 raise StoreOutcomeUnknown(step, self._peer, error.detail) from error
             raise StoreUnavailable(step, self._peer, error.detail) from error
         if answer.status in (200, 404, 410, 412):
             self._record_success()
             return answer
-        self._record_failure()
+        self._record_failure(sent_s)
         detail = f"status {answer.status}"
         # 429 and 503 guarantee that the call had no effect. Something between here and
         # the store may answer 500, 502 or 504 for a write that was carried out.
@@ -268,7 +273,7 @@
         try:
             yield
         except DECODE_ERRORS as error:
-            self._record_failure()
+            self._record_failure(time.monotonic())
             failure = StoreOutcomeUnknown if is_write else StoreUnavailable
             detail = f"malformed response: {error!r}"
             raise failure(f"store.{call}", self._peer, detail) from error
--- a/src/jayshunt/platform/tests/test_calls.py
+++ b/src/jayshunt/platform/tests/test_calls.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import threading
+import time
 import unittest
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
@@ -135,6 +136,23 @@
             with self.assertRaises(StoreUnavailable):
                 self.store.get("a")
 
+    def test_failure_counts_from_the_sending_of_the_call(self) -> None:
+        """Counted from its timeout, a holder without the store is replaced 1.2 s later.
+
+        A lost answer beside calls that succeed is no failure of that length.
+        """
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+        silent = PlatformStore(Address(HOST, listener.getsockname()[1]))
+        with self.assertRaises(StoreUnavailable):
+            silent.get("a")
+        self.assertGreater(silent.failing_for_s(), 0.9)
+        self.assertEqual(0.0, silent.reachable_for_s())
+        silent._failing_since_s = None
+        silent._last_success_s = time.monotonic()
+        silent._record_failure(time.monotonic() - 1.2)
+        self.assertLess(silent.failing_for_s(), 0.9)
+
     def test_pages_are_joined(self) -> None:
         """A new dispatcher that reads only the first page would lose jobs."""
         item = {"key": "a", "value": "dg==", "rev": 1, "createRev": 1, "lease": 0}
