Keep VMs with unstored ends, and read ended jobs without their tasks

Causes, by reading: an order to move a VM ended its worker while ends that the worker had just reported were not stored yet; the dispatcher alone knew them then, so that its loss made work that had run run again. Not measured on its own.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -141,10 +141,15 @@
         )
 
     def is_confirmed_empty(self, now_s: float) -> bool:
-        """Return whether a recent answer shows that the worker runs nothing."""
+        """Return whether a recent answer shows that the worker runs nothing.
+
+        A worker with ends that are not stored is not empty: it holds the only lasting
+        record of them, which is lost with its VM.
+        """
         return (
             not self.tasks
             and not self.strays
+            and not self.pending
             and self.last_answer_s is not None
             and now_s - self.last_answer_s <= EMPTY_ANSWER_VALID_S
         )
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -11,7 +11,7 @@
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
-from jayshunt.dispatch.models import FleetConfig, QueueConfig, StepSpec
+from jayshunt.dispatch.models import FleetConfig, JobState, QueueConfig, StepSpec
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -26,6 +26,7 @@
     decode_job,
     decode_queue,
     progress_key,
+    stored_state,
 )
 from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.suspicion import decode_suspicion
@@ -122,6 +123,7 @@
             return
         spec, accepted_at_s = decode_job(job_id, value)
         now_s = self._clock.monotonic_s()
+        has_progress = progress is not None and progress.value is not None
         age_s = 0.0 if is_new else min(60.0, max(0.0, time.time() - accepted_at_s))
         job = Job(
             spec,
@@ -129,8 +131,9 @@
             accepted_s=now_s - age_s,
             created=Revision(created),
             is_inherited=created < self._dispatcher.token,
+            state=stored_state(progress.value) if has_progress else JobState.QUEUED,
         )
-        if progress is not None and progress.value is not None:
+        if has_progress:
             apply_progress(job, progress.value)
             job.progress_revision = progress.revision
             if job.stored_state.is_final:
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -120,9 +120,12 @@
     ready_cache: list[Task] | None = None
 
     def __post_init__(self) -> None:
-        """Create the tasks, unless the job runs at scheduled times."""
+        """Create the tasks, unless the job runs at scheduled times or has ended.
+
+        A new dispatcher reads all jobs of the last minutes, most of which have ended.
+        """
         self.critical_path_ms = compute_critical_path_ms(self.spec)
-        if not self.spec.times:
+        if not self.spec.times and not self.state.is_final:
             self.create_occurrence(0)
 
     @property
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -8,6 +8,7 @@
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.errors import TermEnded
 from jayshunt.dispatch.evacuation import EvacuationReason
+from jayshunt.dispatch.fleet import PendingEnd
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.models import Bounds
 from jayshunt.dispatch.records import ORDERED_KEY, TERM_KEY
@@ -134,6 +135,23 @@
         duty._evacuate(0.0)
         self.assertEqual(len(vms), len(self.machines.orders))
 
+    def test_vm_with_unstored_ends_stays(self) -> None:
+        """Its worker holds the only lasting record of the ends.
+
+        If the dispatcher is lost as well, work that had run would run again.
+        """
+        self.view.last_answer_s = 0.0
+        self.view.pending.append(PendingEnd(1, self.job.spec.job, 1))
+        duty = self.duty(build_vm("w1"))
+        duty._read(0.0)
+        move = EvacuationReason.move(PoolName("other"))
+        duty._begin_evacuation(VmId("vm-w1"), move, self.view, 0.0)
+        duty._evacuate(0.0)
+        self.assertEqual([], self.machines.orders)
+        self.view.pending.clear()
+        duty._evacuate(0.0)
+        self.assertEqual(1, len(self.machines.orders))
+
     def test_busy_vm_does_not_keep_its_worker_unused(self) -> None:
         """The worker stays up if the platform was busy with something else."""
         duty = self.duty(build_vm("w1"))
--- a/src/jayshunt/dispatch/tests/test_run_tracker.py
+++ b/src/jayshunt/dispatch/tests/test_run_tracker.py
@@ -29,6 +29,21 @@
         self.assertEqual(TaskPhase.RUNNING, job.steps[0, 0][0].phase)
         self.assertEqual([], job.ready_tasks())
 
+    def test_ended_job_of_an_earlier_term_gets_no_run(self) -> None:
+        """Its tasks are not created, but a worker may still report their ends."""
+        old = build_job(build_step(task_count=2))
+        task = place(build_tracker(old), old, 1, add_worker_view(build_tracker(old)))
+        job = build_job(build_step(task_count=2), state=JobState.COMPLETED)
+        self.assertEqual([], job.tasks())
+        tracker = build_tracker(job, token=9)
+        view = add_worker_view(tracker)
+        report = build_report(ends=[build_end(1, task, RunEnd.DONE)])
+        self.assertEqual([], tracker.apply_run_report(view, report, 1.0, 1.0))
+        self.assertEqual([], job.ready_tasks())
+        self.assertIs(JobState.COMPLETED, job.state)
+        running = tracker.apply_run_report(view, build_report(task), 2.0, 2.0)
+        self.assertEqual([task.key], [order.task for order in running])
+
     def test_second_run_of_a_task_is_stopped(self) -> None:
         """A run believed to have ended must be stopped if it reappears."""
         job = build_job()
