Size pools by when jobs were accepted, and cover small shortages first

The largest shortage also took every spare VM first. Change: a job counts as an arrival at the time of its acceptance; the smallest shortage is covered first. Both new tests failed before; in two others the simulated jobs now say when they came.

--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Iterable, Set
 from dataclasses import dataclass, field
@@ -71,13 +72,13 @@
     """Estimate the demand of pools and choose VM moves; times are monotonic seconds.
 
     `predict_ms` returns the expected run time of a task of a step. `arrivals` holds,
-    by pool, the arrival time and the work in millicore seconds of recent jobs,
-    `counted` the jobs included in it, `recent_needs` the needs of the last `KEEP_S`
-    and `needs` those of the last decision.
+    by pool, the time of acceptance and the work in millicore seconds of recent jobs, in
+    order of time, and `counted` the jobs that were seen. `recent_needs` are the needs
+    of the last `KEEP_S` and `needs` those of the last decision.
     """
 
     predict_ms: Callable[[QueueName, StepSpec], float] = lambda _, s: s.estimate_ms
-    arrivals: dict[PoolName, deque] = field(default_factory=dict)
+    arrivals: dict[PoolName, list[tuple[float, float]]] = field(default_factory=dict)
     counted: set[JobId] = field(default_factory=set)
     recent_needs: dict[PoolName, deque] = field(default_factory=dict)
     needs: dict[PoolName, PoolNeed] = field(default_factory=dict)
@@ -150,10 +151,16 @@
         return demands
 
     def _count_arrival(self, job: Job, now_s: float) -> None:
+        """Count a job at the time of its acceptance.
+
+        After a takeover, the jobs of the last minute are all seen at the same moment.
+        """
         if job.spec.is_long_running or job.spec.job in self.counted:
             return
         self.counted.add(job.spec.job)
-        recent_arrivals = self.arrivals.setdefault(job.config.pool, deque())
+        if job.accepted_s < now_s - RATE_WINDOWS_S[-1]:
+            return
+        recent_arrivals = self.arrivals.setdefault(job.config.pool, [])
         work = sum(
             step.reserved.cpu_millicores
             * step.task_count
@@ -161,7 +168,7 @@
             / 1000
             for step in job.spec.steps
         )
-        recent_arrivals.append((now_s, work))
+        insort(recent_arrivals, (job.accepted_s, work))
 
     def _arriving_millicores(self, pool: PoolName, now_s: float) -> float:
         """Return the millicores in use on average at the current arrival rate.
@@ -172,8 +179,8 @@
         recent_arrivals = self.arrivals.get(pool)
         if not recent_arrivals:
             return 0.0
-        while recent_arrivals and recent_arrivals[0][0] < now_s - RATE_WINDOWS_S[-1]:
-            recent_arrivals.popleft()
+        oldest = bisect_left(recent_arrivals, (now_s - RATE_WINDOWS_S[-1],))
+        del recent_arrivals[:oldest]
         return max(
             _arrival_rate(recent_arrivals, window_s, now_s)
             for window_s in RATE_WINDOWS_S
@@ -217,11 +224,15 @@
     def _cover_shortages(
         self, idle: dict[PoolName, list[VmId]], spare: set[PoolName]
     ) -> list[tuple[VmId, PoolName]]:
-        """Cover shortages with surplus VMs of other pools first, then spare VMs."""
+        """Cover shortages with surplus VMs of other pools first, then spare VMs.
+
+        The smallest shortage comes first, so that a pool with far more work than the
+        fleet can do leaves the others what they need.
+        """
         moves: list[tuple[VmId, PoolName]] = []
         short_pools = sorted(
             (need for need in self.needs.values() if need.shortage > 0),
-            key=lambda need: -need.shortage,
+            key=lambda need: need.shortage,
         )
         for need in short_pools:
             sources = [
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -4,6 +4,7 @@
 
 from jayshunt.dispatch.models import Resources
 from jayshunt.dispatch.sizing import PoolSizer
+from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     SPARE,
     add_worker_view,
@@ -190,11 +191,47 @@
         queue = build_queue(pool=POOLS[0])
         jobs = []
         for number in range(20):
-            jobs.append(build_job(step, number=number + 1, queue=queue))
-            self.decide(jobs, number * 0.025)
+            now_s = number * 0.025
+            job = build_job(step, number=number + 1, accepted_s=now_s, queue=queue)
+            jobs.append(job)
+            self.decide(jobs, now_s)
         steady_vms = 40 * 6 * 5.0 * 0.9 / 64
         self.assertGreaterEqual(self.sizer.needs[POOLS[0]].needed, 0.9 * steady_vms)
 
+    def test_inherited_jobs_are_no_burst(self) -> None:
+        """A new dispatcher sees the jobs of the last minute at the same moment.
+
+        Counted as arrivals of that moment, they claimed three times the fleet for one
+        pool, while the pool whose burst had begun waited for 4 s (large, day 9b45).
+        """
+        step = build_step(task_count=6, resources=Resources(5_000, 1), estimate_ms=900)
+        queue = build_queue(pool=POOLS[0])
+        now_s = 60.0
+        jobs = [
+            build_job(step, number=n + 1, accepted_s=n / 2, queue=queue)
+            for n in range(100)
+        ]
+        for job in jobs:
+            for task in job.tasks():
+                task.phase = TaskPhase.DONE
+            job.ready_cache = []
+        self.decide(jobs, now_s)
+        self.assertLessEqual(self.sizer.needs[POOLS[0]].needed, 3)
+
+    def test_overloaded_pool_leaves_the_others_what_they_need(self) -> None:
+        """The largest shortage took all spare VMs, and a small pool got none."""
+        step = build_step(task_count=400, resources=Resources(60_000, 1))
+        small = build_step(task_count=10, resources=Resources(60_000, 1))
+        jobs = [
+            build_job(step, number=1, queue=build_queue(pool=POOLS[0])),
+            build_job(small, number=2, queue=build_queue(pool=POOLS[1])),
+        ]
+        moves = self.decide(jobs, 0.0)
+        needs = self.sizer.needs
+        self.assertGreater(needs[POOLS[0]].shortage, 10 * needs[POOLS[1]].shortage)
+        to_small = sum(pool == POOLS[1] for _, pool in moves)
+        self.assertEqual(min(MAX_MOVES, needs[POOLS[1]].shortage), to_small)
+
     def test_few_arrivals_fetch_no_fleet(self) -> None:
         """Two jobs in quick succession must not be taken for a burst."""
         step = build_step(task_count=6, resources=Resources(5_000, 1), estimate_ms=900)
@@ -212,8 +249,13 @@
         while now_s < 2 * len(POOLS) * TURN_S:
             pool = POOLS[int(now_s / TURN_S) % len(POOLS)]
             step = build_step(task_count=20, resources=Resources(18_000, 1))
-            number = 1 + int(now_s)
-            busy = build_job(step, number=number, queue=build_queue(pool=pool))
+            arrived_s = int(now_s)
+            busy = build_job(
+                step,
+                number=1 + arrived_s,
+                accepted_s=arrived_s,
+                queue=build_queue(pool=pool),
+            )
             moves += len(self.decide([busy], now_s))
             vm_seconds += ROUND_S * sum(
                 vm.pool != SPARE for vm in self.fleet.vms.values()
