--- a/src/jayshunt/jobs/free_capacity.py
+++ b/src/jayshunt/jobs/free_capacity.py
@@ -1,10 +1,9 @@
 """Index the free capacity of a pool's workers."""
 
+from bisect import bisect_left, insort
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
-from sortedcontainers import SortedList
-
 from jayshunt.ids import WorkerId
 from jayshunt.jobs.sizes import Size
 
@@ -32,7 +31,9 @@
         self._free: dict[WorkerId, Size] = {}
         self._distinct_capacities: set[Size] = set()
         self._capacities: dict[WorkerId, Size] = {}
-        self._groups: dict[int, SortedList] = {}
+        # Sorted plain lists: a pool has tens of workers.
+        self._groups: dict[int, list[tuple[float, WorkerId]]] = {}
+        self._group_keys: list[int] = []
         # Sizes that fit on no worker. Free capacity only shrinks until the next
         # preemption, so a size at least as large needs no search.
         self._unfit_sizes: list[Size] = []
@@ -57,9 +58,10 @@
 
     def allocate(self, size: Size, excluded: frozenset[WorkerId]) -> WorkerId | None:
         """Allocate a size on the best-fitting worker; return None if none fits."""
-        if any(unfit.fits_in(size) for unfit in self._unfit_sizes):
-            return None
-        for accelerators in sorted(self._groups):
+        for unfit in self._unfit_sizes:
+            if unfit.fits_in(size):
+                return None
+        for accelerators in self._group_keys:
             if accelerators < size.accelerators:
                 continue
             worker = self._best_fit(self._groups[accelerators], size, excluded)
@@ -121,10 +123,13 @@
         self._unfit_sizes.clear()
 
     def _best_fit(
-        self, group: SortedList, size: Size, excluded: frozenset[WorkerId]
+        self,
+        group: list[tuple[float, WorkerId]],
+        size: Size,
+        excluded: frozenset[WorkerId],
     ) -> WorkerId | None:
-        start = group.bisect_left((size.cpu_cores, ""))
-        for _, worker in group.islice(start):
+        for index in range(bisect_left(group, (size.cpu_cores, "")), len(group)):
+            worker = group[index][1]
             if worker in excluded:
                 continue
             if size.memory_bytes <= self._free[worker].memory_bytes:
@@ -133,12 +138,16 @@
 
     def _insert(self, worker: WorkerId, free: Size) -> None:
         self._free[worker] = free
-        group = self._groups.setdefault(free.accelerators, SortedList())
-        group.add((free.cpu_cores, worker))
+        group = self._groups.get(free.accelerators)
+        if group is None:
+            group = self._groups[free.accelerators] = []
+            insort(self._group_keys, free.accelerators)
+        insort(group, (free.cpu_cores, worker))
 
     def _remove(self, worker: WorkerId) -> Size:
         free = self._free.pop(worker)
-        self._groups[free.accelerators].remove((free.cpu_cores, worker))
+        group = self._groups[free.accelerators]
+        del group[bisect_left(group, (free.cpu_cores, worker))]
         return free
 
 
