--- a/src/jayshunt/platform/settings.py
+++ b/src/jayshunt/platform/settings.py
@@ -1,5 +1,6 @@
 """Decode the settings file of an entry."""
 
+import math
 import os
 import tomllib
 from pathlib import Path
@@ -40,10 +41,10 @@
 def decode_settings(fields: dict) -> EntryNode:
     """Decode the settings of this process.
 
-    Raise InvalidSettings with the path of a required key that is missing or has the
-    wrong type. Malformed numbers, ports and tables raise the ValueError, TypeError
-    or AttributeError of their conversion.
+    Raise InvalidSettings with the path of a key that is missing or malformed.
     """
+    limits, bounds = _table(fields, "limits"), _table(fields, "bounds")
+    vm_service = _table(fields, "cloudApi")
     return EntryNode(
         entry=EntryId(_require(fields, "nodeName", str)),
         zone=ZoneName(_require(fields, "zone", str)),
@@ -51,26 +52,41 @@
         ready=_require_address(fields, "listenAddrs", "readyAddr"),
         peer=_peer_address(fields),
         store=_require_address(fields, "platform", "address"),
-        machines=_optional_address(fields.get("cloudApi", {}).get("address")),
-        advice=_optional_address(fields.get("advice")),
-        cpu_cores=float(fields.get("limits", {}).get("cpuShare", 1.0))
-        * float(fields.get("limits", {}).get("cores", 1)),
-        memory_mb=int(fields.get("limits", {}).get("memoryMb", 0)),
-        heartbeat_ms=int(fields.get("heartbeatMs", 1_500)),
-        bounds=_decode_bounds(fields.get("bounds", {})),
-        link_mbps=float(fields.get("limits", {}).get("linkMbps", 1_000.0)),
-        vm_orders_per_s=float(
-            fields.get("cloudApi", {}).get("dutiesPerS", DEFAULT_PER_S)
-        ),
+        machines=_optional_address(vm_service.get("address"), "cloudApi.address"),
+        advice=_optional_address(fields.get("advice"), "advice"),
+        cpu_cores=_number(limits, "limits.cpuShare", 1.0)
+        * _number(limits, "limits.cores", 1.0),
+        memory_mb=int(_number(limits, "limits.memoryMb", 0.0)),
+        heartbeat_ms=int(_number(fields, "heartbeatMs", 1_500.0)),
+        bounds=_decode_bounds(bounds),
+        link_mbps=_number(limits, "limits.linkMbps", 1_000.0),
+        vm_orders_per_s=_number(vm_service, "cloudApi.dutiesPerS", DEFAULT_PER_S),
     )
 
 
+def _table(fields: dict, name: str) -> dict:
+    value = fields.get(name, {})
+    if not isinstance(value, dict):
+        raise InvalidSettings(f"{name}: a table is needed, not {value!r}")
+    return value
+
+
+def _number(fields: dict, path: str, fallback: float) -> float:
+    """Return a finite number of at least 0; `path` ends with the key in `fields`."""
+    value = fields.get(path.rpartition(".")[2])
+    if value is None:
+        return fallback
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < math.inf:
+        raise InvalidSettings(f"{path}: a number from 0 is needed, not {value!r}")
+    return float(value)
+
+
 def _decode_bounds(fields: dict) -> Bounds:
     default = Bounds()
 
     def read_ms(name: str, fallback: int, factor: float = 1) -> int:
-        value = fields.get(name)
-        return fallback if value is None else int(float(value) * factor)
+        return int(_number(fields, f"bounds.{name}", fallback / factor) * factor)
 
     return Bounds(
         max_lease_ms=read_ms("holdMaxMs", default.max_lease_ms),
@@ -84,7 +100,7 @@
         move_ms=read_ms("moveS", default.move_ms, 1000),
         upkeep_ms=read_ms("upkeepS", default.upkeep_ms, 1000),
         duty_handover_ms=read_ms("leaseMs", default.duty_handover_ms),
-        remote_rack_factor=float(fields.get("farX", default.remote_rack_factor)),
+        remote_rack_factor=_number(fields, "bounds.farX", default.remote_rack_factor),
     )
 
 
@@ -98,9 +114,10 @@
 
 
 def _require_address(fields: dict, table: str, name: str) -> Address:
-    address = _optional_address(fields.get(table, {}).get(name))
+    path = f"{table}.{name}"
+    address = _optional_address(_table(fields, table).get(name), path)
     if address is None:
-        raise InvalidSettings(f"{table}.{name}: an address IP:PORT is needed")
+        raise InvalidSettings(f"{path}: an address IP:PORT is needed")
     return address
 
 
@@ -109,11 +126,23 @@
     ports = fields.get("portRange")
     if not (isinstance(ports, list) and len(ports) == 2):
         raise InvalidSettings("portRange: two ports are needed")
-    return Address(_require(fields, "ip", str), int(ports[0]))
+    return Address(_require(fields, "ip", str), _port(ports[0], "portRange"))
 
 
-def _optional_address(text: object) -> Address | None:
+def _optional_address(text: object, path: str) -> Address | None:
     if not isinstance(text, str) or ":" not in text:
         return None
     host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+    return Address(host, _port(port, path))
+
+
+def _port(value: object, path: str) -> int:
+    try:
+        port = int(value)
+    except (TypeError, ValueError):
+        port = 0
+    if not 0 < port < 65_536:
+        raise InvalidSettings(
+            f"{path}: a port from 1 to 65535 is needed, not {value!r}"
+        )
+    return port
--- a/src/jayshunt/platform/tests/test_formats.py
+++ b/src/jayshunt/platform/tests/test_formats.py
@@ -161,6 +161,23 @@
 class SettingsTest(unittest.TestCase):
     """Test the settings file."""
 
+    def test_malformed_value_is_named_by_its_key(self) -> None:
+        """An operator has to find the wrong line without reading the code."""
+        listen = SETTINGS["listenAddrs"]
+        broken = {
+            "limits.cores": {"limits": {"cores": "two"}},
+            "limits": {"limits": 7},
+            "bounds.graceS": {"bounds": {"graceS": -1}},
+            "bounds.farX": {"bounds": {"farX": float("inf")}},
+            "cloudApi.dutiesPerS": {"cloudApi": {"dutiesPerS": True}},
+            "listenAddrs.front": {"listenAddrs": {**listen, "front": "10.0.0.9:http"}},
+            "advice": {"advice": "10.0.0.9:70000"},
+            "portRange": {"portRange": [None, 1]},
+        }
+        for key, change in broken.items():
+            with self.assertRaisesRegex(InvalidSettings, f"^{key}: "):
+                decode_settings({**SETTINGS, **change})
+
     def test_units_are_translated(self) -> None:
         """Seconds read as milliseconds would expire every lease immediately."""
         node = decode_settings({**SETTINGS, "newField": 1})
