Block VMs by the age of their last order after a takeover

The successor left every VM alone for 3.5 s that an earlier dispatcher had ordered in the last 8 s, as if just now; in a burst these are the VMs of the pool whose turn has ended. Change: each stored order carries its age at the time of the write, a lower bound of its age, and blocks the VM for the rest of the 3.5 s only. test_older_orders_block_for_the_rest_of_the_time failed before.

--- a/src/jayshunt/dispatch/recent_orders.py
+++ b/src/jayshunt/dispatch/recent_orders.py
@@ -1,8 +1,9 @@
 """Prevent orders for one VM by two dispatchers shortly after each other.
 
-A dispatcher stores the VMs of its last orders, with the workers that the orders end,
-before it sends them. Its successor gives no order for these VMs for a time, may order
-all others at once, and knows which listed workers were to end. A VM may have several
+A dispatcher stores the VMs of its last orders, with the workers that the orders end and
+the age of each order, before it sends the next ones. Its successor gives no order for a
+VM until its last order is old enough, may order all others at once, and knows which
+listed workers were to end. A VM may have several
 stored orders, because each of its past workers stays listed for some seconds.
 """
 
@@ -22,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VmOrder:
-    """Represent an order for a VM: its monotonic time and the worker that it ends."""
+    """Represent an order for a VM: its monotonic time and the worker that it ends.
+
+    An earlier dispatcher's order may be older than `at_s`, but not younger.
+    """
 
     vm: VmId
     at_s: float
@@ -33,11 +37,10 @@
 class RecentOrders:
     """Track the last orders of earlier dispatchers and of this one, oldest first.
 
-    Orders for the VMs of `earlier` are blocked for `block_s` after the read.
+    Orders for the VMs of `earlier` are blocked until `block_s` after their last order.
     """
 
     block_s: float
-    blocked_until_s: float = 0.0
     earlier: tuple[VmOrder, ...] = ()
     own: tuple[VmOrder, ...] = ()
 
@@ -46,7 +49,7 @@
         """Read the stored orders of earlier dispatchers."""
         item = store.get(ORDERED_KEY)
         earlier = () if item is None else _decode(item.value, now_s)
-        return cls(block_s, now_s + block_s, earlier)
+        return cls(block_s, earlier)
 
     def may_order(self, vm: VmId, now_s: float) -> bool:
         """Return whether an order for a VM may be sent."""
@@ -54,9 +57,7 @@
 
     def blocked(self, now_s: float) -> set[VmId]:
         """Return the VMs that an earlier dispatcher ordered too recently."""
-        if now_s >= self.blocked_until_s:
-            return set()
-        return {order.vm for order in self.earlier}
+        return {order.vm for order in self.earlier if now_s < order.at_s + self.block_s}
 
     def ends_worker(self, worker: WorkerId) -> bool:
         """Return whether an earlier dispatcher recorded an order that ends a worker."""
@@ -80,24 +81,27 @@
         )
         self.own += new
         earlier = (o for o in self.earlier if now_s - o.at_s <= ORDER_KEPT_S)
-        value = _encode((*earlier, *self.own))
+        value = _encode((*earlier, *self.own), now_s)
         result = store.transact(condition, (Put(ORDERED_KEY, value),))
         if result.revision is None:
             raise TermEnded("the term's key changed before orders for VMs")
 
 
-def _encode(orders: tuple[VmOrder, ...]) -> bytes:
-    """Return JSON rows of VM and worker, an unknown worker as an empty string."""
-    return json.dumps([[order.vm, order.worker or ""] for order in orders]).encode()
+def _encode(orders: tuple[VmOrder, ...], now_s: float) -> bytes:
+    """Return JSON rows of VM, worker and age in seconds; "" is an unknown worker."""
+    rows = [
+        [order.vm, order.worker or "", round(max(0.0, now_s - order.at_s), 2)]
+        for order in orders
+    ]
+    return json.dumps(rows).encode()
 
 
 def _decode(value: bytes, read_s: float) -> tuple[VmOrder, ...]:
-    """Return the stored orders, with the time of the read as their time."""
-    rows = json.loads(value)
-    if isinstance(rows, dict):
-        # The previous version stored an object with one worker for each VM.
-        rows = rows.items()
+    """Return the stored orders; their age was measured before the read.
+
+    A row of an entry of the previous version has no age and counts as new.
+    """
     return tuple(
-        VmOrder(VmId(vm), read_s, WorkerId(worker) if worker else None)
-        for vm, worker in rows
+        VmOrder(VmId(vm), read_s - (age[0] if age else 0.0), WorkerId(worker) or None)
+        for vm, worker, *age in json.loads(value)
     )
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -14,7 +14,8 @@
 from jayshunt.dispatch.models import Resources, RunningRun
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.recent_orders import RecentOrders
-from jayshunt.dispatch.records import TERM_KEY
+from jayshunt.dispatch.records import ORDERED_KEY, TERM_KEY
+from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import (
     POOL,
     QUEUE,
@@ -159,6 +160,30 @@
         self.assertEqual({"a"}, second.blocked(7.9))
         self.assertEqual(set(), second.blocked(8.0))
 
+    def test_older_orders_block_for_the_rest_of_the_time(self) -> None:
+        """All VMs that were moved in the last 8 s stayed where they were for 3.5 s.
+
+        After a takeover in a burst these are the VMs of the pool whose turn has ended,
+        while another pool waits for them (further-grown, scale-1, 31.8 to 35.2 s).
+        """
+        store = FakeStore()
+        first = RecentOrders.read(store, 0.0, 3.0)
+        first.write(store, {}, {VmId("old"): WorkerId("w")}, 1.0)
+        first.write(store, {}, {VmId("new"): None}, 3.0)
+        second = RecentOrders.read(store, 50.0, 3.0)
+        self.assertEqual({"old", "new"}, second.blocked(50.0))
+        self.assertEqual({"new"}, second.blocked(51.0))
+        self.assertEqual(set(), second.blocked(53.0))
+        self.assertTrue(second.ends_worker(WorkerId("w")))
+
+    def test_orders_of_the_previous_version_count_as_new(self) -> None:
+        """Entries of both versions may take turns while a release is rolled out."""
+        store = FakeStore()
+        store.transact({}, (Put(ORDERED_KEY, b'[["a", "w"], ["b", ""]]'),))
+        orders = RecentOrders.read(store, 5.0, 3.0)
+        self.assertEqual({"a", "b"}, orders.blocked(7.9))
+        self.assertTrue(orders.ends_worker(WorkerId("w")))
+
     def test_third_holder_knows_the_first_ones_orders(self) -> None:
         """The term may change twice within `block_s`, so older orders count as well."""
         store = FakeStore()
