--- a/src/jayshunt/dispatch/recent_orders.py
+++ b/src/jayshunt/dispatch/recent_orders.py
@@ -3,8 +3,8 @@
 A dispatcher stores the VMs of its last orders, with the workers that the orders end and
 the age of each order, before it sends the next ones. Its successor gives no order for a
 VM until its last order is old enough, may order all others at once, and knows which
-listed workers were to end. A VM may have several
-stored orders, because each of its past workers stays listed for some seconds.
+listed workers were to end. A VM may have several stored orders, because each of its
+past workers stays listed for some seconds.
 """
 
 import json
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -35,6 +35,7 @@
 STORE_WAIT_S = 0.6
 # A worker that answers slowly keeps its lease: its polls time out up to this late.
 MAX_ANSWER_SLACK_S = 2.0
+# The timeout follows the lateness of the last answer, and falls again by answers.
 SLACK_PER_LATE_S = 1.5
 SLACK_DECAY = 0.9
 
@@ -162,11 +163,9 @@
 
         `late_s` is the time that the answer took beyond the wait that the call allowed.
         """
-        self._answer_slack_s = max(
-            POLL_TIMEOUT_SLACK_S,
-            SLACK_PER_LATE_S * late_s,
-            SLACK_DECAY * self._answer_slack_s,
-        )
+        slack_s = max(SLACK_PER_LATE_S * late_s, SLACK_DECAY * self._answer_slack_s)
+        slack_s = max(POLL_TIMEOUT_SLACK_S, slack_s)
+        self._answer_slack_s = min(MAX_ANSWER_SLACK_S, slack_s)
 
     def _bound_inherited_lease(self, now_s: float) -> None:
         """Lower the limit on leases of earlier terms after the first answer.
--- a/src/jayshunt/task_loop.py
+++ b/src/jayshunt/task_loop.py
@@ -29,7 +29,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 from jayshunt.errors import JayshuntError
@@ -91,12 +91,16 @@
 
 @dataclass(eq=False)
 class _RunningTask:
-    """Task with its function, which is called again after an unexpected error."""
+    """Task with its function, which is called again after an unexpected error.
+
+    `wait` identifies the wait for a signal that may resume the task, so that neither a
+    late timer nor a second signal resumes it again.
+    """
 
     function: Callable[[], Steps]
     restarts: bool
     steps: Steps
-    wait: object = field(default=None)
+    wait: object = None
 
 
 class TaskLoop:
