--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -7,7 +7,9 @@
 from jayshunt.dispatch.free_capacity import CandidateWorker
 from jayshunt.dispatch.models import (
     Address,
+    Bounds,
     EndedRun,
+    EntryNode,
     FleetConfig,
     JobSpec,
     OrderAnswer,
@@ -36,6 +38,7 @@
 from jayshunt.dispatch.vms import Vm, VmState
 from jayshunt.ids import (
     ConfigVersion,
+    EntryId,
     JobId,
     LeaseId,
     PoolName,
@@ -55,6 +58,7 @@
 QUEUE = QueueName("quotes")
 JOB = JobId("00000000000000a1")
 VM_SIZE = Resources(64_000, 262_144)
+LOOPBACK = Address("127.0.0.1", 1)
 
 
 def build_step(**changes) -> StepSpec:
@@ -148,6 +152,21 @@
     return Vm(**{**fields, **changes})
 
 
+def build_node(name: str = "entry-1") -> EntryNode:
+    """Return the settings of an entry."""
+    return EntryNode(
+        EntryId(name),
+        ZoneName("ash"),
+        *[LOOPBACK] * 4,
+        None,
+        None,
+        1.0,
+        300,
+        1_500,
+        Bounds(),
+    )
+
+
 def build_tracker(*jobs: Job, token: int = 1) -> RunTracker:
     """Return a tracker with the given jobs."""
     tracker = RunTracker(Revision(token))
--- a/src/jayshunt/dispatch/tests/fleet_builders.py
+++ b/src/jayshunt/dispatch/tests/fleet_builders.py
@@ -10,8 +10,6 @@
 from jayshunt.dispatch.messages import OrderSteps
 from jayshunt.dispatch.models import (
     Address,
-    Bounds,
-    EntryNode,
     StartOrder,
     TaskKey,
 )
@@ -23,12 +21,13 @@
     FakeStore,
     FakeWorker,
     build_config,
+    build_node,
     build_queue,
     build_spec,
     build_step,
 )
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import EntryId, JobId, LeaseId, Revision, ZoneName
+from jayshunt.ids import EntryId, JobId, LeaseId, Revision
 from jayshunt.task_loop import Sleep, Steps
 
 LOOPBACK = Address("127.0.0.1", 1)
@@ -159,19 +158,13 @@
             EntryId(name), LOOPBACK, name, token=result.revision, lease=LeaseId("1")
         )
         own = OwnTerm(term, 0.0, lambda: 0.0)
-        node = EntryNode(
-            EntryId(name),
-            ZoneName("ash"),
-            *[LOOPBACK] * 4,
-            None,
-            None,
-            1.0,
-            300,
-            1_500,
-            Bounds(),
-        )
         dispatcher = Dispatcher(
-            node, own, self.store, SystemClock(), build_config, lambda reason: None
+            build_node(name),
+            own,
+            self.store,
+            SystemClock(),
+            build_config,
+            lambda reason: None,
         )
         dispatcher.build_worker_api = lambda worker: TimedWorkerApi(
             self.workers[worker.worker], result.revision
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -8,7 +8,7 @@
 from jayshunt.dispatch.commits import ProgressWriter
 from jayshunt.dispatch.entry import EntryJobService
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused, NoDispatcher, TermEnded
-from jayshunt.dispatch.models import Address, Bounds, EntryNode, JobState, RunEnd
+from jayshunt.dispatch.models import JobState, RunEnd
 from jayshunt.dispatch.records import (
     TERM_KEY,
     accepted_key,
@@ -31,6 +31,7 @@
     add_worker_view,
     build_end,
     build_job,
+    build_node,
     build_queue,
     build_report,
     build_spec,
@@ -38,24 +39,7 @@
     build_tracker,
     place,
 )
-from jayshunt.ids import EntryId, Revision, ZoneName
-
-LOOPBACK = Address("127.0.0.1", 1)
-
-
-def build_node(name: str = "entry-1") -> EntryNode:
-    """Return the settings of an entry."""
-    return EntryNode(
-        EntryId(name),
-        ZoneName("ash"),
-        *[LOOPBACK] * 4,
-        None,
-        None,
-        1.0,
-        300,
-        1_500,
-        Bounds(),
-    )
+from jayshunt.ids import EntryId, Revision
 
 
 class FakeDuties:
