Take a worker for lost only while the term is confirmed

Its successor outside the zone had renewed those of the workers there. Change: a lease counts as over, and inherited runs as ended, only if a renewal of the term was sent after that time, since nobody else can have renewed the lease then. test_holder_that_may_be_replaced_gives_no_worker_up failed before.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -173,6 +173,14 @@
         """Return whether this term may still give orders."""
         return self._own.is_valid and not self._group.stopping.is_set()
 
+    def term_confirmed_s(self) -> float:
+        """Return the monotonic time up to which no other entry held the term.
+
+        After it a successor may have taken over and renewed the leases of workers that
+        this entry does not reach.
+        """
+        return self._clock.monotonic_s() - self._own.renewal_age_s
+
     def notify_changed(self) -> None:
         """Wake the planner, and the progress writer if a job has unstored changes."""
         self.planner.wake()
@@ -231,6 +239,7 @@
             clock=self._clock,
             lease_s=self.lease_s,
             term_valid=self.term_valid,
+            term_confirmed_s=self.term_confirmed_s,
             on_deposed=self._on_deposed,
             notify_changed=self.notify_changed,
             spawn=self._worker_loop.spawn,
--- a/src/jayshunt/dispatch/messages.py
+++ b/src/jayshunt/dispatch/messages.py
@@ -73,7 +73,8 @@
 class SessionContext:
     """Share the state and callbacks of a term with its worker sessions.
 
-    `lock` guards the tracker. `term_valid` returns whether orders may be given.
+    `lock` guards the tracker. `term_valid` returns whether orders may be given, and
+    `term_confirmed_s` the monotonic time up to which no other entry held the term.
     `spawn` starts a task in the term's TaskLoop. Sessions call `on_deposed` when a
     worker has seen a later term, and `notify_changed` when there may be something to
     place or to store.
@@ -84,6 +85,7 @@
     clock: Clock
     lease_s: float
     term_valid: Callable[[], bool]
+    term_confirmed_s: Callable[[], float]
     on_deposed: Callable[[str], None]
     notify_changed: Callable[[], None]
     spawn: Callable[[Callable[[], Steps]], None]
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -237,9 +237,8 @@
         silent: list[WorkerView] | None = None
         if not self.knows_all_runs:
             silent = self._silent_workers()
-            self.knows_all_runs = now_s >= dispatcher.inherited_runs_end_s or (
-                silent is not None and not silent
-            )
+            is_over = dispatcher.term_confirmed_s() >= dispatcher.inherited_runs_end_s
+            self.knows_all_runs = is_over or (silent is not None and not silent)
             if self.knows_all_runs:
                 _LOGGER.info("dispatch: all runs of earlier terms are known")
         if self.knows_all_runs:
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -201,6 +201,9 @@
             view.is_failing = True
             if now_s < view.lease_end_s + LEASE_MARGIN_S:
                 return
+            if context.term_confirmed_s() < view.lease_end_s:
+                # A successor may have renewed the lease, so the runs may go on.
+                return
             if view.tasks or not view.is_listed:
                 context.tracker.remove_worker(
                     view, now_s, f"its lease is over: {reason}"
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -93,6 +93,7 @@
         self._last_attempt_s = renewed_s
         self.has_ended = False
         self.is_failing = False
+        self._renewed_s = renewed_s
         self.record_renewal(renewed_s)
 
     def record_failed_attempt(self, sent_s: float) -> None:
@@ -115,10 +116,19 @@
         The duration is reduced by the clock skew and a safety margin.
         """
         self.is_failing = False
+        self._renewed_s = max(self._renewed_s, sent_s)
         self._record_attempt(sent_s)
         usable_s = TERM_LEASE_S * (1 - CLOCK_SKEW) - TERM_MARGIN_S
         self._valid_until_s = max(self._valid_until_s, sent_s + usable_s)
 
+    @property
+    def renewal_age_s(self) -> float:
+        """Return how long ago the last successful renewal was sent.
+
+        No other entry held the term before that.
+        """
+        return self._now_s() - self._renewed_s
+
     @property
     def is_valid(self) -> bool:
         """Return whether this entry may send orders.
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -79,6 +79,7 @@
         self.view = add_worker_view(self.tracker)
         self.worker_api = FakeWorkerApi()
         self.deposed: list[str] = []
+        self.confirmed_s = float("inf")
         self.background: list[Callable[[], Steps]] = []
         context = SessionContext(
             self.tracker,
@@ -86,6 +87,7 @@
             self.clock,
             LEASE_S,
             lambda: True,
+            lambda: min(self.clock.monotonic_s(), self.confirmed_s),
             self.deposed.append,
             lambda: None,
             self.background.append,
@@ -109,6 +111,29 @@
         self.assertGreaterEqual(self.clock.monotonic_s(), LEASE_S)
         self.assertLess(self.clock.monotonic_s(), LEASE_S * 1.2)
 
+    def test_holder_that_may_be_replaced_gives_no_worker_up(self) -> None:
+        """A successor that reaches the worker goes on renewing its lease.
+
+        The dispatcher of a zone that was cut off started a long task again on a worker
+        of its zone 6.0 s after the cut, while the first run went on under its successor
+        (further/kpdm-jaya trouble-1, seed 57441642845).
+        """
+        task = place(self.tracker, self.job, 0, self.view)
+        self.confirmed_s = 0.5
+        self.worker_api.poll_answers = [
+            build_report(task),
+            *[no_answer(Outcome.UNKNOWN)] * 60,
+        ]
+        run_steps(self.session._poll_once())
+        for _ in range(40):
+            self.clock.advance(0.25)
+            run_steps(self.session._poll_once())
+        self.assertFalse(self.view.is_ended)
+        self.assertEqual([], self.job.ready_tasks())
+        self.confirmed_s = float("inf")
+        run_steps(self.session._poll_once())
+        self.assertTrue(self.view.is_ended)
+
     def test_first_answer_bounds_the_leases_of_earlier_terms(self) -> None:
         """The first answer limits how long leases of earlier terms can last.
 
--- a/src/jayshunt/dispatch/tests/test_suspicion.py
+++ b/src/jayshunt/dispatch/tests/test_suspicion.py
@@ -177,6 +177,17 @@
             record(own, now[0])
             self.assertTrue(own.is_valid, record.__name__)
 
+    def test_term_is_confirmed_up_to_the_last_renewal(self) -> None:
+        """A renewal that failed says nothing about who holds the term."""
+        now = [100.0]
+        term = Term(EntryId("h"), Address("127.0.0.1", 1), "x", Revision(5))
+        own = OwnTerm(term, 100.0, lambda: now[0])
+        now[0] = 103.0
+        own.record_failed_attempt(102.9)
+        self.assertEqual(3.0, own.renewal_age_s)
+        own.record_renewal(102.5)
+        self.assertEqual(0.5, own.renewal_age_s)
+
     def test_replaced_holder_has_stalled(self) -> None:
         """Other entries must not end a term that its holder still trusts."""
         self.assertLess(RENEW_STALL_S, SUSPECT_AFTER_S)
