Keep the log text of a refused job that operators search for

docs/OPERATIONS.md leads from 'the queue is far behind' to the cause; the text had changed when the refusals of an entry were joined. No behaviour changes.

--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -173,7 +173,7 @@
                 "entry: failed to check the store before a refusal",
                 extra={"job": spec.job, "reason": str(error)},
             )
-        reason = "the queue is too far behind its target"
+        reason = "the queue is far behind"
         self._refuse(spec, "queue_behind", retry_after_s, reason)
 
     def _refuse(
