--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -269,7 +269,7 @@
         for order in stops:
             session = self.sessions.get(order.worker)
             if session is not None:
-                session.stop(order)
+                session.orders.stop(order)
 
     # --- requests from entries ---
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -156,9 +156,9 @@
             pace_changes = self._pace_changes(now_s)
         for session, item in [*starts, *pace_changes]:
             if isinstance(item, StartTask):
-                session.start(item)
+                session.orders.start(item)
             else:
-                session.pace(item)
+                session.orders.pace(item)
 
     def _create_due_tasks(self, jobs: list[Job]) -> None:
         """Create the tasks of scheduled jobs whose time has come."""
--- a/src/jayshunt/dispatch/tests/fleet_builders.py
+++ b/src/jayshunt/dispatch/tests/fleet_builders.py
@@ -18,14 +18,13 @@
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.tests.builders import (
     POOL,
-    FakeStore,
-    FakeWorker,
     build_config,
     build_node,
     build_queue,
     build_spec,
     build_step,
 )
+from jayshunt.dispatch.tests.fakes import FakeStore, FakeWorker
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import EntryId, JobId, LeaseId, Revision
 from jayshunt.task_loop import Sleep, Steps
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -19,7 +19,6 @@
 from jayshunt.dispatch.tests.builders import (
     POOL,
     QUEUE,
-    FakeStore,
     add_worker_view,
     build_config,
     build_job,
@@ -29,6 +28,7 @@
     build_vm,
     place,
 )
+from jayshunt.dispatch.tests.fakes import FakeStore
 from jayshunt.dispatch.vms import VmState, Wave
 from jayshunt.dispatch.waves import choose_next
 from jayshunt.ids import Revision, VmId, WorkerId
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -15,7 +15,6 @@
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import (
     POOL,
-    FakeStore,
     add_worker_view,
     build_config,
     build_job,
@@ -23,6 +22,7 @@
     build_vm,
     place,
 )
+from jayshunt.dispatch.tests.fakes import FakeStore
 from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, VmState, Wave
 from jayshunt.dispatch.wave_book import WaveState
 from jayshunt.ids import PoolName, Revision, VmId
--- a/src/jayshunt/dispatch/tests/test_interleavings.py
+++ b/src/jayshunt/dispatch/tests/test_interleavings.py
@@ -9,12 +9,8 @@
 from jayshunt.dispatch.records import apply_progress, encode_progress
 from jayshunt.dispatch.run_tracker import RunTracker
 from jayshunt.dispatch.tasks import Job, TaskPhase
-from jayshunt.dispatch.tests.builders import (
-    FakeWorker,
-    build_job,
-    build_step,
-    build_worker,
-)
+from jayshunt.dispatch.tests.builders import build_job, build_step, build_worker
+from jayshunt.dispatch.tests.fakes import FakeWorker
 from jayshunt.ids import Revision
 
 LEASE_S = 5.0
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_order_sender.py
@@ -0,0 +1,92 @@
+"""Test the orders for one worker."""
+
+import unittest
+from collections.abc import Callable
+
+from jayshunt.clock import ManualClock
+from jayshunt.dispatch.messages import PaceTask, StartTask
+from jayshunt.dispatch.models import OrderAnswer
+from jayshunt.dispatch.order_sender import OrderSender
+from jayshunt.dispatch.run_tracker import StopOrder
+from jayshunt.dispatch.tasks import TaskPhase
+from jayshunt.dispatch.tests.builders import (
+    add_worker_view,
+    build_job,
+    build_session_context,
+    build_tracker,
+)
+from jayshunt.dispatch.tests.fakes import FakeWorkerApi, no_answer, run_steps
+from jayshunt.errors import Outcome
+from jayshunt.task_loop import Steps
+
+
+class OrderSenderTest(unittest.TestCase):
+    """Cover refused, unanswered and cancelled starts, and the order of the orders."""
+
+    def setUp(self) -> None:
+        """Create the sender for a worker, and a job with one task."""
+        self.job = build_job()
+        self.tracker = build_tracker(self.job)
+        self.view = add_worker_view(self.tracker)
+        self.worker_api = FakeWorkerApi()
+        self.background: list[Callable[[], Steps]] = []
+        context = build_session_context(
+            self.tracker, ManualClock(start_s=0.0), spawn=self.background.append
+        )
+        self.orders = OrderSender(self.view, self.worker_api, context)
+
+    def test_start_without_an_answer_is_stopped(self) -> None:
+        """The order may arrive late; a second run would then run the task twice."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.worker_api.start_answers = [no_answer(Outcome.UNKNOWN)]
+        run_steps(self.orders._send_start(StartTask(task, 16, "payload")))
+        self.assertEqual(TaskPhase.STOPPING, task.phase)
+        self.assertEqual([], self.job.ready_tasks())
+
+    def test_start_that_was_not_sent_waits_again(self) -> None:
+        """A start order that was certainly not sent can be placed again at once."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.worker_api.start_answers = [no_answer(Outcome.NOT_RUN)]
+        run_steps(self.orders._send_start(StartTask(task, 16, "payload")))
+        self.assertEqual([task], self.job.ready_tasks())
+
+    def test_cancelled_job_is_not_started(self) -> None:
+        """A start order queued before the cancellation must not be sent after it."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.job.cancel()
+        run_steps(self.orders._send_start(StartTask(task, 16, "payload")))
+        self.assertEqual([], self.worker_api.sent)
+
+    def test_orders_of_one_worker_share_one_background_call(self) -> None:
+        """Two orders in flight could overtake each other: a stop its own start."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.worker_api.start_answers = [OrderAnswer(None)]
+        self.orders.start(StartTask(task, 16, "payload"))
+        self.orders.stop(self.tracker.stop(task))
+        self.assertEqual(1, len(self.background))
+        task.phase = TaskPhase.ORDERED
+        run_steps(self.background.pop()())
+        kinds = [type(item).__name__ for item in self.worker_api.sent]
+        self.assertEqual(["StartOrder", "tuple"], kinds)
+        self.orders.pace(PaceTask(task.key, 16, 50))
+        self.assertEqual(1, len(self.background), "the next order starts the sending")
+
+    def test_unexpected_error_does_not_block_later_orders(self) -> None:
+        """One order that can't be sent must not hold back all others of a worker."""
+        task = self.job.steps[0, 0][0]
+        self.tracker.record_order(task, self.view, 16, 0.0)
+        self.worker_api.start_answers = [RuntimeError("unexpected")]
+        self.orders.start(StartTask(task, 16, "payload"))
+        self.orders.stop(StopOrder(self.view.worker.worker, task.key, 16))
+        with self.assertLogs("jayshunt.dispatch.order_sender", "ERROR"):
+            run_steps(self.background.pop()())
+        self.assertEqual((task.key, 16), self.worker_api.sent[-1])
+        self.assertEqual(TaskPhase.STOPPING, task.phase, "it may have been started")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -1,75 +1,29 @@
-"""Test the session that calls one worker."""
+"""Test the session that renews the lease of one worker."""
 
-import threading
 import unittest
-from collections.abc import Callable
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.fleet import PendingEnd
-from jayshunt.dispatch.messages import PaceTask, SessionContext, StartTask
-from jayshunt.dispatch.models import OrderAnswer, OrderRefusal, StartOrder
-from jayshunt.dispatch.run_tracker import StopOrder
+from jayshunt.dispatch.models import OrderAnswer, OrderRefusal
 from jayshunt.dispatch.sessions import WorkerSession
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     add_worker_view,
     build_job,
     build_report,
+    build_session_context,
     build_tracker,
     place,
-    run_steps,
 )
-from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.task_loop import Steps
+from jayshunt.dispatch.tests.fakes import FakeWorkerApi, no_answer, run_steps
+from jayshunt.errors import Outcome
 
 LEASE_S = 5.0
 SLOW_ANSWER_S = 1.2
 
 
-class FakeWorkerApi:
-    """Return prepared answers and record the calls.
-
-    The `yield` at the end makes each call a generator, as in WorkerClient.
-    """
-
-    def __init__(self) -> None:
-        """Initialize the fake without answers."""
-        self.poll_answers: list = []
-        self.start_answers: list = []
-        self.sent: list = []
-
-    def poll_runs(self, noted_upto, lease_until_ms, wait_ms, timeout_s):
-        """Return the next answer to a poll, or raise it."""
-        self.sent.append(lease_until_ms)
-        return self._next(self.poll_answers)
-        yield
-
-    def start(self, order: StartOrder, timeout_s: float) -> OrderAnswer:
-        """Return the next answer to a start, or raise it."""
-        self.sent.append(order)
-        return self._next(self.start_answers)
-        yield
-
-    def stop(self, task, run, timeout_s: float) -> OrderAnswer:
-        """Accept every stop."""
-        self.sent.append((task, run))
-        return OrderAnswer(None)
-        yield
-
-    def _next(self, answers: list):
-        answer = answers.pop(0)
-        if isinstance(answer, Exception):
-            raise answer
-        return answer
-
-
-def no_answer(outcome: Outcome) -> JayshuntError:
-    """Return the error that a call without an answer raises."""
-    return JayshuntError("no_answer", step="worker", outcome=outcome)
-
-
 class SessionTest(unittest.TestCase):
-    """Cover the lease of an unresponsive worker and unanswered start orders."""
+    """Cover the lease of an unresponsive worker."""
 
     def setUp(self) -> None:
         """Create a session with a worker and a job with one task."""
@@ -80,33 +34,31 @@
         self.worker_api = FakeWorkerApi()
         self.deposed: list[str] = []
         self.confirmed_s = float("inf")
-        self.background: list[Callable[[], Steps]] = []
-        context = SessionContext(
+        context = build_session_context(
             self.tracker,
-            threading.RLock(),
             self.clock,
-            LEASE_S,
-            lambda: True,
-            lambda: min(self.clock.monotonic_s(), self.confirmed_s),
-            self.deposed.append,
-            lambda: None,
-            self.background.append,
+            lease_s=LEASE_S,
+            term_confirmed_s=lambda: min(self.clock.monotonic_s(), self.confirmed_s),
+            on_deposed=self.deposed.append,
         )
         self.session = WorkerSession(self.view, self.worker_api, context)
 
-    def test_tasks_of_a_silent_worker_run_again_after_its_lease(self) -> None:
-        """Polls without an answer must not extend the lease indefinitely."""
+    def lose_worker(self, polls: int):
+        """Run a task, and leave polls unanswered until the worker is removed."""
         task = place(self.tracker, self.job, 0, self.view)
-        self.worker_api.poll_answers = [
-            build_report(task),
-            *[no_answer(Outcome.UNKNOWN)] * 40,
-        ]
+        unanswered = [no_answer(Outcome.UNKNOWN)] * polls
+        self.worker_api.poll_answers = [build_report(task), *unanswered]
         run_steps(self.session._poll_once())
         for _ in range(40):
             self.clock.advance(0.25)
             run_steps(self.session._poll_once())
             if self.view.is_ended:
                 break
+        return task
+
+    def test_tasks_of_a_silent_worker_run_again_after_its_lease(self) -> None:
+        """Polls without an answer must not extend the lease indefinitely."""
+        task = self.lose_worker(polls=40)
         self.assertEqual(TaskPhase.WAITING, task.phase)
         self.assertGreaterEqual(self.clock.monotonic_s(), LEASE_S)
         self.assertLess(self.clock.monotonic_s(), LEASE_S * 1.2)
@@ -118,16 +70,9 @@
         of its zone 6.0 s after the cut, while the first run went on under its successor
         (further/kpdm-jaya trouble-1, seed 57441642845).
         """
-        task = place(self.tracker, self.job, 0, self.view)
         self.confirmed_s = 0.5
-        self.worker_api.poll_answers = [
-            build_report(task),
-            *[no_answer(Outcome.UNKNOWN)] * 60,
-        ]
-        run_steps(self.session._poll_once())
-        for _ in range(40):
-            self.clock.advance(0.25)
-            run_steps(self.session._poll_once())
+        self.lose_worker(polls=60)
+        self.assertGreater(self.clock.monotonic_s(), 1.5 * LEASE_S)
         self.assertFalse(self.view.is_ended)
         self.assertEqual([], self.job.ready_tasks())
         self.confirmed_s = float("inf")
@@ -197,58 +142,6 @@
         self.assertIsNone(self.worker_api.sent[1])
         self.assertIsNotNone(self.worker_api.sent[2])
 
-    def test_start_without_an_answer_is_stopped(self) -> None:
-        """The order may arrive late; a second run would then run the task twice."""
-        task = self.job.steps[0, 0][0]
-        self.tracker.record_order(task, self.view, 16, 0.0)
-        self.worker_api.start_answers = [no_answer(Outcome.UNKNOWN)]
-        run_steps(self.session._send_start(StartTask(task, 16, "payload")))
-        self.assertEqual(TaskPhase.STOPPING, task.phase)
-        self.assertEqual([], self.job.ready_tasks())
-
-    def test_start_that_was_not_sent_waits_again(self) -> None:
-        """A start order that was certainly not sent can be placed again at once."""
-        task = self.job.steps[0, 0][0]
-        self.tracker.record_order(task, self.view, 16, 0.0)
-        self.worker_api.start_answers = [no_answer(Outcome.NOT_RUN)]
-        run_steps(self.session._send_start(StartTask(task, 16, "payload")))
-        self.assertEqual([task], self.job.ready_tasks())
-
-    def test_cancelled_job_is_not_started(self) -> None:
-        """A start order queued before the cancellation must not be sent after it."""
-        task = self.job.steps[0, 0][0]
-        self.tracker.record_order(task, self.view, 16, 0.0)
-        self.job.cancel()
-        run_steps(self.session._send_start(StartTask(task, 16, "payload")))
-        self.assertEqual([], self.worker_api.sent)
-
-    def test_orders_of_one_worker_share_one_background_call(self) -> None:
-        """Two orders in flight could overtake each other: a stop its own start."""
-        task = self.job.steps[0, 0][0]
-        self.tracker.record_order(task, self.view, 16, 0.0)
-        self.worker_api.start_answers = [OrderAnswer(None)]
-        self.session.start(StartTask(task, 16, "payload"))
-        self.session.stop(self.tracker.stop(task))
-        self.assertEqual(1, len(self.background))
-        task.phase = TaskPhase.ORDERED
-        run_steps(self.background.pop()())
-        kinds = [type(item).__name__ for item in self.worker_api.sent]
-        self.assertEqual(["StartOrder", "tuple"], kinds)
-        self.session.pace(PaceTask(task.key, 16, 50))
-        self.assertEqual(1, len(self.background), "the next order starts the sending")
-
-    def test_unexpected_error_does_not_block_later_orders(self) -> None:
-        """One order that can't be sent must not hold back all others of a worker."""
-        task = self.job.steps[0, 0][0]
-        self.tracker.record_order(task, self.view, 16, 0.0)
-        self.worker_api.start_answers = [RuntimeError("unexpected")]
-        self.session.start(StartTask(task, 16, "payload"))
-        self.session.stop(StopOrder(self.view.worker.worker, task.key, 16))
-        with self.assertLogs("jayshunt.dispatch.sessions", "ERROR"):
-            run_steps(self.background.pop()())
-        self.assertEqual((task.key, 16), self.worker_api.sent[-1])
-        self.assertEqual(TaskPhase.STOPPING, task.phase, "it may have been started")
-
     def test_later_term_at_a_worker_ends_this_one(self) -> None:
         """A dispatcher resumed after a later term began must stop giving orders."""
         self.worker_api.poll_answers = [OrderAnswer(OrderRefusal.FENCED)]
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -27,7 +27,6 @@
     election_delay_s,
 )
 from jayshunt.dispatch.tests.builders import (
-    FakeStore,
     add_worker_view,
     build_end,
     build_job,
@@ -39,6 +38,7 @@
     build_tracker,
     place,
 )
+from jayshunt.dispatch.tests.fakes import FakeStore
 from jayshunt.ids import EntryId, Revision
 
 
--- a/src/jayshunt/dispatch/tests/test_suspicion.py
+++ b/src/jayshunt/dispatch/tests/test_suspicion.py
@@ -17,7 +17,7 @@
     next_action,
 )
 from jayshunt.dispatch.term import OwnTerm
-from jayshunt.dispatch.tests.builders import FakeStore
+from jayshunt.dispatch.tests.fakes import FakeStore
 from jayshunt.ids import EntryId, LeaseId, Revision, ZoneName
 
 LONG_S = SUSPECT_AFTER_S + 0.1
