Split the duty for VMs into what is listed, what is chosen and what leaves

In each round it also built the set of blocked VMs once for each VM that was being emptied, and counted the VMs of a wave in upkeep for each VM of it. Change: vm_inventory.py, vm_departures.py and a fleet_duty.py that only chooses; both are computed once a round.

--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -117,8 +117,8 @@
         duty = self.duty(build_vm("w1"))
         duty._round()
         move = EvacuationReason.move(PoolName("other"))
-        duty._begin_evacuation(VmId("vm-w1"), move, None, 0.0)
-        duty._evacuate(0.0)
+        duty.departures.begin(VmId("vm-w1"), move, None, 0.0)
+        duty.departures.advance(0.0)
         self.assertEqual(
             [["vm-w1", "w1", 0.0]], json.loads(self.store.get(ORDERED_KEY).value)
         )
@@ -130,9 +130,9 @@
         duty._read(0.0)
         for vm in vms:
             move = EvacuationReason.move(PoolName("other"))
-            duty._begin_evacuation(vm.vm, move, None, 0.0)
+            duty.departures.begin(vm.vm, move, None, 0.0)
         self.machines.together = threading.Barrier(len(vms))
-        duty._evacuate(0.0)
+        duty.departures.advance(0.0)
         self.assertEqual(len(vms), len(self.machines.orders))
 
     def test_vm_with_unstored_ends_stays(self) -> None:
@@ -145,11 +145,11 @@
         duty = self.duty(build_vm("w1"))
         duty._read(0.0)
         move = EvacuationReason.move(PoolName("other"))
-        duty._begin_evacuation(VmId("vm-w1"), move, self.view, 0.0)
-        duty._evacuate(0.0)
+        duty.departures.begin(VmId("vm-w1"), move, self.view, 0.0)
+        duty.departures.advance(0.0)
         self.assertEqual([], self.machines.orders)
         self.view.pending.clear()
-        duty._evacuate(0.0)
+        duty.departures.advance(0.0)
         self.assertEqual(1, len(self.machines.orders))
 
     def test_busy_vm_does_not_keep_its_worker_unused(self) -> None:
@@ -157,11 +157,11 @@
         duty = self.duty(build_vm("w1"))
         duty._read(0.0)
         upkeep = EvacuationReason.upkeep(1)
-        duty._begin_evacuation(VmId("vm-w1"), upkeep, self.view, 0.0)
-        evacuation = duty._evacuations[VmId("vm-w1")]
-        duty._apply_answer(evacuation, self.view, DutyRefusal.BUSY)
+        duty.departures.begin(VmId("vm-w1"), upkeep, self.view, 0.0)
+        evacuation = duty.departures._evacuations[VmId("vm-w1")]
+        duty.departures._apply_refusal(evacuation, self.view, DutyRefusal.BUSY)
         self.assertIsNone(self.view.evacuation_reason)
-        self.assertFalse(duty._evacuations)
+        self.assertFalse(duty.departures.being_emptied())
 
     def test_wave_is_not_completed_by_a_term_that_ended(self) -> None:
         """A write whose condition failed must not count as stored."""
--- /dev/null
+++ b/src/jayshunt/dispatch/vm_inventory.py
@@ -0,0 +1,86 @@
+"""Keep the platform's list of VMs, with what was ordered since it was read."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from jayshunt.dispatch.evacuation import EvacuationReason
+from jayshunt.dispatch.fleet import WorkerView, has_not_answered
+from jayshunt.dispatch.models import FleetConfig
+from jayshunt.dispatch.vms import Vm, VmState
+from jayshunt.ids import PoolName, VmId, WorkerId
+
+Views = dict[WorkerId, WorkerView]
+
+
+class VmInventory:
+    """VMs by id; the caller holds the dispatcher's lock around changes."""
+
+    def __init__(self, config: Callable[[], FleetConfig | None]) -> None:
+        """Start without a list; `config` tells which pools are spare."""
+        self._config = config
+        self.vms: dict[VmId, Vm] = {}
+        self.listed_s: float | None = None
+
+    def apply_list(self, vms: Iterable[Vm], now_s: float) -> None:
+        """Replace the VMs by those of a list that was read at `now_s`."""
+        self.vms = {vm.vm: vm for vm in vms}
+        self.listed_s = now_s
+
+    def record_order(self, vm: VmId, reason: EvacuationReason) -> None:
+        """Record an order that the platform accepted; it ended the VM's worker."""
+        known = self.vms[vm]
+        self.vms[vm] = replace(
+            known,
+            pool=known.pool if reason.pool is None else reason.pool,
+            state=VmState.MOVING if reason.wave is None else VmState.UPKEEP,
+            worker=None,
+        )
+
+    def spare_pools(self) -> set[PoolName]:
+        """Return the pools whose VMs are off."""
+        config = self._config()
+        return {p.pool for p in config.pools if p.is_spare} if config else set()
+
+    def knows_all_workers(self, views: Views) -> bool:
+        """Return whether the worker of each VM that is up has a view.
+
+        VMs of spare pools are not considered.
+        """
+        if self.listed_s is None:
+            return False
+        spare = self.spare_pools()
+        return all(
+            vm.worker in views
+            for vm in self.vms.values()
+            if vm.state is VmState.UP and vm.worker is not None and vm.pool not in spare
+        )
+
+    def spare_cores(self) -> float:
+        """Return the cores of VMs that are off and can be fetched."""
+        spare = self.spare_pools()
+        millicores = sum(
+            vm.capacity.cpu_millicores
+            for vm in self.vms.values()
+            if vm.state is VmState.UP and vm.pool in spare
+        )
+        return millicores / 1000
+
+    def is_changing(self) -> bool:
+        """Return whether any VM is moving or in upkeep."""
+        return any(
+            vm.state in (VmState.MOVING, VmState.UPKEEP) for vm in self.vms.values()
+        )
+
+    def views_by_vm(self, views: Views) -> dict[VmId, WorkerView]:
+        """Return the view of the worker on each VM that has one."""
+        found: dict[VmId, WorkerView] = {}
+        for vm in self.vms.values():
+            if vm.worker is not None and vm.worker in views:
+                found[vm.vm] = views[vm.worker]
+        for view in views.values():
+            vm = view.worker.vm
+            known = found.get(vm)
+            # A stale entry of the worker list must not hide the VM's current worker.
+            if vm is not None and (known is None or has_not_answered(known)):
+                found[vm] = view
+        return found
