Split the tests of the platform's calls by what they call

Change: one module each, scripted_server.py for what they share; the HTTP client's tests stand beside it.

--- /dev/null
+++ b/src/jayshunt/platform/tests/test_worker_calls.py
@@ -0,0 +1,112 @@
+"""Test the clients of workers and of the VM service against scripted servers."""
+
+import unittest
+
+from jayshunt.dispatch.models import OrderRefusal, TaskKey
+from jayshunt.dispatch.vms import DutyRefusal
+from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.ids import EntryId, JobId, PoolName, VmId, WorkerId
+from jayshunt.platform.machine_calls import VmServiceClient
+from jayshunt.platform.tests.scripted_server import MALFORMED_BODIES, ScriptedServer
+from jayshunt.platform.worker_calls import WorkerClient
+from jayshunt.tests.builders import run_in_loop
+
+
+class WorkerTest(unittest.TestCase):
+    """Test the orders to a worker and the lists of runs on the wire."""
+
+    def setUp(self) -> None:
+        """Start a scripted worker."""
+        self.server = ScriptedServer()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.calls = WorkerClient(WorkerId("i-1"), self.server.address, 7)
+
+    def test_poll_runs_reads_both_lists(self) -> None:
+        """A misread row of running or ended runs would start a task twice."""
+        self.server.answers = [
+            (
+                200,
+                {
+                    "clockMs": 9,
+                    "born": 3,
+                    "running": [["a.0.1.2", 4, "", 50, 12]],
+                    "ended": [[1, "a.0.1.3", 2, "failed", "s"]],
+                },
+            )
+        ]
+        answer = run_in_loop(self.calls.poll_runs(5, 800, 100, 1.0))
+        self.assertEqual(TaskKey(JobId("a"), 0, 1, 2), answer.running[0].task)
+        self.assertEqual(("s", 1), (answer.ended[0].checkpoint, answer.ended[0].number))
+        _, _, body, headers = self.server.requests[0]
+        self.assertEqual(
+            (7, 5, 800), tuple(body[k] for k in ("fencingToken", "seenUpto", "untilMs"))
+        )
+        self.assertEqual("i-1", headers["X-Expect-Instance"])
+
+    def test_refusals_are_told_apart(self) -> None:
+        """Each refusal needs its own reason, as the dispatcher reacts differently."""
+        self.server.answers = [
+            (409, {"reason": "fence"}),
+            (421, {}),
+            (503, {}),
+            (409, {"reason": "old", "clockMs": 4}),
+        ]
+        task = TaskKey(JobId("a"), 0, 0, 0)
+        found = [run_in_loop(self.calls.stop(task, 1, 1.0)).refusal for _ in range(4)]
+        self.assertEqual(
+            [
+                OrderRefusal.FENCED,
+                OrderRefusal.OTHER_INCARNATION,
+                OrderRefusal.UNHEALTHY,
+                OrderRefusal.SUPERSEDED,
+            ],
+            found,
+        )
+
+    def test_malformed_report_has_an_unknown_outcome(self) -> None:
+        """A report without the malformed row would show that its run has ended."""
+        task = TaskKey(JobId("a"), 0, 0, 0)
+        reports = [
+            *MALFORMED_BODIES,
+            {"clockMs": 9, "running": [["a.0.1", 4, "", 50]]},
+            {"clockMs": 9, "running": [["a.0.1.2", None, "", 50]]},
+            {"clockMs": 9, "ended": [[1, "a.0.1.3", 2, "odd", ""]]},
+        ]
+        for report in reports:
+            self.server.answers = [(200, report)]
+            with self.assertRaises(JayshuntError) as caught:
+                run_in_loop(self.calls.poll_runs(0, 800, 0, 1.0))
+            self.assertIs(Outcome.UNKNOWN, caught.exception.outcome)
+        self.server.answers = [(200, b"["), (409, [1])]
+        self.assertIsNone(run_in_loop(self.calls.stop(task, 1, 1.0)).refusal)
+        self.assertIs(
+            OrderRefusal.OTHER, run_in_loop(self.calls.stop(task, 1, 1.0)).refusal
+        )
+
+
+class VmServiceTest(unittest.TestCase):
+    """Test the list of VMs and the orders on the wire."""
+
+    def test_malformed_list_is_refused_as_a_whole(self) -> None:
+        """A VM that is missing from the list would count as gone."""
+        server = ScriptedServer()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        calls = VmServiceClient(server.address, EntryId("entry-1"))
+        vm = {"machine": "m-1", "pool": "desk", "state": "up"}
+        server.answers = [
+            *((200, body) for body in MALFORMED_BODIES),
+            (200, {"machines": [vm, {**vm, "capacity": {"cpu": "x"}}]}),
+        ]
+        for _ in range(len(server.answers)):
+            with self.assertRaises(JayshuntError):
+                calls.list()
+        server.answers = [(409, b"["), (409, {"reason": ["fence"]})]
+        for _ in range(2):
+            answer = calls.move(VmId("m-1"), PoolName("desk"), 7)
+            self.assertIs(DutyRefusal.OTHER, answer.refusal)
+
+
+if __name__ == "__main__":
+    unittest.main()
