Wait for events instead of sleeping in tests, and pass in how workers are called

Causes: test_dispatcher polled with sleeps and replaced a method of the dispatcher that it tested; the server of test_task_loop slept instead of showing that all calls were in flight; a delay and a type stood in two places.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -36,7 +36,7 @@
 from jayshunt.ids import JobId, QueueName, Revision, WorkerId
 from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import PlatformStore
-from jayshunt.platform.worker_calls import AdviceClient, WorkerClient
+from jayshunt.platform.worker_calls import AdviceClient
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 from jayshunt.task_loop import TaskLoop
 from jayshunt.tasks import TaskGroup
@@ -57,8 +57,8 @@
     last term on suspicion; it is True until the suspicion record is read. `handoff` is
     the record of the last term (see `_write_handoff`), None without one, and
     `handoff_read` is set once it was looked up.
-    `on_deposed` is called with a reason once this term is lost. `build_worker_api`
-    returns the client of a worker; it may be replaced before `start`.
+    `on_deposed` is called with a reason once this term is lost. `connect_worker`
+    returns the client of a worker that sends a fencing token.
     """
 
     def __init__(
@@ -69,6 +69,7 @@
         clock: Clock,
         config: Callable[[], FleetConfig | None],
         on_deposed: Callable[[str], None],
+        connect_worker: Callable[[Worker, int], WorkerApi],
     ) -> None:
         """Create the components of the term; nothing runs before `start`."""
         self._node = node
@@ -77,6 +78,7 @@
         self._clock = clock
         self._config = config
         self._on_deposed = on_deposed
+        self._connect_worker = connect_worker
         self.lock = threading.RLock()
         self.tracker = RunTracker(own.term.token)
         self.sessions: dict[WorkerId, WorkerSession] = {}
@@ -110,7 +112,6 @@
             self, store, machines, clock, config, node.bounds, node.vm_orders_per_s
         )
         self.tracker.on_task_done = self.planner.learn_run
-        self.build_worker_api: Callable[[Worker], WorkerApi] = self._build_client
 
     # --- the term ---
 
@@ -226,10 +227,7 @@
         now_s = self._clock.monotonic_s()
         view = WorkerView(worker, now_s)
         view.lease_end_s = self.inherited_runs_end_s
-        self.open_session(view, self.build_worker_api(worker))
-
-    def _build_client(self, worker: Worker) -> WorkerClient:
-        return WorkerClient(worker.worker, worker.address, self.token)
+        self.open_session(view, self._connect_worker(worker, self.token))
 
     def open_session(self, view: WorkerView, worker_api: WorkerApi) -> WorkerSession:
         """Start renewing a worker's lease."""
--- a/src/jayshunt/dispatch/tests/fleet_builders.py
+++ b/src/jayshunt/dispatch/tests/fleet_builders.py
@@ -3,7 +3,7 @@
 import json
 import threading
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 
 from jayshunt.clock import SystemClock
 from jayshunt.dispatch.dispatcher import Dispatcher
@@ -94,6 +94,8 @@
         with worker.lock:
             self._check_up()
             worker.poll_runs(noted_upto, lease_until_ms, self._token)
+            if lease_until_ms is not None:
+                worker.fleet.record_lease(worker.name, self._token)
         yield Sleep(wait_ms / 1000)
         with worker.lock:
             self._check_up()
@@ -116,6 +118,9 @@
         self.starts: Counter[TaskKey] = Counter()
         self._lock = threading.Lock()
         self._running: dict[TaskKey, str] = {}
+        self._stored_tasks = 0
+        self._leased: defaultdict[int, set[str]] = defaultdict(set)
+        self._changed = threading.Condition(self._lock)
         self.workers = {f"w{n}": TimedWorker(f"w{n}", self) for n in range(workers)}
         for name in self.workers:
             self._register(name)
@@ -128,6 +133,27 @@
                 self.doubled.append(task)
             self._running[task] = name
             self.starts[task] += 1
+            self._changed.notify_all()
+
+    def record_lease(self, name: str, token: int) -> None:
+        """Record that a worker got a lease of a term."""
+        with self._lock:
+            self._leased[token].add(name)
+            self._changed.notify_all()
+
+    def wait_until_leased(self, token: int, timeout_s: float) -> bool:
+        """Wait until each worker got a lease of a term; return whether all did."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: len(self._leased[token]) == len(self.workers), timeout_s
+            )
+
+    def wait_until_started(self, timeout_s: float) -> bool:
+        """Wait until each stored task was started; return whether all were."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: len(self.starts) == self._stored_tasks, timeout_s
+            )
 
     def add_long_running_jobs(self, count: int) -> None:
         """Store accepted jobs of TASKS_PER_JOB long-running tasks each."""
@@ -136,6 +162,7 @@
             spec = build_spec(step, job=JobId(f"{number:016x}"))
             value = encode_job(spec, build_queue(), time.time())
             self.store.transact({}, (Put(accepted_key(spec.job), value),))
+            self._stored_tasks += TASKS_PER_JOB
 
     def running(self) -> int:
         """Return how many runs the workers have."""
@@ -157,18 +184,15 @@
             EntryId(name), LOOPBACK, name, token=result.revision, lease=LeaseId("1")
         )
         own = OwnTerm(term, 0.0, lambda: 0.0)
-        dispatcher = Dispatcher(
+        return Dispatcher(
             build_node(name),
             own,
             self.store,
             SystemClock(),
             build_config,
             lambda reason: None,
+            lambda worker, token: TimedWorkerApi(self.workers[worker.worker], token),
         )
-        dispatcher.build_worker_api = lambda worker: TimedWorkerApi(
-            self.workers[worker.worker], result.revision
-        )
-        return dispatcher
 
     def _register(self, name: str) -> None:
         record = {
--- a/src/jayshunt/dispatch/tests/test_dispatcher.py
+++ b/src/jayshunt/dispatch/tests/test_dispatcher.py
@@ -1,8 +1,6 @@
 """Test one dispatcher with as many workers as the largest deployments have."""
 
-import time
 import unittest
-from collections.abc import Callable
 
 from jayshunt.dispatch.const import WORKER_LEASE_S
 from jayshunt.dispatch.tests.fleet_builders import TASKS_PER_JOB, FakeFleet
@@ -15,16 +13,6 @@
 WAIT_S = 20.0
 
 
-def wait_until(condition: Callable[[], bool], timeout_s: float = WAIT_S) -> bool:
-    """Wait until a condition holds; return whether it did in time."""
-    end_s = time.monotonic() + timeout_s
-    while not condition():
-        if time.monotonic() > end_s:
-            return False
-        time.sleep(0.02)
-    return True
-
-
 class ScaleTest(unittest.TestCase):
     """Test a takeover over a large fleet whose workers run long tasks."""
 
@@ -39,17 +27,20 @@
         first = fleet.build_dispatcher("entry-1")
         first.start()
         self.addCleanup(first.stop, False)
-        self.assertTrue(wait_until(lambda: fleet.leased(first.token) == WORKERS))
-        self.assertTrue(wait_until(lambda: fleet.running() == JOBS * TASKS_PER_JOB))
+        self.assertTrue(fleet.wait_until_leased(first.token, WAIT_S))
+        self.assertTrue(fleet.wait_until_started(WAIT_S))
+        self.assertEqual(JOBS * TASKS_PER_JOB, fleet.running())
         first.stop(is_graceful=False)
         second = fleet.build_dispatcher("entry-2")
         second.start()
         self.addCleanup(second.stop, False)
         self.assertTrue(
-            wait_until(lambda: fleet.leased(second.token) == WORKERS, TAKEOVER_LIMIT_S),
+            fleet.wait_until_leased(second.token, TAKEOVER_LIMIT_S),
             f"{fleet.leased(second.token)} of {WORKERS} workers have a lease",
         )
-        self.assertTrue(wait_until(lambda: second.planner.knows_all_runs))
+        self.assertEqual(WORKERS, fleet.leased(second.token))
+        second.planner._round()
+        self.assertTrue(second.planner.knows_all_runs)
         self.assertEqual([], fleet.doubled)
         self.assertEqual(0, fleet.lapsed)
         self.assertEqual({1}, set(fleet.starts.values()), "no task ran again")
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator
 
 from jayshunt import http_client
+from jayshunt.dispatch.messages import OrderSteps
 from jayshunt.dispatch.models import (
     Address,
     EndedRun,
@@ -31,8 +32,6 @@
 }
 _RUN_ENDS = {end.value: end for end in RunEnd}
 
-OrderSteps = Generator[HttpCall, HttpAnswer, OrderAnswer]
-
 
 class WorkerClient:
     """Client of one worker instance.
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -16,7 +16,7 @@
 from jayshunt.dispatch.handover import HandoverMonitor
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.metrics import EntryMetrics
-from jayshunt.dispatch.models import Address, EntryNode
+from jayshunt.dispatch.models import Address, EntryNode, Worker
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import OwnTerm, TermElection
@@ -24,6 +24,7 @@
 from jayshunt.platform.formats import decode_config
 from jayshunt.platform.front_api import FrontApi
 from jayshunt.platform.store import PlatformStore
+from jayshunt.platform.worker_calls import WorkerClient
 from jayshunt.serving.http_server import HttpServer
 from jayshunt.serving.limits import ServerLimits
 from jayshunt.tasks import TaskGroup
@@ -138,6 +139,7 @@
             self._clock,
             self._config.current,
             lambda reason: self._on_deposed(own, reason),
+            _connect_worker,
         )
         dispatcher.planner.observe_wait = self._metrics.observe_task_wait
         self._link.own_dispatcher = dispatcher
@@ -155,5 +157,9 @@
         return describe(self._node, self._config, self._election, self._link)
 
 
+def _connect_worker(worker: Worker, token: int) -> WorkerClient:
+    return WorkerClient(worker.worker, worker.address, token)
+
+
 def _build_server(address: Address, app, limits: ServerLimits) -> HttpServer:
     return HttpServer(address.host, address.port, app, limits)
--- a/src/jayshunt/task_loop.py
+++ b/src/jayshunt/task_loop.py
@@ -35,11 +35,10 @@
 from jayshunt.errors import JayshuntError
 from jayshunt.http_client import HttpAnswer, HttpCall
 from jayshunt.http_multi import HttpMulti
+from jayshunt.tasks import RESTART_DELAY_S
 
 _LOGGER = logging.getLogger(__name__)
 
-# Pause before a task that restarts runs again after an unexpected error.
-RESTART_DELAY_S = 0.25
 # Limits the wait for events, so that a lost one delays the loop only this long.
 MAX_SELECT_S = 1.0
 
--- a/src/jayshunt/tasks.py
+++ b/src/jayshunt/tasks.py
@@ -9,7 +9,7 @@
 
 MAX_TASKS = 256
 STOP_TIMEOUT_S = 5.0
-# Pause before a supervised task runs again after an unexpected error.
+# Pause before a task that restarts runs again after an unexpected error.
 RESTART_DELAY_S = 0.25
 
 Task = Callable[[threading.Event], None]
--- a/src/jayshunt/tests/test_task_loop.py
+++ b/src/jayshunt/tests/test_task_loop.py
@@ -13,18 +13,18 @@
 
 HOST = "127.0.0.1"
 CALLS = 60
-ANSWER_AFTER_S = 0.3
+LIMIT_S = 4.5
 
 
-class SlowHandler(BaseHTTPRequestHandler):
-    """Answer each request with its body after a while."""
+class BarrierHandler(BaseHTTPRequestHandler):
+    """Answer each request with its body once all of them have arrived."""
 
     protocol_version = "HTTP/1.1"
 
     def do_POST(self) -> None:
         """Answer one request."""
         body = self.rfile.read(int(self.headers["Content-Length"]))
-        time.sleep(ANSWER_AFTER_S)
+        self.server.all_arrived.wait(WAIT_S)
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -34,12 +34,17 @@
         """Suppress the request log."""
 
 
-class SlowServer(ThreadingHTTPServer):
-    """Server that takes many connections at the same moment."""
+class BarrierServer(ThreadingHTTPServer):
+    """Server that takes CALLS connections at the same moment."""
 
     daemon_threads = True
     request_queue_size = CALLS
 
+    def __init__(self) -> None:
+        """Listen on a free port; no request has arrived."""
+        super().__init__((HOST, 0), BarrierHandler)
+        self.all_arrived = threading.Barrier(CALLS)
+
 
 def post(port: int, body: bytes = b"x", timeout_s: float = 5.0) -> HttpCall:
     """Return a call to a port of this machine."""
@@ -56,8 +61,11 @@
     """Test calls that are in flight together, and how they fail."""
 
     def test_many_calls_wait_at_the_same_time(self) -> None:
-        """Calls that waited for each other would delay the leases of all workers."""
-        server = SlowServer((HOST, 0), SlowHandler)
+        """Calls that waited for each other would delay the leases of all workers.
+
+        The server answers none before all are in flight.
+        """
+        server = BarrierServer()
         self.addCleanup(server.server_close)
         self.addCleanup(server.shutdown)
         threading.Thread(target=server.serve_forever, daemon=True).start()
@@ -82,7 +90,7 @@
         self.addCleanup(loop.stop)
         begun_s = time.monotonic()
         run_in_loop(collect())
-        self.assertLess(time.monotonic() - begun_s, ANSWER_AFTER_S * CALLS / 4)
+        self.assertLess(time.monotonic() - begun_s, LIMIT_S)
         self.assertEqual({str(n).encode() for n in range(CALLS)}, set(bodies))
 
     def test_refused_connection_means_not_run(self) -> None:
