--- a/src/jayshunt/membership/node.py
+++ b/src/jayshunt/membership/node.py
@@ -1,4 +1,4 @@
-"""Run failure detection and gossip for one entry."""
+"""Run failure detection for one entry and keep its view of the members."""
 
 import logging
 import random
@@ -10,20 +10,17 @@
 from jayshunt.ids import ConfigVersion, EntryId, Epoch
 from jayshunt.membership.const import (
     DIGEST_MISMATCH_THRESHOLD,
-    EXCHANGE_INTERVAL_S,
     FORGET_AFTER_S,
     GOSSIP_FAN_OUT,
     HEARTBEAT_INTERVAL_S,
-    JOIN_INTERVAL_S,
     LOST_AFTER_S,
     PAUSE_THRESHOLD_S,
     PROBE_TIMEOUT_S,
-    RECONTACT_INTERVAL_S,
-    REGION_FAILURE_THRESHOLD,
     STEP_INTERVAL_S,
     SUSPECT_NOTIFY_AFTER_S,
     SUSPECT_TIMEOUT_S,
 )
+from jayshunt.membership.exchanges import RecordExchanger
 from jayshunt.membership.failure_detector import DetectorAction, FailureDetector
 from jayshunt.membership.messages import Exchange, Heartbeat
 from jayshunt.membership.models import Member, MembershipView, MemberState
@@ -52,29 +49,24 @@
     ) -> None:
         """Start with this entry as the only known member."""
         self._table = MemberTable(own)
-        self._seeds = [seed for seed in seeds if seed != own.peer_address]
         self._transport = transport
         self._clock = clock
-        self._rng = rng
         self._lock = threading.RLock()
         self._view = MembershipView(1, self._table.members())
         self._ring = Ring(self._view.members)
-        self._contacts: list[Member] = []
         self._detector = FailureDetector()
         self._pending_updates: dict[EntryId, Member] = {}
         self._state_since_s: dict[EntryId, float] = {}
         self._notified_suspects: set[EntryId] = set()
-        self._exchange_failures: dict[str, int] = {}
         self._sequence = 0
         self._stopped = False
         now_s = clock.monotonic_s()
         self._last_step_s = now_s
-        self._next_exchange_s = now_s
-        self._next_recontact_s = now_s
         self._last_comparison_s = now_s
         self._on_change: Callable[[], None] = lambda: None
-        self._on_version: Callable[[EntryId, ConfigVersion], None] = lambda *_: None
-        self.config_version = ConfigVersion(0)
+        self._exchanger = RecordExchanger(
+            self._table, seeds, transport, rng, self._lock, self._merge, now_s
+        )
         self.assignment_epoch = Epoch(0)
 
     def view(self) -> MembershipView:
@@ -89,7 +81,16 @@
         self, handler: Callable[[EntryId, ConfigVersion], None]
     ) -> None:
         """Set the handler of the configuration versions reported in replies."""
-        self._on_version = handler
+        self._exchanger.on_version = handler
+
+    @property
+    def config_version(self) -> ConfigVersion:
+        """Return the configuration version that this entry reports."""
+        return self._exchanger.config_version
+
+    @config_version.setter
+    def config_version(self, version: ConfigVersion) -> None:
+        self._exchanger.config_version = version
 
     def monitors(self) -> tuple[Member, ...]:
         """Return the members to which this entry sends heartbeats."""
@@ -98,7 +99,7 @@
     def gossip_targets(self, count: int) -> list[Member]:
         """Return up to `count` random contacts and the successor on the ring."""
         with self._lock:
-            targets = self._sample(self._contacts, count)
+            targets = self._exchanger.sample_contacts(count)
             successor = self._ring.successor(self._table.own)
             if successor is not None and successor not in targets:
                 targets.append(successor)
@@ -107,8 +108,7 @@
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Add addresses at which other members may be reached."""
         with self._lock:
-            known = {*self._seeds, self._table.own.peer_address}
-            self._seeds += [a for a in dict.fromkeys(addresses) if a not in known]
+            self._exchanger.add_seeds(addresses)
 
     def heartbeat(self) -> Heartbeat:
         """Return the next heartbeat to send."""
@@ -134,7 +134,7 @@
             if known.state in (MemberState.SUSPECT, MemberState.LOST):
                 # Only the member itself can refute this state, so send it the record.
                 if heartbeat.incarnation <= known.incarnation:
-                    self._send_updates(known.peer_address, (known,))
+                    self._exchanger.send_updates(known.peer_address, (known,))
             now_s = self._clock.monotonic_s()
             record = self._detector.record_heartbeat(
                 heartbeat, self._table.digest(), now_s
@@ -145,7 +145,7 @@
             if digest_differs or heartbeat.incarnation > known.incarnation:
                 if now_s - self._last_comparison_s >= HEARTBEAT_INTERVAL_S:
                     self._last_comparison_s = now_s
-                    self._exchange_with(known.peer_address)
+                    self._exchanger.exchange_with(known.peer_address)
 
     def heartbeat_ages_s(self) -> dict[EntryId, float | None]:
         """Return the seconds since the last heartbeat of each monitored member.
@@ -170,11 +170,7 @@
     def answer_exchange(self, message: Exchange) -> Exchange:
         """Merge a peer's records and return those that it lacks."""
         with self._lock:
-            corrections = self._merge(message.members, lost_as_suspect=message.complete)
-            digest_differs = message.digest not in (0, self._table.digest())
-            if digest_differs:
-                return self._full_exchange(corrections)
-            return replace(self._empty_exchange(), members=corrections)
+            return self._exchanger.answer(message)
 
     def leave(self) -> None:
         """Announce that this entry is leaving; it still serves its current work."""
@@ -206,8 +202,9 @@
                 )
             self._expire_states(now_s)
             self._gossip_updates()
-            self._exchange_when_due(now_s)
-            self._recontact_when_due(now_s)
+            self._exchanger.exchange_when_due(now_s)
+            if not self._stopped:
+                self._exchanger.recontact_when_due(now_s)
 
     def merge(self, updates: Iterable[Member]) -> None:
         """Merge member records and accept losses without confirmation.
@@ -228,7 +225,7 @@
             self._record_changes(merged.changed)
         for member in merged.changed if lost_as_suspect else ():
             if member.state is MemberState.SUSPECT:
-                self._send_updates(member.peer_address, (member,))
+                self._exchanger.send_updates(member.peer_address, (member,))
         return merged.corrections
 
     def _record_changes(self, changed: Iterable[Member]) -> None:
@@ -240,13 +237,8 @@
                 _LOGGER.info("membership: %s is %s", member.entry, member.state.value)
         self._view = MembershipView(self._view.version + 1, self._table.members())
         self._ring = Ring(self._view.members)
-        self._contacts = choose_contacts(
-            self._table.own.entry, self._other_ring_members()
-        )
-        contact_addresses = {member.peer_address for member in self._contacts}
-        self._exchange_failures = {
-            a: n for a, n in self._exchange_failures.items() if a in contact_addresses
-        }
+        others = self._table.others(*RING_STATES)
+        self._exchanger.set_contacts(choose_contacts(self._table.own.entry, others))
         self._detector.set_monitored(self._ring.monitored_by(self._table.own), now_s)
         self._on_change()
 
@@ -265,7 +257,7 @@
         self._detector.shift_times(pause_s)
         self._state_since_s = {e: s + pause_s for e, s in self._state_since_s.items()}
         if pause_s > LOST_AFTER_S:
-            self._next_exchange_s = now_s
+            self._exchanger.exchange_soon(now_s)
 
     def _handle_action(
         self, entry: EntryId, action: DetectorAction, now_s: float
@@ -279,7 +271,7 @@
             case DetectorAction.SUSPECT if member.state is MemberState.ALIVE:
                 suspect = replace(member, state=MemberState.SUSPECT)
                 self._merge((suspect,), lost_as_suspect=False)
-                self._send_updates(member.peer_address, (suspect,))
+                self._exchanger.send_updates(member.peer_address, (suspect,))
             case DetectorAction.LOST:
                 lost = replace(member, state=MemberState.LOST)
                 self._merge((lost,), lost_as_suspect=False)
@@ -322,97 +314,11 @@
             and member.entry not in self._notified_suspects
         ):
             self._notified_suspects.add(member.entry)
-            self._send_updates(member.peer_address, (member,))
+            self._exchanger.send_updates(member.peer_address, (member,))
 
     def _gossip_updates(self) -> None:
         if not self._pending_updates:
             return
         updates, self._pending_updates = tuple(self._pending_updates.values()), {}
         for member in self.gossip_targets(GOSSIP_FAN_OUT):
-            self._send_updates(member.peer_address, updates)
-
-    def _exchange_when_due(self, now_s: float) -> None:
-        if now_s < self._next_exchange_s:
-            return
-        addresses = [m.peer_address for m in self._contacts] or self._seeds
-        joined = bool(self._contacts) or not self._seeds
-        # Jitter keeps entries that started together from exchanging in step.
-        interval_s = EXCHANGE_INTERVAL_S * self._rng.uniform(0.8, 1.2)
-        self._next_exchange_s = now_s + (interval_s if joined else JOIN_INTERVAL_S)
-        for address in self._sample(addresses, 1 if joined else GOSSIP_FAN_OUT):
-            self._exchange_with(address, self._record_exchange_failure)
-
-    def _recontact_when_due(self, now_s: float) -> None:
-        if now_s < self._next_recontact_s or self._stopped:
-            return
-        jitter = self._rng.uniform(0.8, 1.2)
-        self._next_recontact_s = now_s + RECONTACT_INTERVAL_S * jitter
-        known = {m.peer_address for m in self._other_ring_members()}
-        lost = {m.peer_address for m in self._table.others(MemberState.LOST)}
-        addresses = sorted((lost | set(self._seeds)) - known)
-        if addresses:
-            self._exchange_with(self._rng.choice(addresses))
-
-    def _record_exchange_failure(self, address: str) -> None:
-        """Suspect a member of another region after repeated failed exchanges.
-
-        All its monitors are in its own region and may be lost with it. Every member
-        that receives the suspicion notifies the suspect, which can then refute it,
-        so that one broken network path does not get the member declared lost.
-        """
-        with self._lock:
-            self._exchange_failures[address] = (
-                self._exchange_failures.get(address, 0) + 1
-            )
-            if self._exchange_failures[address] < REGION_FAILURE_THRESHOLD:
-                return
-            for member in self._table.others(MemberState.ALIVE):
-                is_other_region = member.region != self._table.own.region
-                if member.peer_address == address and is_other_region:
-                    del self._exchange_failures[address]
-                    self._merge((replace(member, state=MemberState.SUSPECT),), False)
-
-    def _exchange_with(
-        self, address: str, on_failure: Callable[[str], None] = lambda _: None
-    ) -> None:
-        def handle_reply(reply: Exchange | None) -> None:
-            if reply is None:
-                on_failure(address)
-                return
-            with self._lock:
-                self._exchange_failures.pop(address, None)
-                missing = self._merge(reply.members, lost_as_suspect=True)
-                if reply.complete and reply.digest != self._table.digest():
-                    complete = self._full_exchange(missing)
-                    self._transport.exchange(address, complete, self._merge_corrections)
-            self._on_version(reply.entry, reply.config_version)
-
-        message = replace(self._empty_exchange(), digest=self._table.digest())
-        self._transport.exchange(address, message, handle_reply)
-
-    def _send_updates(self, address: str, updates: tuple[Member, ...]) -> None:
-        message = replace(self._empty_exchange(), members=updates)
-        self._transport.exchange(address, message, self._merge_corrections)
-
-    def _merge_corrections(self, reply: Exchange | None) -> None:
-        if reply is not None:
-            with self._lock:
-                self._merge(reply.members, lost_as_suspect=True)
-
-    def _empty_exchange(self) -> Exchange:
-        own = self._table.own
-        return Exchange(own.entry, (), self.config_version)
-
-    def _full_exchange(self, more: tuple[Member, ...]) -> Exchange:
-        return replace(
-            self._empty_exchange(),
-            members=(*self._table.members(), *more),
-            complete=True,
-            digest=self._table.digest(),
-        )
-
-    def _other_ring_members(self) -> list[Member]:
-        return self._table.others(*RING_STATES)
-
-    def _sample(self, items: list, count: int) -> list:
-        return self._rng.sample(items, min(count, len(items)))
+            self._exchanger.send_updates(member.peer_address, updates)
