--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -84,6 +84,7 @@
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._group = TaskGroup("dispatch")
         self._worker_loop = TaskLoop("workers")
+        self._sessions_waiting_for_store: set[WorkerSession] = set()
         self.ready = threading.Event()
         self.lease_s = min(
             WORKER_LEASE_S, node.bounds.max_lease_ms / 1000 * MAX_LEASE_FRACTION
@@ -241,6 +242,7 @@
             on_deposed=self._on_deposed,
             notify_changed=self.notify_changed,
             spawn=self._worker_loop.spawn,
+            waiting_for_store=self._sessions_waiting_for_store,
         )
         session = WorkerSession(view, worker_api, context)
         with self.lock:
@@ -259,7 +261,7 @@
                 del self.sessions[worker]
 
     def _notify_sessions(self) -> None:
-        for session in list(self.sessions.values()):
+        for session in tuple(self._sessions_waiting_for_store):
             session.notify_stored()
 
     def send_stops(self, stops: list[StopOrder]) -> None:
--- a/src/jayshunt/dispatch/messages.py
+++ b/src/jayshunt/dispatch/messages.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable, Generator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from jayshunt.clock import Clock
@@ -77,7 +77,8 @@
     `term_confirmed_s` the monotonic time up to which no other entry held the term.
     `spawn` starts a task in the term's TaskLoop. Sessions call `on_deposed` when a
     worker has seen a later term, and `notify_changed` when there may be something to
-    place or to store.
+    place or to store. `waiting_for_store` holds the sessions that wait until reported
+    ends are stored.
     """
 
     tracker: RunTracker
@@ -89,3 +90,4 @@
     on_deposed: Callable[[str], None]
     notify_changed: Callable[[], None]
     spawn: Callable[[Callable[[], Steps]], None]
+    waiting_for_store: set = field(default_factory=set)
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -46,8 +46,7 @@
 
     def notify_stored(self) -> None:
         """Signal that ends of this worker's runs may have been stored."""
-        if self.view.pending:
-            self._stored.set()
+        self._stored.set()
 
     def run_polls(self) -> Steps:
         """Renew the lease and apply the worker's reports until it is removed."""
@@ -65,17 +64,24 @@
 
         While ends are not acknowledged, the worker answers a poll at once.
         """
-        end_s = self._context.clock.monotonic_s() + STORE_WAIT_S
-        while self.view.pending:
-            self._stored.clear()
-            with self._context.lock:
-                self.view.acknowledge_stored_ends(
-                    self._context.tracker.stored_versions.__getitem__
-                )
-            left_s = end_s - self._context.clock.monotonic_s()
-            if not self.view.pending or left_s <= 0:
-                return
-            yield Wait(self._stored, left_s)
+        if not self.view.pending:
+            return
+        context = self._context
+        end_s = context.clock.monotonic_s() + STORE_WAIT_S
+        context.waiting_for_store.add(self)
+        try:
+            while self.view.pending:
+                self._stored.clear()
+                with context.lock:
+                    self.view.acknowledge_stored_ends(
+                        context.tracker.stored_versions.__getitem__
+                    )
+                left_s = end_s - context.clock.monotonic_s()
+                if not self.view.pending or left_s <= 0:
+                    return
+                yield Wait(self._stored, left_s)
+        finally:
+            context.waiting_for_store.discard(self)
 
     def _poll_once(self) -> Generator[Step, object, bool]:
         context, view = self._context, self.view
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -34,14 +34,14 @@
         self.worker_api = FakeWorkerApi()
         self.deposed: list[str] = []
         self.confirmed_s = float("inf")
-        context = build_session_context(
+        self.context = build_session_context(
             self.tracker,
             self.clock,
             lease_s=LEASE_S,
             term_confirmed_s=lambda: min(self.clock.monotonic_s(), self.confirmed_s),
             on_deposed=self.deposed.append,
         )
-        self.session = WorkerSession(self.view, self.worker_api, context)
+        self.session = WorkerSession(self.view, self.worker_api, self.context)
 
     def lose_worker(self, polls: int):
         """Run a task, and leave polls unanswered until the worker is removed."""
@@ -99,6 +99,7 @@
         steps = self.session._wait_until_stored()
         wait = next(steps)
         self.assertFalse(wait.signal.is_set)
+        self.assertEqual({self.session}, self.context.waiting_for_store)
         self.tracker.stored_versions[self.job.spec.job] = 1
         self.session.notify_stored()
         self.assertTrue(wait.signal.is_set)
@@ -106,6 +107,7 @@
             next(steps)
         self.assertFalse(self.view.pending)
         self.assertEqual(1, self.view.noted_upto)
+        self.assertEqual(set(), self.context.waiting_for_store)
 
     def test_slow_worker_keeps_its_lease(self) -> None:
         """A worker that only answers slowly must not lose its running work."""
