Pause the task loop after an error of its own

Cause, from reading the diff: an error that comes back in the loop itself, not in a task, would have used up the processor and filled the log.

--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -38,9 +38,8 @@
 
     Calls are steps of a task in a TaskLoop, used with `yield from`. Every call names
     the instance, so that a restarted worker at the same address refuses it. Calls raise
-    JayshuntError; its outcome is UNKNOWN if no response
-    arrived or it can't be decoded, since the order may have been executed or may
-    still be executed.
+    JayshuntError; its outcome is UNKNOWN if no response arrived or it can't be decoded,
+    since the order may have been executed or may still be executed.
     """
 
     def __init__(self, worker: WorkerId, address: Address, token: int) -> None:
--- a/src/jayshunt/task_loop.py
+++ b/src/jayshunt/task_loop.py
@@ -152,6 +152,8 @@
                 self._run_once()
             except Exception:
                 _LOGGER.exception("tasks: unexpected error in the task loop")
+                # An error that comes back must not use up the processor and the log.
+                time.sleep(RESTART_DELAY_S)
         self._close()
 
     def _run_once(self) -> None:
--- a/src/jayshunt/tests/test_task_loop.py
+++ b/src/jayshunt/tests/test_task_loop.py
@@ -9,6 +9,7 @@
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.http_client import HttpCall
 from jayshunt.task_loop import Signal, Sleep, TaskLoop, Wait
+from jayshunt.tasks import RESTART_DELAY_S
 from jayshunt.tests.builders import WAIT_S, run_in_loop
 
 HOST = "127.0.0.1"
@@ -198,6 +199,24 @@
             self.assertTrue(recovered.wait(WAIT_S))
         self.assertTrue(other_goes_on.wait(WAIT_S))
 
+    def test_error_of_the_loop_itself_is_survived_without_spinning(self) -> None:
+        """A loop that ends leaves all workers without a lease; one that spins, too."""
+        rounds: list[float] = []
+        original, recovered = self.loop._run_once, threading.Event()
+
+        def fail_twice() -> None:
+            rounds.append(time.monotonic())
+            if len(rounds) <= 2:
+                raise RuntimeError("unexpected")
+            recovered.set()
+            original()
+
+        with self.assertLogs("jayshunt.task_loop", "ERROR"):
+            self.loop._run_once = fail_twice
+            self.loop._wake_up()
+            self.assertTrue(recovered.wait(WAIT_S))
+        self.assertGreaterEqual(rounds[2] - rounds[0], 2 * RESTART_DELAY_S)
+
     def test_stopped_loop_resumes_no_task(self) -> None:
         """A dispatcher that lost its term must send no more orders."""
         resumed = threading.Event()
