Add the model of workspaces and the replaceable parts of placement

Cause: the parts for workspaces, overload and interference are built side by side and need the same data and the same places to plug in. Change: the configuration's workspaces, public queues and the bounds for keys and rates are decoded; a job's record names its workspace; plan_placements takes a PlacementPolicy with the order of jobs, a gate for starts and the cost of neighbors.

--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -14,6 +14,7 @@
     RackName,
     VmId,
     WorkerId,
+    WorkspaceName,
     ZoneName,
 )
 
@@ -37,8 +38,13 @@
     run takes. Ended jobs are kept for at least `status_ms`. Two holders must not both
     give orders for the same VM within `duty_handover_ms`. A run outside the rack of
     its data takes `remote_rack_factor` times as long. A worker may be filled to its
-    former capacity for `contact_ms`, and one heartbeat more, after it shrank. Jayshunt
-    uses only `contact_ms`, `max_lease_ms`, `status_ms` and `duty_handover_ms`.
+    former capacity for `contact_ms`, and one heartbeat more, after it shrank. A
+    configuration is in force `config_apply_ms` after it was stored. If
+    `is_revoke_strict`, an entry whose configuration was not confirmed for `revoke_ms`
+    must not accept keys. A workspace may exceed its rate of jobs over
+    `quota_window_ms` by the fraction `quota_overage` and by `quota_slack_jobs`. A task
+    that serves users may be above its target for less than `harm_ms` because of tasks
+    that fill.
     """
 
     contact_ms: int = 3_000
@@ -54,6 +60,13 @@
     upkeep_ms: int = 2_000
     duty_handover_ms: int = 3_000
     remote_rack_factor: float = 2.0
+    config_apply_ms: int = 2_000
+    is_revoke_strict: bool = False
+    revoke_ms: int = 5_000
+    quota_window_ms: int = 5_000
+    quota_overage: float = 0.1
+    quota_slack_jobs: int = 20
+    harm_ms: int = 4_000
 
 
 @dataclass(frozen=True)
@@ -137,7 +150,8 @@
     """Configure one queue: its host and path prefix, and how its jobs are run.
 
     The objective of a job is `stretch` times the length of its critical path plus
-    `target_latency_ms`. `priority` 0 is the most urgent.
+    `target_latency_ms`. `priority` 0 is the most urgent. Calls to a public queue need
+    no key, and its jobs belong to no workspace.
     """
 
     queue: QueueName
@@ -150,6 +164,7 @@
     target_latency_ms: int = 0
     timeout_ms: int = 0
     advice: AdvicePolicy | None = None
+    is_public: bool = False
 
 
 @dataclass(frozen=True)
@@ -161,13 +176,35 @@
     rejects_overload: bool = True
 
 
+@dataclass(frozen=True)
+class Workspace:
+    """Configure one workspace: its keys, its share and its limit.
+
+    `key_digests` are the SHA-256 digests of its keys, in hexadecimal. `weight` is its
+    share when room is short, and the jobs a second to which it is entitled.
+    `max_running` limits what its tasks may use on all workers together; a component
+    that is 0 is not limited.
+    """
+
+    workspace: WorkspaceName
+    key_digests: frozenset[str] = frozenset()
+    priority: int = 0
+    weight: float = 1.0
+    max_running: Resources = Resources()
+
+
 @dataclass(frozen=True)
 class FleetConfig:
-    """Store one version of the operator's configuration."""
+    """Store one version of the operator's configuration.
+
+    If `requires_keys`, calls to queues that are not public need a key of a workspace.
+    """
 
     version: ConfigVersion
     queues: tuple[QueueConfig, ...] = ()
     pools: tuple[PoolConfig, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    requires_keys: bool = False
 
     def rejects_overload(self, pool: PoolName) -> bool:
         """Return whether the workers of a pool refuse what exceeds their capacity.
@@ -229,7 +266,8 @@
     """Describe a submitted job.
 
     If `times` is set, the job runs that many times: first at `start_at_ms`, in
-    milliseconds since the Unix epoch, then every `interval_ms`.
+    milliseconds since the Unix epoch, then every `interval_ms`. `workspace` is the
+    owner, an empty name if there is none.
     """
 
     job: JobId
@@ -239,6 +277,7 @@
     times: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    workspace: WorkspaceName = WorkspaceName("")
 
     @property
     def occurrences(self) -> int:
--- a/src/jayshunt/dispatch/placing.py
+++ b/src/jayshunt/dispatch/placing.py
@@ -15,6 +15,7 @@
     step_key,
 )
 from jayshunt.dispatch.models import StepSpec
+from jayshunt.dispatch.placement_policy import PlacementPolicy
 from jayshunt.dispatch.tasks import FULL_PROBATION, Job, Task, TaskPhase
 from jayshunt.ids import PoolName, RackName, WorkerId
 
@@ -58,12 +59,16 @@
     )
 
 
+DEFAULT_POLICY = PlacementPolicy(prioritize_jobs)
+
+
 def plan_placements(
     jobs: Iterable[Job],
     candidates: dict[PoolName, list[CandidateWorker]],
     now_s: float,
     may_start=None,
     only_step: StepKey | None = None,
+    policy: PlacementPolicy = DEFAULT_POLICY,
 ) -> list[Placement]:
     """Return the placements to start now and reserve them on the candidates.
 
@@ -72,18 +77,22 @@
     """
     placements: list[Placement] = []
     pools: dict[PoolName, CandidateIndex] = {}
-    for job in prioritize_jobs(jobs, now_s):
+    for job in policy.order(jobs, now_s):
         pool = job.config.pool
         if not candidates.get(pool) or (may_start is not None and not may_start(job)):
             continue
         if pool not in pools:
             pools[pool] = CandidateIndex(candidates[pool])
-        placements += _place_job(job, pools[pool], only_step, now_s)
+        placements += _place_job(job, pools[pool], only_step, now_s, policy)
     return placements
 
 
 def _place_job(
-    job: Job, pool: CandidateIndex, only_step: StepKey | None, now_s: float
+    job: Job,
+    pool: CandidateIndex,
+    only_step: StepKey | None,
+    now_s: float,
+    policy: PlacementPolicy,
 ) -> list[Placement]:
     placements: list[Placement] = []
     skipped_steps: set[StepKey] = set()
@@ -93,25 +102,33 @@
             continue
         if task.spec.is_gang:
             skipped_steps.add(key)
-            placements += _place_gang(job, task, pool)
+            placements += _place_gang(job, task, pool, policy)
+            continue
+        if not policy.gate.may_start(job, [task]):
+            skipped_steps.add(key)
             continue
         if task.is_suspect:
-            candidate = _choose_for_suspect(job, task, pool, now_s)
+            candidate = _choose_for_suspect(job, task, pool, now_s, policy)
             if candidate is None:
                 continue
         else:
-            candidate = _choose_in_pool(job, task, pool)
+            candidate = _choose_in_pool(job, task, pool, policy)
         if candidate is None:
             # The other tasks of the step need the same resources.
             skipped_steps.add(key)
             continue
         pool.reserve(candidate, task)
+        policy.gate.record_start(job, task)
         placements.append(Placement(task, candidate.worker.worker))
     return placements
 
 
 def _choose_for_suspect(
-    job: Job, task: Task, pool: CandidateIndex, now_s: float
+    job: Job,
+    task: Task,
+    pool: CandidateIndex,
+    now_s: float,
+    policy: PlacementPolicy,
 ) -> CandidateWorker | None:
     """Return the worker on which a crash would cost least, None if there is none.
 
@@ -121,13 +138,13 @@
     if now_s - task.waiting_since_s <= ISOLATION_WAIT_S:
         if not pool.may_try_suspect():
             return None
-        return _choose_candidate(job, task, pool.candidates)
+        return _choose_candidate(job, task, pool.candidates, policy)
     shared_weight = FULL_PROBATION - task.probation_weight
-    return _choose_candidate(job, task, pool.candidates, shared_weight)
+    return _choose_candidate(job, task, pool.candidates, policy, shared_weight)
 
 
 def _choose_in_pool(
-    job: Job, task: Task, pool: CandidateIndex
+    job: Job, task: Task, pool: CandidateIndex, policy: PlacementPolicy
 ) -> CandidateWorker | None:
     """Return the best candidate for a task, None if the task fits on none.
 
@@ -148,17 +165,21 @@
         if not pool.has_unpreferred and not task.failed_on:
             pool.record_no_fit(step)
             return None
-    best = _choose_candidate(job, task, pool.candidates)
+    best = _choose_candidate(job, task, pool.candidates, policy)
     if best is None:
         pool.record_no_fit(step)
     return best
 
 
-def _place_gang(job: Job, first: Task, pool: CandidateIndex) -> list[Placement]:
+def _place_gang(
+    job: Job, first: Task, pool: CandidateIndex, policy: PlacementPolicy
+) -> list[Placement]:
     """Place all tasks of a gang or none, on a single rack if possible."""
     tasks = job.steps[first.key.occurrence, first.key.step]
     if any(task.phase is not TaskPhase.WAITING for task in tasks):
         return []
+    if not policy.gate.may_start(job, tasks):
+        return []
     racks: dict[RackName, list[CandidateWorker]] = {}
     for candidate in pool.candidates:
         racks.setdefault(candidate.worker.rack, []).append(candidate)
@@ -170,19 +191,24 @@
         ),
     )
     for choice in [*choices, pool.candidates]:
-        placements = _try_gang(job, tasks, choice)
+        placements = _try_gang(job, tasks, choice, policy)
         if placements:
             pool.rebuild()
+            for task in tasks:
+                policy.gate.record_start(job, task)
             return placements
     return []
 
 
 def _try_gang(
-    job: Job, tasks: list[Task], candidates: list[CandidateWorker]
+    job: Job,
+    tasks: list[Task],
+    candidates: list[CandidateWorker],
+    policy: PlacementPolicy,
 ) -> list[Placement]:
     taken: list[tuple[CandidateWorker, Task]] = []
     for task in tasks:
-        candidate = _choose_candidate(job, task, candidates)
+        candidate = _choose_candidate(job, task, candidates, policy)
         if candidate is None:
             for used, member in taken:
                 used.release(member)
@@ -196,6 +222,7 @@
     job: Job,
     task: Task,
     candidates: list[CandidateWorker],
+    policy: PlacementPolicy = DEFAULT_POLICY,
     max_probation_weight: int = 0,
 ) -> CandidateWorker | None:
     key = step_key(task)
@@ -208,7 +235,7 @@
     for candidate in candidates:
         if not fits(step, candidate, key, max_probation_weight):
             continue
-        cost = _cost(task, step, candidate, is_last_chance)
+        cost = _cost(task, step, candidate, is_last_chance, policy)
         if task.is_suspect:
             cost = (*_crash_cost(candidate), *cost)
         if best_cost is None or cost < best_cost:
@@ -217,7 +244,11 @@
 
 
 def _cost(
-    task: Task, step: StepSpec, candidate: CandidateWorker, is_last_chance: bool
+    task: Task,
+    step: StepSpec,
+    candidate: CandidateWorker,
+    is_last_chance: bool,
+    policy: PlacementPolicy,
 ) -> tuple:
     """Return the sort key of a worker for a step; the lowest is best.
 
@@ -230,7 +261,7 @@
             candidate.worker.worker in task.failed_on[-3:],
             candidate.leaves_soon,
             candidate.is_slow,
-            _interference(step, candidate),
+            policy.neighbor_cost(step, candidate),
             -candidate.load.long_running,
             left,
         )
@@ -256,12 +287,3 @@
         candidate.load.long_running,
         candidate.load.reserved.cpu_millicores,
     )
-
-
-def _interference(step: StepSpec, candidate: CandidateWorker) -> int:
-    """Return how many tasks on the worker a step would slow down or be slowed by."""
-    if step.fills:
-        return candidate.load.serving
-    if step.target_ms:
-        return candidate.load.filling
-    return 0
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.backlog import refusals
@@ -13,7 +14,8 @@
 from jayshunt.dispatch.messages import PaceTask, StartTask
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
-from jayshunt.dispatch.placing import plan_placements
+from jayshunt.dispatch.placement_policy import PlacementPolicy
+from jayshunt.dispatch.placing import plan_placements, prioritize_jobs
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
@@ -152,8 +154,9 @@
             starts = []
             jobs = due_jobs(jobs)
             candidates = self._candidates({job.config.pool for job in jobs}, now_s)
+            plan = partial(plan_placements, policy=self._policy())
             for placement in self.tickets.place(
-                jobs, candidates, now_s, may_start, plan_placements
+                jobs, candidates, now_s, may_start, plan
             ):
                 starts.append(self._start_run(placement.task, placement.worker, now_s))
             pace_changes = self._pace_changes(now_s)
@@ -163,6 +166,10 @@
             else:
                 session.orders.pace(item)
 
+    def _policy(self) -> PlacementPolicy:
+        """Return the placement policy of one round."""
+        return PlacementPolicy(prioritize_jobs)
+
     def _create_due_tasks(self, jobs: list[Job]) -> None:
         """Create the tasks of scheduled jobs whose time has come."""
         timed = [job for job in jobs if job.spec.times]
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -25,6 +25,7 @@
     RackName,
     Revision,
     WorkerId,
+    WorkspaceName,
 )
 
 TERM_KEY = "jayshunt/term"
@@ -75,6 +76,8 @@
     fields["max_failures"] = config.max_failures
     fields["stretch"] = config.stretch
     fields["target_latency_ms"] = config.target_latency_ms
+    if spec.workspace:
+        fields["workspace"] = spec.workspace
     if spec.times:
         fields["times"] = spec.times
         fields["start_at_ms"] = spec.start_at_ms
@@ -93,6 +96,7 @@
         times=fields.get("times", 0),
         start_at_ms=fields.get("start_at_ms", 0),
         interval_ms=fields.get("interval_ms", 0),
+        workspace=WorkspaceName(fields.get("workspace", "")),
     )
     return spec, fields.get("accepted_at_s", 0.0)
 
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -1,5 +1,6 @@
 """Decode configuration, submissions, workers and waves; encode statuses."""
 
+import hashlib
 import json
 import logging
 
@@ -14,6 +15,7 @@
     StepSpec,
     Worker,
     WorkerState,
+    Workspace,
 )
 from jayshunt.dispatch.vms import Wave
 from jayshunt.errors import DECODE_ERRORS
@@ -25,6 +27,7 @@
     RackName,
     VmId,
     WorkerId,
+    WorkspaceName,
     ZoneName,
 )
 
@@ -50,7 +53,40 @@
     fields = json.loads(value)
     queues = tuple(_decode_queue(row) for row in _rows(fields.get("routes")))
     pools = tuple(_decode_pool(row) for row in _rows(fields.get("services")))
-    return FleetConfig(ConfigVersion(int(fields["version"])), queues, pools)
+    workspaces = (_decode_workspace(row) for row in _rows(fields.get("tenants")))
+    return FleetConfig(
+        ConfigVersion(int(fields["version"])),
+        queues,
+        pools,
+        tuple(workspace for workspace in workspaces if workspace is not None),
+        requires_keys=fields.get("tenants") is not None,
+    )
+
+
+def digest_key(key: str) -> str:
+    """Return the SHA-256 digest of a workspace's key, in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _decode_workspace(row: dict) -> Workspace | None:
+    """Decode a workspace; a malformed row is logged and ignored."""
+    try:
+        return Workspace(
+            workspace=WorkspaceName(_require_string(row["name"])),
+            key_digests=frozenset(
+                digest_key(_require_string(key)) for key in row.get("apiKeys") or ()
+            ),
+            priority=int(row.get("priority", 0)),
+            weight=float(row.get("weight", 1.0)),
+            max_running=decode_resources(row.get("maxCount") or {}),
+        )
+    except DECODE_ERRORS as error:
+        # The text of the error may contain a key.
+        _LOGGER.error(
+            "config: ignoring a malformed workspace",
+            extra={"reason": type(error).__name__},
+        )
+        return None
 
 
 def _rows(rows: object) -> list[dict]:
@@ -81,6 +117,7 @@
             if isinstance(advice, dict)
             else None
         ),
+        is_public=row.get("public") is True,
     )
 
 
--- a/src/jayshunt/platform/settings.py
+++ b/src/jayshunt/platform/settings.py
@@ -102,6 +102,15 @@
         upkeep_ms=read_ms("upkeepS", default.upkeep_ms, 1000),
         duty_handover_ms=read_ms("leaseMs", default.duty_handover_ms),
         remote_rack_factor=_number(fields, "bounds.farX", default.remote_rack_factor),
+        config_apply_ms=read_ms("configApplyMs", default.config_apply_ms),
+        is_revoke_strict=fields.get("strictRevoke") is True,
+        revoke_ms=read_ms("revokeMs", default.revoke_ms),
+        quota_window_ms=read_ms("quotaWindowS", default.quota_window_ms, 1000),
+        quota_overage=_number(fields, "bounds.quotaOverage", default.quota_overage),
+        quota_slack_jobs=int(
+            _number(fields, "bounds.quotaSlack", default.quota_slack_jobs)
+        ),
+        harm_ms=read_ms("harmMs", default.harm_ms),
     )
 
 
