Read which optional parts of the dispatch are on from deploy/features.toml

Cause: the parts for overload and interference must leave earlier behavior in place when they are off, and operators need one place to switch them. Change: a checked TOML file of the product beside the platform's settings; the entry's node carries it to the planner.

--- a/deploy/platform_entry.py
+++ b/deploy/platform_entry.py
@@ -3,19 +3,24 @@
 import signal
 import sys
 import threading
+from dataclasses import replace
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
+from jayshunt.dispatch.features import load_features  # noqa: E402
 from jayshunt.logs import LogFormat, LogTarget, configure_logging  # noqa: E402
 from jayshunt.platform.settings import load_settings, settings_path  # noqa: E402
 from jayshunt.platform_entry import PlatformEntry  # noqa: E402
 
+FEATURES = Path(__file__).resolve().parent / "features.toml"
+
 
 def main() -> None:
     """Serve until SIGTERM."""
     logs = configure_logging(LogFormat.JSON, target=LogTarget.STDOUT, bounded=True)
-    process = PlatformEntry(load_settings(settings_path()))
+    node = replace(load_settings(settings_path()), features=load_features(FEATURES))
+    process = PlatformEntry(node)
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -110,7 +110,7 @@
             else VmServiceClient(node.machines, node.entry)
         )
         advice = None if node.advice is None else AdviceClient(node.advice)
-        self.planner = Planner(self, clock, config, node.bounds, advice)
+        self.planner = Planner(self, clock, config, node.bounds, advice, node.features)
         self.fleet = FleetDuty(
             self, store, machines, clock, config, node.bounds, node.vm_orders_per_s
         )
--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from jayshunt.dispatch.features import Features
 from jayshunt.dispatch.order_budget import DEFAULT_PER_S
 from jayshunt.ids import (
     ConfigVersion,
@@ -77,7 +78,8 @@
     entries at `peer`. It calls the platform's store, its VM service at `machines` and
     its advice service at `advice`. `vm_orders_per_s` is the rate of VM orders that the
     platform accepts from all entries together. `link_mbps` is the bandwidth of the
-    entry's network link, which counts in the election.
+    entry's network link, which counts in the election. `features` are the optional
+    parts that are on.
     """
 
     entry: EntryId
@@ -94,6 +96,7 @@
     bounds: Bounds
     vm_orders_per_s: float = DEFAULT_PER_S
     link_mbps: float = 1_000.0
+    features: Features = Features()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -9,6 +9,7 @@
 from jayshunt.clock import Clock
 from jayshunt.dispatch.backlog import refusals
 from jayshunt.dispatch.estimates import RunTimes
+from jayshunt.dispatch.features import Features
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.free_capacity import CandidateWorker, due_jobs
 from jayshunt.dispatch.messages import PaceTask, StartTask
@@ -47,6 +48,7 @@
         config: Callable[[], FleetConfig | None],
         bounds: Bounds,
         advice,
+        features: Features = Features(),
     ) -> None:
         """Start without learned speeds and run times.
 
@@ -58,6 +60,7 @@
         self._clock = clock
         self._config = config
         self._bounds = bounds
+        self._features = features
         self._wake = threading.Event()
         self._applied_config: FleetConfig | None = None
         self._pacer = Pacer()
