Foresee turns of demand and order VMs ahead of them

Cause: pools take turns at four to five times their mean. VMs are ordered once the first jobs have come and serve about two seconds later, so the callers of the first two seconds of each turn wait. A successor rebuilds the history from the stored jobs. Off by default (demand_forecast in deploy/features.toml).

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -35,6 +35,7 @@
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.worker_list import WorkerList
+from jayshunt.forecast.forecaster import DemandForecaster
 from jayshunt.ids import JobId, PoolName, QueueName, Revision, WorkerId
 from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import PlatformStore
@@ -112,7 +113,14 @@
         advice = None if node.advice is None else AdviceClient(node.advice)
         self.planner = Planner(self, clock, config, node.bounds, advice, node.features)
         self.fleet = FleetDuty(
-            self, store, machines, clock, config, node.bounds, node.vm_orders_per_s
+            self,
+            store,
+            machines,
+            clock,
+            config,
+            node.bounds,
+            node.vm_orders_per_s,
+            DemandForecaster() if node.features.demand_forecast else None,
         )
         self.tracker.on_task_done = self.planner.learn_run
 
--- a/src/jayshunt/dispatch/features.py
+++ b/src/jayshunt/dispatch/features.py
@@ -19,14 +19,16 @@
 
     `workspace_shares` ranks jobs of workspaces by share and rate; their keys and limits
     follow the configuration alone. `predictive_admission` refuses jobs by their
-    predicted end, `overload_order` places jobs by what can still be in time, and
-    `interference` keeps apart tasks that slow each other down.
+    predicted end, `overload_order` places jobs by what can still be in time,
+    `interference` keeps apart tasks that slow each other down, and `demand_forecast`
+    orders VMs before a turn of demand that can be foreseen.
     """
 
     workspace_shares: bool = True
     predictive_admission: bool = False
     overload_order: bool = False
     interference: bool = False
+    demand_forecast: bool = False
 
 
 def load_features(path: Path) -> Features:
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -19,6 +19,7 @@
 from jayshunt.dispatch.wave_book import WaveBook, WaveState
 from jayshunt.dispatch.waves import choose_next
 from jayshunt.errors import JayshuntError
+from jayshunt.forecast.forecaster import DemandForecaster
 from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import PlatformStore
 
@@ -47,10 +48,12 @@
         config: Callable[[], FleetConfig | None],
         bounds: Bounds,
         orders_per_s: float = DEFAULT_PER_S,
+        forecaster: DemandForecaster | None = None,
     ) -> None:
         """Start without a VM list; nothing is ordered if `machines` is None.
 
-        `orders_per_s` is the rate of VM orders that the platform accepts.
+        `orders_per_s` is the rate of VM orders that the platform accepts. `forecaster`
+        foresees demand; None if only present demand counts.
         """
         self._dispatcher = dispatcher
         self._store = store
@@ -68,7 +71,10 @@
             self.waves,
             orders_per_s,
         )
-        self.sizer = PoolSizer(dispatcher.planner.run_times.predict_ms)
+        self.sizer = PoolSizer(
+            dispatcher.planner.run_times.predict_ms, forecaster=forecaster
+        )
+        self._has_counted_past = False
         self._waves_read_s: float | None = None
         self._needs_logged_s = 0.0
         self._order_block_s = bounds.duty_handover_ms / 1000 + ORDER_BLOCK_MARGIN_S
@@ -170,6 +176,11 @@
     def _plan_moves(self, config: FleetConfig, now_s: float) -> None:
         with self._dispatcher.lock:
             tracker = self._dispatcher.tracker
+            if not self._has_counted_past:
+                # The jobs of earlier terms hold the pattern of past demand.
+                self._has_counted_past = True
+                for job in tracker.jobs.values():
+                    self.sizer.count_arrival(job, now_s)
             views = self.inventory.views_by_vm(tracker.workers)
             moves = self.sizer.decide(
                 config,
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -16,6 +16,7 @@
 from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec
 from jayshunt.dispatch.tasks import Job
 from jayshunt.dispatch.vms import Vm, VmState
+from jayshunt.forecast.forecaster import DemandForecaster
 from jayshunt.ids import JobId, PoolName, QueueName, VmId
 
 # Fraction of a VM that bin packing fills before tasks no longer fit.
@@ -76,11 +77,13 @@
     `predict_ms` returns the expected run time of a task of a step. `arrivals` holds,
     by pool, the time of acceptance and the work in millicore seconds of recent jobs, in
     order of time, and `counted` the jobs that were seen. `recent_needs` are the needs
-    of the last `KEEP_S` and `needs` those of the last decision.
+    of the last `KEEP_S` and `needs` those of the last decision. `forecaster` foresees
+    demand that has not arrived yet; None if only present demand counts.
     """
 
     predict_ms: Callable[[QueueName, StepSpec], float] = lambda _, s: s.estimate_ms
     arrivals: dict[PoolName, list[tuple[float, float]]] = field(default_factory=dict)
+    forecaster: DemandForecaster | None = None
     counted: set[JobId] = field(default_factory=set)
     recent_needs: dict[PoolName, deque] = field(default_factory=dict)
     needs: dict[PoolName, PoolNeed] = field(default_factory=dict)
@@ -147,7 +150,7 @@
         for job in jobs:
             if job.state.is_final:
                 continue
-            self._count_arrival(job, now_s)
+            self.count_arrival(job, now_s)
             spread_vms = _spread_vms(job)
             if spread_vms:
                 demand = demands.setdefault(job.config.pool, PoolDemand())
@@ -159,7 +162,7 @@
                     demand.waiting += task.spec.reserved
         return demands
 
-    def _count_arrival(self, job: Job, now_s: float) -> None:
+    def count_arrival(self, job: Job, now_s: float) -> None:
         """Count a job at the time of its acceptance.
 
         After a takeover, the jobs of the last minute are all seen at the same moment.
@@ -167,9 +170,9 @@
         if job.spec.is_long_running or job.spec.job in self.counted:
             return
         self.counted.add(job.spec.job)
-        if job.accepted_s < now_s - RATE_WINDOWS_S[-1]:
+        is_recent = job.accepted_s >= now_s - RATE_WINDOWS_S[-1]
+        if not is_recent and self.forecaster is None:
             return
-        recent_arrivals = self.arrivals.setdefault(job.config.pool, [])
         work = sum(
             step.reserved.cpu_millicores
             * step.task_count
@@ -177,7 +180,11 @@
             / 1000
             for step in job.spec.steps
         )
-        insort(recent_arrivals, (job.accepted_s, work))
+        if self.forecaster is not None:
+            self.forecaster.record(job.config.pool, job.accepted_s, work)
+        if is_recent:
+            recent_arrivals = self.arrivals.setdefault(job.config.pool, [])
+            insort(recent_arrivals, (job.accepted_s, work))
 
     def _arriving_millicores(self, pool: PoolName, now_s: float) -> float:
         """Return the millicores in use on average at the current arrival rate.
@@ -205,6 +212,8 @@
     ) -> PoolNeed:
         size = _vm_size(vms, pool)
         arriving = self._arriving_millicores(pool, now_s)
+        if self.forecaster is not None:
+            arriving = max(arriving, self.forecaster.millicores(pool, now_s))
         now_millicores = (
             demand.placed.cpu_millicores
             + WAITING_FRACTION * demand.waiting.cpu_millicores
--- /dev/null
+++ b/src/jayshunt/forecast/__init__.py
@@ -0,0 +1,1 @@
+"""Forecast the demand of pools from the regularity of past arrivals."""
--- /dev/null
+++ b/src/jayshunt/forecast/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the forecast of demand."""
