Authenticate callers by workspace keys and hide jobs of other workspaces

Missing: entries served every call to every queue, whoever made it, and any caller who knew a job's id could read and cancel the job.

- An entry checks the key of each call to a queue that is not public, before it reads anything else of the call; without a valid key it answers 401 and stores nothing.
Only where the configuration requires keys.
- A job carries its submitter's workspace.
Others get 410 for GET and DELETE and 409 for a submission of the same id, from store and dispatcher alike.
- With strictRevoke, keys get 503 once the configuration is unconfirmed for revokeMs.
The age counts from when the store answered at the earliest; it counted from when the answer arrived, which is too late for a slow one.
- Keys could reach logs: a malformed header line, a malformed store response and a malformed configuration were quoted.
They are not any more.
A string in place of the list of keys was read as keys of one character.

--- a/src/jayshunt/dispatch/config_follower.py
+++ b/src/jayshunt/dispatch/config_follower.py
@@ -1,5 +1,6 @@
 """Watch the operator's configuration; never replace a version by an older one."""
 
+import json
 import logging
 import threading
 from collections.abc import Callable
@@ -30,8 +31,8 @@
     ) -> None:
         """Start without a configuration; `decode` parses the value of `key`.
 
-        `read_s` is the monotonic time of the last answer from the store, None before
-        the first.
+        `read_s` is the monotonic time up to which the store certainly had no later
+        configuration, None before its first answer.
         """
         self._store = store
         self._clock = clock
@@ -50,16 +51,19 @@
         """Read the configuration and watch it until stopped."""
         while not stop.is_set():
             try:
+                sent_s = self._clock.monotonic_s()
                 if self._revision is None:
                     items, self._revision = self._store.list(self._key)
                     self._apply_all(items)
+                    self._mark_reachable(sent_s)
                 else:
                     answer = self._store.watch(
                         self._key, self._revision, CONFIG_WATCH_S, stop
                     )
                     self._apply_all(answer.events)
                     self._revision = max(self._revision, answer.revision)
-                self._mark_reachable()
+                    waited_s = 0.0 if answer.events else CONFIG_WATCH_S
+                    self._mark_reachable(sent_s + waited_s)
             except HistoryGone:
                 self._revision = None
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
@@ -67,8 +71,14 @@
                 self._revision = None
                 self._handle_unreachable(error, stop)
 
-    def _mark_reachable(self) -> None:
-        self.read_s = self._clock.monotonic_s()
+    def _mark_reachable(self, answered_s: float) -> None:
+        """Record an answer that the store gave at `answered_s` at the earliest.
+
+        An answer can be late, so the time at which it arrived would be too late. A
+        watch without events was answered after its wait, or earlier if it came back
+        earlier.
+        """
+        self.read_s = min(answered_s, self._clock.monotonic_s())
         if not self._is_reachable:
             self._is_reachable = True
             _LOGGER.info("config: the store is reachable again")
@@ -97,7 +107,8 @@
             config = self._decode(item.value)
         except DECODE_ERRORS as error:
             _LOGGER.error(
-                "config: failed to decode a version", extra={"reason": str(error)}
+                "config: failed to decode a version",
+                extra={"reason": _describe(error), "revision": item.revision},
             )
             return
         if self._current is not None and config.version <= self._current.version:
@@ -113,3 +124,15 @@
                 "revision": item.revision,
             },
         )
+
+
+def _describe(error: Exception) -> str:
+    """Return what is wrong with a document without quoting it: it contains keys.
+
+    The texts of these two errors hold a position and the name of a missing field.
+    """
+    match error:
+        case json.JSONDecodeError() | KeyError():
+            return f"{type(error).__name__}: {error}"
+        case _:
+            return type(error).__name__
--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -3,8 +3,8 @@
 from dataclasses import asdict
 
 
-def describe(node, config, election, link) -> dict:
-    """Return this entry's view of the term, and its own dispatcher's state if any."""
+def describe(node, config, election, link, authenticator) -> dict:
+    """Return this entry's view of term and keys, and its own dispatcher's state."""
     current = config.current()
     term = election.term
     dispatcher = link.own_dispatcher
@@ -12,6 +12,7 @@
         "entry": node.entry,
         "zone": node.zone,
         "config_version": None if current is None else current.version,
+        "keys": authenticator.describe(),
         "dispatcher": None if term is None else asdict(term),
         "is_dispatcher": election.own is not None,
         "dispatch": None if dispatcher is None else describe_dispatch(dispatcher),
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
     accepted_key,
     cancelled_key,
     encode_handoff,
+    stored_workspace,
 )
 from jayshunt.dispatch.run_reports import StopOrder
 from jayshunt.dispatch.run_tracker import RunTracker
@@ -35,13 +36,21 @@
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.worker_list import WorkerList
-from jayshunt.ids import JobId, PoolName, QueueName, Revision, WorkerId
+from jayshunt.ids import (
+    JobId,
+    PoolName,
+    QueueName,
+    Revision,
+    WorkerId,
+    WorkspaceName,
+)
 from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import AdviceClient
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 from jayshunt.task_loop import TaskLoop
 from jayshunt.tasks import TaskGroup
+from jayshunt.workspaces.ownership import is_same_submitter, may_access
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -287,10 +296,15 @@
 
     # --- requests from entries ---
 
-    def job_state(self, job_id: JobId) -> JobState | None:
-        """Return the state of a job that callers see, or None if it is unknown."""
+    def job_state(self, job_id: JobId, caller: WorkspaceName) -> JobState | None:
+        """Return the state of a job that callers see.
+
+        Return None if the job is unknown or another workspace's.
+        """
         job = self.tracker.jobs.get(job_id)
-        return None if job is None else job.public_state()
+        if job is None or not may_access(job.spec.workspace, caller):
+            return None
+        return job.public_state()
 
     def notify_accepted(self, job_id: JobId, value: bytes, created: int) -> None:
         """Add a job that an entry has just stored."""
@@ -310,27 +324,32 @@
     def submit(self, key: str, value: bytes) -> dict:
         """Store a job for an entry that cannot reach the store.
 
-        `is_new` in the answer is False if the job's id was already stored. Raise
-        StoreUnavailable or StoreOutcomeUnknown as the store does, and StoreUnavailable
-        at once while calls fail: the entry would not wait for their timeout, and could
-        not tell its caller that the job does not run.
+        `is_new` in the answer is False if the job's id was already stored, and
+        `is_taken` True if another submitter stored it. Raise StoreUnavailable or
+        StoreOutcomeUnknown as the store does, and StoreUnavailable at once while calls
+        fail: the entry would not wait for their timeout, and could not tell its caller
+        that the job does not run.
         """
         if self._store.failing_for_s() > 0:
             raise StoreUnavailable("store.txn", self._node.entry, "calls are failing")
         result = self._store.transact({key: Revision(0)}, (Put(key, value),))
         created = result.revision
         if created is None:
-            return {"is_new": False}
+            owners = [stored_workspace(item.value) for item in result.conflicts]
+            caller = stored_workspace(value)
+            is_taken = not all(is_same_submitter(owner, caller) for owner in owners)
+            return {"is_new": False, "is_taken": is_taken}
         self.notify_accepted(JobId(key.rpartition("/")[2]), value, created)
         return {"is_new": True}
 
-    def cancel_stored(self, job_id: JobId) -> bool:
+    def cancel_stored(self, job_id: JobId, caller: WorkspaceName) -> bool:
         """Store a cancellation for an entry that cannot reach the store.
 
-        Return False if the job is not stored. Raise StoreUnavailable or
-        StoreOutcomeUnknown as the store does.
+        Return False if the job is not stored or another workspace's. Raise
+        StoreUnavailable or StoreOutcomeUnknown as the store does.
         """
-        if self._store.get(accepted_key(job_id)) is None:
+        item = self._store.get(accepted_key(job_id))
+        if item is None or not may_access(stored_workspace(item.value), caller):
             return False
         key = cancelled_key(job_id)
         self._store.transact({key: Revision(0)}, (Put(key, b"{}"),))
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -13,7 +13,7 @@
     DEFAULT_RETRY_AFTER_S,
     ISOLATED_AFTER_S,
 )
-from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
+from jayshunt.dispatch.errors import AcceptUnknown, JobIdTaken, JobRefused
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig
 from jayshunt.dispatch.records import (
@@ -22,12 +22,16 @@
     encode_job,
     progress_key,
     stored_state,
+    stored_workspace,
 )
 from jayshunt.dispatch.store_models import Put
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import JobId, QueueName, Revision
+from jayshunt.ids import JobId, QueueName, Revision, WorkspaceName
 from jayshunt.platform.store import PlatformStore
 from jayshunt.store.errors import StoreUnavailable
+from jayshunt.workspaces.models import RefusalReason
+from jayshunt.workspaces.ownership import is_same_submitter, may_access
+from jayshunt.workspaces.refusals import RefusalLog
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -51,12 +55,20 @@
     """
 
     def __init__(
-        self, store: PlatformStore, link: DispatcherLink, clock: Clock
+        self,
+        store: PlatformStore,
+        link: DispatcherLink,
+        clock: Clock,
+        refusals: RefusalLog | None = None,
     ) -> None:
-        """Use the store, and `link` to reach the dispatcher."""
+        """Use the store, and `link` to reach the dispatcher.
+
+        `refusals` records calls for another workspace's jobs.
+        """
         self._store = store
         self._link = link
         self._clock = clock
+        self._refusals = refusals or RefusalLog(clock, lambda reason: None)
         self._unknown: OrderedDict[JobId, None] = OrderedDict()
         self._unknown_lock = threading.Lock()
 
@@ -69,7 +81,10 @@
         return is_cut_off and not self._link.is_reachable()
 
     def submit(self, spec: JobSpec, queue: QueueConfig, timeout_s: float) -> Accepted:
-        """Accept a job, or raise JobRefused (it never runs) or AcceptUnknown."""
+        """Accept a job, or raise JobRefused, JobIdTaken or AcceptUnknown.
+
+        After the first two, the job that was submitted never runs.
+        """
         if self.is_isolated():
             self._refuse(
                 spec, "isolated", DEFAULT_RETRY_AFTER_S, "the entry is cut off"
@@ -89,6 +104,8 @@
                     return self._submit_by_dispatcher(spec, key, value)
                 result = self._store.transact({key: Revision(0)}, (Put(key, value),))
                 break
+            except JobIdTaken:
+                raise
             except JayshuntError as error:
                 is_unknown = is_unknown or error.outcome is not Outcome.NOT_RUN
                 if self._store.failing_for_s() > 0 and not use_dispatcher:
@@ -111,24 +128,30 @@
         )
         return Accepted(True)
 
-    def state(self, job: JobId, timeout_s: float) -> JobState | None:
-        """Return a job's state, or None if it does not exist.
+    def is_outcome_unknown(self, job: JobId) -> bool:
+        """Return whether an earlier submission of a job may have been accepted."""
+        return job in self._unknown
+
+    def state(
+        self, job: JobId, caller: WorkspaceName, timeout_s: float
+    ) -> JobState | None:
+        """Return a job's state, or None if it does not exist for the caller.
 
         Read the store if the dispatcher does not know the job or can't be reached.
         Raise JayshuntError if neither answers.
         """
         try:
-            state = self._link.job_state(job, timeout_s / 2)
+            state = self._link.job_state(job, caller, timeout_s / 2)
         except JayshuntError as error:
             _LOGGER.info(
                 "entry: the dispatcher did not answer",
                 extra={"job": job, "reason": str(error)},
             )
             state = None
-        return self._stored_state(job) if state is None else state
+        return self._stored_state(job, caller) if state is None else state
 
-    def cancel(self, job: JobId, timeout_s: float) -> bool:
-        """Cancel a job; return False if it does not exist.
+    def cancel(self, job: JobId, caller: WorkspaceName, timeout_s: float) -> bool:
+        """Cancel a job; return False if it does not exist for the caller.
 
         Retry until `timeout_s` has passed, then raise the last JayshuntError.
         """
@@ -137,10 +160,13 @@
         while True:
             try:
                 if self._store.failing_for_s() > 0:
-                    return self._link.cancel(job, 0.0)
-                if self._store.get(accepted_key(job)) is None:
+                    return self._link.cancel(job, caller, 0.0)
+                item = self._store.get(accepted_key(job))
+                if item is None:
                     _LOGGER.info("entry: no such job to cancel", extra={"job": job})
                     return False
+                if not self._may_access(job, item.value, caller):
+                    return False
                 self._store.transact({key: Revision(0)}, (Put(key, b"{}"),))
                 break
             except JayshuntError:
@@ -156,7 +182,10 @@
         return self._link.waiting(queue, timeout_s)
 
     def _submit_by_dispatcher(self, spec: JobSpec, key: str, value: bytes) -> Accepted:
-        is_new = self._link.submit(key, value, 0.0)["is_new"]
+        answer = self._link.submit(key, value, 0.0)
+        is_new = answer["is_new"]
+        if answer.get("is_taken"):
+            self._refuse_taken(spec)
         _LOGGER.info(
             "entry: accepted by the dispatcher",
             extra={"job": spec.job, "queue": spec.queue, "is_new": is_new},
@@ -166,7 +195,9 @@
     def _refuse_unless_known(self, spec: JobSpec, retry_after_s: float) -> Accepted:
         """Raise JobRefused for a queue far behind, unless the job is already stored."""
         try:
-            if self._store.get(accepted_key(spec.job)) is not None:
+            item = self._store.get(accepted_key(spec.job))
+            if item is not None:
+                self._check_submitter(spec, item.value)
                 return Accepted(False)
         except StoreUnavailable as error:
             _LOGGER.info(
@@ -229,6 +260,8 @@
 
         The job is new if it was stored by a write of this call whose answer was lost.
         """
+        for item in conflicts:
+            self._check_submitter(spec, item.value)
         if is_unknown and conflicts and conflicts[0].value == value:
             self._link.notify_accepted(spec.job, value, conflicts[0].created)
             is_new = True
@@ -240,9 +273,9 @@
         )
         return Accepted(is_new)
 
-    def _stored_state(self, job: JobId) -> JobState | None:
+    def _stored_state(self, job: JobId, caller: WorkspaceName) -> JobState | None:
         item = self._store.get(accepted_key(job))
-        if item is None:
+        if item is None or not self._may_access(job, item.value, caller):
             return None
         # The dispatcher may have missed the notice; it ignores a job that it knows.
         self._link.notify_accepted(job, item.value, item.created)
@@ -251,3 +284,21 @@
         if not state.is_final and self._store.get(cancelled_key(job)) is not None:
             return JobState.CANCELLED
         return state
+
+    def _may_access(self, job: JobId, value: bytes, caller: WorkspaceName) -> bool:
+        """Return whether a caller may use a stored job; record it if not."""
+        if may_access(stored_workspace(value), caller):
+            return True
+        reason = RefusalReason.OTHER_WORKSPACE
+        self._refusals.record(reason, job=job, workspace=caller)
+        return False
+
+    def _check_submitter(self, spec: JobSpec, value: bytes) -> None:
+        """Raise JobIdTaken if a stored job is not the one that is submitted again."""
+        if not is_same_submitter(stored_workspace(value), spec.workspace):
+            self._refuse_taken(spec)
+
+    def _refuse_taken(self, spec: JobSpec) -> NoReturn:
+        reason = RefusalReason.ID_TAKEN
+        self._refusals.record(reason, job=spec.job, workspace=spec.workspace)
+        raise JobIdTaken
--- a/src/jayshunt/dispatch/errors.py
+++ b/src/jayshunt/dispatch/errors.py
@@ -31,6 +31,16 @@
         )
 
 
+class JobIdTaken(JayshuntError):
+    """Report that another submitter's job has the id; the submitted job never runs."""
+
+    def __init__(self) -> None:
+        """Set the detail, which does not tell whose job it is."""
+        super().__init__(
+            "id_taken", step="intake.accept", detail="the id belongs to another job"
+        )
+
+
 class AcceptUnknown(JayshuntError):
     """Report that a job may have been accepted, as a write's outcome is unknown."""
 
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -23,7 +23,7 @@
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import TermElection
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import JobId, LeaseId, QueueName
+from jayshunt.ids import JobId, LeaseId, QueueName, WorkspaceName
 from jayshunt.platform.store import PlatformStore
 
 _LOGGER = logging.getLogger(__name__)
@@ -73,9 +73,15 @@
             return 0.0
         return self._refusals.get(queue_name, 0.0)
 
-    def job_state(self, job: JobId, wait_s: float) -> JobState | None:
-        """Return a job's state; None if the dispatcher does not know the job."""
-        answer = self._call("job_state", {"job": job}, wait_s)
+    def job_state(
+        self, job: JobId, caller: WorkspaceName, wait_s: float
+    ) -> JobState | None:
+        """Return a job's state.
+
+        Return None if the dispatcher does not know the job or does not show it to the
+        caller's workspace.
+        """
+        answer = self._call("job_state", {"job": job, "workspace": caller}, wait_s)
         state = answer["state"]
         return None if state is None else JobState(state)
 
@@ -100,9 +106,13 @@
         """Store a job through the dispatcher when this entry can't reach the store."""
         return self._call("submit", {"key": key, "value": value.decode()}, wait_s)
 
-    def cancel(self, job: JobId, wait_s: float) -> bool:
-        """Cancel a job through the dispatcher; return False if it does not exist."""
-        return self._call("cancel", {"job": job}, wait_s)["found"]
+    def cancel(self, job: JobId, caller: WorkspaceName, wait_s: float) -> bool:
+        """Cancel a job through the dispatcher.
+
+        Return False if it does not exist for the caller's workspace.
+        """
+        body = {"job": job, "workspace": caller}
+        return self._call("cancel", body, wait_s)["found"]
 
     def is_reachable(self) -> bool:
         """Return whether the dispatcher answered a poll for refusals recently."""
@@ -264,7 +274,7 @@
     """Answer a call of any entry; runs on the entry that holds the term."""
     match call:
         case "job_state":
-            state = dispatcher.job_state(JobId(body["job"]))
+            state = dispatcher.job_state(JobId(body["job"]), _caller(body))
             return {"state": None if state is None else state.value}
         case "waiting":
             return {"waiting": dispatcher.count_waiting(QueueName(body["queue"]))}
@@ -273,7 +283,8 @@
         case "submit":
             return dispatcher.submit(body["key"], body["value"].encode())
         case "cancel":
-            return {"found": dispatcher.cancel_stored(JobId(body["job"]))}
+            found = dispatcher.cancel_stored(JobId(body["job"]), _caller(body))
+            return {"found": found}
         case "notices":
             for notice in body["notices"]:
                 _take_notice(dispatcher, notice)
@@ -282,6 +293,11 @@
             raise NoDispatcher(f"dispatch.{call}", detail="unknown call")
 
 
+def _caller(body: dict) -> WorkspaceName:
+    """Return the workspace for which an entry calls; older entries send none."""
+    return WorkspaceName(body.get("workspace", ""))
+
+
 def _take_notice(dispatcher: Dispatcher, notice: dict) -> None:
     job = JobId(notice["job"])
     match notice["kind"]:
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -4,6 +4,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from jayshunt.workspaces.models import RefusalReason
+
 # From an answer by a dispatcher on the same VM up to a caller's full timeout.
 ANSWER_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 # From an immediate start to a wait far beyond the objective of a job.
@@ -36,6 +38,12 @@
             buckets=WAIT_BUCKETS_S,
             registry=self._registry,
         )
+        self._key_refusals = Counter(
+            "jayshunt_key_refusals",
+            "Calls refused because of their key or of a job's owner.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._registry.register(_StateCollector(store, link))
 
     def observe_answer(self, method: str, status: int, took_s: float) -> None:
@@ -47,6 +55,10 @@
         """Record how long a task waited for its start."""
         self._wait_s.labels(pool).observe(waited_s)
 
+    def observe_key_refusal(self, reason: RefusalReason) -> None:
+        """Count a call that was refused because of its key or of a job's owner."""
+        self._key_refusals.labels(reason.value).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -101,6 +101,11 @@
     return spec, fields.get("accepted_at_s", 0.0)
 
 
+def stored_workspace(value: bytes) -> WorkspaceName:
+    """Decode only the owner of an accepted job, an empty name if it has none."""
+    return WorkspaceName(json.loads(value).get("workspace", ""))
+
+
 def decode_queue(value: bytes) -> QueueConfig:
     """Decode the settings of an accepted job's queue at the time of acceptance."""
     fields = json.loads(value)
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -40,6 +40,7 @@
 )
 from jayshunt.dispatch.tests.fakes import FakeStore
 from jayshunt.ids import EntryId, Revision
+from jayshunt.workspaces.const import NO_WORKSPACE
 
 
 class FakeDuties:
@@ -277,7 +278,7 @@
             raise self.submit_error
         return {"is_new": True}
 
-    def job_state(self, job, wait_s):
+    def job_state(self, job, caller, wait_s):
         """Return the state known to the dispatcher, or raise."""
         if self.state is None:
             raise NoDispatcher("test")
@@ -359,11 +360,13 @@
     def test_accepted_job_is_known_without_a_dispatcher(self) -> None:
         """A caller submits its job again if it is reported as nonexistent."""
         self.submit()
-        self.assertEqual(JobState.QUEUED, self.entry.state(self.spec.job, 0.1))
+        self.assertEqual(
+            JobState.QUEUED, self.entry.state(self.spec.job, NO_WORKSPACE, 0.1)
+        )
 
     def test_unknown_job_is_reported_as_such(self) -> None:
         """Only the store can decide that a job does not exist."""
-        self.assertIsNone(self.entry.state(self.spec.job, 0.1))
+        self.assertIsNone(self.entry.state(self.spec.job, NO_WORKSPACE, 0.1))
 
     def test_queue_far_behind_still_knows_its_jobs(self) -> None:
         """A repeated submission of an accepted job must not be refused."""
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import logging
+from dataclasses import replace
 
 from jayshunt.dispatch.models import (
     Address,
@@ -72,9 +73,9 @@
     """Decode a workspace; a malformed row is logged and ignored."""
     try:
         return Workspace(
-            workspace=WorkspaceName(_require_string(row["name"])),
+            workspace=WorkspaceName(_require_text(row["name"])),
             key_digests=frozenset(
-                digest_key(_require_string(key)) for key in row.get("apiKeys") or ()
+                digest_key(_require_text(key)) for key in _keys(row.get("apiKeys"))
             ),
             priority=int(row.get("priority", 0)),
             weight=float(row.get("weight", 1.0)),
@@ -89,10 +90,23 @@
         return None
 
 
+def _keys(value: object) -> list:
+    """Return the list of keys; a string would be read as keys of one character."""
+    if value is not None and not isinstance(value, list):
+        raise ValueError("the keys are not a list")
+    return value or []
+
+
 def _rows(rows: object) -> list[dict]:
-    """Return the rows of a list, or of a table keyed by the rows' names."""
+    """Return the rows of a list, or of a table keyed by the rows' names.
+
+    A row of another type is returned as it is, for the row's decoder to refuse.
+    """
     if isinstance(rows, dict):
-        return [{"name": name, **row} for name, row in rows.items()]
+        return [
+            {"name": name, **row} if isinstance(row, dict) else row
+            for name, row in rows.items()
+        ]
     return list(rows or ())
 
 
@@ -129,10 +143,16 @@
     )
 
 
-def decode_submission(job: JobId, queue: QueueName, body: bytes) -> JobSpec:
-    """Decode a submitted job; raise MalformedSubmission if that is impossible."""
+def decode_submission(
+    job: JobId,
+    queue: QueueName,
+    body: bytes,
+    workspace: WorkspaceName = WorkspaceName(""),
+) -> JobSpec:
+    """Decode a job of a workspace; raise MalformedSubmission if that is impossible."""
     try:
-        return job_from_fields(job, queue, json.loads(body))
+        spec = job_from_fields(job, queue, json.loads(body))
+        return replace(spec, workspace=workspace)
     except DECODE_ERRORS as error:
         raise MalformedSubmission(str(error)) from error
 
@@ -260,6 +280,13 @@
     return value
 
 
+def _require_text(value: object) -> str:
+    """Return a string; raise ValueError if it is empty or another type."""
+    if not _require_string(value):
+        raise ValueError("empty")
+    return value
+
+
 def decode_wave(value: bytes) -> Wave | None:
     """Decode a maintenance wave that the operator declared.
 
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -8,14 +8,21 @@
 from jayshunt.dispatch.entry import EntryJobService
 from jayshunt.dispatch.models import FleetConfig, QueueConfig
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import JobId
+from jayshunt.ids import JobId, WorkspaceName
 from jayshunt.platform.const import DEADLINE_HEADER
+from jayshunt.platform.credentials import (
+    AUTHORIZATION_FIELD,
+    CHALLENGE,
+    read_credential,
+)
 from jayshunt.platform.formats import (
     MalformedSubmission,
     decode_submission,
     is_job_id,
 )
 from jayshunt.serving.connection import IncomingRequest
+from jayshunt.workspaces.authentication import Authenticator, needs_key
+from jayshunt.workspaces.models import Caller, Identity, RefusalReason, Refused
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,15 +45,18 @@
         entry: EntryJobService,
         config: Callable[[], FleetConfig | None],
         observe: Callable[[str, int, float], None],
+        authenticator: Authenticator,
     ) -> None:
         """Create the application.
 
         `config` returns the configuration in force, None before the first one.
         `observe` is called with method, status and duration (s) of each response.
+        `authenticator` checks the keys of calls to queues that are not public.
         """
         self._entry = entry
         self._config = config
         self._observe = observe
+        self._authenticator = authenticator
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Handle one request.
@@ -79,6 +89,39 @@
             )
             return 404, {"error": "no such queue"}, []
         rest = path[len(queue.path_prefix) :].strip("/")
+        # Before anything else of the call is read, so that a caller without a key
+        # costs no decoding.
+        match self._identify(config, queue, request):
+            case Refused(reason):
+                return self._answer_refused(request.head.method, rest, reason)
+            case Caller(workspace):
+                return self._answer_caller(request, environ, queue, rest, workspace)
+
+    def _identify(
+        self, config: FleetConfig, queue: QueueConfig, request: IncomingRequest
+    ) -> Identity:
+        """Return who calls; on a public queue, a key is ignored."""
+        if not needs_key(config, queue):
+            return Caller()
+        credential = read_credential(request.head.values(AUTHORIZATION_FIELD))
+        return self._authenticator.check(config, credential)
+
+    def _answer_refused(self, method: str, rest: str, reason: RefusalReason) -> Answer:
+        if reason is not RefusalReason.UNCONFIRMED_CONFIG:
+            return 401, {"error": reason.value}, [CHALLENGE]
+        # A 503 means that the job never runs.
+        is_unknown = method == "POST" and self._entry.is_outcome_unknown(JobId(rest))
+        status = 504 if is_unknown else 503
+        return status, {"error": reason.value}, [("Retry-After", "1")]
+
+    def _answer_caller(
+        self,
+        request: IncomingRequest,
+        environ: dict,
+        queue: QueueConfig,
+        rest: str,
+        workspace: WorkspaceName,
+    ) -> Answer:
         timeout_s = _timeout_s(environ)
         if rest and not is_job_id(rest):
             return _answer_invalid_id(request.head.method)
@@ -86,21 +129,28 @@
             case "GET", "":
                 return self._waiting_count(queue, timeout_s)
             case "POST", job if job:
-                return self._submit(queue, JobId(job), request.body, timeout_s)
+                return self._submit(
+                    queue, JobId(job), workspace, request.body, timeout_s
+                )
             case "GET", job:
-                return self._state(JobId(job), timeout_s)
+                return self._state(JobId(job), workspace, timeout_s)
             case "DELETE", job:
-                return self._cancel(JobId(job), timeout_s)
+                return self._cancel(JobId(job), workspace, timeout_s)
         return 400, {"error": "a job id or another method is needed"}, []
 
     def _waiting_count(self, queue: QueueConfig, timeout_s: float) -> Answer:
         return 200, {"waiting": self._entry.waiting(queue.queue, timeout_s)}, []
 
     def _submit(
-        self, queue: QueueConfig, job: JobId, body: bytes, timeout_s: float
+        self,
+        queue: QueueConfig,
+        job: JobId,
+        workspace: WorkspaceName,
+        body: bytes,
+        timeout_s: float,
     ) -> Answer:
         try:
-            spec = decode_submission(job, queue.queue, body)
+            spec = decode_submission(job, queue.queue, body, workspace)
         except MalformedSubmission as error:
             _LOGGER.info(
                 "entry: malformed job", extra={"job": job, "reason": str(error)}
@@ -109,14 +159,14 @@
         self._entry.submit(spec, queue, timeout_s)
         return 200, {}, []
 
-    def _state(self, job: JobId, timeout_s: float) -> Answer:
-        state = self._entry.state(job, timeout_s)
+    def _state(self, job: JobId, workspace: WorkspaceName, timeout_s: float) -> Answer:
+        state = self._entry.state(job, workspace, timeout_s)
         if state is None:
             return 410, {"error": "no such job"}, []
         return 200, {"state": state.value}, []
 
-    def _cancel(self, job: JobId, timeout_s: float) -> Answer:
-        if self._entry.cancel(job, timeout_s):
+    def _cancel(self, job: JobId, workspace: WorkspaceName, timeout_s: float) -> Answer:
+        if self._entry.cancel(job, workspace, timeout_s):
             return 200, {}, []
         return 410, {"error": "no such job"}, []
 
@@ -152,4 +202,6 @@
         status = 504
     elif error.code == "queue_behind":
         status = 429
+    elif error.code == "id_taken":
+        status = 409
     return status, {"error": error.code, "detail": error.detail}, headers
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -275,7 +275,9 @@
         except DECODE_ERRORS as error:
             self._record_failure(time.monotonic())
             failure = StoreOutcomeUnknown if is_write else StoreUnavailable
-            detail = f"malformed response: {error!r}"
+            # The representation of a UnicodeDecodeError holds the whole response,
+            # which may be the configuration with its keys.
+            detail = f"malformed response: {type(error).__name__}: {error}"
             raise failure(f"store.{call}", self._peer, detail) from error
 
 
--- a/src/jayshunt/platform/tests/test_formats.py
+++ b/src/jayshunt/platform/tests/test_formats.py
@@ -11,6 +11,7 @@
     decode_submission,
     decode_wave,
     decode_worker,
+    digest_key,
     is_job_id,
 )
 from jayshunt.platform.settings import InvalidSettings, decode_settings
@@ -151,6 +152,30 @@
         self.assertEqual("a", config.queue_of("h", "/x/z").queue)
         self.assertIsNone(config.queue_of("other", "/x/z"))
 
+    def test_malformed_workspace_has_no_keys(self) -> None:
+        """A string read as a list of keys would accept keys of one character."""
+        good = {"name": "river", "apiKeys": ["k-1"]}
+        bad = [
+            {"name": "b", "apiKeys": "k-secret"},
+            {"name": "b", "apiKeys": ["k-secret", ""]},
+            {"name": "", "apiKeys": ["k-secret"]},
+            {"apiKeys": ["k-secret"]},
+            {"name": "b", "apiKeys": ["k-secret\ud800"]},
+            "k-secret",
+        ]
+        with self.assertLogs("jayshunt.platform.formats", "ERROR") as logs:
+            config = decode_config(
+                json.dumps({"version": 1, "tenants": [*bad, good]}).encode()
+            )
+            tables = {"x": "k-secret", "river": {"apiKeys": ["k-1"]}}
+            named = decode_config(
+                json.dumps({"version": 1, "tenants": tables}).encode()
+            )
+        self.assertEqual(config.workspaces, named.workspaces)
+        (workspace,) = config.workspaces
+        self.assertEqual(frozenset({digest_key("k-1")}), workspace.key_digests)
+        self.assertNotIn("k-secret", repr([vars(record) for record in logs.records]))
+
     def test_wave_that_cannot_be_read_is_left_out(self) -> None:
         """A malformed wave of another program must not stop the valid ones."""
         for value in (b"{}", b"[]", b'{"wave":1e999,"machines":[]}', DEEP_JSON):
--- a/src/jayshunt/platform/tests/test_front_api.py
+++ b/src/jayshunt/platform/tests/test_front_api.py
@@ -4,14 +4,23 @@
 import unittest
 
 from jayshunt import http_client
+from jayshunt.clock import ManualClock
 from jayshunt.dispatch.entry import Accepted
-from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
+from jayshunt.dispatch.errors import AcceptUnknown, JobIdTaken, JobRefused
 from jayshunt.dispatch.models import JobState
 from jayshunt.dispatch.tests.builders import build_config, build_queue
 from jayshunt.platform.front_api import FrontApi
 from jayshunt.platform.tests.scripted_server import HOST
 from jayshunt.serving.http_server import HttpServer
 from jayshunt.serving.limits import ServerLimits
+from jayshunt.workspaces.const import NO_WORKSPACE
+from jayshunt.workspaces.tests.builders import (
+    RIVER,
+    RIVER_KEY,
+    STRICT,
+    build_authenticator,
+    build_keyed_config,
+)
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -23,25 +32,34 @@
         """Start by accepting every job."""
         self.error: Exception | None = None
         self.job_state: JobState | None = JobState.RUNNING
+        self.callers: list = []
+        self.is_unknown = False
 
     def submit(self, spec, queue, timeout_s) -> Accepted:
         """Accept the job, or raise `error` if it is set."""
         if self.error is not None:
             raise self.error
+        self.callers.append(spec.workspace)
         return Accepted(True)
 
-    def state(self, job, timeout_s):
+    def state(self, job, caller, timeout_s):
         """Return the state of the job, or None if it is unknown."""
+        self.callers.append(caller)
         return self.job_state
 
-    def cancel(self, job, timeout_s) -> bool:
+    def cancel(self, job, caller, timeout_s) -> bool:
         """Return whether the job is known."""
+        self.callers.append(caller)
         return self.job_state is not None
 
     def waiting(self, queue, timeout_s) -> int:
         """Return a fixed count."""
         return 12
 
+    def is_outcome_unknown(self, job) -> bool:
+        """Return whether an earlier submission may have been accepted."""
+        return self.is_unknown
+
 
 class FrontTest(unittest.TestCase):
     """Test the HTTP API for callers."""
@@ -51,10 +69,13 @@
         self.entry = FakeEntry()
         self.config = build_config()
         self.observed: list = []
+        self.headers: dict[str, str] = {}
+        self.authenticator = build_authenticator(ManualClock())
         api = FrontApi(
             self.entry,
             lambda: self.config,
             lambda *answer: self.observed.append(answer),
+            self.authenticator,
         )
         limits = ServerLimits(drain_grace_s=0.0, drain_timeout_s=1.0)
         self.server = HttpServer(HOST, 0, api, limits)
@@ -67,7 +88,7 @@
             method,
             f"http://{HOST}:{self.server.server_address[1]}{path}",
             body=body,
-            headers={"Host": build_queue().host},
+            headers={"Host": build_queue().host, **self.headers},
             timeout_s=2.0,
             step="test",
         )
@@ -114,6 +135,48 @@
         self.config = None
         self.assertEqual(503, self.submit().status)
 
+    def test_calls_without_a_valid_key(self) -> None:
+        """Each call must be refused before its body is read and its job looked up."""
+        self.config = build_keyed_config(1, river=RIVER_KEY)
+        for value in (None, "Token ", f"Bearer {RIVER_KEY}", "Token other"):
+            self.headers = {} if value is None else {"Authorization": value}
+            for method, path, body in (
+                ("POST", f"/quotes/{JOB}", b"["),
+                ("POST", "/quotes/odd", b"{}"),
+                ("GET", f"/quotes/{JOB}", None),
+                ("GET", "/quotes/", None),
+                ("DELETE", f"/quotes/{JOB}", None),
+            ):
+                answer = self.call(method, path, body)
+                self.assertEqual(401, answer.status, (value, method))
+                self.assertEqual("Token", answer.headers["www-authenticate"])
+        self.assertEqual(404, self.call("GET", "/other/").status)
+        self.assertEqual([], self.entry.callers)
+
+    def test_jobs_belong_to_the_workspace_of_the_key(self) -> None:
+        """Without the workspace, any key would show any job."""
+        self.headers = {"Authorization": f"Token {RIVER_KEY}"}
+        for is_public, workspace in ((False, RIVER), (True, NO_WORKSPACE)):
+            self.config = build_keyed_config(1, is_public, river=RIVER_KEY)
+            self.entry.callers.clear()
+            self.assertEqual(200, self.submit().status)
+            self.assertEqual(200, self.call("GET", f"/quotes/{JOB}").status)
+            self.assertEqual(200, self.call("DELETE", f"/quotes/{JOB}").status)
+            self.assertEqual([workspace] * 3, self.entry.callers)
+        self.entry.error = JobIdTaken()
+        self.assertEqual(409, self.submit().status)
+
+    def test_unconfirmed_configuration(self) -> None:
+        """A 503 tells the caller that its job never runs, which must be true."""
+        self.authenticator._policy = build_authenticator(ManualClock(), STRICT)._policy
+        self.config = build_keyed_config(1, river=RIVER_KEY)
+        self.headers = {"Authorization": f"Token {RIVER_KEY}"}
+        self.assertEqual(503, self.call("GET", f"/quotes/{JOB}").status)
+        self.assertEqual(503, self.submit().status)
+        self.entry.is_unknown = True
+        self.assertEqual(504, self.submit().status)
+        self.assertEqual([], self.entry.callers)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -28,6 +28,8 @@
 from jayshunt.serving.http_server import HttpServer
 from jayshunt.serving.limits import ServerLimits
 from jayshunt.tasks import TaskGroup
+from jayshunt.workspaces.authentication import Authenticator
+from jayshunt.workspaces.refusals import RefusalLog
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -78,12 +80,21 @@
             self._election, self._link, self._store, self._clock
         )
         self._metrics = EntryMetrics(self._store, self._link)
-        self._job_service = EntryJobService(self._store, self._link, self._clock)
+        refusals = RefusalLog(self._clock, self._metrics.observe_key_refusal)
+        self._authenticator = Authenticator(
+            node.bounds, self._clock, lambda: self._config.read_s, refusals
+        )
+        self._job_service = EntryJobService(
+            self._store, self._link, self._clock, refusals
+        )
         self._tasks = TaskGroup("entry")
         self._front_server = _build_server(
             node.front,
             FrontApi(
-                self._job_service, self._config.current, self._metrics.observe_answer
+                self._job_service,
+                self._config.current,
+                self._metrics.observe_answer,
+                self._authenticator,
             ),
             CALLER_LIMITS,
         )
@@ -154,7 +165,9 @@
         threading.Thread(target=self._election.resign, daemon=True).start()
 
     def _dump(self) -> dict:
-        return describe(self._node, self._config, self._election, self._link)
+        return describe(
+            self._node, self._config, self._election, self._link, self._authenticator
+        )
 
 
 def _connect_worker(worker: Worker, token: int) -> WorkerClient:
--- a/src/jayshunt/serving/head.py
+++ b/src/jayshunt/serving/head.py
@@ -63,7 +63,7 @@
         raise request_error(
             "head_too_large", f"more than {MAX_HEADER_COUNT} header fields"
         )
-    headers = tuple(_parse_field(line) for line in lines)
+    headers = tuple(_parse_field(n, line) for n, line in enumerate(lines, start=1))
     fields: dict[str, list[str]] = {}
     for name, value in headers:
         fields.setdefault(name.lower(), []).append(value)
@@ -113,11 +113,12 @@
     return method, target, int(minor)
 
 
-def _parse_field(line: str) -> tuple[str, str]:
+def _parse_field(number: int, line: str) -> tuple[str, str]:
     match = _FIELD.fullmatch(line)
     if match is None:
         reason = "line folding" if line[:1] in " \t" else "not NAME: VALUE"
-        raise _bad_request(f"header field {line[:40]!r} is invalid: {reason}")
+        # The line is not quoted, as it may hold a caller's key.
+        raise _bad_request(f"header field {number} is invalid: {reason}")
     return match.group(1), match.group(2)
 
 
