Extrapolate a rise of demand by the time that a VM takes to arrive

Change: the rise between two spans of a second, less two standard errors, is continued for the time of a move, up to three times the present rate.

--- a/src/jayshunt/forecast/arrivals.py
+++ b/src/jayshunt/forecast/arrivals.py
@@ -4,6 +4,7 @@
 their mean demand, and get a twentieth of it in between.
 """
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -11,9 +12,13 @@
     BIN_S,
     HIGH_FACTOR,
     HISTORY_S,
+    LEAD_S,
+    MAX_TREND_FACTOR,
     MIN_ARRIVALS,
     MIN_TURN_BINS,
     SMOOTH_BINS,
+    TREND_BINS,
+    TREND_STANDARD_ERRORS,
 )
 from jayshunt.forecast.models import Turn
 from jayshunt.ids import PoolName
@@ -54,6 +59,29 @@
             for number in [n for n in bins if n < oldest]:
                 del bins[number]
 
+    def rising_millicores(self, pool: PoolName, now_s: float) -> float:
+        """Return the demand `LEAD_S` from now if its present rise goes on, 0 if none.
+
+        The rate is extrapolated in jobs, because the work of single jobs differs by
+        more than an order of magnitude, and multiplied by the mean work of a job.
+        """
+        bins = self.bins.get(pool)
+        if not bins:
+            return 0.0
+        last = int(now_s // BIN_S) - 1
+        recent = _count_jobs(bins, last - TREND_BINS + 1, last)
+        before = _count_jobs(bins, last - 2 * TREND_BINS + 1, last - TREND_BINS)
+        rise = recent - before - TREND_STANDARD_ERRORS * math.sqrt(recent + before)
+        if rise <= 0:
+            return 0.0
+        span_s = TREND_BINS * BIN_S
+        # The recent rate is that of the middle of its span.
+        ahead_spans = (now_s - (last + 1) * BIN_S + LEAD_S) / span_s + 0.5
+        jobs = min(recent + rise * ahead_spans, MAX_TREND_FACTOR * recent)
+        total_jobs = sum(arrived.jobs for arrived in bins.values())
+        mean_work = sum(arrived.work for arrived in bins.values()) / total_jobs
+        return jobs / span_s * mean_work
+
     def find_turns(self, now_s: float) -> list[Turn]:
         """Return the turns of all pools, by start.
 
@@ -71,6 +99,10 @@
         return sorted(turns, key=lambda turn: (turn.start_s, turn.pool))
 
 
+def _count_jobs(bins: dict[int, _Bin], first: int, last: int) -> int:
+    return sum(bins[n].jobs for n in range(first, last + 1) if n in bins)
+
+
 def _find_turns_of_pool(
     pool: PoolName, bins: dict[int, _Bin], first: int, last: int
 ) -> list[Turn]:
--- a/src/jayshunt/forecast/const.py
+++ b/src/jayshunt/forecast/const.py
@@ -31,5 +31,13 @@
 LEAD_S = 2.0
 # A forecast turn that has not begun this long after its start is given up.
 OVERDUE_S = 1.0
+# The trend compares two spans of this many bins.
+TREND_BINS = 2
+# A rise counts as far as it exceeds this many standard errors, so that steady demand
+# seems to rise in 2% of the comparisons.
+TREND_STANDARD_ERRORS = 2.0
+# A rise is extrapolated to at most this multiple of the present rate.
+MAX_TREND_FACTOR = 3.0
+
 # How often the forecast is computed anew.
 REFRESH_S = 0.25
--- a/src/jayshunt/forecast/forecaster.py
+++ b/src/jayshunt/forecast/forecaster.py
@@ -36,6 +36,12 @@
         0 means that none is forecast, and only the demand that is there counts.
         """
         self._refresh(now_s)
+        return max(
+            self._turn_millicores(pool, now_s),
+            self.history.rising_millicores(pool, now_s),
+        )
+
+    def _turn_millicores(self, pool: PoolName, now_s: float) -> float:
         forecast = self.forecasts.get(pool)
         if forecast is None:
             return 0.0
--- a/src/jayshunt/forecast/tests/test_forecast.py
+++ b/src/jayshunt/forecast/tests/test_forecast.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from jayshunt.forecast.const import LEAD_S
+from jayshunt.forecast.arrivals import ArrivalHistory
+from jayshunt.forecast.const import BIN_S, LEAD_S
 from jayshunt.forecast.forecaster import DemandForecaster
 from jayshunt.forecast.tests.builders import (
     HIGH_PER_S,
@@ -124,6 +125,29 @@
         self.assertLess(forecast, static)
         self.assertLess(hindsight, forecast)
 
+    def test_rise_is_extrapolated_by_the_time_of_a_move(self) -> None:
+        """Callers of a queue whose demand rises for seconds wait for late VMs."""
+        history = ArrivalHistory()
+        for number, jobs in enumerate((5, 5, 15, 30, 45, 60)):
+            for job in range(jobs):
+                at_s = number * BIN_S + job * BIN_S / jobs
+                history.record(POOLS[0], at_s, WORK)
+        now_s = 6 * BIN_S
+        present = 105 * WORK
+        self.assertGreater(history.rising_millicores(POOLS[0], now_s), 1.5 * present)
+        self.assertLessEqual(history.rising_millicores(POOLS[0], now_s), 3 * present)
+
+    def test_steady_demand_seldom_seems_to_rise(self) -> None:
+        """A rise seen in chance would fetch VMs again and again."""
+        turns = build_turns([60.0], POOLS[:1])
+        rises = 0
+        for seed in range(20):
+            history = build_history(turns, 50.0, seed)
+            rises += sum(
+                history.rising_millicores(POOLS[0], 10.0 + n) > 0 for n in range(40)
+            )
+        self.assertLess(rises, 0.05 * 800)
+
     def test_irregular_turns_cost_no_more_than_without_a_forecast(self) -> None:
         """A surprise must not starve callers more than reaction alone."""
         turns = build_turns([2.0, 9.0, 3.5, 12.0, 2.0, 7.0])
