Hold back tasks that would exceed the limit of their workspace

Nothing enforced maxCount: a workspace could take every worker of a pool.

The run tracker keeps the resources of all runs that may exist as a sum by workspace, updated where a task is placed on a worker or released and where a stray run is reported, so that a round does not go over all tasks. A gate of the placement round (workspaces/limits.py) compares it with the limit in force. While workers of earlier terms have not answered, the smaller of the inherited tasks without a known run and the capacity of these workers counts too; after a graceful end of a term, the tasks that its handoff names. The handoff therefore lists stray runs as well.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -260,7 +260,7 @@
         )
         session = WorkerSession(view, worker_api, context)
         with self.lock:
-            self.tracker.workers[view.worker.worker] = view
+            self.tracker.add_view(view)
             self._remove_ended_sessions()
             self.sessions[view.worker.worker] = session
         self._worker_loop.spawn(session.run_polls, restarts=True)
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -5,9 +5,16 @@
 
 from jayshunt.dispatch.const import CLOCK_SKEW, FAILURES_SET_ASIDE, SET_ASIDE_S
 from jayshunt.dispatch.free_capacity import CandidateWorker, Load
-from jayshunt.dispatch.models import Resources, RunReport, Worker, WorkerState
+from jayshunt.dispatch.models import (
+    Resources,
+    RunReport,
+    TaskKey,
+    Worker,
+    WorkerState,
+)
 from jayshunt.dispatch.tasks import Task
-from jayshunt.ids import JobId
+from jayshunt.ids import JobId, WorkspaceName
+from jayshunt.workspaces.usage import WorkspaceUsage
 
 # No other task is started beside a suspect of a crash for this long.
 PROBATION_S = 0.3
@@ -41,10 +48,20 @@
 
 @dataclass(slots=True)
 class StrayRun:
-    """Represent a reported run that isn't its task's current one; it is stopped."""
+    """Represent a reported run that isn't its task's current one; it is stopped.
+
+    It counts with `resources` as used by `workspace`, None if its job is unknown.
+    """
 
     run: int
     reserved: Resources
+    resources: Resources
+    workspace: WorkspaceName | None
+
+    @classmethod
+    def of_task(cls, task: Task, run: int) -> "StrayRun":
+        """Return a stray run of a known task."""
+        return cls(run, task.spec.reserved, task.spec.resources, task.workspace)
 
 
 @dataclass
@@ -66,7 +83,8 @@
     ends that are not yet acknowledged. `clock_ms` is the worker's clock in its last
     answer, which was received at `clock_received_s`. `failed_jobs` are the jobs with
     a failed run since the last successful one. `is_listed` is False once the worker
-    left the platform's worker list.
+    left the platform's worker list. `usage` is that of the tracker to which the worker
+    was added.
     """
 
     worker: Worker
@@ -91,6 +109,7 @@
     failed_jobs: list[JobId] = field(default_factory=list)
     last_done_s: float | None = None
     evacuation_reason: object | None = None
+    usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
 
     @property
     def is_draining(self) -> bool:
@@ -120,6 +139,7 @@
         task.worker, task.vm = self.worker.worker, self.worker.vm
         if task.key not in self.tasks:
             self.load.add(task)
+            self.usage.add(task.workspace, task.spec.resources)
         self.tasks[task.key] = task
         if task.is_suspect:
             self.suspects[task.key] = task
@@ -129,6 +149,31 @@
         self.suspects.pop(task.key, None)
         if self.tasks.pop(task.key, None) is not None:
             self.load.remove(task)
+            self.usage.remove(task.workspace, task.spec.resources)
+
+    def detach(self) -> None:
+        """Stop counting the worker, whose runs have all certainly ended.
+
+        What is still reported late no longer runs.
+        """
+        for task in list(self.tasks.values()):
+            self.release(task)
+        self.clear_strays()
+        self.usage = WorkspaceUsage()
+
+    def add_stray(self, key: TaskKey, stray: StrayRun) -> None:
+        """Add a stray run of a task."""
+        before = self.strays.get((key, stray.run))
+        if before is not None:
+            self.usage.remove(before.workspace, before.resources)
+        self.strays[key, stray.run] = stray
+        self.usage.add(stray.workspace, stray.resources)
+
+    def clear_strays(self) -> None:
+        """Remove all stray runs, of which a report shows those that are still there."""
+        for stray in self.strays.values():
+            self.usage.remove(stray.workspace, stray.resources)
+        self.strays.clear()
 
     def probation_weight(self, now_s: float) -> int:
         """Return the weight of the suspects whose start may still crash the worker."""
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -15,13 +15,15 @@
 from jayshunt.dispatch.messages import PaceTask, StartTask
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
-from jayshunt.dispatch.placement_policy import PlacementPolicy
+from jayshunt.dispatch.placement_policy import PlacementPolicy, StartGate
 from jayshunt.dispatch.placing import plan_placements, prioritize_jobs
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
 from jayshunt.ids import PoolName, QueueName
+from jayshunt.workspaces.control import WorkspaceControl
+from jayshunt.workspaces.limits import WorkspaceLimits
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -69,6 +71,8 @@
         self._refusals: dict[QueueName, float] = {}
         self._refusals_until_s = 0.0
         self.knows_all_runs = False
+        self.workspaces = WorkspaceControl(dispatcher, config)
+        self._silent: list[WorkerView] | None = None
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self.tickets = TicketCache(
@@ -157,11 +161,13 @@
             starts = []
             jobs = due_jobs(jobs)
             candidates = self._candidates({job.config.pool for job in jobs}, now_s)
-            plan = partial(plan_placements, policy=self._policy())
+            gate = self.start_gate(now_s)
+            plan = partial(plan_placements, policy=self._policy(gate))
             for placement in self.tickets.place(
                 jobs, candidates, now_s, may_start, plan
             ):
                 starts.append(self._start_run(placement.task, placement.worker, now_s))
+            self.workspaces.record_round(gate, now_s)
             pace_changes = self._pace_changes(now_s)
         for session, item in [*starts, *pace_changes]:
             if isinstance(item, StartTask):
@@ -169,9 +175,13 @@
             else:
                 session.orders.pace(item)
 
-    def _policy(self) -> PlacementPolicy:
+    def start_gate(self, now_s: float) -> WorkspaceLimits:
+        """Return what the limits of workspaces allow to start now."""
+        return self.workspaces.start_gate(self._silent, now_s)
+
+    def _policy(self, gate: StartGate) -> PlacementPolicy:
         """Return the placement policy of one round."""
-        return PlacementPolicy(prioritize_jobs)
+        return PlacementPolicy(prioritize_jobs, gate)
 
     def _create_due_tasks(self, jobs: list[Job]) -> None:
         """Create the tasks of scheduled jobs whose time has come."""
@@ -257,6 +267,7 @@
             self.knows_all_runs = is_over or (silent is not None and not silent)
             if self.knows_all_runs:
                 _LOGGER.info("dispatch: all runs of earlier terms are known")
+        self._silent = [] if self.knows_all_runs else silent
         if self.knows_all_runs:
             return lambda job: True
         if silent is None:
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -64,7 +64,7 @@
                 self._apply_end(view, end, now_s)
         stops: list[StopOrder] = []
         reported: set[tuple[TaskKey, int]] = set()
-        view.strays = {}
+        view.clear_strays()
         for row in answer.running:
             reported.add((row.task, row.run))
             stop = self._apply_running(view, row, now_s)
@@ -81,7 +81,8 @@
         worker = view.worker.worker
         if task is None:
             # Its size is unknown, so the worker has no room until it is stopped.
-            view.strays[row.task, row.run] = StrayRun(row.run, view.worker.capacity)
+            capacity = view.worker.capacity
+            view.add_stray(row.task, StrayRun(row.run, capacity, capacity, None))
             self._tracker.counts["unknown_run"] += 1
             return StopOrder(worker, row.task, row.run)
         job.has_started = True
@@ -98,7 +99,7 @@
             view.place(task)
             self._update_running(task, row, now_s)
             return None
-        view.strays[row.task, row.run] = StrayRun(row.run, task.spec.reserved)
+        view.add_stray(row.task, StrayRun.of_task(task, row.run))
         return StopOrder(worker, row.task, row.run)
 
     def _update_running(self, task: Task, row: RunningRun, now_s: float) -> None:
@@ -184,8 +185,7 @@
             return
         other.release(task)
         if other is not view or task.run != run:
-            stray = StrayRun(task.run, task.spec.reserved)
-            other.strays[task.key, task.run] = stray
+            other.add_stray(task.key, StrayRun.of_task(task, task.run))
 
     def _finish(self, job: Job, task: Task, now_s: float) -> None:
         if self._tracker.on_task_done is not None and task.running_s is not None:
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -18,6 +18,7 @@
 from jayshunt.dispatch.run_reports import RunReports, StopOrder
 from jayshunt.dispatch.tasks import Job, Task, TaskPhase
 from jayshunt.ids import JobId, Revision, WorkerId
+from jayshunt.workspaces.usage import WorkspaceUsage
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -39,7 +40,8 @@
     (start_withheld), reports of runs of unknown tasks (unknown_run), runs that ended
     with their worker (lost) and ended workers by cause (worker_ and the name of a
     `WorkerEnd`). `on_task_done` is called with the job, the task and the time before a
-    task that was running is marked as done.
+    task that was running is marked as done. `usage` sums the runs on all workers by
+    workspace.
     """
 
     token: Revision
@@ -52,6 +54,7 @@
     counts: Counter = field(default_factory=Counter)
     ended_incarnations: set[tuple[WorkerId, int]] = field(default_factory=set)
     on_task_done: Callable[[Job, Task, float], None] | None = None
+    usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
     crashes: CrashTracker = field(init=False)
     _reports: RunReports = field(init=False, repr=False, compare=False)
 
@@ -60,6 +63,11 @@
         self.crashes = CrashTracker(self.jobs, self.counts, self.mark_dirty)
         self._reports = RunReports(self)
 
+    def add_view(self, view: WorkerView) -> None:
+        """Add a worker on which no run is known yet."""
+        view.usage = self.usage
+        self.workers[view.worker.worker] = view
+
     # --- jobs ---
 
     def add_job(self, job: Job) -> bool:
@@ -178,7 +186,7 @@
         for task in tasks:
             self.unplace(task, now_s)
         view.pending.clear()
-        view.strays.clear()
+        view.detach()
         if self.workers.get(view.worker.worker) is view:
             del self.workers[view.worker.worker]
 
@@ -202,12 +210,14 @@
     def unresolved_tasks(self) -> dict[WorkerId, list[str]]:
         """Return, by worker, the tasks that may run there and jobs with unstored ends.
 
-        A successor learns of an unstored end only from the worker, so it must not
-        continue the job before that worker has answered.
+        Tasks with stray runs there are included. A successor learns of an unstored end
+        only from the worker, so it must not continue the job before that worker has
+        answered.
         """
         left: dict[WorkerId, list[str]] = {}
         for worker, view in self.workers.items():
             names = [task.key.name for task in view.tasks.values()]
+            names += [key.name for key, _ in view.strays]
             names += [
                 end.job
                 for end in view.pending
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -5,7 +5,7 @@
 
 from jayshunt.dispatch.crash_models import NO_CRASHES, CrashCounts, RunAtRisk
 from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig, StepSpec, TaskKey
-from jayshunt.ids import Revision, VmId, WorkerId
+from jayshunt.ids import Revision, VmId, WorkerId, WorkspaceName
 
 # Allows for clock differences between VMs: a task must not start before its time.
 DUE_MARGIN_MS = 20
@@ -49,7 +49,8 @@
     from other tasks. `run_at_risk` is stored with the job's progress, so that a later
     term learns of the current run; it is None for a run that cannot have crashed its
     worker. `unsettled_runs` are earlier runs, also of earlier terms, of which it is not
-    known yet whether their workers crashed. `vm` is that of `worker`.
+    known yet whether their workers crashed. `vm` is that of `worker`, and `workspace`
+    owns the job.
     """
 
     key: TaskKey
@@ -74,6 +75,7 @@
     run_at_risk: RunAtRisk | None = None
     unsettled_runs: tuple[RunAtRisk, ...] = ()
     vm: VmId | None = None
+    workspace: WorkspaceName = WorkspaceName("")
 
     @property
     def failures(self) -> int:
@@ -219,6 +221,7 @@
                     TaskKey(self.spec.job, occurrence, number, index),
                     step,
                     waiting_since_s=self.accepted_s,
+                    workspace=self.spec.workspace,
                 )
                 for index in range(step.task_count)
             ]
--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -168,7 +168,7 @@
     view = WorkerView(build_worker(name, **changes), first_seen_s=0.0)
     view.last_answer_s = last_answer_s
     view.record_clock(0, 0.0)
-    tracker.workers[view.worker.worker] = view
+    tracker.add_view(view)
     return view
 
 
--- a/src/jayshunt/dispatch/tests/crash_simulation.py
+++ b/src/jayshunt/dispatch/tests/crash_simulation.py
@@ -117,7 +117,7 @@
         worker = build_worker(vm.worker, vm=VmId(vm.vm), started_ms=vm.life + 1)
         view = WorkerView(worker, self.now_s)
         view.record_clock(0, self.now_s)
-        self.tracker.workers[worker.worker] = view
+        self.tracker.add_view(view)
 
     def _advance(self, vm: CrashingVm) -> None:
         if vm.back_s is not None and self.now_s >= vm.back_s:
--- a/src/jayshunt/dispatch/tests/test_interleavings.py
+++ b/src/jayshunt/dispatch/tests/test_interleavings.py
@@ -74,7 +74,7 @@
         """Add a worker to the current term."""
         view = WorkerView(build_worker(name), self.now_s)
         view.lease_end_s = self.blocked_until_s
-        self.tracker.workers[view.worker.worker] = view
+        self.tracker.add_view(view)
         return view
 
     def step(self) -> None:
--- /dev/null
+++ b/src/jayshunt/workspaces/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the decisions about workspaces."""
