Add an order of service under overload

Under overload jobs were placed by deadline, so that each began at the last moment and any delay made it late; a wide job got a part of its cores in time and wasted them.

With `overload_order` on, jobs that are safely in time (with spare time for variations of run times and for missing room) come first: by priority, those already begun first, then small ones, then by deadline. Large jobs and queues that are behind their share go before the others. Jobs that can only be late follow, and useless ones come last. Off, the order is as before.

--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -2,6 +2,8 @@
 
 from dataclasses import asdict
 
+from jayshunt.overload.diagnostics import describe_order
+
 
 def describe(node, config, election, link) -> dict:
     """Return this entry's view of the term, and its own dispatcher's state if any."""
@@ -43,6 +45,7 @@
                 }
                 for view in tracker.workers.values()
             ],
+            "service_order": describe_order(dispatcher.planner.service_order),
             "waves": {
                 number: {"done": sorted(state.done), "completed": state.is_completed}
                 for number, state in dispatcher.fleet.waves.states.items()
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -96,3 +96,13 @@
     active = GaugeMetricFamily("jayshunt_jobs_active", "Jobs that have not ended.")
     active.add_metric([], len(dispatcher.tracker.active))
     yield active
+    order = dispatcher.planner.service_order
+    if order is not None:
+        prospects = GaugeMetricFamily(
+            "jayshunt_jobs_waiting",
+            "Jobs with a waiting task by how they can still end.",
+            labels=["prospect"],
+        )
+        for prospect, count in order.prospects.items():
+            prospects.add_metric([prospect.name.lower()], count)
+        yield prospects
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -22,6 +22,8 @@
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
 from jayshunt.ids import PoolName, QueueName
+from jayshunt.overload.diagnostics import OrderLog, rooms_of
+from jayshunt.overload.service_order import ServiceOrder
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -69,6 +71,8 @@
         self._refusals: dict[QueueName, float] = {}
         self._refusals_until_s = 0.0
         self.knows_all_runs = False
+        self.service_order = ServiceOrder() if features.overload_order else None
+        self._order_log = OrderLog()
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self.tickets = TicketCache(
@@ -157,6 +161,9 @@
             starts = []
             jobs = due_jobs(jobs)
             candidates = self._candidates({job.config.pool for job in jobs}, now_s)
+            if self.service_order is not None:
+                self.service_order.begin_round(jobs, rooms_of(candidates), now_s)
+                self._order_log.write(self.service_order, now_s)
             plan = partial(plan_placements, policy=self._policy())
             for placement in self.tickets.place(
                 jobs, candidates, now_s, may_start, plan
@@ -171,6 +178,8 @@
 
     def _policy(self) -> PlacementPolicy:
         """Return the placement policy of one round."""
+        if self.service_order is not None:
+            return PlacementPolicy(self.service_order.order)
         return PlacementPolicy(prioritize_jobs)
 
     def _create_due_tasks(self, jobs: list[Job]) -> None:
--- /dev/null
+++ b/src/jayshunt/overload/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the decisions under overload."""
