--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -2,6 +2,8 @@
 
 from dataclasses import asdict
 
+from jayshunt.overload.diagnostics import describe_order
+
 
 def describe(node, config, election, link, authenticator) -> dict:
     """Return this entry's view of term and keys, and its own dispatcher's state."""
@@ -44,6 +46,7 @@
                 }
                 for view in tracker.workers.values()
             ],
+            "service_order": describe_order(dispatcher.planner.service_order),
             "waves": {
                 number: {"done": sorted(state.done), "completed": state.is_completed}
                 for number, state in dispatcher.fleet.waves.states.items()
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -22,6 +22,8 @@
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
 from jayshunt.ids import PoolName, QueueName
+from jayshunt.overload.diagnostics import OrderLog, rooms_of
+from jayshunt.overload.service_order import ServiceOrder
 from jayshunt.workspaces.control import WorkspaceControl
 from jayshunt.workspaces.limits import WorkspaceLimits
 
@@ -73,6 +75,8 @@
         self.knows_all_runs = False
         self.workspaces = WorkspaceControl(dispatcher, config)
         self._silent: list[WorkerView] | None = None
+        self.service_order = ServiceOrder() if features.overload_order else None
+        self._order_log = OrderLog()
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self.tickets = TicketCache(
@@ -161,6 +165,9 @@
             starts = []
             jobs = due_jobs(jobs)
             candidates = self._candidates({job.config.pool for job in jobs}, now_s)
+            if self.service_order is not None:
+                self.service_order.begin_round(jobs, rooms_of(candidates), now_s)
+                self._order_log.write(self.service_order, now_s)
             gate = self.start_gate(now_s)
             plan = partial(plan_placements, policy=self._policy(gate))
             for placement in self.tickets.place(
@@ -181,7 +188,9 @@
 
     def _policy(self, gate: StartGate) -> PlacementPolicy:
         """Return the placement policy of one round."""
-        return PlacementPolicy(prioritize_jobs, gate)
+        if self.service_order is None:
+            return PlacementPolicy(prioritize_jobs, gate)
+        return PlacementPolicy(self.service_order.order, gate)
 
     def _create_due_tasks(self, jobs: list[Job]) -> None:
         """Create the tasks of scheduled jobs whose time has come."""
