Throttle the filling tasks that slow down serving tasks most, and those first

The pacer used a single ratio for all filling tasks of a worker: it stopped all of them when one disturbed a serving task, and raised all of them again without knowing which one had done it. It also acted on the same report up to three times, as it decides every 0.4 s and a report comes about once a second.

The filling task with the most expected harm is throttled first; all stop once a target has been missed for 1 s, or at once while nothing is known. Tasks recover to the pace at which the model expects a ratio below 0.8. Off, which is the default, the plain pacer decides as before.

--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -22,6 +22,7 @@
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
 from jayshunt.ids import PoolName, QueueName
+from jayshunt.interference.control import InterferenceControl
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -54,7 +55,7 @@
 
         `knows_all_runs` is set once all runs of earlier terms are known or have ended.
         `observe_wait` is called at each placement with the pool and how long the task
-        waited.
+        waited. `interference` is None if that part is off.
         """
         self._dispatcher = dispatcher
         self._clock = clock
@@ -63,7 +64,8 @@
         self._features = features
         self._wake = threading.Event()
         self._applied_config: FleetConfig | None = None
-        self._pacer = Pacer()
+        self.interference = InterferenceControl() if features.interference else None
+        self._pacer = Pacer() if self.interference is None else self.interference.pacer
         self._next_pace_s = 0.0
         self._has_scheduled_jobs = False
         self._refusals: dict[QueueName, float] = {}
@@ -309,7 +311,10 @@
             return []
         self._next_pace_s = now_s + PACE_INTERVAL_S
         items: list[tuple] = []
-        for view in self._dispatcher.tracker.workers.values():
+        workers = self._dispatcher.tracker.workers
+        if self.interference is not None:
+            self.interference.observe(workers, self.speeds.is_slow, now_s)
+        for view in workers.values():
             session = self._dispatcher.sessions.get(view.worker.worker)
             for task, percent in self._pacer.decide(view.tasks.values(), now_s):
                 task.pace = percent
--- /dev/null
+++ b/src/jayshunt/interference/__init__.py
@@ -0,0 +1,1 @@
+"""Learn which tasks slow each other down, keep them apart and throttle them."""
--- /dev/null
+++ b/src/jayshunt/interference/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of interference between tasks that share a worker."""
