Let a worker of the soak that has ended start and record nothing more

Cause: the stand-in of a worker carried out a start that waited for its lock while a task crashed the worker, so a run was recorded on an ended life and never ended. Also by reading: no lease end was recorded on a worker that nobody called any more, runs that ended with their lease counted as ended by a later crash, and polls and stops were answered by an ended life, which made a crash look like runs that ended. Change: an ended life refuses all calls and its answers are dropped; due ends are recorded before a crash and, for all workers, before the check. The check is as strict as before: a run that goes on under a valid lease still counts as running. A failed soak test prints the log lines that name the tasks and workers concerned.

--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -38,6 +38,7 @@
         time.sleep(max((fault.for_s for fault in faults[-4:]), default=0.0))
         testbed.heal()
         load.wait_until_ended(SETTLE_TIMEOUT_S)
+        testbed.record_due_ends()
         broken = check(load.jobs, testbed.events(), impairments(faults, load_started_s))
     finally:
         testbed.heal()
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -59,26 +59,20 @@
             if incarnation is not None:
                 incarnation.resize(call.json()["cpu"])
             return Reply(200, {})
+        if call.path == "/standin/record":
+            if incarnation is not None:
+                incarnation.record_due_ends()
+            return Reply(200, {})
         if self._is_crashed:
             raise DropConnection
         if incarnation is None:
             return Reply(503, {})
         if call.headers.get("X-Expect-Instance") not in (None, incarnation.worker):
             return Reply(421, {})
-        body = call.json()
-        match call.path:
-            case "/run-start":
-                status, answer = incarnation.start(body)
-                if incarnation.is_ended:
-                    raise DropConnection
-                return Reply(status, answer)
-            case "/run-stop":
-                return Reply(*incarnation.stop(body))
-            case "/hold":
-                return Reply(*incarnation.hold(body))
-            case "/pace":
-                return Reply(200, {"clockMs": 0})
-        return Reply(404, {})
+        reply = _carry_out(incarnation, call)
+        if incarnation.is_ended:
+            raise DropConnection
+        return reply
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to the platform every `HEARTBEAT_S`, forever."""
@@ -153,6 +147,21 @@
             threading.Timer(MOVE_S, self._start_incarnation).start()
 
 
+def _carry_out(incarnation: WorkerIncarnation, call: Call) -> Reply:
+    """Return what a worker answers to a call."""
+    body = call.json()
+    match call.path:
+        case "/run-start":
+            return Reply(*incarnation.start(body))
+        case "/run-stop":
+            return Reply(*incarnation.stop(body))
+        case "/hold":
+            return Reply(*incarnation.hold(body))
+        case "/pace":
+            return Reply(200, {"clockMs": 0})
+    return Reply(404, {})
+
+
 def main() -> None:
     """Serve all VMs of the rack until the process is killed."""
     plan = json.loads(sys.argv[1])
--- a/src/jayshunt_soak/platform/worker.py
+++ b/src/jayshunt_soak/platform/worker.py
@@ -30,7 +30,11 @@
 
 
 class WorkerIncarnation:
-    """Run the tasks of one incarnation, and record every start and end."""
+    """Run the tasks of one incarnation, and record every start and end.
+
+    An incarnation that has ended starts and records nothing more, also for a call that
+    it received before. Its answers must not be sent.
+    """
 
     def __init__(
         self,
@@ -66,6 +70,8 @@
     def start(self, body: dict) -> tuple[int, dict]:
         """Start a run, or return the reason of the refusal."""
         with self._changed:
+            if self.is_ended:
+                return self._answer(503)
             self._advance()
             refusal = self._refusal(body)
             if refusal is not None:
@@ -95,6 +101,7 @@
 
     def _crash(self, task: str, run_number: int) -> None:
         with self._changed:
+            self._advance()
             run = self._runs.get(task)
             if self.is_ended or run is None or run.number != run_number:
                 return
@@ -125,6 +132,8 @@
     def stop(self, body: dict) -> tuple[int, dict]:
         """Stop a run; if its start arrives only later, refuse that start."""
         with self._changed:
+            if self.is_ended:
+                return self._answer(503)
             self._advance()
             if body["fencingToken"] < self._fencing_token:
                 return self._answer(409, reason="fence")
@@ -146,6 +155,8 @@
         """
         end_s = time.monotonic() + body.get("waitMs", 0) / 1000
         with self._changed:
+            if self.is_ended:
+                return self._answer(503)
             self._advance()
             if body["fencingToken"] < self._fencing_token:
                 return self._answer(409, reason="fence")
@@ -172,6 +183,11 @@
             self._advance()
             self._end_all()
 
+    def record_due_ends(self) -> None:
+        """Record the ends that are due, also if nobody calls the worker any more."""
+        with self._changed:
+            self._advance()
+
     def resize(self, millicores: int) -> None:
         """Change the capacity; what runs goes on."""
         with self._changed:
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -31,7 +31,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 SUPERVISE_INTERVAL_S = 0.05
-RESIZE_TIMEOUT_S = 0.2
+CONTROL_TIMEOUT_S = 0.2
+RECORD_TIMEOUT_S = 2.0
 
 
 def free_ports(count: int) -> list[int]:
@@ -136,16 +137,27 @@
 
     def resize(self, vm: str, millicores: int) -> None:
         """Change the capacity of the worker on a VM; one that is down keeps none."""
+        self._call_vm(vm, "resize", {"cpu": millicores}, CONTROL_TIMEOUT_S)
+
+    def record_due_ends(self) -> None:
+        """Let all workers record ends that are due; they do so by themselves if called.
+
+        A worker that nobody calls after its lease would look as if its runs went on.
+        """
+        for vm in self.vm_ports:
+            self._call_vm(vm, "record", {}, RECORD_TIMEOUT_S)
+
+    def _call_vm(self, vm: str, path: str, body: dict, timeout_s: float) -> None:
         try:
             http_client.request(
                 "POST",
-                f"http://{HOST}:{self.vm_ports[vm]}/standin/resize",
-                body=json.dumps({"cpu": millicores}).encode(),
-                timeout_s=RESIZE_TIMEOUT_S,
-                step="soak.resize",
+                f"http://{HOST}:{self.vm_ports[vm]}/standin/{path}",
+                body=json.dumps(body).encode(),
+                timeout_s=timeout_s,
+                step=f"soak.{path}",
             )
         except JayshuntError as error:
-            print(f"{vm} is not resized: {error}", file=sys.stderr)
+            print(f"{path} of {vm} failed: {error}", file=sys.stderr)
 
     def terminate(self, program: Program) -> None:
         """Send SIGTERM to a process, and kill it if it runs after `STOP_GRACE_S`."""
--- a/src/jayshunt_soak/tests/builders.py
+++ b/src/jayshunt_soak/tests/builders.py
@@ -1,5 +1,7 @@
 """Build submitted jobs and the events that workers record."""
 
+import json
+
 from jayshunt_soak.callers import SubmittedJob
 
 JOB = "00000000000000a1"
@@ -57,3 +59,11 @@
     """Return the event that an entry acknowledged the end of a run."""
     row = {"event": "noted", "worker": worker, "task": TASK, "run": run}
     return {"at_s": at_s, **row}
+
+
+def start_order(lease_s: float = 5.0, crash_after_ms: int | None = None) -> dict:
+    """Return the body of an order to start a run of ten seconds."""
+    work = {"ms": 10_000, "fails": False, "cpu": 1_000, "memory_mb": 1}
+    work["crash_after_ms"] = crash_after_ms
+    body = {"task": TASK, "run": 16, "fencingToken": 1, "spec": json.dumps(work)}
+    return {**body, "untilMs": int(lease_s * 1000)}
--- a/src/jayshunt_soak/tests/test_checks.py
+++ b/src/jayshunt_soak/tests/test_checks.py
@@ -1,8 +1,12 @@
 """Test that the checks of the soak detect each kind of violated guarantee."""
 
+import json
+import tempfile
 import unittest
+from pathlib import Path
 
 from jayshunt_soak.checks import check
+from jayshunt_soak.excerpt import excerpt
 from jayshunt_soak.tests.builders import (
     JOB,
     TASK,
@@ -145,5 +149,21 @@
         self.assertEqual([], check([job], twice))
 
 
+class ExcerptTest(unittest.TestCase):
+    """Check which log lines a failed soak shows."""
+
+    def test_lines_of_the_named_task_and_worker_are_shown(self) -> None:
+        """A failure in CI could not be traced, as its logs were in a scratch folder."""
+        rows = [start(1.0, 7984, "i-ac9fea772b"), start(1.0, 1, "w3", "other")]
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            (folder / "rack-0.events").write_text("\n".join(map(json.dumps, rows)))
+            (folder / "entry-1.log").write_text(f"placed task={TASK} run=7985\nother")
+            (folder / "entry-1.toml").write_text(TASK)
+            lines = excerpt(folder, [f"twice: {TASK} run 7985 on i-ac9fea772b"])
+        self.assertEqual(2, len(lines.splitlines()), lines)
+        self.assertEqual("", excerpt(Path("absent"), []))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt_soak/tests/test_soak.py
+++ b/src/jayshunt_soak/tests/test_soak.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from jayshunt_soak.__main__ import run_seed
+from jayshunt_soak.excerpt import excerpt
 from jayshunt_soak.faults import draw_faults
 
 SHORT_S = 6.0
@@ -22,7 +23,8 @@
         """Run one seed and check that no guarantee was violated."""
         with tempfile.TemporaryDirectory() as folder:
             broken, counts = run_seed(seed, seconds, Path(folder))
-        self.assertEqual([], broken, counts)
+            logs = excerpt(Path(folder), broken)
+        self.assertEqual([], broken, f"{counts}\n{logs}")
 
     def test_short_run_keeps_every_guarantee(self) -> None:
         """A start that never ran counted as a crash under its task.
