Let the soak change keys of workspaces and try keys that must be refused

Missing: the soak had no workspaces, so that no run with faults checked keys.

One queue of the soak needs keys, which change with each configuration, under strictRevoke; the other is public. A thread calls entries with withdrawn keys, with keys just added and with keys of the other workspace; callers send a key that is always in force. Logs and records are searched for keys. The draws of jobs and faults are the same as before.

--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -11,6 +11,7 @@
 from jayshunt_soak.checks import check
 from jayshunt_soak.const import SETTLE_TIMEOUT_S
 from jayshunt_soak.faults import Fault, FaultPlayer, draw_faults, impairments
+from jayshunt_soak.keys import KeyProber, check_keys, check_secrecy
 from jayshunt_soak.testbed import Testbed
 
 START_TIMEOUT_S = 20.0
@@ -21,12 +22,14 @@
     faults = draw_faults(seed, seconds)
     testbed = Testbed(folder, seed)
     load = Load(testbed, seed)
+    prober = KeyProber(testbed, load, seed)
     testbed.start()
     try:
         if not wait_until_listening(testbed, START_TIMEOUT_S):
             return ["start: an entry does not accept connections"], ""
         load_started_s = time.monotonic()
         load.start()
+        prober.start()
         player = threading.Thread(
             target=FaultPlayer(testbed, faults).run, args=(load_started_s,)
         )
@@ -34,16 +37,20 @@
         time.sleep(seconds)
         player.join()
         load.stop()
+        prober.stop()
         # Let the last faults end by themselves; `heal` ends any that still last.
         time.sleep(max((fault.for_s for fault in faults[-4:]), default=0.0))
         testbed.heal()
         load.wait_until_ended(SETTLE_TIMEOUT_S)
-        broken = check(load.jobs, testbed.events(), impairments(faults, load_started_s))
+        disturbed = impairments(faults, load_started_s)
+        broken = check(load.jobs, testbed.events(), disturbed)
+        broken += check_keys(prober.probes, disturbed) + check_secrecy(testbed)
     finally:
         testbed.heal()
         testbed.stop()
     accepted = sum(job.accepted_s is not None for job in load.jobs)
     counts = f"jobs={len(load.jobs)} accepted={accepted} faults={len(faults)}"
+    counts += f" key_probes={len(prober.probes)}"
     return broken, counts
 
 
--- a/src/jayshunt_soak/callers.py
+++ b/src/jayshunt_soak/callers.py
@@ -8,7 +8,14 @@
 import time
 from dataclasses import dataclass, field
 
-from jayshunt_soak.const import CALL_TIMEOUT_S, HOST, POOLS, QUEUE_HOST
+from jayshunt_soak.const import (
+    CALL_TIMEOUT_S,
+    HOST,
+    POOLS,
+    PUBLIC_POOL,
+    QUEUE_HOST,
+    WORKSPACES,
+)
 from jayshunt_soak.platform import formats
 from jayshunt_soak.testbed import Testbed
 
@@ -30,8 +37,9 @@
 
     `accepted_s` and `cancelled_s` are the times at which the caller received the
     success of its submission and of its cancellation. `is_refused` means that every
-    answer was a refusal, so that the job must never run. `states` lists the
-    states that were read, each with its time.
+    answer was a refusal, so that the job must never run. `is_key_refused` means that
+    an entry refused the key, which is always in force. `states` lists the states that
+    were read, each with its time.
     """
 
     job_id: str
@@ -41,6 +49,7 @@
     is_deadly: bool = False
     accepted_s: float | None = None
     is_refused: bool = True
+    is_key_refused: bool = False
     cancel_sent_s: float | None = None
     cancelled_s: float | None = None
     states: list[tuple[float, str]] = field(default_factory=list)
@@ -50,6 +59,18 @@
         """Return the request path of the job."""
         return formats.queue_path(self.pool) + self.job_id
 
+    @property
+    def workspace(self) -> str:
+        """Return the workspace of the caller."""
+        return WORKSPACES[int(self.job_id, 16) % len(WORKSPACES)]
+
+    @property
+    def key(self) -> str:
+        """Return the key that the caller sends; on a public queue, no known one."""
+        if self.pool == PUBLIC_POOL:
+            return "unknown"
+        return formats.stable_key(self.workspace)
+
 
 class Caller:
     """Send calls to a random entry over one connection, replaced once it fails."""
@@ -60,7 +81,14 @@
         self._rng = rng
         self._connection: http.client.HTTPConnection | None = None
 
-    def call(self, method: str, path: str, body: bytes | None = None):
+    def call_for(self, job: SubmittedJob, method: str, body: bytes | None = None):
+        """Make a call of the job's own caller; see `call`."""
+        answer = self.call(method, job.path, body, job.key)
+        if answer is not None and answer[0] == 401:
+            job.is_key_refused = True
+        return answer
+
+    def call(self, method: str, path: str, body: bytes | None, key: str):
         """Return the status and content, or None without a complete answer.
 
         After a failed connection or an answer 502, 503 or 504 the next call chooses
@@ -72,6 +100,7 @@
                 HOST, port, timeout=CALL_TIMEOUT_S
             )
         headers = {"Host": QUEUE_HOST, "X-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000))}
+        headers["Authorization"] = f"Token {key}"
         try:
             self._connection.request(method, path, body, headers)
             answer = self._connection.getresponse()
@@ -144,13 +173,13 @@
             self.jobs.append(job)
         body = formats.submission(job.steps)
         for _ in range(MAX_SUBMISSIONS):
-            answer = caller.call("POST", job.path, body)
+            answer = caller.call_for(job, "POST", body)
             if answer is not None and answer[0] == 200:
                 job.accepted_s = time.monotonic()
                 job.is_refused = False
                 # Submit some jobs once more after they were accepted.
                 if rng.random() < 0.1:
-                    caller.call("POST", job.path, body)
+                    caller.call_for(job, "POST", body)
                 break
             if answer is None or answer[0] not in (429, 503, 404):
                 job.is_refused = False
@@ -162,12 +191,12 @@
 
     def _cancel(self, caller: Caller, job: SubmittedJob) -> None:
         job.cancel_sent_s = time.monotonic()
-        answer = caller.call("DELETE", job.path)
+        answer = caller.call_for(job, "DELETE")
         if answer is not None and answer[0] == 200:
             job.cancelled_s = time.monotonic()
 
     def _poll_state(self, caller: Caller, job: SubmittedJob) -> bool:
-        answer = caller.call("GET", job.path)
+        answer = caller.call_for(job, "GET")
         if answer is None or answer[0] not in (200, 410):
             return False
         state = answer[1].get("state", "gone")
--- a/src/jayshunt_soak/checks.py
+++ b/src/jayshunt_soak/checks.py
@@ -134,6 +134,8 @@
     for job_id, job in jobs.items():
         if job.is_refused and job_id in first_start_s:
             broken.append(f"refused: {job_id} ran although every answer said not run")
+        if job.is_key_refused:
+            broken.append(f"key: {job_id} was refused with a key in force")
         if job.accepted_s is not None:
             broken += _check_accepted(job, by_task)
     return broken
@@ -196,14 +198,15 @@
             for run in runs
             if run.task == task
             and run.started_s > third_s
-            and not _is_impaired(run.started_s, impairments)
+            and not is_impaired(run.started_s, impairments)
         ]
         if len(later) > MAX_STARTS_AFTER_CRASHES:
             broken.append(f"budget: {task} crashed {len(times)} workers")
     return broken
 
 
-def _is_impaired(at_s: float, impairments: list[tuple[float, float]]) -> bool:
+def is_impaired(at_s: float, impairments: list[tuple[float, float]]) -> bool:
+    """Return whether something disturbs entries, or did within CONTACT_S before."""
     return any(
         begun_s <= at_s <= ended_s + CONTACT_S for begun_s, ended_s in impairments
     )
--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -5,6 +5,12 @@
 # The workers of this pool start whatever they are told to, beyond their capacity too.
 UNGUARDED_POOL = "yard"
 SPARE = "spare"
+# The queue of this pool needs no key; entries must ignore keys sent there.
+PUBLIC_POOL = "yard"
+WORKSPACES = ("river", "mountain")
+# Each configuration adds one key to each workspace and withdraws the oldest, so that
+# this many are in force.
+KEPT_VERSIONS = 4
 QUEUE_HOST = "soak.example"
 
 ENTRIES = 4
@@ -32,6 +38,9 @@
 STOP_MS = 200
 # Longest lease of a worker.
 HOLD_MAX_MS = 10_000
+# Settings `configApplyMs` and `revokeMs` of the entries.
+CONFIG_APPLY_S = 3.0
+REVOKE_S = 5.0
 # Setting `status_s` of the entries.
 STATUS_S = 120
 
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -8,7 +8,6 @@
 from enum import Enum
 
 from jayshunt_soak.const import ENTRIES, MILLICORES_PER_VM, RACKS, SHRUNK_SHARES
-from jayshunt_soak.platform import formats
 from jayshunt_soak.platform.store import StoreFaults
 from jayshunt_soak.testbed import Testbed
 
@@ -108,7 +107,6 @@
         """Create a player of the faults, which are ordered by time."""
         self._testbed = testbed
         self._faults = faults
-        self._version = 1
 
     def run(self, load_started_s: float) -> None:
         """Begin each fault at its time, and start a timer that ends it."""
@@ -173,9 +171,7 @@
             case FaultKind.STORE_FORGETS:
                 return testbed.store.discard_history()
             case FaultKind.CONFIG:
-                self._version += 1
-                document = formats.config(self._version)
-                return testbed.store.put(formats.CONFIG_KEY, document)
+                return testbed.store_next_config()
             case _:
                 testbed.store.faults = store_faults(fault.kind)
                 return lambda: setattr(testbed.store, "faults", StoreFaults())
--- a/src/jayshunt_soak/platform/formats.py
+++ b/src/jayshunt_soak/platform/formats.py
@@ -3,19 +3,26 @@
 import json
 
 from jayshunt_soak.const import (
+    CONFIG_APPLY_S,
     HEARTBEAT_S,
     HOLD_MAX_MS,
     HOST,
+    KEPT_VERSIONS,
     MOVE_S,
     POOLS,
+    PUBLIC_POOL,
     QUEUE_HOST,
+    REVOKE_S,
     SPARE,
     STATUS_S,
     STOP_MS,
     UNGUARDED_POOL,
+    WORKSPACES,
 )
 
 CONFIG_KEY = "op/config"
+# Every key starts with this, so that a check finds keys in logs and records.
+KEY_MARK = "soak-key-"
 
 
 def queue_path(pool: str) -> str:
@@ -23,8 +30,26 @@
     return f"/{pool}/"
 
 
+def stable_key(workspace: str) -> str:
+    """Return the key that a workspace has in every configuration."""
+    return f"{KEY_MARK}{workspace}"
+
+
+def versioned_key(workspace: str, version: int) -> str:
+    """Return the key that a version adds to a workspace."""
+    return f"{KEY_MARK}{workspace}-{version}"
+
+
+def _workspace(name: str, version: int) -> dict:
+    versions = range(max(1, version - KEPT_VERSIONS + 1), version + 1)
+    keys = [stable_key(name), *(versioned_key(name, added) for added in versions)]
+    limit = {"cpu": 0, "memMb": 0, "gpu": 0}
+    row = {"name": name, "apiKeys": keys, "priority": 0, "maxCount": limit}
+    return {**row, "weight": 1_000}
+
+
 def config(version: int) -> bytes:
-    """Return the operator's configuration: one queue for each pool."""
+    """Return the operator's configuration: one queue for each pool, and workspaces."""
     routes = [
         {
             "name": f"q-{pool}",
@@ -35,6 +60,7 @@
             "attempts": 3,
             "stretch": 2.0,
             "targetLatencyMs": 600,
+            "public": pool == PUBLIC_POOL,
         }
         for number, pool in enumerate(POOLS)
     ]
@@ -43,6 +69,7 @@
     ]
     services.append({"name": SPARE, "rejectsOverload": True, "spare": True})
     document = {"version": version, "routes": routes, "services": services}
+    document["tenants"] = [_workspace(name, version) for name in WORKSPACES]
     return json.dumps({**document, "limits": {}}).encode()
 
 
@@ -71,6 +98,8 @@
     """Return the settings file of one entry; ports are front, ready and peer."""
     front, ready, peer = ports
     bounds = {"stopMs": STOP_MS, "holdMaxMs": HOLD_MAX_MS, "leaseMs": 1000}
+    bounds |= {"strictRevoke": True, "revokeMs": int(REVOKE_S * 1000)}
+    bounds |= {"configApplyMs": int(CONFIG_APPLY_S * 1000)}
     bounds |= {"graceS": 6, "status_s": STATUS_S, "moveS": MOVE_S}
     tables = {
         "listenAddrs": {"front": f"{HOST}:{front}", "readyAddr": f"{HOST}:{ready}"},
@@ -80,6 +109,7 @@
         "cloudApi": {"address": machines, "dutiesPerS": 64.0},
     }
     top = {"nodeName": name, "zone": "z1", "ip": HOST, "portRange": [peer, peer]}
+    top["contracts"] = ["tenants"]
     lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
     lines.append(f"heartbeatMs = {int(HEARTBEAT_S * 1000)}")
     for table, fields in tables.items():
--- a/src/jayshunt_soak/platform/store.py
+++ b/src/jayshunt_soak/platform/store.py
@@ -81,6 +81,15 @@
         with self._changed:
             self._write(key, base64.b64encode(value).decode(), 0)
 
+    def values(self, prefix: str) -> dict[str, bytes]:
+        """Return the values of all keys that start with a prefix."""
+        with self._changed:
+            return {
+                key: base64.b64decode(item["value"])
+                for key, item in self._items.items()
+                if key.startswith(prefix)
+            }
+
     def record_heartbeat(self, worker: str, value: bytes) -> None:
         """Record a worker's heartbeat; three missing ones remove its registration."""
         key = f"servers/{worker}"
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -99,6 +99,8 @@
         self.entries = [self._build_entry(n) for n in range(ENTRIES)]
         self.racks = [self._build_rack(str(r), seed) for r in range(RACKS)]
         self._stopping = threading.Event()
+        self._config_lock = threading.Lock()
+        self.config_times_s: list[float] = []
         self._lock = threading.Lock()
 
     def start(self) -> None:
@@ -107,9 +109,19 @@
             server.start()
         for relay in (*self.vm_relays.values(), *self.store_relays):
             relay.start()
-        self.store.put(formats.CONFIG_KEY, formats.config(1))
+        self.store_next_config()
         threading.Thread(target=self._supervise, daemon=True).start()
 
+    def store_next_config(self) -> None:
+        """Store the next version of the configuration, and record when it was there.
+
+        `config_times_s` has one time for each version, starting with version 1.
+        """
+        with self._config_lock:
+            version = len(self.config_times_s) + 1
+            self.store.put(formats.CONFIG_KEY, formats.config(version))
+            self.config_times_s.append(time.monotonic())
+
     def stop(self) -> None:
         """Kill every process that this testbed started, and stop the stand-ins."""
         self._stopping.set()
