Test ownership of jobs through the real link to the dispatcher

The tests used a stand-in for the link, so that a workspace that is lost in the bodies of the calls would not have failed them. They use DispatcherLink with a dispatcher in the same process now.

--- a/src/jayshunt/workspaces/tests/builders.py
+++ b/src/jayshunt/workspaces/tests/builders.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.entry import EntryJobService
-from jayshunt.dispatch.errors import NoDispatcher
+from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import Bounds, FleetConfig, Workspace
 from jayshunt.dispatch.tests.builders import build_config, build_queue
 from jayshunt.dispatch.tests.fakes import FakeStore
@@ -57,50 +58,16 @@
     return Authenticator(bounds, clock, confirmed_s, refusals)
 
 
-class LostDispatcher:
-    """Stand in for the link of an entry that reaches no dispatcher."""
-
-    def refuse_retry_after_s(self, queue) -> float:
-        """Return that jobs are accepted."""
-        return 0.0
-
-    def is_reachable(self) -> bool:
-        """Return False."""
-        return False
-
-    def notify_accepted(self, job, value, created) -> None:
-        """Ignore a notice."""
-
-    def notify_cancelled(self, job) -> None:
-        """Ignore a notice."""
-
-    def job_state(self, job, caller, wait_s):
-        """Raise NoDispatcher, as every call does."""
-        raise NoDispatcher("test")
-
-
-class DirectLink(LostDispatcher):
-    """Stand in for a link that calls a dispatcher in this process."""
-
-    def __init__(self, dispatcher) -> None:
-        """Call `dispatcher`."""
-        self._dispatcher = dispatcher
-
-    def is_reachable(self) -> bool:
-        """Return True."""
-        return True
-
-    def submit(self, key, value, wait_s) -> dict:
-        """Store a job through the dispatcher."""
-        return self._dispatcher.submit(key, value)
-
-    def job_state(self, job, caller, wait_s):
-        """Return the dispatcher's answer."""
-        return self._dispatcher.job_state(job, caller)
-
-    def cancel(self, job, caller, wait_s) -> bool:
-        """Return the dispatcher's answer."""
-        return self._dispatcher.cancel_stored(job, caller)
+def build_link(clock: ManualClock, dispatcher=None) -> DispatcherLink:
+    """Return the link of an entry that dispatches itself, or reaches no dispatcher."""
+    election = SimpleNamespace(
+        term=None,
+        incarnation="",
+        wait_for_change=lambda term, timeout_s: clock.advance(timeout_s),
+    )
+    link = DispatcherLink(election, FakeStore(), clock, failure_detector=None)
+    link.own_dispatcher = dispatcher
+    return link
 
 
 def build_entry(store: FakeStore, link, clock: ManualClock) -> EntryJobService:
--- a/src/jayshunt/workspaces/tests/test_ownership.py
+++ b/src/jayshunt/workspaces/tests/test_ownership.py
@@ -1,6 +1,7 @@
 """Test that a job exists only for the workspace that submitted it."""
 
 import unittest
+from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.errors import JobIdTaken
@@ -12,9 +13,8 @@
 from jayshunt.workspaces.tests.builders import (
     MOUNTAIN,
     RIVER,
-    DirectLink,
-    LostDispatcher,
     build_entry,
+    build_link,
 )
 
 
@@ -31,13 +31,12 @@
         self.store = fleet.store
         self.dispatcher = fleet.build_dispatcher()
         self.addCleanup(self.dispatcher.stop, False)
+        self.dispatcher.ready.set()
         clock = ManualClock(0.0)
-        link = DirectLink(self.dispatcher)
-        cut_off = type("CutOffStore", (), {})()
-        cut_off.failing_for_s = lambda: 0.6
-        cut_off.get = self.store.get
+        link = build_link(clock, self.dispatcher)
+        cut_off = SimpleNamespace(failing_for_s=lambda: 0.6, get=self.store.get)
         self.entries = {
-            "store": build_entry(self.store, LostDispatcher(), clock),
+            "store": build_entry(self.store, build_link(clock), clock),
             "dispatcher": build_entry(self.store, link, clock),
             "cut off": build_entry(cut_off, link, clock),
         }
@@ -82,9 +81,10 @@
     def test_full_queue_does_not_confirm_another_workspaces_job(self) -> None:
         """A queue that refuses jobs still accepts a retry, but only the owner's."""
         self.submit("store", RIVER)
-        link = LostDispatcher()
-        link.refuse_retry_after_s = lambda queue: 3.0
-        entry = build_entry(self.store, link, ManualClock(0.0))
+        clock = ManualClock(0.0)
+        link = build_link(clock)
+        link._refusals = {build_queue().queue: 3.0}
+        entry = build_entry(self.store, link, clock)
         with self.assertRaises(JobIdTaken):
             entry.submit(build_spec(workspace=MOUNTAIN), build_queue(), 0.1)
         accepted = entry.submit(build_spec(workspace=RIVER), build_queue(), 0.1)
