--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -127,6 +127,7 @@
             inherited_runs_end_s=self.blocked_until_s,
             term_confirmed_s=lambda: self.now_s,
             knows_capacity=lambda pool: True,
+            is_store_failing=lambda: False,
         )
         clock = SimpleNamespace(monotonic_s=lambda: self.now_s, now_s=lambda: 0.0)
         self.planner = Planner(
