Leave tasks held by a limit out of demand, and refuse what can never start

Tasks that wait for their workspace's limit brought VMs to their pool that stayed idle, and closed its queues to the other workspaces. A gang or a task larger than the limit was accepted and waited for ever.

Sizing counts only tasks that the limits allow to start now, and no arrival of a job that is held when it is first seen. The backlog counts the work of a limited workspace up to what it may use in MAX_WAIT_S. An entry refuses a job of which a gang or a task exceeds the limit in force (429, exceeds_workspace_limit), unless its id is stored or its outcome unknown. The planner of the test of fleet duties gets the new call as a stub.

--- a/src/jayshunt/dispatch/backlog.py
+++ b/src/jayshunt/dispatch/backlog.py
@@ -10,7 +10,9 @@
 
 from jayshunt.dispatch.models import FleetConfig
 from jayshunt.dispatch.tasks import Job, TaskPhase
-from jayshunt.ids import PoolName, QueueName
+from jayshunt.ids import PoolName, QueueName, WorkspaceName
+from jayshunt.workspaces.limits import WorkspaceLimits, allowed_tasks, limits_of
+from jayshunt.workspaces.usage import WorkspaceUsage
 
 # A queue refuses jobs once their expected wait exceeds this. Objectives are about 2 s,
 # and a job is worth almost nothing after three times its objective.
@@ -27,6 +29,42 @@
     )
 
 
+def expected_waits_s(
+    config: FleetConfig,
+    jobs: Iterable[Job],
+    cores: dict[PoolName, float],
+    now_s: float,
+    fetchable_cores: float = 0.0,
+) -> dict[PoolName, float]:
+    """Return how long the waiting work of each pool takes its workers, in seconds.
+
+    Jobs past their deadline do not count, as they are placed after those in time. The
+    work of a workspace with a limit counts up to what it may use in `MAX_WAIT_S`: what
+    waits longer for its limit leaves the room to others.
+    """
+    waiting: dict[PoolName, float] = {}
+    gate = WorkspaceLimits(limits_of(config), WorkspaceUsage())
+    limited: dict[tuple[WorkspaceName, PoolName], list[float]] = {}
+    for job in jobs:
+        if job.spec.is_long_running or now_s > job.deadline_s:
+            continue
+        pool, work = job.config.pool, remaining_core_seconds(job)
+        if job.spec.workspace in gate.limits:
+            sums = limited.setdefault((job.spec.workspace, pool), [0.0, 0.0])
+            sums[0] += work
+            sums[1] += sum(
+                task.spec.reserved.cpu_millicores / 1000
+                for task in allowed_tasks(job, gate)
+            )
+        else:
+            waiting[pool] = waiting.get(pool, 0.0) + work
+    for (_, pool), (work, usable_cores) in limited.items():
+        counted = min(work, usable_cores * MAX_WAIT_S)
+        waiting[pool] = waiting.get(pool, 0.0) + counted
+    usable = {pool: cores.get(pool, 0.0) + fetchable_cores for pool in waiting}
+    return {pool: waiting[pool] / usable[pool] for pool in waiting if usable[pool]}
+
+
 def refusals(
     config: FleetConfig,
     jobs: Iterable[Job],
@@ -38,18 +76,11 @@
 
     `cores` are those of the workers in each pool. `fetchable_cores` can be added to
     any pool within the time of a move, which is short compared with `MAX_WAIT_S`.
-    Jobs past their deadline do not count, as they are placed after those in time.
     """
-    waiting: dict[PoolName, float] = {}
-    for job in jobs:
-        if job.spec.is_long_running or now_s > job.deadline_s:
-            continue
-        pool = job.config.pool
-        waiting[pool] = waiting.get(pool, 0.0) + remaining_core_seconds(job)
+    waits_s = expected_waits_s(config, jobs, cores, now_s, fetchable_cores)
     refused: dict[QueueName, float] = {}
     for queue in config.queues:
-        usable = cores.get(queue.pool, 0.0) + fetchable_cores
-        wait_s = waiting.get(queue.pool, 0.0) / usable if usable else 0.0
+        wait_s = waits_s.get(queue.pool, 0.0)
         if wait_s > MAX_WAIT_S:
             refused[queue.queue] = float(
                 min(MAX_RETRY_AFTER_S, math.ceil(wait_s - MAX_WAIT_S + 1))
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NoReturn
 
@@ -15,7 +16,7 @@
 )
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
 from jayshunt.dispatch.link import DispatcherLink
-from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig
+from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig, Resources
 from jayshunt.dispatch.records import (
     accepted_key,
     cancelled_key,
@@ -25,15 +26,19 @@
 )
 from jayshunt.dispatch.store_models import Put
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import JobId, QueueName, Revision
+from jayshunt.ids import JobId, QueueName, Revision, WorkspaceName
 from jayshunt.platform.store import PlatformStore
 from jayshunt.store.errors import StoreUnavailable
+from jayshunt.workspaces.limits import can_ever_start
 
 _LOGGER = logging.getLogger(__name__)
 
 RETRY_S = 0.1
 # How many submissions with an unknown outcome an entry remembers, the latest ones.
 MAX_UNKNOWN = 10_000
+# Only a change of the configuration makes room for a job larger than its workspace's
+# limit, which no caller is worth waiting for.
+EXCEEDS_LIMIT = ("exceeds_workspace_limit", 60.0)
 
 
 @dataclass(frozen=True)
@@ -51,9 +56,18 @@
     """
 
     def __init__(
-        self, store: PlatformStore, link: DispatcherLink, clock: Clock
+        self,
+        store: PlatformStore,
+        link: DispatcherLink,
+        clock: Clock,
+        limit_of: Callable[[WorkspaceName], Resources | None] = lambda _: None,
     ) -> None:
-        """Use the store, and `link` to reach the dispatcher."""
+        """Use the store, and `link` to reach the dispatcher.
+
+        `limit_of` returns the limit of a workspace in the configuration in force, None
+        if it has none.
+        """
+        self._limit_of = limit_of
         self._store = store
         self._link = link
         self._clock = clock
@@ -74,9 +88,16 @@
             self._refuse(
                 spec, "isolated", DEFAULT_RETRY_AFTER_S, "the entry is cut off"
             )
+        limit = self._limit_of(spec.workspace)
+        if limit is not None and not can_ever_start(spec, limit):
+            return self._refuse_unless_known(
+                spec, *EXCEEDS_LIMIT, f"a task or gang exceeds the limit {limit}"
+            )
         retry_after_s = self._link.refuse_retry_after_s(queue.queue)
         if retry_after_s > 0 and not spec.is_long_running:
-            return self._refuse_unless_known(spec, retry_after_s)
+            return self._refuse_unless_known(
+                spec, "queue_behind", retry_after_s, "the queue is far behind"
+            )
         value = encode_job(spec, queue, time.time())
         key = accepted_key(spec.job)
         end_s = self._clock.monotonic_s() + min(timeout_s, ACCEPT_TIMEOUT_S)
@@ -163,8 +184,10 @@
         )
         return Accepted(is_new)
 
-    def _refuse_unless_known(self, spec: JobSpec, retry_after_s: float) -> Accepted:
-        """Raise JobRefused for a queue far behind, unless the job is already stored."""
+    def _refuse_unless_known(
+        self, spec: JobSpec, code: str, retry_after_s: float, reason: str
+    ) -> Accepted:
+        """Raise JobRefused, unless the job is already stored."""
         try:
             if self._store.get(accepted_key(spec.job)) is not None:
                 return Accepted(False)
@@ -173,8 +196,7 @@
                 "entry: failed to check the store before a refusal",
                 extra={"job": spec.job, "reason": str(error)},
             )
-        reason = "the queue is far behind"
-        self._refuse(spec, "queue_behind", retry_after_s, reason)
+        self._refuse(spec, code, retry_after_s, reason)
 
     def _refuse(
         self, spec: JobSpec, code: str, retry_after_s: float, reason: str
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -180,6 +180,7 @@
                 now_s,
                 self.departures.available_orders(now_s),
                 self.departures.recent_orders.blocked(now_s),
+                self._dispatcher.planner.demand_gate(now_s),
             )
             self._log_needs(now_s)
             for vm, pool in moves:
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -179,6 +179,11 @@
         """Return what the limits of workspaces allow to start now."""
         return self.workspaces.start_gate(self._silent, now_s)
 
+    def demand_gate(self, now_s: float) -> StartGate | None:
+        """Return what limits allow to start now, None if no workspace is limited."""
+        gate = self.start_gate(now_s)
+        return gate if self.workspaces.limits else None
+
     def _policy(self, gate: StartGate) -> PlacementPolicy:
         """Return the placement policy of one round."""
         return PlacementPolicy(prioritize_jobs, gate)
--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -14,9 +14,11 @@
 
 from jayshunt.dispatch.fleet import WorkerView, has_not_answered
 from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec
+from jayshunt.dispatch.placement_policy import StartGate
 from jayshunt.dispatch.tasks import Job
 from jayshunt.dispatch.vms import Vm, VmState
 from jayshunt.ids import JobId, PoolName, QueueName, VmId
+from jayshunt.workspaces.limits import allowed_tasks
 
 # Fraction of a VM that bin packing fills before tasks no longer fit.
 PACKED_FRACTION = 0.85
@@ -95,15 +97,17 @@
         now_s: float,
         max_moves: int,
         blocked: Set[VmId] = frozenset(),
+        gate: StartGate | None = None,
     ) -> list[tuple[VmId, PoolName]]:
         """Return the moves to begin now, at most `max_moves`.
 
-        VMs in `blocked` may not be ordered yet and are not chosen.
+        VMs in `blocked` may not be ordered yet and are not chosen. Tasks that `gate`
+        would not allow to start need no VMs.
         """
         spare = {pool.pool for pool in config.pools if pool.is_spare}
         if not spare:
             return []
-        demands = self._demands(jobs, views, now_s)
+        demands = self._demands(jobs, views, now_s, gate)
         present = _present(vms, views, being_emptied, now_s)
         pools = [pool.pool for pool in config.pools if not pool.is_spare]
         self.needs = {
@@ -134,6 +138,7 @@
         jobs: Iterable[Job],
         views: dict[VmId, WorkerView],
         now_s: float,
+        gate: StartGate | None = None,
     ) -> dict[PoolName, PoolDemand]:
         demands: dict[PoolName, PoolDemand] = {}
         for vm, view in views.items():
@@ -144,15 +149,25 @@
             demand.placed += view.load.reserved - view.load.long_running_reserved
             if view.load.long_running:
                 demand.vms_with_long_running.add(vm)
+        if gate is not None:
+            # The oldest jobs of a workspace use what its limit leaves.
+            jobs = sorted(jobs, key=lambda job: job.accepted_s)
         for job in jobs:
             if job.state.is_final:
                 continue
+            due = job.ready_tasks()
+            if gate is not None and due:
+                due = allowed_tasks(job, gate)
+                if not due:
+                    # Once it starts, it counts as placed.
+                    self.counted.add(job.spec.job)
+                    if not job.has_started:
+                        continue
             self._count_arrival(job, now_s)
             spread_vms = _spread_vms(job)
             if spread_vms:
                 demand = demands.setdefault(job.config.pool, PoolDemand())
                 demand.spread_vms = max(demand.spread_vms, spread_vms)
-            due = job.ready_tasks()
             if due:
                 demand = demands.setdefault(job.config.pool, PoolDemand())
                 for task in due:
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -64,7 +64,10 @@
             tracker=self.tracker,
             lock=threading.RLock(),
             planner=SimpleNamespace(
-                run_times=run_times, wake=lambda: None, knows_all_runs=True
+                run_times=run_times,
+                wake=lambda: None,
+                knows_all_runs=True,
+                demand_gate=lambda now_s: None,
             ),
             ready=threading.Event(),
             term_valid=lambda: True,
--- a/src/jayshunt/error_help.py
+++ b/src/jayshunt/error_help.py
@@ -16,6 +16,7 @@
     "config_rejected": "The configuration is invalid or would break a guarantee.",
     "config_unreadable": "The stored configuration cannot be read by this version.",
     "deadline_passed": "The request's deadline passed before it was sent.",
+    "exceeds_workspace_limit": "A task or gang is larger than the workspace's limit.",
     "expectation_failed": "Only `Expect: 100-continue` is accepted.",
     "head_too_large": "The header fields are too many or too long.",
     "in_progress": "A request with this idempotency key may still be running.",
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -26,6 +26,10 @@
 # sending the response.
 DEADLINE_FRACTION = 0.85
 JSON_TYPE = ("Content-Type", "application/json")
+# Refusals for lack of room, of the fleet or of the caller's workspace.
+OVERLOAD_CODES = frozenset(
+    {"queue_behind", "exceeds_workspace_limit", "workspace_rate"}
+)
 
 Answer = tuple[int, dict | None, list[tuple[str, str]]]
 
@@ -150,6 +154,6 @@
     status = 503
     if error.outcome is not Outcome.NOT_RUN:
         status = 504
-    elif error.code == "queue_behind":
+    elif error.code in OVERLOAD_CODES:
         status = 429
     return status, {"error": error.code, "detail": error.detail}, headers
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -16,10 +16,11 @@
 from jayshunt.dispatch.handover import HandoverMonitor
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.metrics import EntryMetrics
-from jayshunt.dispatch.models import Address, EntryNode, Worker
+from jayshunt.dispatch.models import Address, EntryNode, Resources, Worker
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import OwnTerm, TermElection
+from jayshunt.ids import WorkspaceName
 from jayshunt.platform.const import CONFIG_KEY
 from jayshunt.platform.formats import decode_config
 from jayshunt.platform.front_api import FrontApi
@@ -28,6 +29,7 @@
 from jayshunt.serving.http_server import HttpServer
 from jayshunt.serving.limits import ServerLimits
 from jayshunt.tasks import TaskGroup
+from jayshunt.workspaces.limits import limits_of
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -78,7 +80,9 @@
             self._election, self._link, self._store, self._clock
         )
         self._metrics = EntryMetrics(self._store, self._link)
-        self._job_service = EntryJobService(self._store, self._link, self._clock)
+        self._job_service = EntryJobService(
+            self._store, self._link, self._clock, self._limit_of
+        )
         self._tasks = TaskGroup("entry")
         self._front_server = _build_server(
             node.front,
@@ -153,6 +157,9 @@
         _LOGGER.warning("dispatch: lost the term", extra={"reason": reason})
         threading.Thread(target=self._election.resign, daemon=True).start()
 
+    def _limit_of(self, workspace: WorkspaceName) -> Resources | None:
+        return limits_of(self._config.current()).get(workspace)
+
     def _dump(self) -> dict:
         return describe(self._node, self._config, self._election, self._link)
 
--- a/src/jayshunt/workspaces/limits.py
+++ b/src/jayshunt/workspaces/limits.py
@@ -8,7 +8,9 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from jayshunt.dispatch.free_capacity import StepKey, step_key
 from jayshunt.dispatch.models import FleetConfig, JobSpec, Resources
+from jayshunt.dispatch.placement_policy import StartGate
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.ids import WorkspaceName
 from jayshunt.workspaces.usage import (
@@ -53,6 +55,30 @@
     )
 
 
+def allowed_tasks(job: Job, gate: StartGate) -> list[Task]:
+    """Return the ready tasks of a job that a gate allows to start, and record them.
+
+    The others wait for the limit of their workspace and need no capacity before that.
+    """
+    allowed: list[Task] = []
+    skipped_steps: set[StepKey] = set()
+    for task in job.ready_tasks():
+        key = step_key(task)
+        if key in skipped_steps:
+            continue
+        tasks = [task]
+        if task.spec.is_gang:
+            skipped_steps.add(key)
+            tasks = job.steps[task.key.occurrence, task.key.step]
+        if not gate.may_start(job, tasks):
+            skipped_steps.add(key)
+            continue
+        for started in tasks:
+            gate.record_start(job, started)
+        allowed += tasks
+    return allowed
+
+
 class WorkspaceLimits:
     """Hold back, in one placement round, what would exceed the limit of a workspace.
 
@@ -69,7 +95,7 @@
         unconfirmed: UnconfirmedRuns = NO_UNCONFIRMED_RUNS,
     ) -> None:
         """Start a round in which nothing was placed yet."""
-        self._limits = limits
+        self.limits = limits
         self._usage = usage
         self._unconfirmed = unconfirmed
         self._used: dict[WorkspaceName, Resources] = {}
@@ -81,7 +107,7 @@
         These are a single task, or all tasks of a gang.
         """
         workspace = job.spec.workspace
-        limit = self._limits.get(workspace)
+        limit = self.limits.get(workspace)
         if limit is None:
             return True
         need = multiply(tasks[0].spec.resources, len(tasks))
@@ -93,7 +119,7 @@
     def record_start(self, job: Job, task: Task) -> None:
         """Add a task that is placed in this round to its workspace's use."""
         workspace = job.spec.workspace
-        if workspace in self._limits:
+        if workspace in self.limits:
             self._used[workspace] = self.used(workspace) + task.spec.resources
 
     def used(self, workspace: WorkspaceName) -> Resources:
