--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -16,10 +16,11 @@
 from jayshunt.dispatch.handover import HandoverMonitor
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.metrics import EntryMetrics
-from jayshunt.dispatch.models import Address, EntryNode, Worker
+from jayshunt.dispatch.models import Address, EntryNode, Resources, Worker
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import OwnTerm, TermElection
+from jayshunt.ids import WorkspaceName
 from jayshunt.platform.const import CONFIG_KEY
 from jayshunt.platform.formats import decode_config
 from jayshunt.platform.front_api import FrontApi
@@ -29,6 +30,7 @@
 from jayshunt.serving.limits import ServerLimits
 from jayshunt.tasks import TaskGroup
 from jayshunt.workspaces.authentication import Authenticator
+from jayshunt.workspaces.limits import limits_of
 from jayshunt.workspaces.refusals import RefusalLog
 
 _LOGGER = logging.getLogger(__name__)
@@ -85,7 +87,7 @@
             node.bounds, self._clock, lambda: self._config.read_s, refusals
         )
         self._job_service = EntryJobService(
-            self._store, self._link, self._clock, refusals
+            self._store, self._link, self._clock, refusals, self._limit_of
         )
         self._tasks = TaskGroup("entry")
         self._front_server = _build_server(
@@ -164,6 +166,9 @@
         _LOGGER.warning("dispatch: lost the term", extra={"reason": reason})
         threading.Thread(target=self._election.resign, daemon=True).start()
 
+    def _limit_of(self, workspace: WorkspaceName) -> Resources | None:
+        return limits_of(self._config.current()).get(workspace)
+
     def _dump(self) -> dict:
         return describe(
             self._node, self._config, self._election, self._link, self._authenticator
