Place serving and filling tasks by the expected harm of their images

Placement counted the neighbors of a long-running task on each worker and so preferred one harmful neighbor to two harmless ones, and spread tasks that do not disturb each other.

`Load` now counts serving and filling tasks by image, and with `interference` on, the cost of a worker is the known harm both ways. A neighbor without evidence counts little, so that without any evidence the choice is as before. Placements for which a known pair mattered are counted and logged.

--- a/src/jayshunt/dispatch/free_capacity.py
+++ b/src/jayshunt/dispatch/free_capacity.py
@@ -24,7 +24,8 @@
     `long_running_reserved` is the share of `reserved` that belongs to long-running
     tasks. `tasks_per_step` counts the tasks of each step that has a
     `max_per_worker`. `filling` counts tasks that use otherwise idle processors,
-    `serving` those with a latency target.
+    `serving` those with a latency target. `images` counts both kinds by image and by
+    whether they fill, as far as they have an image.
     """
 
     reserved: Resources = Resources()
@@ -33,6 +34,7 @@
     long_running: int = 0
     filling: int = 0
     serving: int = 0
+    images: dict[tuple[str, bool], int] = field(default_factory=dict)
 
     def add(self, task: Task) -> None:
         """Add a task to the load."""
@@ -57,6 +59,7 @@
             self.long_running,
             self.filling,
             self.serving,
+            self.images.copy(),
         )
 
     def _count(self, task: Task, change: int) -> None:
@@ -72,6 +75,11 @@
             self.filling += change
         if spec.target_ms:
             self.serving += change
+        if spec.image and (spec.fills or spec.target_ms):
+            image = (spec.image, spec.fills)
+            self.images[image] = self.images.get(image, 0) + change
+            if not self.images[image]:
+                del self.images[image]
 
 
 @dataclass
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -16,7 +16,7 @@
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.placement_policy import PlacementPolicy
-from jayshunt.dispatch.placing import plan_placements, prioritize_jobs
+from jayshunt.dispatch.placing import Placement, plan_placements, prioritize_jobs
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
@@ -163,6 +163,7 @@
             for placement in self.tickets.place(
                 jobs, candidates, now_s, may_start, plan
             ):
+                self._record_interference(placement)
                 starts.append(self._start_run(placement.task, placement.worker, now_s))
             pace_changes = self._pace_changes(now_s)
         for session, item in [*starts, *pace_changes]:
@@ -173,7 +174,15 @@
 
     def _policy(self) -> PlacementPolicy:
         """Return the placement policy of one round."""
-        return PlacementPolicy(prioritize_jobs)
+        if self.interference is None:
+            return PlacementPolicy(prioritize_jobs)
+        harm = self.interference.begin_round(self._clock.monotonic_s())
+        return PlacementPolicy(prioritize_jobs, neighbor_cost=harm.neighbor_cost)
+
+    def _record_interference(self, placement: Placement) -> None:
+        if self.interference is not None:
+            view = self._dispatcher.tracker.workers[placement.worker]
+            self.interference.record_placement(placement.task, view.load)
 
     def _create_due_tasks(self, jobs: list[Job]) -> None:
         """Create the tasks of scheduled jobs whose time has come."""
--- a/src/jayshunt/interference/const.py
+++ b/src/jayshunt/interference/const.py
@@ -31,6 +31,11 @@
 # deviations. With less effect, a known task is throttled only when all tasks are.
 HARMFUL_RATIO = 0.1
 HARMFUL_SDS = 2.0
+# Placement uses a pair from less evidence, as a throttled pair shows little of it.
+PLACEMENT_EVIDENCE = 1.0
+# The cost of a neighbor of which nothing is known; less than the least known harm, so
+# that a pair is tried rather than put beside a harmful one.
+UNKNOWN_HARM = 0.01
 
 # A report covers this time before it, and an order for a pace works after this delay.
 REPORT_WINDOW_S = 0.5
--- a/src/jayshunt/interference/control.py
+++ b/src/jayshunt/interference/control.py
@@ -1,26 +1,68 @@
 """Connect learning, pacing and placement of one term."""
 
+import logging
+from collections import Counter
 from collections.abc import Callable
 
 from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.free_capacity import Load
+from jayshunt.dispatch.tasks import Task
 from jayshunt.ids import WorkerId
 from jayshunt.interference.model import InterferenceModel
 from jayshunt.interference.observer import ReportObserver
 from jayshunt.interference.pacing import InterferencePacer
+from jayshunt.interference.placement import NeighborHarm
+
+_LOGGER = logging.getLogger(__name__)
 
 CLEANUP_INTERVAL_S = 5.0
 
 
 class InterferenceControl:
-    """Hold what one term knows of interference; the dispatcher's lock guards it."""
+    """Hold what one term knows of interference; the dispatcher's lock guards it.
+
+    `counts` counts placements that avoided a pair (avoided) and that had to accept a
+    harmful one (accepted).
+    """
 
     def __init__(self) -> None:
         """Start without observations."""
         self.model = InterferenceModel()
         self._observer = ReportObserver(self.model)
         self.pacer = InterferencePacer(self.model, self._observer)
+        self.counts: Counter[str] = Counter()
+        self._harm = NeighborHarm(self.model, 0.0)
         self._next_cleanup_s = 0.0
 
+    def begin_round(self, now_s: float) -> NeighborHarm:
+        """Return what estimates the harm on workers in a new placement round."""
+        self._harm = NeighborHarm(self.model, now_s)
+        return self._harm
+
+    def record_placement(self, task: Task, load: Load) -> None:
+        """Count and log a placement for which a known pair mattered.
+
+        `load` is that of the chosen worker without the task. Call it after each
+        placement of the round.
+        """
+        step = task.spec
+        highest = self._harm.highest.get((step.image, step.fills))
+        if highest is None:
+            return
+        harm = self._harm.known_harm(step, load)
+        what = "avoided" if harm < highest else "accepted"
+        self.counts[what] += 1
+        _LOGGER.info(
+            "interference: a harmful pair was %s",
+            what,
+            extra={
+                "task": task.key.name,
+                "image": step.image,
+                "harm": round(harm, 2),
+                "highest_harm": round(highest, 2),
+            },
+        )
+
     def observe(
         self,
         workers: dict[WorkerId, WorkerView],
--- a/src/jayshunt/interference/model.py
+++ b/src/jayshunt/interference/model.py
@@ -97,6 +97,7 @@
         parts = [(base, 1.0), (offset, 1.0)]
         parts += [(effects[pair], amount) for pair, amount in amounts.items()]
         _update(parts, observation.ratio, observation.noise_factor)
+        base.evidence += 1.0
         _keep(self._bases, observation.image, base, const.MAX_PAIRS)
         _keep(self._offsets, observation.task, offset, const.MAX_TASK_OFFSETS)
         for pair, amount in amounts.items():
--- a/src/jayshunt/interference/tests/builders.py
+++ b/src/jayshunt/interference/tests/builders.py
@@ -248,13 +248,14 @@
     ratio: float,
     now_s: float,
     worker: int = 0,
+    victim: ImageName = SERVING,
 ) -> None:
     """Report a serving task beside filling tasks, given by image with their paces."""
     rows = tuple(
         Neighbor(ImageName(image), True, pace) for image, pace in neighbors.items()
     )
     task = TaskKey(JobId("a"), 0, 0, worker)
-    model.learn(Observation(task, SERVING, ratio, rows), now_s)
+    model.learn(Observation(task, victim, ratio, rows), now_s)
 
 
 def expect(model, image: str, now_s: float):
