Hand on what was learned of interference to the next term

A successor started without estimates and had to break targets again to find the pairs. It also took every inherited filling run to be at full pace, although the earlier term may have stopped it: the run stayed stopped, and its harmless report would have counted as evidence of full pace.

The dispatcher now stores a summary under `jayshunt/interference`, at most every 5 s and at a graceful end of the term, on the condition that the term's key and the record's revision are as expected, below 64,000 bytes. It is read once before the first placement; a malformed one is ignored with a log line. More evidence wins when both views have a pair. The pace of an inherited filling run is sent once, at the pace that the model allows, and nothing is learned beside it before that.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -36,6 +36,7 @@
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.worker_list import WorkerList
 from jayshunt.ids import JobId, PoolName, QueueName, Revision, WorkerId
+from jayshunt.interference.summary_store import SummaryStore
 from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import AdviceClient
@@ -111,6 +112,7 @@
         )
         advice = None if node.advice is None else AdviceClient(node.advice)
         self.planner = Planner(self, clock, config, node.bounds, advice, node.features)
+        self.interference_summary = self._build_interference_summary()
         self.fleet = FleetDuty(
             self, store, machines, clock, config, node.bounds, node.vm_orders_per_s
         )
@@ -129,6 +131,8 @@
             self.fleet.run,
         ):
             self._group.supervise(task)
+        if self.interference_summary is not None:
+            self._group.supervise(self._guard(self.interference_summary.run))
 
     def stop(self, is_graceful: bool) -> None:
         """Stop giving orders and end all threads.
@@ -144,12 +148,22 @@
         self._worker_loop.stop()
         self._group.stop(STOP_TIMEOUT_S)
 
+    def _build_interference_summary(self) -> SummaryStore | None:
+        control = self.planner.interference
+        if control is None:
+            return None
+        return SummaryStore(
+            control.model, self.lock, self._store, self.term_condition, self._clock
+        )
+
     def _flush(self) -> None:
         with self.lock:
             self.tracker.crashes.record_term_end(self.tracker.workers.values())
         try:
             self.progress.flush(FLUSH_TIMEOUT_S)
             self._write_handoff()
+            if self.interference_summary is not None:
+                self.interference_summary.write()
         except (TermEnded, StoreUnavailable, StoreOutcomeUnknown) as error:
             _LOGGER.info("dispatch: could not store progress or handoff: %s", error)
 
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -174,6 +174,8 @@
             self._apply_cancel(item)
         self._read_handoff()
         self._read_or_delete_suspicion()
+        if self._dispatcher.interference_summary is not None:
+            self._dispatcher.interference_summary.read()
         self._revision = revision
         _LOGGER.info(
             "dispatch: read the accepted jobs",
--- a/src/jayshunt/dispatch/tests/fleet_builders.py
+++ b/src/jayshunt/dispatch/tests/fleet_builders.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import Counter, defaultdict
+from dataclasses import replace
 
 from jayshunt.clock import SystemClock
 from jayshunt.dispatch.dispatcher import Dispatcher
@@ -176,8 +177,11 @@
             for worker in self.workers.values()
         )
 
-    def build_dispatcher(self, name: str = "entry-1") -> Dispatcher:
-        """Return the dispatcher of a new term, whose lease does not expire."""
+    def build_dispatcher(self, name: str = "entry-1", **changes) -> Dispatcher:
+        """Return the dispatcher of a new term, whose lease does not expire.
+
+        `changes` are settings of the entry.
+        """
         self.store.items.pop(TERM_KEY, None)
         result = self.store.transact({}, (Put(TERM_KEY, b"{}"),))
         term = Term(
@@ -185,7 +189,7 @@
         )
         own = OwnTerm(term, 0.0, lambda: 0.0)
         return Dispatcher(
-            build_node(name),
+            replace(build_node(name), **changes),
             own,
             self.store,
             SystemClock(),
--- a/src/jayshunt/interference/model.py
+++ b/src/jayshunt/interference/model.py
@@ -19,6 +19,7 @@
     Pair,
     Prior,
 )
+from jayshunt.interference.summary import MAX_NAME_CHARS, InterferenceSummary
 
 _BASE_PRIOR = Prior(const.BASE_PRIOR_MEAN, const.BASE_PRIOR_SD, const.BASE_DECAY_S)
 _OFFSET_PRIOR = Prior(0.0, const.OFFSET_PRIOR_SD, const.PAIR_DECAY_S)
@@ -105,6 +106,42 @@
             _keep(self.pairs, pair, effects[pair], const.MAX_PAIRS)
         return sum(part.mean * amount for part, amount in parts)
 
+    def summarize(self, now_s: float, saved_at_s: float) -> InterferenceSummary:
+        """Return the estimates for a successor.
+
+        `saved_at_s` is in seconds since the Unix epoch.
+        """
+        return InterferenceSummary(
+            saved_at_s,
+            {
+                pair: self.expect(pair, now_s)
+                for pair in self.pairs
+                if max(len(pair.aggressor), len(pair.victim)) <= MAX_NAME_CHARS
+            },
+            {
+                image: self.expect_base(image, now_s)
+                for image in self._bases
+                if len(image) <= MAX_NAME_CHARS
+            },
+        )
+
+    def merge(
+        self,
+        pairs: dict[Pair, Estimate],
+        bases: dict[ImageName, Estimate],
+        now_s: float,
+        age_s: float,
+    ) -> None:
+        """Add estimates that are `age_s` old, unless more evidence is here already."""
+        for pair, stored in pairs.items():
+            estimate = _aged(stored, _prior_of(pair), now_s, age_s)
+            if estimate.evidence > self.expect(pair, now_s).evidence:
+                _keep(self.pairs, pair, estimate, const.MAX_PAIRS)
+        for image, stored in bases.items():
+            estimate = _aged(stored, _BASE_PRIOR, now_s, age_s)
+            if estimate.evidence > self.expect_base(image, now_s).evidence:
+                _keep(self._bases, image, estimate, const.MAX_PAIRS)
+
 
 def _update(
     parts: list[tuple[Estimate, float]], ratio: float, noise_factor: float
@@ -122,6 +159,12 @@
         part.variance -= gain * amount * part.variance
 
 
+def _aged(stored: Estimate, prior: Prior, now_s: float, age_s: float) -> Estimate:
+    """Return a stored estimate as it is now, on this process's clock."""
+    estimate = Estimate(stored.mean, stored.variance, stored.evidence, now_s - age_s)
+    return estimate.decayed(prior, now_s)
+
+
 def _keep(entries: dict, key, estimate: Estimate, limit: int) -> None:
     """Store an estimate as the one used last; drop the one used least recently."""
     entries.pop(key, None)
--- a/src/jayshunt/interference/observer.py
+++ b/src/jayshunt/interference/observer.py
@@ -14,10 +14,13 @@
 
 @dataclass(frozen=True, slots=True)
 class _PaceChange:
-    """Store the pace of a run before its last change, in percent, and when that was."""
+    """Store the pace of a run before its last change, in percent, and when that was.
+
+    `before_percent` is None if an earlier term may have set any pace.
+    """
 
     run: int
-    before_percent: int
+    before_percent: int | None
     changed_s: float
 
 
@@ -46,13 +49,20 @@
 
     def record_pace_change(self, task: Task, now_s: float) -> None:
         """Record that the pace of a task is about to change; call it before that."""
-        self._changes[task.key] = _PaceChange(task.run, task.pace, now_s)
+        before = task.pace if self.is_pace_known(task) else None
+        self._changes[task.key] = _PaceChange(task.run, before, now_s)
+
+    def is_pace_known(self, task: Task) -> bool:
+        """Return whether this term started the run or has sent it a pace."""
+        change = self._changes.get(task.key)
+        return task.ordered_s > 0 or (change is not None and change.run == task.run)
 
     def observe(self, view: WorkerView, is_slow: Callable[[WorkerId], bool]) -> None:
         """Learn from a worker's last report unless it was seen before.
 
         Nothing is learned from slow workers and from serving tasks that are not warm,
-        whose latency is high for other reasons.
+        whose latency is high for other reasons, nor beside a filling task of which an
+        earlier term may have set the pace.
         """
         worker, answer_s = view.worker.worker, view.last_answer_s
         if answer_s is None or self.reported_s.get(worker) == answer_s:
@@ -67,6 +77,8 @@
             for task in view.tasks.values()
             if task.phase is TaskPhase.RUNNING and task.spec.image
         ]
+        if not all(self._was_pace_known(task, answer_s) for task in running):
+            return
         for task in running:
             if task.spec.target_ms and task.is_warm and task.load > 0:
                 observation = self._observe_task(task, running, answer_s)
@@ -100,6 +112,17 @@
             noise_factor,
         )
 
+    def _was_pace_known(self, task: Task, answer_s: float) -> bool:
+        """Return whether a pace is known for all the time that a report covers."""
+        if not task.spec.fills or task.ordered_s > 0:
+            return True
+        change = self._changes.get(task.key)
+        if change is None or change.run != task.run:
+            return False
+        begun_s = change.changed_s + const.PACE_DELAY_S
+        covers_change = answer_s - const.REPORT_WINDOW_S < begun_s
+        return change.before_percent is not None or not covers_change
+
     def _mean_pace(self, task: Task, answer_s: float) -> float:
         """Return the mean pace in the time that a report covers, where 1 is full."""
         started_s = task.started_s
@@ -109,7 +132,7 @@
         before = 0
         changed_s = started_s
         if change is not None and change.run == task.run:
-            before = change.before_percent
+            before = change.before_percent or 0
             changed_s = change.changed_s + const.PACE_DELAY_S
         window_start_s = answer_s - const.REPORT_WINDOW_S
         share_before = (changed_s - window_start_s) / const.REPORT_WINDOW_S
--- a/src/jayshunt/interference/pacing.py
+++ b/src/jayshunt/interference/pacing.py
@@ -42,7 +42,6 @@
         self._model = model
         self._observer = observer
         self._workers: dict[WorkerId, _WorkerPacing] = {}
-        self._confirmed_runs: dict[TaskKey, int] = {}
         self.counts: Counter[str] = Counter()
 
     def decide(self, tasks: Iterable[Task], now_s: float) -> list[tuple[Task, int]]:
@@ -60,25 +59,33 @@
         changes = []
         for task in filling:
             pace = paces.get(task.key, task.pace)
+            is_unconfirmed = not self._observer.is_pace_known(task)
+            if is_unconfirmed:
+                pace = min(pace, self._inherited_pace(task, serving, now_s))
             is_resent = pace == 0 and state.stopped_s == now_s
-            if pace != task.pace or is_resent or self._is_unconfirmed(task):
+            if pace != task.pace or is_resent or is_unconfirmed:
                 self._observer.record_pace_change(task, now_s)
-                self._confirmed_runs[task.key] = task.run
                 changes.append((task, pace))
         return changes
 
+    def _inherited_pace(self, task: Task, serving: list[Task], now_s: float) -> int:
+        """Return a pace for a run whose pace an earlier term may have set.
+
+        Its reports do not show the pace. What the model expects decides, as full pace
+        would end the throttling of a harmful task.
+        """
+        pace = 100
+        for victim in serving:
+            effect = self._effect(task, victim, now_s)
+            if is_known(effect) and effect.mean >= const.HARMFUL_RATIO:
+                base = self._model.expect_base(ImageName(victim.spec.image), now_s)
+                left = max(0.0, const.AIM_BELOW - base.mean)
+                pace = min(pace, int(100 * left / effect.upper))
+        return pace
+
     def forget_absent(self, workers: dict) -> None:
-        """Forget workers and runs that are gone; call it every few seconds."""
-        present = {key for view in workers.values() for key in view.tasks}
+        """Forget workers that are gone; call it every few seconds."""
         self._workers = {k: v for k, v in self._workers.items() if k in workers}
-        self._confirmed_runs = {
-            k: v for k, v in self._confirmed_runs.items() if k in present
-        }
-
-    def _is_unconfirmed(self, task: Task) -> bool:
-        """Return whether an earlier term may have set another pace than is assumed."""
-        is_inherited = task.ordered_s == 0.0
-        return is_inherited and self._confirmed_runs.get(task.key) != task.run
 
     def _choose_paces(
         self,
--- a/src/jayshunt/interference/tests/test_pacing.py
+++ b/src/jayshunt/interference/tests/test_pacing.py
@@ -96,10 +96,19 @@
 
     def test_pace_of_an_inherited_run_is_sent_once(self) -> None:
         """An earlier term may have stopped it, which its report does not show."""
-        self.loud.ordered_s = 0.0
-        self.assertEqual([(self.loud, 100)], self.report(0.3, 1.0))
+        self.quiet.ordered_s = 0.0
+        self.assertEqual([(self.quiet, 100)], self.report(0.3, 1.0))
         self.assertEqual([], self.report(0.3, 1.0))
 
+    def test_inherited_harmful_run_does_not_start_at_full_pace(self) -> None:
+        """Each takeover would end the throttling, and unlearn why it was there."""
+        self.teach()
+        self.loud.ordered_s = 0.0
+        before = self.control.model.observations
+        ((_, pace),) = self.report(0.3, 0.1)
+        self.assertEqual(before, self.control.model.observations)
+        self.assertLess(pace, 100)
+
 
 class PacingComparisonTest(unittest.TestCase):
     """Compare pacing by the model with the plain pacer and with the known truth."""
