--- a/src/jayshunt/workspaces/tests/test_demand.py
+++ b/src/jayshunt/workspaces/tests/test_demand.py
@@ -64,7 +64,10 @@
         self.limits = {}
         self.store = FakeStore()
         self.entry = EntryJobService(
-            self.store, FakeLink(), ManualClock(0.0), lambda name: self.limits.get(name)
+            self.store,
+            FakeLink(),
+            ManualClock(0.0),
+            limit_of=lambda name: self.limits.get(name),
         )
         gang = build_step(task_count=3, is_gang=True)
         self.spec = build_workspace_job(gang).spec
