Log whether a configuration version requires keys

Missing: a version without the list of workspaces opens every queue, and no log line showed it.

The line "config: in force" gives the number of workspaces and whether keys are required.

--- a/src/jayshunt/dispatch/config_follower.py
+++ b/src/jayshunt/dispatch/config_follower.py
@@ -121,6 +121,8 @@
                 "version": config.version,
                 "before": before,
                 "queues": len(config.queues),
+                "workspaces": len(config.workspaces),
+                "requires_keys": config.requires_keys,
                 "revision": item.revision,
             },
         )
