Admit jobs by their predicted end

All jobs of a queue were refused once the backlog of its pool exceeded 5 s, whatever their size and objective, and all refused callers were told the same time, so that they came back as one burst and were refused again.

With `predictive_admission` on, the dispatcher publishes an outlook of each queue beside the refusals: the wait of a new job by its size behind the work that goes before it, the wait of a job that cannot be in time, and the ratio of run times to estimates. An entry accepts a job unless it would end beyond three times its objective. The dispatcher gives a refused caller a time to return, at the rate at which the pool takes work, and accepts it then unless the pool lost capacity. Refused jobs count in the shares of the service order. Off, nothing changes.

--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -45,6 +45,11 @@
                 }
                 for view in tracker.workers.values()
             ],
+            "admission": (
+                None
+                if dispatcher.planner.admission is None
+                else dispatcher.planner.admission.describe()
+            ),
             "service_order": describe_order(dispatcher.planner.service_order),
             "waves": {
                 number: {"done": sorted(state.done), "completed": state.is_completed}
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -26,6 +26,7 @@
 from jayshunt.dispatch.store_models import Put
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, QueueName, Revision
+from jayshunt.overload.admission import refuse
 from jayshunt.platform.store import PlatformStore
 from jayshunt.store.errors import StoreUnavailable
 
@@ -74,7 +75,7 @@
             self._refuse(
                 spec, "isolated", DEFAULT_RETRY_AFTER_S, "the entry is cut off"
             )
-        retry_after_s = self._link.refuse_retry_after_s(queue.queue)
+        retry_after_s = self._retry_after_s(spec, queue)
         if retry_after_s > 0 and not spec.is_long_running:
             return self._refuse_unless_known(spec, retry_after_s)
         value = encode_job(spec, queue, time.time())
@@ -163,6 +164,20 @@
         )
         return Accepted(is_new)
 
+    def _retry_after_s(self, spec: JobSpec, queue: QueueConfig) -> float:
+        """Return the seconds after which a refused caller may retry, 0 to accept.
+
+        With an outlook of the queue, its predicted end decides, else whether the whole
+        queue refuses jobs.
+        """
+        outlook = self._link.outlook(queue.queue)
+        if outlook is None:
+            return self._link.refuse_retry_after_s(queue.queue)
+        refusal = refuse(spec, queue, outlook)
+        if refusal is None:
+            return 0.0
+        return self._link.book_return(spec.job, queue.queue, refusal)
+
     def _refuse_unless_known(self, spec: JobSpec, retry_after_s: float) -> Accepted:
         """Raise JobRefused for a queue far behind, unless the job is already stored."""
         try:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -3,8 +3,10 @@
 import contextlib
 import json
 import logging
+import math
 import queue
 import threading
+from dataclasses import asdict
 
 from jayshunt import http_client
 from jayshunt.clock import Clock
@@ -24,6 +26,8 @@
 from jayshunt.dispatch.term import TermElection
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import JobId, LeaseId, QueueName
+from jayshunt.overload.models import QueueOutlook, Refusal
+from jayshunt.overload.outlook import decode_outlooks
 from jayshunt.platform.store import PlatformStore
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,6 +62,7 @@
         self._handles: queue.LifoQueue = queue.LifoQueue()
         self._notices: queue.Queue = queue.Queue(MAX_NOTICES)
         self._refusals: dict[QueueName, float] = {}
+        self._outlooks: dict[QueueName, QueueOutlook] = {}
         self._refusals_s = 0.0
         self._reports: dict[str, EntryReport] = {}
         self.handover_lease: LeaseId | None = None
@@ -73,6 +78,28 @@
             return 0.0
         return self._refusals.get(queue_name, 0.0)
 
+    def outlook(self, queue_name: QueueName) -> QueueOutlook | None:
+        """Return the outlook of a queue, None if there is no recent one."""
+        if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
+            return None
+        return self._outlooks.get(queue_name)
+
+    def book_return(self, job: JobId, queue: QueueName, refusal: Refusal) -> float:
+        """Return after how many seconds a refused caller may return, 0 to accept now.
+
+        Without an answer of the dispatcher, it is the time from which on the queue
+        would accept the job.
+        """
+        body = {"job": job, "queue": queue, **asdict(refusal)}
+        try:
+            return float(self._call("book_return", body, 0.0)["retry_after_s"])
+        except JayshuntError as error:
+            _LOGGER.info(
+                "dispatch: failed to book the return of a caller",
+                extra={"job": job, "reason": str(error)},
+            )
+            return max(1.0, math.ceil(refusal.after_s))
+
     def job_state(self, job: JobId, wait_s: float) -> JobState | None:
         """Return a job's state; None if the dispatcher does not know the job."""
         answer = self._call("job_state", {"job": job}, wait_s)
@@ -146,6 +173,7 @@
                     QueueName(name): after_s
                     for name, after_s in answer["refusals"].items()
                 }
+                self._outlooks = decode_outlooks(answer.get("outlooks", {}))
                 self._refusals_s = self._clock.monotonic_s()
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: failed to read refusals: %s", error)
@@ -269,7 +297,17 @@
         case "waiting":
             return {"waiting": dispatcher.count_waiting(QueueName(body["queue"]))}
         case "refusals":
-            return {"refusals": dispatcher.planner.refusals()}
+            answer = {"refusals": dispatcher.planner.refusals()}
+            if dispatcher.planner.admission is not None:
+                answer["outlooks"] = dispatcher.planner.admission.encode_outlooks()
+            return answer
+        case "book_return":
+            if dispatcher.planner.admission is None:
+                raise NoDispatcher(f"dispatch.{call}", detail="admission is off")
+            refusal = Refusal(body["after_s"], body["core_s"])
+            job, queue_name = JobId(body["job"]), QueueName(body["queue"])
+            admission = dispatcher.planner.admission
+            return {"retry_after_s": admission.book(job, queue_name, refusal)}
         case "submit":
             return dispatcher.submit(body["key"], body["value"].encode())
         case "cancel":
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -4,6 +4,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from jayshunt.overload.metrics import overload_metrics
+
 # From an answer by a dispatcher on the same VM up to a caller's full timeout.
 ANSWER_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 # From an immediate start to a wait far beyond the objective of a job.
@@ -96,13 +98,4 @@
     active = GaugeMetricFamily("jayshunt_jobs_active", "Jobs that have not ended.")
     active.add_metric([], len(dispatcher.tracker.active))
     yield active
-    order = dispatcher.planner.service_order
-    if order is not None:
-        prospects = GaugeMetricFamily(
-            "jayshunt_jobs_waiting",
-            "Jobs with a waiting task by how they can still end.",
-            labels=["prospect"],
-        )
-        for prospect, count in order.prospects.items():
-            prospects.add_metric([prospect.name.lower()], count)
-        yield prospects
+    yield from overload_metrics(dispatcher.planner)
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -23,6 +23,7 @@
 from jayshunt.dispatch.tickets import TicketCache
 from jayshunt.ids import PoolName, QueueName
 from jayshunt.overload.diagnostics import OrderLog, rooms_of
+from jayshunt.overload.duty import AdmissionDuty
 from jayshunt.overload.service_order import ServiceOrder
 
 _LOGGER = logging.getLogger(__name__)
@@ -73,6 +74,11 @@
         self.knows_all_runs = False
         self.service_order = ServiceOrder() if features.overload_order else None
         self._order_log = OrderLog()
+        self.admission = (
+            AdmissionDuty(dispatcher, clock, config, features.overload_order)
+            if features.predictive_admission
+            else None
+        )
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self.tickets = TicketCache(
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -40,6 +40,7 @@
 )
 from jayshunt.dispatch.tests.fakes import FakeStore
 from jayshunt.ids import EntryId, Revision
+from jayshunt.overload.models import QueueOutlook
 
 
 class FakeDuties:
@@ -254,6 +255,7 @@
     def __init__(self) -> None:
         """Start with an unreachable dispatcher."""
         self.refuse_s = 0.0
+        self.queue_outlook = None
         self.notified: list = []
         self.state = None
         self.submit_error: Exception | None = NoDispatcher("test")
@@ -267,6 +269,14 @@
         """Return after how long refused callers may retry."""
         return self.refuse_s
 
+    def outlook(self, queue):
+        """Return the outlook of a queue, if the test has set one."""
+        return self.queue_outlook
+
+    def book_return(self, job, queue, refusal) -> float:
+        """Return when the caller may return, as for `refuse_retry_after_s`."""
+        return self.refuse_s
+
     def notify_accepted(self, job, value, created) -> None:
         """Record a notice about an accepted job."""
         self.notified.append(job)
@@ -375,6 +385,17 @@
             self.submit()
         self.assertEqual(3.0, caught.exception.retry_after_s)
 
+    def test_outlook_decides_instead_of_the_refusal_of_the_queue(self) -> None:
+        """One refusal for the queue would also hit jobs that can be in time."""
+        self.link.refuse_s = 3.0
+        self.link.queue_outlook = QueueOutlook(build_queue().queue, ((4.0, 0.5),), 60.0)
+        self.assertTrue(self.submit().is_new)
+        self.spec = build_spec(job="00000000000000b2")
+        self.link.queue_outlook = QueueOutlook(build_queue().queue, ((4.0, 5.0),), 60.0)
+        with self.assertRaises(JobRefused) as caught:
+            self.submit()
+        self.assertEqual("queue_behind", caught.exception.code)
+
     def test_record_holds_the_whole_job(self) -> None:
         """A successor knows only what is in the record."""
         step = build_step(task_count=3, after=(), is_gang=True, target_ms=80)
--- a/src/jayshunt/overload/const.py
+++ b/src/jayshunt/overload/const.py
@@ -24,3 +24,25 @@
 SHARE_HALF_LIFE_S = 4.0
 # A group that is owed less than this many jobs is not preferred.
 MIN_OWED = 0.3
+
+# How long a VM takes until it serves another pool.
+MOVE_S = 2.0
+# Share of a pool's cores that placement fills while work waits, before it was observed,
+# and the bounds of what is observed.
+PACKED_SHARE = 0.85
+MIN_PACKED_SHARE = 0.5
+# Weight of the latest observation of that share, made five times a second at most.
+PACKED_WEIGHT = 0.2
+
+# Share of a pool's capacity that is given to callers who return after a refusal. The
+# rest is for callers who come for the first time.
+RETURN_SHARE = 0.5
+MIN_RETRY_AFTER_S = 1
+MAX_RETRY_AFTER_S = 30
+# Refused callers are remembered for this long after their return time, the latest ones.
+REMEMBER_REFUSED_S = 30.0
+MAX_REFUSED = 10_000
+# A caller may return this much before its time, as clocks and networks vary.
+EARLY_RETURN_S = 0.2
+# A pool has lost capacity if it has less than this share of what it had at a refusal.
+KEPT_CAPACITY_SHARE = 0.8
--- a/src/jayshunt/overload/service_order.py
+++ b/src/jayshunt/overload/service_order.py
@@ -120,6 +120,16 @@
         """
         return sorted(jobs, key=lambda job: self._rank_of(job, now_s))
 
+    def record_refused(self, pool: PoolName, queue: QueueName, core_s: float) -> None:
+        """Count a job that was refused at its submission as one that is not served.
+
+        Otherwise refusing large jobs would hide that few of them are served.
+        """
+        history = self.sizes.setdefault(queue, SizeHistory())
+        group = (pool, queue, history.is_large(core_s))
+        history.add(core_s)
+        self.shares.record(group, submitted=1)
+
     def _rank_of(self, job: Job, now_s: float) -> tuple:
         """Return the rank of a job; one that is not of this round is ranked alone."""
         rank = self._ranks.get(job.spec.job)
@@ -180,6 +190,11 @@
             del self._known[job_id]
 
 
+def size_exponent(core_s: float) -> int:
+    """Return the exponent of two of a size; sizes that share it count as equal."""
+    return math.floor(math.log2(core_s)) if core_s > 0 else -64
+
+
 def _share_key(group: tuple) -> tuple:
     """Return the key of a group's count: its own if it is large, else its queue's."""
     pool, queue, is_large = group
@@ -191,8 +206,7 @@
 
     Sizes within a factor of two count as equal, so that the deadline decides.
     """
-    size = math.floor(math.log2(core_s)) if core_s > 0 else -64
-    by_size = size if found.is_in_time and not begun else 0
+    by_size = size_exponent(core_s) if found.is_in_time and not begun else 0
     return (
         not job.spec.is_long_running,
         found,
--- a/src/jayshunt/overload/tests/builders.py
+++ b/src/jayshunt/overload/tests/builders.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from jayshunt.dispatch.models import QueueConfig, Resources
+from jayshunt.dispatch.models import FleetConfig, QueueConfig, Resources
 from jayshunt.dispatch.tasks import Job
 from jayshunt.dispatch.tests.builders import (
     POOL,
@@ -12,7 +12,7 @@
     build_queue,
     build_step,
 )
-from jayshunt.ids import QueueName
+from jayshunt.ids import ConfigVersion, QueueName
 
 # Length of a queue's turn and of the whole played load.
 TURN_S = 4.0
@@ -47,6 +47,12 @@
     return build_queue(queue=QueueName(kind.name), pool=POOL, **changes)
 
 
+def build_kinds_config() -> FleetConfig:
+    """Return the configuration of the queues of the played load."""
+    queues = tuple(build_kind_queue(kind) for kind in KINDS)
+    return FleetConfig(ConfigVersion(1), queues, ())
+
+
 def build_workers(count: int = WORKERS) -> list:
     """Return idle workers of 64 cores."""
     return [build_candidate(f"w{n}") for n in range(count)]
--- a/src/jayshunt/overload/tests/load_player.py
+++ b/src/jayshunt/overload/tests/load_player.py
@@ -11,6 +11,7 @@
 from jayshunt.dispatch.placing import plan_placements
 from jayshunt.dispatch.tasks import Job, TaskPhase
 from jayshunt.dispatch.tests.builders import POOL
+from jayshunt.overload.const import USEFUL_FACTOR
 from jayshunt.overload.models import PoolRoom
 from jayshunt.overload.service_order import ServiceOrder, core_seconds
 
@@ -24,9 +25,14 @@
 
 @dataclass
 class Result:
-    """Store which jobs were in time; a job that was refused for good was not."""
+    """Store which jobs were in time and which were of use, from their submission.
+
+    `refusals` counts how often each caller was refused.
+    """
 
     in_time: set = field(default_factory=set)
+    of_use: set = field(default_factory=set)
+    refusals: dict = field(default_factory=lambda: defaultdict(int))
 
     def share(self, jobs: Iterable[Job]) -> float:
         """Return the share of jobs that were in time."""
@@ -76,12 +82,14 @@
         """Start with idle workers.
 
         `split` gives each queue workers of its own. Nothing starts or is seen to end
-        between the two times of `stopped_s`.
+        between the two times of `stopped_s`. `admit` returns after how many seconds a
+        caller may return, 0 if its job is accepted.
         """
         self.jobs = jobs
         self.workers = workers
         self.order: ServiceOrder | None = None
         self.policy = PlacementPolicy(serve_in_order)
+        self.admit: Callable[[Job, list[Job], float], float] = lambda *_: 0.0
         self.split: dict | None = None
         self.stopped_s: tuple[float, float] = (0.0, 0.0)
         self.result = Result()
@@ -96,13 +104,19 @@
 
     def play(self) -> dict[str, float]:
         """Play the load to its end and return its measures."""
-        arriving = list(self.jobs)
+        arriving = [(job.accepted_s, n, job) for n, job in enumerate(self.jobs)]
         active: dict[str, Job] = {}
         now_s = 0.0
-        while arriving or now_s < self.jobs[-1].accepted_s + DRAIN_S:
-            while arriving and arriving[0].accepted_s <= now_s:
-                job = arriving.pop(0)
-                active[job.spec.job] = job
+        end_s = self.jobs[-1].accepted_s + DRAIN_S
+        while now_s < end_s:
+            while arriving and arriving[0][0] <= now_s:
+                at_s, n, job = heapq.heappop(arriving)
+                after_s = self.admit(job, list(active.values()), now_s)
+                if after_s > 0:
+                    self.result.refusals[job.spec.job] += 1
+                    heapq.heappush(arriving, (at_s + after_s, n, job))
+                else:
+                    active[job.spec.job] = job
             self._end_runs(active, now_s)
             if not self.stopped_s[0] <= now_s < self.stopped_s[1]:
                 self._round(list(active.values()), now_s)
@@ -147,8 +161,11 @@
             job.mark_done(placement.task)
             if job.state.is_final:
                 del active[job.spec.job]
+                objective_s = job.deadline_s - job.accepted_s
                 if end_s <= job.deadline_s:
                     self.result.in_time.add(id(job))
+                if end_s <= job.accepted_s + USEFUL_FACTOR * objective_s:
+                    self.result.of_use.add(id(job))
 
 
 def best_in_hindsight(jobs: list[Job], cores: float) -> dict[str, float]:
