--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -24,6 +24,7 @@
 from jayshunt.ids import PoolName, QueueName
 from jayshunt.interference.control import InterferenceControl
 from jayshunt.overload.diagnostics import OrderLog, rooms_of
+from jayshunt.overload.duty import AdmissionDuty
 from jayshunt.overload.service_order import ServiceOrder
 from jayshunt.workspaces.control import WorkspaceControl
 from jayshunt.workspaces.limits import WorkspaceLimits
@@ -79,6 +80,11 @@
         self._silent: list[WorkerView] | None = None
         self.service_order = ServiceOrder() if features.overload_order else None
         self._order_log = OrderLog()
+        self.admission = (
+            AdmissionDuty(dispatcher, clock, config, features.overload_order)
+            if features.predictive_admission
+            else None
+        )
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
         self.tickets = TicketCache(
