Give each workspace its share of a pool, and serve excess jobs last

A workspace that submitted several times its usual load took the pool from all others: jobs were placed by deadline alone.

In a pool whose ready tasks exceed its free capacity, jobs of workspaces below their weighted share (of the resource that they use most of) are placed first, then those of the others, then late jobs and jobs beyond their workspace's rate; the existing order applies within each group and long-running jobs stay in front. While such jobs would only wait, entries refuse further ones (429, workspace_rate), as told by the answer to their polls. The switch workspace_shares turns both off.

--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -98,6 +98,15 @@
             return self._refuse_unless_known(
                 spec, "queue_behind", retry_after_s, "the queue is far behind"
             )
+        rate_retry_s = 0.0
+        if spec.workspace and not spec.is_long_running:
+            rate_retry_s = self._link.workspace_retry_after_s(
+                queue.queue, spec.workspace
+            )
+        if rate_retry_s > 0:
+            return self._refuse_unless_known(
+                spec, "workspace_rate", rate_retry_s, "the workspace exceeds its rate"
+            )
         value = encode_job(spec, queue, time.time())
         key = accepted_key(spec.job)
         end_s = self._clock.monotonic_s() + min(timeout_s, ACCEPT_TIMEOUT_S)
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -13,7 +13,7 @@
     WorkerState,
 )
 from jayshunt.dispatch.tasks import Task
-from jayshunt.ids import JobId, WorkspaceName
+from jayshunt.ids import JobId, PoolName, WorkspaceName
 from jayshunt.workspaces.usage import WorkspaceUsage
 
 # No other task is started beside a suspect of a crash for this long.
@@ -84,7 +84,7 @@
     answer, which was received at `clock_received_s`. `failed_jobs` are the jobs with
     a failed run since the last successful one. `is_listed` is False once the worker
     left the platform's worker list. `usage` is that of the tracker to which the worker
-    was added.
+    was added, in which its runs count for `pool`.
     """
 
     worker: Worker
@@ -110,6 +110,11 @@
     last_done_s: float | None = None
     evacuation_reason: object | None = None
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
+    pool: PoolName = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Count all runs of the worker for the pool in which it was first listed."""
+        self.pool = self.worker.pool
 
     @property
     def is_draining(self) -> bool:
@@ -139,7 +144,8 @@
         task.worker, task.vm = self.worker.worker, self.worker.vm
         if task.key not in self.tasks:
             self.load.add(task)
-            self.usage.add(task.workspace, task.spec.resources)
+            spec = task.spec
+            self.usage.add(self.pool, task.workspace, spec.resources, spec.reserved)
         self.tasks[task.key] = task
         if task.is_suspect:
             self.suspects[task.key] = task
@@ -149,7 +155,8 @@
         self.suspects.pop(task.key, None)
         if self.tasks.pop(task.key, None) is not None:
             self.load.remove(task)
-            self.usage.remove(task.workspace, task.spec.resources)
+            spec = task.spec
+            self.usage.remove(self.pool, task.workspace, spec.resources, spec.reserved)
 
     def detach(self) -> None:
         """Stop counting the worker, whose runs have all certainly ended.
@@ -165,16 +172,19 @@
         """Add a stray run of a task."""
         before = self.strays.get((key, stray.run))
         if before is not None:
-            self.usage.remove(before.workspace, before.resources)
+            self._forget_stray(before)
         self.strays[key, stray.run] = stray
-        self.usage.add(stray.workspace, stray.resources)
+        self.usage.add(self.pool, stray.workspace, stray.resources, stray.reserved)
 
     def clear_strays(self) -> None:
         """Remove all stray runs, of which a report shows those that are still there."""
         for stray in self.strays.values():
-            self.usage.remove(stray.workspace, stray.resources)
+            self._forget_stray(stray)
         self.strays.clear()
 
+    def _forget_stray(self, stray: StrayRun) -> None:
+        self.usage.remove(self.pool, stray.workspace, stray.resources, stray.reserved)
+
     def probation_weight(self, now_s: float) -> int:
         """Return the weight of the suspects whose start may still crash the worker."""
         return sum(
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -141,6 +141,8 @@
                 job.ended_s = now_s
         with lock:
             added = tracker.add_job(job)
+            if added:
+                self._dispatcher.planner.workspaces.record_added(job)
         if added and not job.state.is_final:
             self._dispatcher.planner.predict_work(job)
             _LOGGER.info(
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -23,7 +23,7 @@
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import TermElection
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import JobId, LeaseId, QueueName
+from jayshunt.ids import JobId, LeaseId, QueueName, WorkspaceName
 from jayshunt.platform.store import PlatformStore
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,6 +58,7 @@
         self._handles: queue.LifoQueue = queue.LifoQueue()
         self._notices: queue.Queue = queue.Queue(MAX_NOTICES)
         self._refusals: dict[QueueName, float] = {}
+        self._workspace_refusals: dict[QueueName, dict[WorkspaceName, float]] = {}
         self._refusals_s = 0.0
         self._reports: dict[str, EntryReport] = {}
         self.handover_lease: LeaseId | None = None
@@ -73,6 +74,14 @@
             return 0.0
         return self._refusals.get(queue_name, 0.0)
 
+    def workspace_retry_after_s(
+        self, queue_name: QueueName, workspace: WorkspaceName
+    ) -> float:
+        """Return after how many seconds a workspace may submit to a queue, or 0."""
+        if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
+            return 0.0
+        return self._workspace_refusals.get(queue_name, {}).get(workspace, 0.0)
+
     def job_state(self, job: JobId, wait_s: float) -> JobState | None:
         """Return a job's state; None if the dispatcher does not know the job."""
         answer = self._call("job_state", {"job": job}, wait_s)
@@ -146,6 +155,10 @@
                     QueueName(name): after_s
                     for name, after_s in answer["refusals"].items()
                 }
+                self._workspace_refusals = {
+                    QueueName(name): {WorkspaceName(w): s for w, s in after_s.items()}
+                    for name, after_s in answer.get("workspace_refusals", {}).items()
+                }
                 self._refusals_s = self._clock.monotonic_s()
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: failed to read refusals: %s", error)
@@ -269,7 +282,11 @@
         case "waiting":
             return {"waiting": dispatcher.count_waiting(QueueName(body["queue"]))}
         case "refusals":
-            return {"refusals": dispatcher.planner.refusals()}
+            planner = dispatcher.planner
+            return {
+                "refusals": planner.refusals(),
+                "workspace_refusals": planner.workspace_refusals(),
+            }
         case "submit":
             return dispatcher.submit(body["key"], body["value"].encode())
         case "cancel":
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from jayshunt.clock import Clock
-from jayshunt.dispatch.backlog import refusals
+from jayshunt.dispatch.backlog import expected_waits_s, refusals
 from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.features import Features
 from jayshunt.dispatch.fleet import WorkerView
@@ -15,13 +15,13 @@
 from jayshunt.dispatch.messages import PaceTask, StartTask
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
-from jayshunt.dispatch.placement_policy import PlacementPolicy, StartGate
+from jayshunt.dispatch.placement_policy import JobOrder, PlacementPolicy, StartGate
 from jayshunt.dispatch.placing import plan_placements, prioritize_jobs
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
-from jayshunt.ids import PoolName, QueueName
+from jayshunt.ids import PoolName, QueueName, WorkspaceName
 from jayshunt.workspaces.control import WorkspaceControl
 from jayshunt.workspaces.limits import WorkspaceLimits
 
@@ -69,9 +69,12 @@
         self._next_pace_s = 0.0
         self._has_scheduled_jobs = False
         self._refusals: dict[QueueName, float] = {}
+        self._workspace_refusals: dict[QueueName, dict[WorkspaceName, float]] = {}
         self._refusals_until_s = 0.0
         self.knows_all_runs = False
-        self.workspaces = WorkspaceControl(dispatcher, config)
+        self.workspaces = WorkspaceControl(
+            dispatcher, config, bounds, features.workspace_shares
+        )
         self._silent: list[WorkerView] | None = None
         self.speeds = WorkerSpeeds()
         self.run_times = RunTimes()
@@ -131,9 +134,29 @@
                     now_s,
                     self._dispatcher.fleet.fetchable_cores(),
                 )
+                self._workspace_refusals = self.workspaces.refusals(
+                    self._expected_waits_s, now_s
+                )
                 self._refusals_until_s = now_s + REFUSALS_VALID_S
             return self._refusals
 
+    def workspace_refusals(self) -> dict[QueueName, dict[WorkspaceName, float]]:
+        """Return, by queue, the workspaces that exceed their rate while others wait.
+
+        The values are the seconds after which to retry.
+        """
+        self.refusals()
+        return self._workspace_refusals
+
+    def _expected_waits_s(self) -> dict[PoolName, float]:
+        return expected_waits_s(
+            self._config(),
+            self._active_jobs(),
+            self._cores(),
+            self._clock.monotonic_s(),
+            self._dispatcher.fleet.fetchable_cores(),
+        )
+
     def _active_jobs(self) -> list[Job]:
         tracker = self._dispatcher.tracker
         return [tracker.jobs[job_id] for job_id in tracker.active]
@@ -162,7 +185,8 @@
             jobs = due_jobs(jobs)
             candidates = self._candidates({job.config.pool for job in jobs}, now_s)
             gate = self.start_gate(now_s)
-            plan = partial(plan_placements, policy=self._policy(gate))
+            order = self.workspaces.order(prioritize_jobs, jobs, candidates)
+            plan = partial(plan_placements, policy=self._policy(gate, order))
             for placement in self.tickets.place(
                 jobs, candidates, now_s, may_start, plan
             ):
@@ -184,9 +208,9 @@
         gate = self.start_gate(now_s)
         return gate if self.workspaces.limits else None
 
-    def _policy(self, gate: StartGate) -> PlacementPolicy:
+    def _policy(self, gate: StartGate, order: JobOrder) -> PlacementPolicy:
         """Return the placement policy of one round."""
-        return PlacementPolicy(prioritize_jobs, gate)
+        return PlacementPolicy(order, gate)
 
     def _create_due_tasks(self, jobs: list[Job]) -> None:
         """Create the tasks of scheduled jobs whose time has come."""
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -147,7 +147,7 @@
     learned of the job. `is_inherited` marks jobs
     that an earlier term may have started. `ready_cache` keeps the tasks whose
     dependencies are done, some of which may no longer be waiting; None means that it
-    has to be recomputed.
+    has to be recomputed. `is_excess` marks a job beyond the rate of its workspace.
     """
 
     spec: JobSpec
@@ -165,6 +165,7 @@
     ended_s: float | None = None
     critical_path_ms: float = 0.0
     ready_cache: list[Task] | None = None
+    is_excess: bool = False
 
     def __post_init__(self) -> None:
         """Create the tasks, unless the job runs at scheduled times or has ended.
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -254,6 +254,7 @@
     def __init__(self) -> None:
         """Start with an unreachable dispatcher."""
         self.refuse_s = 0.0
+        self.workspace_retry_s = 0.0
         self.notified: list = []
         self.state = None
         self.submit_error: Exception | None = NoDispatcher("test")
@@ -267,6 +268,10 @@
         """Return after how long refused callers may retry."""
         return self.refuse_s
 
+    def workspace_retry_after_s(self, queue, workspace) -> float:
+        """Return after how long a workspace may submit again."""
+        return self.workspace_retry_s
+
     def notify_accepted(self, job, value, created) -> None:
         """Record a notice about an accepted job."""
         self.notified.append(job)
--- a/src/jayshunt/error_help.py
+++ b/src/jayshunt/error_help.py
@@ -53,5 +53,6 @@
     "upstream_timeout": "The instance gave no complete answer in time.",
     "value_too_large": "A stored value would exceed the store's limit.",
     "version_not_supported": "Only HTTP/1.0 and HTTP/1.1 are served.",
+    "workspace_rate": "The workspace submits more than its rate; retry later.",
     "version_unknown": "There is no such version of the configuration.",
 }
--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -64,15 +64,16 @@
     )
 
 
-def recount(tracker: RunTracker) -> dict:
-    """Return the usage by workspace, summed over all workers."""
+def recount(tracker: RunTracker) -> WorkspaceUsage:
+    """Return the usage, summed over all workers."""
     usage = WorkspaceUsage()
     for view in tracker.workers.values():
         for task in view.tasks.values():
-            usage.add(task.workspace, task.spec.resources)
+            spec = task.spec
+            usage.add(view.pool, task.workspace, spec.resources, spec.reserved)
         for stray in view.strays.values():
-            usage.add(stray.workspace, stray.resources)
-    return usage.by_workspace
+            usage.add(view.pool, stray.workspace, stray.resources, stray.reserved)
+    return usage
 
 
 class LimitSimulation(test_interleavings.Simulation):
@@ -180,7 +181,7 @@
         getattr(self, action)()
         limit = self.config.workspaces[0].max_running.cpu_millicores
         self.ceilings[HOT] = max(limit, min(self.ceilings[HOT], self.potential()))
-        if recount(self.tracker) != self.tracker.usage.by_workspace:
+        if recount(self.tracker) != self.tracker.usage:
             self.problems.append("the sum differs from a recount")
 
     def check_start(self, name: str, task, run: int) -> None:
--- a/src/jayshunt/workspaces/tests/test_demand.py
+++ b/src/jayshunt/workspaces/tests/test_demand.py
@@ -63,8 +63,9 @@
         """Build an entry at which one workspace may use two cores."""
         self.limits = {}
         self.store = FakeStore()
+        self.link = FakeLink()
         self.entry = EntryJobService(
-            self.store, FakeLink(), ManualClock(0.0), lambda name: self.limits.get(name)
+            self.store, self.link, ManualClock(0.0), lambda name: self.limits.get(name)
         )
         gang = build_step(task_count=3, is_gang=True)
         self.spec = build_workspace_job(gang).spec
@@ -99,6 +100,18 @@
         with self.assertRaises(AcceptUnknown):
             self.submit()
 
+    def test_rate_refusal_carries_the_retry_after(self) -> None:
+        """A job in excess that would only wait is refused, unless it is stored."""
+        self.link.workspace_retry_s = 4.0
+        with self.assertRaises(JobRefused) as caught:
+            self.submit()
+        error = caught.exception
+        self.assertEqual(("workspace_rate", 4.0), (error.code, error.retry_after_s))
+        self.link.workspace_retry_s = 0.0
+        self.submit()
+        self.link.workspace_retry_s = 4.0
+        self.assertFalse(self.submit().is_new)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/workspaces/usage.py
+++ b/src/jayshunt/workspaces/usage.py
@@ -10,7 +10,7 @@
 
 from jayshunt.dispatch.models import JobState, Resources, StepSpec, TaskKey
 from jayshunt.dispatch.tasks import Job, TaskPhase
-from jayshunt.ids import JobId, WorkspaceName
+from jayshunt.ids import JobId, PoolName, WorkspaceName
 
 NOTHING = Resources()
 
@@ -20,22 +20,36 @@
     """Sum the resources of all runs that exist or may exist, by workspace.
 
     A run counts with all that its task asks for, also if its step `fills` and reserves
-    less. Runs whose owner is unknown are summed under None.
+    less. Runs whose owner is unknown are summed under None. `reserved` sums what runs
+    reserve by pool and workspace.
     """
 
     by_workspace: dict[WorkspaceName | None, Resources] = field(default_factory=dict)
+    reserved: dict[tuple[PoolName, WorkspaceName | None], Resources] = field(
+        default_factory=dict
+    )
 
-    def add(self, workspace: WorkspaceName | None, resources: Resources) -> None:
+    def add(
+        self,
+        pool: PoolName,
+        workspace: WorkspaceName | None,
+        resources: Resources,
+        reserved: Resources,
+    ) -> None:
         """Add a run that may exist from now on."""
-        self.by_workspace[workspace] = self.of(workspace) + resources
-
-    def remove(self, workspace: WorkspaceName | None, resources: Resources) -> None:
+        _change(self.by_workspace, workspace, resources)
+        _change(self.reserved, (pool, workspace), reserved)
+
+    def remove(
+        self,
+        pool: PoolName,
+        workspace: WorkspaceName | None,
+        resources: Resources,
+        reserved: Resources,
+    ) -> None:
         """Remove a run that has certainly ended."""
-        left = self.of(workspace) - resources
-        if left == NOTHING:
-            del self.by_workspace[workspace]
-        else:
-            self.by_workspace[workspace] = left
+        _change(self.by_workspace, workspace, NOTHING - resources)
+        _change(self.reserved, (pool, workspace), NOTHING - reserved)
 
     def of(self, workspace: WorkspaceName | None) -> Resources:
         """Return the sum of a workspace's runs."""
@@ -148,6 +162,15 @@
     )
 
 
+def _change(sums: dict, key: object, change: Resources) -> None:
+    """Add a change to a sum, and remove the sum if nothing is left."""
+    left = sums.get(key, NOTHING) + change
+    if left != NOTHING:
+        sums[key] = left
+    else:
+        sums.pop(key, None)
+
+
 def _smaller(first: Resources, second: Resources) -> Resources:
     """Return the smaller amount of each component."""
     return Resources(
