--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -63,6 +63,7 @@
         self._notices: queue.Queue = queue.Queue(MAX_NOTICES)
         self._refusals: dict[QueueName, float] = {}
         self._outlooks: dict[QueueName, QueueOutlook] = {}
+        self._workspace_refusals: dict[QueueName, dict[WorkspaceName, float]] = {}
         self._refusals_s = 0.0
         self._reports: dict[str, EntryReport] = {}
         self.handover_lease: LeaseId | None = None
@@ -78,6 +79,14 @@
             return 0.0
         return self._refusals.get(queue_name, 0.0)
 
+    def workspace_retry_after_s(
+        self, queue_name: QueueName, workspace: WorkspaceName
+    ) -> float:
+        """Return after how many seconds a workspace may submit to a queue, or 0."""
+        if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
+            return 0.0
+        return self._workspace_refusals.get(queue_name, {}).get(workspace, 0.0)
+
     def outlook(self, queue_name: QueueName) -> QueueOutlook | None:
         """Return the outlook of a queue, None if there is no recent one."""
         if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
@@ -184,6 +193,10 @@
                     for name, after_s in answer["refusals"].items()
                 }
                 self._outlooks = decode_outlooks(answer.get("outlooks", {}))
+                self._workspace_refusals = {
+                    QueueName(name): {WorkspaceName(w): s for w, s in after_s.items()}
+                    for name, after_s in answer.get("workspace_refusals", {}).items()
+                }
                 self._refusals_s = self._clock.monotonic_s()
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: failed to read refusals: %s", error)
@@ -307,7 +320,10 @@
         case "waiting":
             return {"waiting": dispatcher.count_waiting(QueueName(body["queue"]))}
         case "refusals":
-            answer = {"refusals": dispatcher.planner.refusals()}
+            answer = {
+                "refusals": dispatcher.planner.refusals(),
+                "workspace_refusals": dispatcher.planner.workspace_refusals(),
+            }
             if dispatcher.planner.admission is not None:
                 answer["outlooks"] = dispatcher.planner.admission.encode_outlooks()
             return answer
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -257,6 +257,7 @@
         """Start with an unreachable dispatcher."""
         self.refuse_s = 0.0
         self.queue_outlook = None
+        self.workspace_retry_s = 0.0
         self.notified: list = []
         self.state = None
         self.submit_error: Exception | None = NoDispatcher("test")
@@ -278,6 +279,10 @@
         """Return when the caller may return, as for `refuse_retry_after_s`."""
         return self.refuse_s
 
+    def workspace_retry_after_s(self, queue, workspace) -> float:
+        """Return after how long a workspace may submit again."""
+        return self.workspace_retry_s
+
     def notify_accepted(self, job, value, created) -> None:
         """Record a notice about an accepted job."""
         self.notified.append(job)
--- a/src/jayshunt/workspaces/tests/test_demand.py
+++ b/src/jayshunt/workspaces/tests/test_demand.py
@@ -63,9 +63,10 @@
         """Build an entry at which one workspace may use two cores."""
         self.limits = {}
         self.store = FakeStore()
+        self.link = FakeLink()
         self.entry = EntryJobService(
             self.store,
-            FakeLink(),
+            self.link,
             ManualClock(0.0),
             limit_of=lambda name: self.limits.get(name),
         )
@@ -102,6 +103,18 @@
         with self.assertRaises(AcceptUnknown):
             self.submit()
 
+    def test_rate_refusal_carries_the_retry_after(self) -> None:
+        """A job in excess that would only wait is refused, unless it is stored."""
+        self.link.workspace_retry_s = 4.0
+        with self.assertRaises(JobRefused) as caught:
+            self.submit()
+        error = caught.exception
+        self.assertEqual(("workspace_rate", 4.0), (error.code, error.retry_after_s))
+        self.link.workspace_retry_s = 0.0
+        self.submit()
+        self.link.workspace_retry_s = 4.0
+        self.assertFalse(self.submit().is_new)
+
 
 if __name__ == "__main__":
     unittest.main()
