Show operators which pairs of images interfere and what was done

Which tasks were throttled or kept apart, and on what evidence, could not be seen from outside, and the log could get hundreds of lines a second from a fleet that is throttled as a whole.

Adds four metrics without labels that depend on images or workers, the 20 worst pairs with effect, evidence and age in the state dump, and a limit of 20 log lines a second that counts what it leaves out.

--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -2,6 +2,8 @@
 
 from dataclasses import asdict
 
+from jayshunt.interference.diagnostics import describe as describe_interference
+
 
 def describe(node, config, election, link) -> dict:
     """Return this entry's view of the term, and its own dispatcher's state if any."""
@@ -19,7 +21,7 @@
 
 
 def describe_dispatch(dispatcher) -> dict:
-    """Return the dispatcher's jobs, workers with their VMs, and waves."""
+    """Return the dispatcher's jobs, workers with their VMs, interference and waves."""
     with dispatcher.lock:
         tracker = dispatcher.tracker
         return {
@@ -43,6 +45,7 @@
                 }
                 for view in tracker.workers.values()
             ],
+            "interference": describe_interference(dispatcher.planner.interference),
             "waves": {
                 number: {"done": sorted(state.done), "completed": state.is_completed}
                 for number, state in dispatcher.fleet.waves.states.items()
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -4,6 +4,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from jayshunt.interference.diagnostics import metrics as interference_metrics
+
 # From an answer by a dispatcher on the same VM up to a caller's full timeout.
 ANSWER_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 # From an immediate start to a wait far beyond the objective of a job.
@@ -79,6 +81,9 @@
                 runs.add_metric([what], count)
             yield runs
             yield from _pool_gauges(dispatcher)
+            control = dispatcher.planner.interference
+            if control is not None:
+                yield from interference_metrics(control, dispatcher.tracker.workers)
 
 
 def _pool_gauges(dispatcher):
--- a/src/jayshunt/interference/control.py
+++ b/src/jayshunt/interference/control.py
@@ -1,6 +1,5 @@
 """Connect learning, pacing and placement of one term."""
 
-import logging
 from collections import Counter
 from collections.abc import Callable
 
@@ -8,13 +7,12 @@
 from jayshunt.dispatch.free_capacity import Load
 from jayshunt.dispatch.tasks import Task
 from jayshunt.ids import WorkerId
+from jayshunt.interference.decision_log import DecisionLog
 from jayshunt.interference.model import InterferenceModel
 from jayshunt.interference.observer import ReportObserver
 from jayshunt.interference.pacing import InterferencePacer
 from jayshunt.interference.placement import NeighborHarm
 
-_LOGGER = logging.getLogger(__name__)
-
 CLEANUP_INTERVAL_S = 5.0
 
 
@@ -22,16 +20,18 @@
     """Hold what one term knows of interference; the dispatcher's lock guards it.
 
     `counts` counts placements that avoided a pair (avoided) and that had to accept a
-    harmful one (accepted).
+    harmful one (accepted). `now_s` is the monotonic time of the last `observe`.
     """
 
     def __init__(self) -> None:
         """Start without observations."""
         self.model = InterferenceModel()
         self._observer = ReportObserver(self.model)
-        self.pacer = InterferencePacer(self.model, self._observer)
+        self._log = DecisionLog()
+        self.pacer = InterferencePacer(self.model, self._observer, self._log)
         self.counts: Counter[str] = Counter()
         self._harm = NeighborHarm(self.model, 0.0)
+        self.now_s = 0.0
         self._next_cleanup_s = 0.0
 
     def begin_round(self, now_s: float) -> NeighborHarm:
@@ -52,15 +52,13 @@
         harm = self._harm.known_harm(step, load)
         what = "avoided" if harm < highest else "accepted"
         self.counts[what] += 1
-        _LOGGER.info(
-            "interference: a harmful pair was %s",
-            what,
-            extra={
-                "task": task.key.name,
-                "image": step.image,
-                "harm": round(harm, 2),
-                "highest_harm": round(highest, 2),
-            },
+        self._log.record(
+            self._harm.now_s,
+            f"a harmful pair was {what}",
+            task=task.key.name,
+            image=step.image,
+            harm=round(harm, 2),
+            highest_harm=round(highest, 2),
         )
 
     def observe(
@@ -73,6 +71,7 @@
 
         Call it before the pacer decides.
         """
+        self.now_s = now_s
         for view in workers.values():
             self._observer.observe(view, is_slow)
         if now_s >= self._next_cleanup_s:
--- a/src/jayshunt/interference/pacing.py
+++ b/src/jayshunt/interference/pacing.py
@@ -1,6 +1,5 @@
 """Throttle the filling tasks that slow down serving tasks most, and those first."""
 
-import logging
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -9,12 +8,11 @@
 from jayshunt.dispatch.tasks import Task, TaskPhase
 from jayshunt.ids import WorkerId
 from jayshunt.interference import const
+from jayshunt.interference.decision_log import DecisionLog
 from jayshunt.interference.model import InterferenceModel, is_known
 from jayshunt.interference.models import Estimate, ImageName, Pair
 from jayshunt.interference.observer import ReportObserver
 
-_LOGGER = logging.getLogger(__name__)
-
 
 @dataclass(slots=True)
 class _WorkerPacing:
@@ -37,10 +35,13 @@
     `counts` counts decisions by what was done: throttled, stopped and recovered.
     """
 
-    def __init__(self, model: InterferenceModel, observer: ReportObserver) -> None:
+    def __init__(
+        self, model: InterferenceModel, observer: ReportObserver, log: DecisionLog
+    ) -> None:
         """Decide by what `model` expects; `observer` is told of each change."""
         self._model = model
         self._observer = observer
+        self._log = log
         self._workers: dict[WorkerId, _WorkerPacing] = {}
         self.counts: Counter[str] = Counter()
 
@@ -127,7 +128,12 @@
             self.counts["stopped"] += 1
             state.changed_s = now_s
             state.stopped_s = now_s
-            _log("all filling tasks are stopped", filling[0], 0, None)
+            self._log.record(
+                now_s,
+                "all filling tasks of a worker are stopped",
+                worker=filling[0].worker,
+                tasks=len(filling),
+            )
         elif now_s - state.stopped_s >= const.RESEND_S:
             state.stopped_s = now_s
         return {task.key: 0 for task in filling}
@@ -159,7 +165,7 @@
                 continue
             paces[task.key] = pace
             self.counts["throttled"] += 1
-            _log("a filling task is throttled", task, pace, effect)
+            self._log_throttled(task, victim, pace, effect, now_s)
             excess -= gain
             if excess <= 0 or not (is_missed or is_known(effect)):
                 break
@@ -202,6 +208,23 @@
             state.changed_s = now_s
         return paces
 
+    def _log_throttled(
+        self, task: Task, victim: Task, pace: int, effect: Estimate, now_s: float
+    ) -> None:
+        self._log.record(
+            now_s,
+            "a filling task is throttled",
+            task=task.key.name,
+            image=task.spec.image,
+            victim=victim.spec.image,
+            worker=task.worker,
+            ratio=round(self._observer.ratio(victim), 2),
+            pace_before=task.pace,
+            pace=pace,
+            effect=round(effect.mean, 2),
+            evidence=round(effect.evidence, 1),
+        )
+
     def _by_harm(
         self, filling: list[Task], victim: Task, now_s: float
     ) -> list[tuple[Task, Estimate]]:
@@ -250,19 +273,3 @@
     cut = min(task.pace, max(const.MIN_CHANGE_PERCENT, 100 * excess / effect.mean))
     pace = task.pace - int(cut)
     return pace, effect.mean * (task.pace - pace) / 100
-
-
-def _log(message: str, task: Task, pace: int, effect: Estimate | None) -> None:
-    _LOGGER.info(
-        "interference: %s",
-        message,
-        extra={
-            "task": task.key.name,
-            "image": task.spec.image,
-            "worker": task.worker,
-            "pace_before": task.pace,
-            "pace": pace,
-            "effect": None if effect is None else round(effect.mean, 2),
-            "evidence": None if effect is None else round(effect.evidence, 1),
-        },
-    )
--- a/src/jayshunt_measure/reference.py
+++ b/src/jayshunt_measure/reference.py
@@ -16,6 +16,8 @@
 from jayshunt.clock import SystemClock
 from jayshunt.config.models import ConfigDocument
 from jayshunt.error_help import ERROR_HELP
+from jayshunt.interference.control import InterferenceControl
+from jayshunt.interference.diagnostics import metrics as interference_metrics
 from jayshunt.operations.class_statistics import ClassStatistics
 from jayshunt.operations.metrics import EntryMetrics
 from jayshunt.reports import entry_metrics
@@ -194,9 +196,17 @@
     # The value functions of the metrics are not called here, so None is enough.
     for metric in entry_metrics(None):
         metrics.add(metric)
-    for name, kind, labels, text in sorted(metrics.describe_metrics()):
+    rows = [*metrics.describe_metrics(), *_interference_rows()]
+    for name, kind, labels, text in sorted(rows):
         yield f"`{name}`", kind, labels, text
 
 
+def _interference_rows() -> Iterator[tuple]:
+    for family in interference_metrics(InterferenceControl(), {}):
+        labels = sorted({label for row in family.samples for label in row.labels})
+        name = family.samples[0].name
+        yield name, family.type, ", ".join(labels), family.documentation
+
+
 if __name__ == "__main__":
     main()
