Move a throttled filling task to a worker where it harms less

A filling task beside a serving task that it disturbs stayed throttled there for as long as both ran, also when another worker had room without such a pair.

One task every 5 s and one at a time in a pool move, within `max_unavailable` over the notice, and not back within 30 s: candidates now have steps that are not placed on them. With the part off, nothing changes.

--- a/src/jayshunt/dispatch/free_capacity.py
+++ b/src/jayshunt/dispatch/free_capacity.py
@@ -90,7 +90,8 @@
     run or since it was last set aside, `leaves_soon` that a pending wave of planned
     stops will end its runs. `probation_weight` is that of the suspects whose start may
     still crash the worker; nothing else is started there meanwhile. `recent_starts`
-    are not yet known to have survived their start.
+    are not yet known to have survived their start. Tasks of `avoided_steps` are not
+    placed here.
     """
 
     worker: Worker
@@ -101,6 +102,7 @@
     leaves_soon: bool = False
     probation_weight: int = 0
     recent_starts: int = 0
+    avoided_steps: frozenset[StepKey] = frozenset()
 
     @property
     def is_preferred(self) -> bool:
@@ -134,7 +136,7 @@
     """
     if candidate.probation_weight > max_probation_weight:
         return False
-    if not candidate.free.can_fit(step.reserved):
+    if key in candidate.avoided_steps or not candidate.free.can_fit(step.reserved):
         return False
     if step.required_label and step.required_label not in candidate.worker.labels:
         return False
@@ -200,8 +202,11 @@
         """Record for this round that no worker has the resources that a step needs.
 
         Steps with a required label or a limit per worker are not recorded, because
-        these, and not the resources, may be why no worker fits.
+        these, and not the resources, may be why no worker fits. The same holds for
+        long-running steps while a candidate avoids steps.
         """
+        if step.is_long_running and any(c.avoided_steps for c in self.candidates):
+            return
         if not step.required_label and not step.max_per_worker:
             self._unplaceable.append(step.reserved)
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -17,6 +17,7 @@
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.placement_policy import PlacementPolicy
 from jayshunt.dispatch.placing import Placement, plan_placements, prioritize_jobs
+from jayshunt.dispatch.run_reports import StopOrder
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
@@ -166,6 +167,8 @@
                 self._record_interference(placement)
                 starts.append(self._start_run(placement.task, placement.worker, now_s))
             pace_changes = self._pace_changes(now_s)
+            stops = self._moves(now_s)
+        dispatcher.send_stops(stops)
         for session, item in [*starts, *pace_changes]:
             if isinstance(item, StartTask):
                 session.orders.start(item)
@@ -241,6 +244,9 @@
             return candidates
         tracker = self._dispatcher.tracker
         has_suspects = tracker.crashes.has_suspects(tracker.active)
+        avoided = {}
+        if self.interference is not None:
+            avoided = self.interference.relocator.avoided_steps(now_s)
         for view in tracker.workers.values():
             if view.worker.pool not in pools or not view.is_usable(now_s, SILENT_S):
                 continue
@@ -250,6 +256,7 @@
                 leaves_soon=self._dispatcher.fleet.leaves_soon(view),
                 has_suspects=has_suspects,
             )
+            candidate.avoided_steps = avoided.get(view.worker.worker, frozenset())
             candidates.setdefault(view.worker.pool, []).append(candidate)
         return candidates
 
@@ -315,6 +322,19 @@
             if view.last_answer_s is None and dispatcher.fleet.may_have_runs(view)
         ]
 
+    def _moves(self, now_s: float) -> list[StopOrder]:
+        """Stop a filling task that would do less harm on another worker."""
+        if self.interference is None or not self.knows_all_runs:
+            return []
+        tracker = self._dispatcher.tracker
+        task = self.interference.choose_move(
+            tracker,
+            lambda pool: self._candidates({pool}, now_s).get(pool, []),
+            now_s,
+        )
+        order = None if task is None else tracker.stop(task)
+        return [] if order is None else [order]
+
     def _pace_changes(self, now_s: float) -> list[tuple]:
         if now_s < self._next_pace_s:
             return []
--- a/src/jayshunt/interference/const.py
+++ b/src/jayshunt/interference/const.py
@@ -64,3 +64,19 @@
 # An order for a pace may be lost; a stop is sent again this often while the target is
 # missed.
 RESEND_S = 1.0
+
+# A filling task is moved if its pace was at most this for so long.
+MOVE_MAX_PACE = 50
+MOVE_AFTER_S = 5.0
+# Effects change within seconds, so the pace gained counts for this time only.
+MOVE_HORIZON_S = 10.0
+# Work lost by a stop with a checkpoint and the next start.
+RESTART_S = 3.0
+MOVE_INTERVAL_S = 5.0
+# A check looks at all filling tasks, and paces change at this interval.
+MOVE_CHECK_INTERVAL_S = 0.4
+MOVE_TIMEOUT_S = 15.0
+NO_RETURN_S = 30.0
+# Stops by Jayshunt count together if they are less than this apart: the longest
+# `noticeMs` of the deployments and a margin.
+STOPS_COUNT_S = 6.0
--- a/src/jayshunt/interference/control.py
+++ b/src/jayshunt/interference/control.py
@@ -5,6 +5,7 @@
 
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.free_capacity import Load
+from jayshunt.dispatch.run_tracker import RunTracker
 from jayshunt.dispatch.tasks import Task
 from jayshunt.ids import WorkerId
 from jayshunt.interference.decision_log import DecisionLog
@@ -12,6 +13,7 @@
 from jayshunt.interference.observer import ReportObserver
 from jayshunt.interference.pacing import InterferencePacer
 from jayshunt.interference.placement import NeighborHarm
+from jayshunt.interference.relocation import CandidatesOf, Relocator
 
 CLEANUP_INTERVAL_S = 5.0
 
@@ -20,7 +22,8 @@
     """Hold what one term knows of interference; the dispatcher's lock guards it.
 
     `counts` counts placements that avoided a pair (avoided) and that had to accept a
-    harmful one (accepted). `now_s` is the monotonic time of the last `observe`.
+    harmful one (accepted), and moved tasks (moved). `now_s` is the monotonic time of
+    the last `observe`.
     """
 
     def __init__(self) -> None:
@@ -30,6 +33,7 @@
         self._log = DecisionLog()
         self.pacer = InterferencePacer(self.model, self._observer, self._log)
         self.counts: Counter[str] = Counter()
+        self.relocator = Relocator(self._log)
         self._harm = NeighborHarm(self.model, 0.0)
         self.now_s = 0.0
         self._next_cleanup_s = 0.0
@@ -61,6 +65,15 @@
             highest_harm=round(highest, 2),
         )
 
+    def choose_move(
+        self, tracker: RunTracker, candidates_of: CandidatesOf, now_s: float
+    ) -> Task | None:
+        """Return a filling task to stop so that it starts on another worker."""
+        harm = NeighborHarm(self.model, now_s)
+        task = self.relocator.choose(tracker, harm, candidates_of, now_s)
+        self.counts["moved"] += task is not None
+        return task
+
     def observe(
         self,
         workers: dict[WorkerId, WorkerView],
--- a/src/jayshunt/interference/diagnostics.py
+++ b/src/jayshunt/interference/diagnostics.py
@@ -32,10 +32,10 @@
     yield pairs
     placements = CounterMetricFamily(
         "jayshunt_interference_placements",
-        "Placements for which a harmful pair mattered: avoided, accepted.",
+        "Placements for which a harmful pair mattered: avoided, accepted, moved.",
         labels=["what"],
     )
-    for what in ("avoided", "accepted"):
+    for what in ("avoided", "accepted", "moved"):
         placements.add_metric([what], control.counts[what])
     yield placements
     changes = CounterMetricFamily(
--- a/src/jayshunt/interference/tests/test_diagnostics.py
+++ b/src/jayshunt/interference/tests/test_diagnostics.py
@@ -21,7 +21,7 @@
             for family in metrics(control, fleet.tracker.workers)
             for sample in family.samples
         }
-        self.assertEqual(9, len(values))
+        self.assertEqual(10, len(values))
         self.assertGreater(values["jayshunt_interference_pairs", "harmful"], 0)
         self.assertGreater(values["jayshunt_interference_throttled_tasks",], 0)
         text = json.loads(json.dumps(describe(control)))
