Repeat the order that stops filling tasks twice only

While a target was missed, the stop of filling tasks was sent again each second for as long as the miss lasted. A serving task may miss its target for minutes for reasons of its own, and the orders of a worker are sent one after the other.

The order is now repeated twice in one miss. The simulated fleet computes the latencies at one place only.

--- a/src/jayshunt/interference/const.py
+++ b/src/jayshunt/interference/const.py
@@ -61,9 +61,10 @@
 STEP_UP_PERCENT = 50
 # Smaller changes of pace are not worth an order.
 MIN_CHANGE_PERCENT = 5
-# An order for a pace may be lost; a stop is sent again this often while the target is
-# missed.
+# An order for a pace may be lost; a stop is sent again at this interval, this many
+# times in one miss. A target may be missed for long for other reasons.
 RESEND_S = 1.0
+MAX_RESENDS = 2
 
 # A filling task is moved if its pace was at most this for so long.
 MOVE_MAX_PACE = 50
--- a/src/jayshunt/interference/pacing.py
+++ b/src/jayshunt/interference/pacing.py
@@ -27,6 +27,7 @@
     changed_s: float = float("-inf")
     throttled_s: float = float("-inf")
     stopped_s: float = float("-inf")
+    resends_left: int = const.MAX_RESENDS
 
 
 class InterferencePacer:
@@ -134,8 +135,9 @@
                 worker=filling[0].worker,
                 tasks=len(filling),
             )
-        elif now_s - state.stopped_s >= const.RESEND_S:
+        elif state.resends_left and now_s - state.stopped_s >= const.RESEND_S:
             state.stopped_s = now_s
+            state.resends_left -= 1
         return {task.key: 0 for task in filling}
 
     def _throttle(
@@ -254,6 +256,8 @@
         limit = const.MISS_CLEARED_BELOW if task.key in before else 1.0
         if task.load >= limit * task.spec.target_ms:
             state.missed_since_s[task.key] = before.get(task.key, since_s)
+    if not state.missed_since_s:
+        state.resends_left = const.MAX_RESENDS
 
 
 def _throttled_pace(
--- a/src/jayshunt/interference/tests/builders.py
+++ b/src/jayshunt/interference/tests/builders.py
@@ -136,16 +136,19 @@
             if tick % round(PACE_INTERVAL_S / TICK_S) == 0:
                 self._pace(pacer, control)
 
-    def true_ratio(self, task, worker: _SimulatedWorker) -> float:
-        """Return the latency of a serving task as a fraction of its target."""
-        victim = task.spec.image
+    def true_ratio(self, task, worker: _SimulatedWorker, is_settled=False) -> float:
+        """Return the latency of a serving task as a fraction of its target.
+
+        If `is_settled`, the orders for paces have taken effect.
+        """
+        victim, effects = task.spec.image, self.truth.effects
         ratio = self.truth.bases[victim]
-        for other in worker.filling:
-            effect = self.truth.effects.get((other.spec.image, victim), 0.0)
-            ratio += effect * worker.past_paces[other.key][-1 - PACE_DELAY_TICKS] / 100
-        for other in worker.serving:
+        for other in [*worker.serving, *worker.filling]:
+            pace = other.pace
+            if other.spec.fills and not is_settled:
+                pace = worker.past_paces[other.key][-1 - PACE_DELAY_TICKS]
             if other is not task:
-                ratio += self.truth.effects.get((other.spec.image, victim), 0.0)
+                ratio += effects.get((other.spec.image, victim), 0.0) * pace / 100
         return ratio
 
     def _build_worker(self, number: int, serving: list[str], filling: list[str]):
@@ -211,36 +214,19 @@
         for task in worker.filling:
             task.pace = 100
         for victim in worker.serving:
-            excess = self._settled_ratio(victim, worker) - 0.99
-            for task in sorted(
-                worker.filling,
-                key=lambda t: -self.truth.effects.get(
-                    (t.spec.image, victim.spec.image), 0.0
-                ),
-            ):
-                effect = self.truth.effects.get((task.spec.image, victim.spec.image), 0)
+            excess = self.true_ratio(victim, worker, is_settled=True) - 0.99
+            pairs = [
+                (self.truth.effects.get((t.spec.image, victim.spec.image), 0.0), n)
+                for n, t in enumerate(worker.filling)
+            ]
+            for effect, number in sorted(pairs, reverse=True):
                 if excess <= 0 or effect <= 0:
                     break
+                task = worker.filling[number]
                 cut = min(task.pace, 100 * excess / effect)
                 task.pace -= cut
                 excess -= effect * cut / 100
 
-    def _settled_ratio(self, victim, worker: _SimulatedWorker) -> float:
-        image = victim.spec.image
-        effects = self.truth.effects
-        return (
-            self.truth.bases[image]
-            + sum(
-                effects.get((t.spec.image, image), 0) * t.pace / 100
-                for t in worker.filling
-            )
-            + sum(
-                effects.get((t.spec.image, image), 0)
-                for t in worker.serving
-                if t is not victim
-            )
-        )
-
 
 def observe_beside(
     model,
--- a/src/jayshunt/interference/tests/test_pacing.py
+++ b/src/jayshunt/interference/tests/test_pacing.py
@@ -84,8 +84,8 @@
     def test_stop_is_repeated_while_the_target_is_missed(self) -> None:
         """An order may be lost, and the task would go on at full pace."""
         self.report(1.5, 1.0)
-        self.report(1.5, 1.0)
-        self.assertEqual(2, len(self.report(1.5, 1.0)))
+        orders = [len(self.report(1.5, 1.0)) for _ in range(4)]
+        self.assertEqual([2, 2, 0, 0], orders, "not for as long as a miss lasts")
 
     def test_least_harmful_task_recovers_first(self) -> None:
         """The harmful one would take the room that the other could use."""
