--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -2,6 +2,7 @@
 
 from dataclasses import asdict
 
+from jayshunt.interference.diagnostics import describe as describe_interference
 from jayshunt.overload.diagnostics import describe_order
 
 
@@ -22,7 +23,7 @@
 
 
 def describe_dispatch(dispatcher) -> dict:
-    """Return the dispatcher's jobs, workers with their VMs, and waves."""
+    """Return the dispatcher's jobs, workers with their VMs, interference and waves."""
     with dispatcher.lock:
         tracker = dispatcher.tracker
         return {
@@ -52,6 +53,7 @@
                 else dispatcher.planner.admission.describe()
             ),
             "service_order": describe_order(dispatcher.planner.service_order),
+            "interference": describe_interference(dispatcher.planner.interference),
             "waves": {
                 number: {"done": sorted(state.done), "completed": state.is_completed}
                 for number, state in dispatcher.fleet.waves.states.items()
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -4,6 +4,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from jayshunt.interference.diagnostics import metrics as interference_metrics
 from jayshunt.overload.metrics import overload_metrics
 from jayshunt.workspaces.models import RefusalReason
 
@@ -92,6 +93,9 @@
                 runs.add_metric([what], count)
             yield runs
             yield from _pool_gauges(dispatcher)
+            control = dispatcher.planner.interference
+            if control is not None:
+                yield from interference_metrics(control, dispatcher.tracker.workers)
 
 
 def _pool_gauges(dispatcher):
