Add the command `jayshunt where`, which explains where a job would be placed

Missing: nobody could tell before a submission on which workers a job would start, why not on others, and whether it would be in time. Change: entries answer /dispatch/where at their peers' port and ask the dispatcher, which runs a placement round with one more job and the pool sizer on copies. is_usable and fits now follow from functions that name the obstacle, so that answer and decision cannot differ; refusals follow from expected_waits. Table and JSON; a job file is decoded like a submission and has its errors; an entry that is cut off says so.

--- a/src/jayshunt/cli/main.py
+++ b/src/jayshunt/cli/main.py
@@ -12,7 +12,7 @@
 from typer.completion import completion_init, get_completion_script
 
 from jayshunt import __version__
-from jayshunt.cli import config_commands, status_commands
+from jayshunt.cli import config_commands, status_commands, where_command
 from jayshunt.cli.const import EXIT_CODE_HELP, ExitCode
 from jayshunt.config.models import ConfigDocument
 from jayshunt.errors import JayshuntError, Outcome
@@ -143,6 +143,7 @@
     status_commands.status,
     status_commands.dump,
     status_commands.report,
+    where_command.where,
 ):
     app.command()(command)
 
--- a/src/jayshunt/dispatch/backlog.py
+++ b/src/jayshunt/dispatch/backlog.py
@@ -34,7 +34,23 @@
     now_s: float,
     fetchable_cores: float = 0.0,
 ) -> dict[QueueName, float]:
-    """Return the queues of overloaded pools, with the seconds after which to retry.
+    """Return the queues of overloaded pools, with the seconds after which to retry."""
+    waits = expected_waits(config, jobs, cores, now_s, fetchable_cores)
+    return {
+        queue: float(min(MAX_RETRY_AFTER_S, math.ceil(wait_s - MAX_WAIT_S + 1)))
+        for queue, wait_s in waits.items()
+        if wait_s > MAX_WAIT_S
+    }
+
+
+def expected_waits(
+    config: FleetConfig,
+    jobs: Iterable[Job],
+    cores: dict[PoolName, float],
+    now_s: float,
+    fetchable_cores: float = 0.0,
+) -> dict[QueueName, float]:
+    """Return the seconds that the waiting work of each queue's pool takes.
 
     `cores` are those of the workers in each pool. `fetchable_cores` can be added to
     any pool within the time of a move, which is short compared with `MAX_WAIT_S`.
@@ -46,12 +62,8 @@
             continue
         pool = job.config.pool
         waiting[pool] = waiting.get(pool, 0.0) + remaining_core_seconds(job)
-    refused: dict[QueueName, float] = {}
+    waits: dict[QueueName, float] = {}
     for queue in config.queues:
         usable = cores.get(queue.pool, 0.0) + fetchable_cores
-        wait_s = waiting.get(queue.pool, 0.0) / usable if usable else 0.0
-        if wait_s > MAX_WAIT_S:
-            refused[queue.queue] = float(
-                min(MAX_RETRY_AFTER_S, math.ceil(wait_s - MAX_WAIT_S + 1))
-            )
-    return refused
+        waits[queue.queue] = waiting.get(queue.pool, 0.0) / usable if usable else 0.0
+    return waits
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -34,6 +34,7 @@
 from jayshunt.dispatch.sessions import WorkerSession
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.term import OwnTerm
+from jayshunt.dispatch.where import answer_where
 from jayshunt.dispatch.worker_list import WorkerList
 from jayshunt.ids import JobId, PoolName, QueueName, Revision, WorkerId
 from jayshunt.platform.machine_calls import VmServiceClient
@@ -197,6 +198,21 @@
         """Return whether the last calls to the store failed."""
         return self._store.failing_for_s() > 0
 
+    def now_s(self) -> float:
+        """Return the time of the dispatcher's clock, in monotonic seconds."""
+        return self._clock.monotonic_s()
+
+    def worker_list_age_s(self) -> float:
+        """Return how long ago the list of workers was certainly as it is known here."""
+        return self._workers.age_s()
+
+    def where(self, body: dict) -> dict:
+        """Explain where a job would be placed now; see `answer_where`."""
+        config = self._config()
+        if config is None:
+            return {"error": "no configuration yet", "code": "unavailable"}
+        return answer_where(self, config, body)
+
     def knows_capacity(self, pool: PoolName) -> bool:
         """Return whether the capacity of a pool's workers is known for a start."""
         config = self._config()
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -6,6 +6,7 @@
 from jayshunt.dispatch.const import CLOCK_SKEW, FAILURES_SET_ASIDE, SET_ASIDE_S
 from jayshunt.dispatch.free_capacity import CandidateWorker, Load
 from jayshunt.dispatch.models import Resources, RunReport, Worker, WorkerState
+from jayshunt.dispatch.obstacles import Obstacle
 from jayshunt.dispatch.tasks import Task
 from jayshunt.ids import JobId
 
@@ -190,17 +191,25 @@
         The worker's last answer must not be older than `max_answer_age_s`, and its last
         poll must not have failed.
         """
-        return (
-            not self.is_ended
-            and not self.is_failing
-            and self.is_listed
-            and self.evacuation_reason is None
-            and not self.is_draining
-            and self.last_answer_s is not None
-            and now_s - self.last_answer_s <= max_answer_age_s
-            and now_s >= self.placement_paused_until_s
-            and now_s >= self.set_aside_until_s
-        )
+        return self.obstacle(now_s, max_answer_age_s) is None
+
+    def obstacle(self, now_s: float, max_answer_age_s: float) -> Obstacle | None:
+        """Return why no new runs may be placed here, None if they may."""
+        if self.is_ended:
+            return Obstacle.ENDED
+        if self.is_failing or self.last_answer_s is None:
+            return Obstacle.SILENT
+        if now_s - self.last_answer_s > max_answer_age_s:
+            return Obstacle.SILENT
+        if not self.is_listed:
+            return Obstacle.NOT_LISTED
+        if self.evacuation_reason is not None:
+            return Obstacle.EMPTIED
+        if self.is_draining:
+            return Obstacle.DRAINING
+        if now_s < self.placement_paused_until_s:
+            return Obstacle.PAUSED
+        return Obstacle.SET_ASIDE if now_s < self.set_aside_until_s else None
 
     def is_confirmed_empty(self, now_s: float) -> bool:
         """Return whether a recent answer shows that the worker runs nothing.
--- a/src/jayshunt/dispatch/free_capacity.py
+++ b/src/jayshunt/dispatch/free_capacity.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from jayshunt.dispatch.models import Resources, StepSpec, Worker
+from jayshunt.dispatch.obstacles import Obstacle
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.ids import JobId
 
@@ -124,16 +125,28 @@
 
     A worker on probation takes only a suspect that shares it.
     """
+    return misfit(step, candidate, key, max_probation_weight) is None
+
+
+def misfit(
+    step: StepSpec,
+    candidate: CandidateWorker,
+    key: StepKey,
+    max_probation_weight: int = 0,
+) -> Obstacle | None:
+    """Return why a worker can take no task of a step, None if it can."""
     if candidate.probation_weight > max_probation_weight:
-        return False
+        return Obstacle.PROBATION
     if not candidate.free.can_fit(step.reserved):
-        return False
+        return Obstacle.NO_ROOM
     if step.required_label and step.required_label not in candidate.worker.labels:
-        return False
-    return (
-        not step.max_per_worker
-        or candidate.load.tasks_per_step[key] < step.max_per_worker
-    )
+        return Obstacle.NO_LABEL
+    if (
+        step.max_per_worker
+        and candidate.load.tasks_per_step[key] >= step.max_per_worker
+    ):
+        return Obstacle.STEP_LIMIT
+    return None
 
 
 class CandidateIndex:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -104,6 +104,13 @@
         """Cancel a job through the dispatcher; return False if it does not exist."""
         return self._call("cancel", {"job": job}, wait_s)["found"]
 
+    def where(self, body: dict) -> dict:
+        """Ask the dispatcher where a job would be placed now.
+
+        Raise JayshuntError if it does not answer.
+        """
+        return self._call("explain_placement", body, 0.0)
+
     def is_reachable(self) -> bool:
         """Return whether the dispatcher answered a poll for refusals recently."""
         age_s = self._clock.monotonic_s() - self._refusals_s
@@ -270,6 +277,8 @@
             return {"waiting": dispatcher.count_waiting(QueueName(body["queue"]))}
         case "refusals":
             return {"refusals": dispatcher.planner.refusals()}
+        case "explain_placement":
+            return dispatcher.where(body)
         case "submit":
             return dispatcher.submit(body["key"], body["value"].encode())
         case "cancel":
--- a/src/jayshunt/dispatch/peer_api.py
+++ b/src/jayshunt/dispatch/peer_api.py
@@ -2,13 +2,16 @@
 
 import json
 from collections.abc import Callable
+from urllib.parse import parse_qsl
 
 from jayshunt.dispatch.link import DispatcherLink, answer_call
-from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.serving.connection import IncomingRequest
 
 PREFIX = "/dispatch/"
 REFUSALS = "/dispatch/refusals"
+WHERE = "/dispatch/where"
+STATUSES = {"malformed_job": 400, "unknown_name": 404, "unavailable": 503}
 
 
 class PeerApi:
@@ -41,6 +44,8 @@
                 answer = {"refusals": {}, "end_lease": self._link.handover_lease}
                 start_response("200 -", [("Content-Type", "application/json")])
                 return [json.dumps(answer).encode()]
+        if path.partition("?")[0] == WHERE:
+            return self._answer_where(request, start_response)
         dispatcher = self._link.own_dispatcher
         if (
             not path.startswith(PREFIX)
@@ -62,6 +67,32 @@
         start_response("200 -", [("Content-Type", "application/json")])
         return [json.dumps(answer).encode()]
 
+    def _answer_where(
+        self, request: IncomingRequest, start_response: Callable
+    ) -> list[bytes]:
+        """Explain where a job would go.
+
+        The status is 400 for a malformed job, 404 for an unknown queue or workspace and
+        503 if no dispatcher answers. A GET has its question in the query.
+        """
+        try:
+            answer = self._link.where(_decode_question(request))
+            status = STATUSES.get(answer.get("code", ""), 200)
+        except JayshuntError as error:
+            reason = f"this entry is cut off from the dispatcher: {error.detail}"
+            status, answer = 503, {"error": reason, "code": "unavailable"}
+        except DECODE_ERRORS as error:
+            status, answer = 400, {"error": str(error), "code": "malformed"}
+        start_response(f"{status} -", [("Content-Type", "application/json")])
+        return [json.dumps(answer).encode()]
+
+
+def _decode_question(request: IncomingRequest) -> dict:
+    if request.head.method == "POST":
+        return dict(json.loads(request.body))
+    query = request.head.target.partition("?")[2]
+    return dict(parse_qsl(query))
+
 
 class ReadyApi:
     """Serve the readiness check of this entry as a WSGI application."""
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from functools import partial
 
 from jayshunt.clock import Clock
@@ -16,7 +17,7 @@
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
 from jayshunt.dispatch.placement_policy import PlacementPolicy
-from jayshunt.dispatch.placing import plan_placements, prioritize_jobs
+from jayshunt.dispatch.placing import Placement, plan_placements, prioritize_jobs
 from jayshunt.dispatch.speeds import WorkerSpeeds
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
@@ -38,6 +39,16 @@
 SILENT_S = 2.2
 
 
+@dataclass(frozen=True)
+class TrialRound:
+    """Hold what one placement round would do, and its candidates afterwards."""
+
+    placements: list[Placement]
+    candidates: dict[PoolName, list[CandidateWorker]]
+    may_start: Callable[[Job], bool]
+    policy: PlacementPolicy
+
+
 class Planner:
     """Run placement rounds, pace filling tasks and compute the queues' refusals."""
 
@@ -122,19 +133,21 @@
             if now_s >= self._refusals_until_s:
                 self._refusals = refusals(
                     config,
-                    self._active_jobs(),
-                    self._cores(),
+                    self.active_jobs(),
+                    self.cores(),
                     now_s,
                     self._dispatcher.fleet.fetchable_cores(),
                 )
                 self._refusals_until_s = now_s + REFUSALS_VALID_S
             return self._refusals
 
-    def _active_jobs(self) -> list[Job]:
+    def active_jobs(self) -> list[Job]:
+        """Return the jobs whose end is not stored."""
         tracker = self._dispatcher.tracker
         return [tracker.jobs[job_id] for job_id in tracker.active]
 
-    def _cores(self) -> dict[PoolName, float]:
+    def cores(self) -> dict[PoolName, float]:
+        """Return the cores of each pool's workers that answered in this term."""
         cores: dict[PoolName, float] = {}
         for view in self._dispatcher.tracker.workers.values():
             if not view.is_draining and view.last_answer_s is not None:
@@ -149,10 +162,9 @@
         with dispatcher.lock:
             now_s = self._clock.monotonic_s()
             self._apply_config()
-            jobs = self._active_jobs()
+            jobs = self.active_jobs()
             self._create_due_tasks(jobs)
-            may_start = self._hold_back_new_jobs(self._may_start(now_s), now_s)
-            may_start = self._hold_back_while_store_fails(may_start)
+            may_start = self._startable(now_s)
             tracker = dispatcher.tracker
             tracker.crashes.start_wait_of_inherited(may_start, now_s)
             starts = []
@@ -170,6 +182,23 @@
             else:
                 session.orders.pace(item)
 
+    def try_round(self, job: Job, now_s: float) -> TrialRound:
+        """Return a placement round with one more job, of which nothing is started.
+
+        Its candidates are copies, and it requests no tickets. The caller holds the
+        lock, and calls this on a copy of the planner.
+        """
+        if job.spec.times:
+            job.create_due_occurrences(self._clock.now_s() * 1000)
+        may_start, policy = self._startable(now_s), self._policy()
+        jobs = due_jobs([*self.active_jobs(), job])
+        pools = {job.config.pool for job in [*jobs, job]}
+        candidates = self._candidates(pools, now_s)
+        plan = partial(plan_placements, policy=policy)
+        tickets = self.tickets.without_requests()
+        placements = tickets.place(jobs, candidates, now_s, may_start, plan)
+        return TrialRound(placements, candidates, may_start, policy)
+
     def _policy(self) -> PlacementPolicy:
         """Return the placement policy of one round."""
         return PlacementPolicy(prioritize_jobs)
@@ -220,7 +249,7 @@
             return
         self._applied_config = config
         queues: dict[QueueName, QueueConfig] = {q.queue: q for q in config.queues}
-        for job in self._active_jobs():
+        for job in self.active_jobs():
             job.config = queues.get(job.spec.queue, job.config)
 
     def _candidates(
@@ -244,6 +273,11 @@
             candidates.setdefault(view.worker.pool, []).append(candidate)
         return candidates
 
+    def _startable(self, now_s: float) -> Callable[[Job], bool]:
+        """Return a filter for the jobs that may start now."""
+        may_start = self._hold_back_new_jobs(self._may_start(now_s), now_s)
+        return self._hold_back_while_store_fails(may_start)
+
     def _may_start(self, now_s: float) -> Callable[[Job], bool]:
         """Return a filter for the jobs that may start.
 
--- a/src/jayshunt/dispatch/tickets.py
+++ b/src/jayshunt/dispatch/tickets.py
@@ -56,6 +56,12 @@
         tickets = self._tickets.get(step_key(task))
         return "" if tickets is None else tickets.by_worker.get(worker, "")
 
+    def without_requests(self) -> "TicketCache":
+        """Return a copy that places with the present tickets and requests none."""
+        cache = TicketCache(None, self._executor, self._clock, lambda: None)
+        cache._tickets = dict(self._tickets)
+        return cache
+
     def place(
         self,
         jobs: list[Job],
