--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -150,6 +150,13 @@
         body = {"job": job, "workspace": caller}
         return self._call("cancel", body, wait_s)["found"]
 
+    def where(self, body: dict) -> dict:
+        """Ask the dispatcher where a job would be placed now.
+
+        Raise JayshuntError if it does not answer.
+        """
+        return self._call("explain_placement", body, 0.0)
+
     def is_reachable(self) -> bool:
         """Return whether the dispatcher answered a poll for refusals recently."""
         age_s = self._clock.monotonic_s() - self._refusals_s
@@ -334,6 +341,8 @@
             job, queue_name = JobId(body["job"]), QueueName(body["queue"])
             admission = dispatcher.planner.admission
             return {"retry_after_s": admission.book(job, queue_name, refusal)}
+        case "explain_placement":
+            return dispatcher.where(body)
         case "submit":
             return dispatcher.submit(body["key"], body["value"].encode())
         case "cancel":
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from functools import partial
 
 from jayshunt.clock import Clock
@@ -45,6 +46,16 @@
 SILENT_S = 2.2
 
 
+@dataclass(frozen=True)
+class TrialRound:
+    """Hold what one placement round would do, and its candidates afterwards."""
+
+    placements: list[Placement]
+    candidates: dict[PoolName, list[CandidateWorker]]
+    may_start: Callable[[Job], bool]
+    policy: PlacementPolicy
+
+
 class Planner:
     """Run placement rounds, pace filling tasks and compute the queues' refusals."""
 
@@ -142,8 +153,8 @@
             if now_s >= self._refusals_until_s:
                 self._refusals = refusals(
                     config,
-                    self._active_jobs(),
-                    self._cores(),
+                    self.active_jobs(),
+                    self.cores(),
                     now_s,
                     self._dispatcher.fleet.fetchable_cores(),
                 )
@@ -164,17 +175,19 @@
     def _expected_waits_s(self) -> dict[PoolName, float]:
         return expected_waits_s(
             self._config(),
-            self._active_jobs(),
-            self._cores(),
+            self.active_jobs(),
+            self.cores(),
             self._clock.monotonic_s(),
             self._dispatcher.fleet.fetchable_cores(),
         )
 
-    def _active_jobs(self) -> list[Job]:
+    def active_jobs(self) -> list[Job]:
+        """Return the jobs whose end is not stored."""
         tracker = self._dispatcher.tracker
         return [tracker.jobs[job_id] for job_id in tracker.active]
 
-    def _cores(self) -> dict[PoolName, float]:
+    def cores(self) -> dict[PoolName, float]:
+        """Return the cores of each pool's workers that answered in this term."""
         cores: dict[PoolName, float] = {}
         for view in self._dispatcher.tracker.workers.values():
             if not view.is_draining and view.last_answer_s is not None:
@@ -189,10 +202,9 @@
         with dispatcher.lock:
             now_s = self._clock.monotonic_s()
             self._apply_config()
-            jobs = self._active_jobs()
+            jobs = self.active_jobs()
             self._create_due_tasks(jobs)
-            may_start = self._hold_back_new_jobs(self._may_start(now_s), now_s)
-            may_start = self._hold_back_while_store_fails(may_start)
+            may_start = self._startable(now_s)
             tracker = dispatcher.tracker
             tracker.crashes.start_wait_of_inherited(may_start, now_s)
             starts = []
@@ -238,6 +250,24 @@
         self._order_log.write(self.service_order, now_s)
         return self.workspaces.order(self.service_order.order, jobs, candidates)
 
+    def try_round(self, job: Job, now_s: float) -> TrialRound:
+        """Return a placement round with one more job, of which nothing is started.
+
+        Its candidates are copies, and it requests no tickets. The caller holds the
+        lock, and calls this on a copy of the planner.
+        """
+        if job.spec.times:
+            job.create_due_occurrences(self._clock.now_s() * 1000)
+        may_start, gate = self._startable(now_s), self.start_gate(now_s)
+        jobs = due_jobs([*self.active_jobs(), job])
+        pools = {job.config.pool for job in [*jobs, job]}
+        candidates = self._candidates(pools, now_s)
+        policy = self._policy(gate, self._order(jobs, candidates, now_s))
+        plan = partial(plan_placements, policy=policy)
+        tickets = self.tickets.without_requests()
+        placements = tickets.place(jobs, candidates, now_s, may_start, plan)
+        return TrialRound(placements, candidates, may_start, policy)
+
     def _policy(self, gate: StartGate, order: JobOrder) -> PlacementPolicy:
         """Return the placement policy of one round."""
         if self.interference is None:
@@ -296,7 +326,7 @@
             return
         self._applied_config = config
         queues: dict[QueueName, QueueConfig] = {q.queue: q for q in config.queues}
-        for job in self._active_jobs():
+        for job in self.active_jobs():
             job.config = queues.get(job.spec.queue, job.config)
 
     def _candidates(
@@ -324,6 +354,11 @@
             candidates.setdefault(view.worker.pool, []).append(candidate)
         return candidates
 
+    def _startable(self, now_s: float) -> Callable[[Job], bool]:
+        """Return a filter for the jobs that may start now."""
+        may_start = self._hold_back_new_jobs(self._may_start(now_s), now_s)
+        return self._hold_back_while_store_fails(may_start)
+
     def _may_start(self, now_s: float) -> Callable[[Job], bool]:
         """Return a filter for the jobs that may start.
 
--- a/src/jayshunt/overload/tests/test_admission.py
+++ b/src/jayshunt/overload/tests/test_admission.py
@@ -182,7 +182,10 @@
         )
         duty = AdmissionDuty(dispatcher, ManualClock(0.0), build_config, True)
         dispatcher.planner = SimpleNamespace(
-            refusals=dict, admission=duty, service_order=ServiceOrder()
+            refusals=dict,
+            workspace_refusals=dict,
+            admission=duty,
+            service_order=ServiceOrder(),
         )
         outlooks = decode_outlooks(answer_call(dispatcher, "refusals", {})["outlooks"])
         self.assertGreater(outlooks[QUEUE].late_wait_s, 30.0)
--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -129,6 +129,7 @@
             term_confirmed_s=lambda: self.now_s,
             knows_capacity=lambda pool: True,
             is_store_failing=lambda: False,
+            send_stops=self.send_stops,
         )
         clock = SimpleNamespace(monotonic_s=lambda: self.now_s, now_s=lambda: 0.0)
         self.planner = Planner(
@@ -136,6 +137,11 @@
         )
         self.handoff = None
 
+    def send_stops(self, stops: list) -> None:
+        """Fail on a stop order: a limit stops nothing."""
+        if stops:
+            raise AssertionError(f"unexpected stops: {stops}")
+
     def add_worker_view(self, name: str) -> WorkerView:
         """Add a worker of four cores to the current term."""
         view = WorkerView(build_worker(name, capacity=CAPACITY), self.now_s)
