Rank late jobs less often and encode outlooks once

A round ranked each waiting job anew and looked through its ready tasks twice, and each of up to 108 polls a second encoded the outlooks of all queues while it held the dispatcher's lock.

Ranks of late jobs are kept for 0.1 s, what does not change about a job is computed once, and outlooks are encoded when they are computed.

--- a/src/jayshunt/overload/const.py
+++ b/src/jayshunt/overload/const.py
@@ -9,6 +9,10 @@
 SPARE_RUN_FRACTION = 0.3
 SPARE_S = 0.1
 
+# The place of a late job is computed again after this time. Late jobs are the most in
+# an overload, and they wait for all jobs that can be in time.
+LATE_RANK_S = 0.1
+
 # Share of recent sizes of a queue's jobs above which a job counts as large.
 LARGE_QUANTILE = 0.9
 SIZES_REMEMBERED = 64
--- a/src/jayshunt/overload/duty.py
+++ b/src/jayshunt/overload/duty.py
@@ -45,12 +45,13 @@
         self.forecast = Forecast(is_by_size)
         self.book_of_returns = ReturnBook()
         self.outlooks: dict[QueueName, QueueOutlook] = {}
+        self._encoded: dict[str, dict] = {}
 
     def encode_outlooks(self) -> dict[str, dict]:
         """Return the current outlooks as JSON fields."""
         with self._dispatcher.lock:
             self._refresh(self._clock.monotonic_s())
-            return encode_outlooks(self.outlooks)
+            return self._encoded
 
     def book(self, job: JobId, queue: QueueName, refusal: Refusal) -> float:
         """Return after how many seconds a refused caller may return, 0 to accept now.
@@ -95,6 +96,7 @@
             fleet.fetchable_cores(),
             now_s,
         )
+        self._encoded = encode_outlooks(self.outlooks)
         self._until_s = now_s + VALID_S
         self._log(now_s)
 
@@ -115,7 +117,7 @@
     def describe(self) -> dict:
         """Return the outlooks and refusals for the state dump."""
         return {
-            "outlooks": encode_outlooks(self.outlooks),
+            "outlooks": self._encoded,
             "answers": dict(self.book_of_returns.counts),
             "refused": len(self.book_of_returns.refused),
         }
--- a/src/jayshunt/overload/service_order.py
+++ b/src/jayshunt/overload/service_order.py
@@ -5,8 +5,9 @@
 deadline alone begins every job at the last moment, so that any delay makes it late,
 and a wide job that gets only a part of its cores in time wastes them.
 
-The cost of a round is one prospect and one sort key for each job, both without looking
-at its tasks; the tasks of a job are looked at once, when it is first seen.
+The cost of a round is one prospect and one sort key for each job that can be in time,
+both without looking at its tasks. Those of late jobs are kept for `LATE_RANK_S`, and
+the tasks of a job are looked at once, when it is first seen.
 """
 
 import math
@@ -15,7 +16,12 @@
 
 from jayshunt.dispatch.tasks import Job, compute_critical_path_ms
 from jayshunt.ids import JobId, PoolName, QueueName
-from jayshunt.overload.const import SPARE_RUN_FRACTION, SPARE_S, USEFUL_FACTOR
+from jayshunt.overload.const import (
+    LATE_RANK_S,
+    SPARE_RUN_FRACTION,
+    SPARE_S,
+    USEFUL_FACTOR,
+)
 from jayshunt.overload.models import PoolRoom, Prospect
 from jayshunt.overload.service_shares import ServiceShares, SizeHistory
 
@@ -26,14 +32,19 @@
 
     `core_s` is its work in core seconds, `first_cores` what its first steps need and
     `first_tasks` their number of tasks. `is_waiting` is set while it counts as waiting
-    in its group.
+    in its group. `size` is the exponent of its work, and `rank` its latest sort key,
+    which is used again until `rank_until_s`.
     """
 
     group: tuple
     core_s: float
     first_cores: float
     first_tasks: int
+    is_long_running: bool
+    size: int
     is_waiting: bool = True
+    rank: tuple = ()
+    rank_until_s: float = 0.0
 
 
 def core_seconds(job: Job) -> float:
@@ -60,11 +71,12 @@
     A job that has not begun and needs more cores than are free gets the rest as tasks
     end: within one run time, a full pool turns over all of its cores.
     """
-    path_s = job.remaining_critical_path_s
-    objective_s = job.deadline_s - job.accepted_s
+    deadline_s = job.deadline_s
+    objective_s = deadline_s - job.accepted_s
     if now_s > job.accepted_s + USEFUL_FACTOR * objective_s:
         return Prospect.USELESS
-    if now_s + path_s > job.deadline_s:
+    path_s = job.remaining_critical_path_s
+    if now_s + path_s > deadline_s:
         return Prospect.LATE
     if has_begun:
         return Prospect.SAFE
@@ -72,7 +84,7 @@
     if room is not None and needed_cores > room.free_cores and room.cores > 0:
         fill_s = (needed_cores - max(0.0, room.free_cores)) / room.cores * path_s
     spare_s = SPARE_S + SPARE_RUN_FRACTION * path_s
-    is_safe = now_s + path_s + fill_s + spare_s <= job.deadline_s
+    is_safe = now_s + path_s + fill_s + spare_s <= deadline_s
     return Prospect.SAFE if is_safe else Prospect.POSSIBLE
 
 
@@ -99,18 +111,25 @@
         new: list[tuple[Job, _KnownJob, tuple]] = []
         for job in jobs:
             known = self._known.get(job.spec.job) or self._add(job)
-            begun = job.has_started or len(job.ready_tasks()) < known.first_tasks
-            room = rooms.get(job.config.pool)
-            found = prospect(job, now_s, room, known.first_cores, begun)
-            self.prospects[found] += 1
-            self._count(known, found, begun)
-            rank = _rank(job, found, begun, known.core_s)
-            self._ranks[job.spec.job] = rank
+            if now_s >= known.rank_until_s:
+                self._rank_job(job, known, rooms.get(job.config.pool), now_s)
+            self.prospects[known.rank[1]] += 1
+            self._ranks[job.spec.job] = known.rank
             if known.is_waiting:
-                new.append((job, known, rank))
+                new.append((job, known, known.rank))
         self._advance_owed(new)
         self._forget_ended()
 
+    def _rank_job(
+        self, job: Job, known: _KnownJob, room: PoolRoom | None, now_s: float
+    ) -> None:
+        ready = job.ready_tasks() if job.ready_cache is None else job.ready_cache
+        begun = job.has_started or len(ready) < known.first_tasks
+        found = prospect(job, now_s, room, known.first_cores, begun)
+        self._count(known, found, begun)
+        known.rank = _rank(job, known, found, begun)
+        known.rank_until_s = 0.0 if found.is_in_time else now_s + LATE_RANK_S
+
     def order(self, jobs: Iterable[Job], now_s: float) -> list[Job]:
         """Return jobs of the round in the order in which they are placed.
 
@@ -135,25 +154,30 @@
         rank = self._ranks.get(job.spec.job)
         if rank is None:
             found = prospect(job, now_s, None, 0.0, job.has_started)
-            rank = _rank(job, found, job.has_started, core_seconds(job))
+            rank = _rank(job, self._describe(job), found, job.has_started)
         return rank
 
     def _add(self, job: Job) -> _KnownJob:
+        known = self._describe(job)
+        if known.is_long_running or job.has_started:
+            # A job whose next step became ready was counted with its first step.
+            known.is_waiting = False
+        else:
+            self.sizes[job.spec.queue].add(known.core_s)
+            self.shares.record(known.group, submitted=1, waiting=1)
+        self._known[job.spec.job] = known
+        return known
+
+    def _describe(self, job: Job) -> _KnownJob:
         core_s = core_seconds(job)
         history = self.sizes.setdefault(job.spec.queue, SizeHistory())
         group = (job.config.pool, job.spec.queue, history.is_large(core_s))
         first = [step for step in job.spec.steps if not step.after]
         cores = sum(s.task_count * s.reserved.cpu_millicores for s in first) / 1000
         tasks = sum(step.task_count for step in first)
-        known = _KnownJob(group, core_s, cores, tasks)
-        if job.spec.is_long_running or job.has_started:
-            # A job whose next step became ready was counted with its first step.
-            known.is_waiting = False
-        else:
-            history.add(core_s)
-            self.shares.record(group, submitted=1, waiting=1)
-        self._known[job.spec.job] = known
-        return known
+        is_long_running = job.spec.is_long_running
+        size = size_exponent(core_s)
+        return _KnownJob(group, core_s, cores, tasks, is_long_running, size)
 
     def _count(self, known: _KnownJob, found: Prospect, begun: bool) -> None:
         """Count a job as served or missed once it no longer waits."""
@@ -201,14 +225,14 @@
     return group if is_large else (pool, queue, None)
 
 
-def _rank(job: Job, found: Prospect, begun: bool, core_s: float) -> tuple:
+def _rank(job: Job, known: _KnownJob, found: Prospect, begun: bool) -> tuple:
     """Return the sort key of a job; the lowest is placed first.
 
     Sizes within a factor of two count as equal, so that the deadline decides.
     """
-    by_size = size_exponent(core_s) if found.is_in_time and not begun else 0
+    by_size = known.size if found.is_in_time and not begun else 0
     return (
-        not job.spec.is_long_running,
+        not known.is_long_running,
         found,
         True,
         job.config.priority,
