Count only jobs with an objective by their prospect

A long-running job that waited was counted as useless in the metric and in the log, since it has no objective. It is left out of the counts now; its place, ahead of all others, is the same.

--- a/src/jayshunt/overload/service_order.py
+++ b/src/jayshunt/overload/service_order.py
@@ -113,7 +113,8 @@
             known = self._known.get(job.spec.job) or self._add(job)
             if now_s >= known.rank_until_s:
                 self._rank_job(job, known, rooms.get(job.config.pool), now_s)
-            self.prospects[known.rank[1]] += 1
+            if not known.is_long_running:
+                self.prospects[known.rank[1]] += 1
             self._ranks[job.spec.job] = known.rank
             if known.is_waiting:
                 new.append((job, known, known.rank))
--- a/src/jayshunt/overload/tests/test_service_order.py
+++ b/src/jayshunt/overload/tests/test_service_order.py
@@ -29,6 +29,17 @@
         order.begin_round([useless, late, new], {POOL: PoolRoom(64, 64)}, 9.5)
         self.assertEqual([new, late, useless], order.order([useless, late, new], 9.5))
 
+    def test_waiting_service_goes_first_and_is_not_called_useless(self) -> None:
+        """It has no objective; in the log it would look like a hopeless job."""
+        service = build_job(build_step(is_long_running=True, estimate_ms=0), number=2)
+        new = build_job(number=1, accepted_s=9.0)
+        order = ServiceOrder()
+        order.begin_round([new, service], {POOL: PoolRoom(64, 64)}, 9.5)
+        self.assertEqual([service, new], order.order([new, service], 9.5))
+        self.assertEqual(
+            {Prospect.SAFE: 1}, {p: n for p, n in order.prospects.items() if n}
+        )
+
     def test_wide_job_without_room_is_not_safely_in_time(self) -> None:
         """It would get a part of its cores in time and waste them."""
         job = build_job(build_step(task_count=60))
