Mend what the review of keys and limits found

All waiting tasks count, by the share of them that the limit allows. - Stray runs on a silent worker counted for ever. Its lease ends them. - A weight that is not finite, or negative, made the refusals fail for all. The row is malformed. - A retry at another entry could be told 429 for a job that is stored, if the store did not answer. It gets 504. - Jobs beyond the rate came before late entitled ones; they come last.

--- a/src/jayshunt/dispatch/backlog.py
+++ b/src/jayshunt/dispatch/backlog.py
@@ -8,11 +8,10 @@
 import math
 from collections.abc import Iterable
 
-from jayshunt.dispatch.models import FleetConfig
+from jayshunt.dispatch.models import FleetConfig, Resources
 from jayshunt.dispatch.tasks import Job, TaskPhase
 from jayshunt.ids import PoolName, QueueName, WorkspaceName
-from jayshunt.workspaces.limits import WorkspaceLimits, allowed_tasks, limits_of
-from jayshunt.workspaces.usage import WorkspaceUsage
+from jayshunt.workspaces.limits import limits_of, share_within
 
 # A queue refuses jobs once their expected wait exceeds this. Objectives are about 2 s,
 # and a job is worth almost nothing after three times its objective.
@@ -29,6 +28,12 @@
     )
 
 
+def waiting_need(job: Job) -> Resources:
+    """Return what all waiting tasks of a job would reserve at the same time."""
+    waiting = (t.spec for t in job.tasks() if t.phase is TaskPhase.WAITING)
+    return sum((step.reserved for step in waiting), Resources())
+
+
 def expected_waits_s(
     config: FleetConfig,
     jobs: Iterable[Job],
@@ -42,24 +47,23 @@
     work of a workspace with a limit counts up to what it may use in `MAX_WAIT_S`: what
     waits longer for its limit leaves the room to others.
     """
+    limits = limits_of(config)
     waiting: dict[PoolName, float] = {}
-    gate = WorkspaceLimits(limits_of(config), WorkspaceUsage())
-    limited: dict[tuple[WorkspaceName, PoolName], list[float]] = {}
+    limited: dict[tuple[WorkspaceName, PoolName], tuple[float, Resources]] = {}
     for job in jobs:
         if job.spec.is_long_running or now_s > job.deadline_s:
             continue
         pool, work = job.config.pool, remaining_core_seconds(job)
-        if job.spec.workspace in gate.limits:
-            sums = limited.setdefault((job.spec.workspace, pool), [0.0, 0.0])
-            sums[0] += work
-            sums[1] += sum(
-                task.spec.reserved.cpu_millicores / 1000
-                for task in allowed_tasks(job, gate)
-            )
+        if job.spec.workspace in limits:
+            key = (job.spec.workspace, pool)
+            before, need = limited.get(key, (0.0, Resources()))
+            limited[key] = (before + work, need + waiting_need(job))
         else:
             waiting[pool] = waiting.get(pool, 0.0) + work
-    for (_, pool), (work, usable_cores) in limited.items():
-        counted = min(work, usable_cores * MAX_WAIT_S)
+    for (workspace, pool), (work, need) in limited.items():
+        usable_share = share_within(limits[workspace], need)
+        usable_cores = need.cpu_millicores / 1000 * usable_share
+        counted = min(work, usable_cores * MAX_WAIT_S) if usable_share < 1.0 else work
         waiting[pool] = waiting.get(pool, 0.0) + counted
     usable = {pool: cores.get(pool, 0.0) + fetchable_cores for pool in waiting}
     return {pool: waiting[pool] / usable[pool] for pool in waiting if usable[pool]}
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -234,7 +234,11 @@
     def _refuse_unless_known(
         self, spec: JobSpec, code: str, retry_after_s: float, reason: str
     ) -> Accepted:
-        """Raise JobRefused, unless the job is already stored."""
+        """Raise JobRefused, unless the job is already stored.
+
+        Raise AcceptUnknown if a workspace would be refused a job of which it is not
+        known whether it is stored.
+        """
         try:
             item = self._store.get(accepted_key(spec.job))
             if item is not None:
@@ -245,6 +249,9 @@
                 "entry: failed to check the store before a refusal",
                 extra={"job": spec.job, "reason": str(error)},
             )
+            if code != "queue_behind":
+                # An earlier call, also to another entry, may have stored the job.
+                raise AcceptUnknown(str(error)) from error
         self._refuse(spec, code, retry_after_s, reason)
 
     def _refuse(
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -191,7 +191,7 @@
             if context.term_confirmed_s() < view.lease_end_s:
                 # A successor may have renewed the lease, so the runs may go on.
                 return
-            if view.tasks or not view.is_listed:
+            if view.tasks or view.strays or not view.is_listed:
                 context.tracker.remove_worker(
                     view, now_s, WorkerEnd.LEASE_EXPIRED, reason
                 )
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import logging
+import math
 from dataclasses import replace
 
 from jayshunt.dispatch.models import (
@@ -78,7 +79,7 @@
                 digest_key(_require_text(key)) for key in _keys(row.get("apiKeys"))
             ),
             priority=int(row.get("priority", 0)),
-            weight=float(row.get("weight", 1.0)),
+            weight=_read_weight(row),
             max_running=decode_resources(row.get("maxCount") or {}),
         )
     except DECODE_ERRORS as error:
@@ -90,6 +91,14 @@
         return None
 
 
+def _read_weight(row: dict) -> float:
+    """Return the weight of a workspace; without one it is 1."""
+    weight = float(row.get("weight", 1.0))
+    if not 0 <= weight < math.inf:
+        raise ValueError("weight: a finite number of at least 0 is needed")
+    return weight
+
+
 def _keys(value: object) -> list:
     """Return the list of keys; a string would be read as keys of one character."""
     if value is not None and not isinstance(value, list):
--- a/src/jayshunt/workspaces/control.py
+++ b/src/jayshunt/workspaces/control.py
@@ -102,6 +102,9 @@
         `waits_s` returns how long the work that waits in each pool takes it.
         """
         self._apply_config()
+        # Jobs that a new dispatcher has just read take their tokens at the times of
+        # their acceptance, before the buckets are filled up to now.
+        self._rates.mark_added()
         if not self._workspaces() or not self._rates.exhausted(now_s):
             return {}
         queues = [queue for queue in self._applied_config.queues if not queue.is_public]
--- a/src/jayshunt/workspaces/limits.py
+++ b/src/jayshunt/workspaces/limits.py
@@ -42,6 +42,19 @@
     )
 
 
+def share_within(limit: Resources, need: Resources) -> float:
+    """Return which share of a need is within a limit, at most 1."""
+    shares = [1.0]
+    for allowed, needed in (
+        (limit.cpu_millicores, need.cpu_millicores),
+        (limit.memory_mb, need.memory_mb),
+        (limit.gpus, need.gpus),
+    ):
+        if allowed and needed:
+            shares.append(allowed / needed)
+    return min(shares)
+
+
 def can_ever_start(spec: JobSpec, limit: Resources) -> bool:
     """Return whether each task, and each gang as a whole, is within a limit.
 
--- a/src/jayshunt/workspaces/shares.py
+++ b/src/jayshunt/workspaces/shares.py
@@ -100,25 +100,28 @@
 ) -> list[Job]:
     """Return jobs with those first whose workspace is below its share of a short pool.
 
-    Long-running jobs stay in front. Jobs beyond their workspace's rate and jobs that
-    can no longer be in time come last, as they would take the room of those that can.
-    Within each group the order is kept.
+    Long-running jobs stay in front. Jobs that can no longer be in time come after those
+    that can, whose room they would take, and jobs beyond their workspace's rate after
+    all others. Within each group the order is kept.
     """
     front: list[Job] = []
     below: list[Job] = []
     others: list[Job] = []
-    last: list[Job] = []
+    late: list[Job] = []
+    excess: list[Job] = []
     for job in jobs:
         shares = short.get(job.config.pool)
         if job.spec.is_long_running:
             front.append(job)
-        elif job.is_excess or (
+        elif job.is_excess:
+            excess.append(job)
+        elif (
             shares is not None
             and now_s + job.remaining_critical_path_s > job.deadline_s
         ):
-            last.append(job)
+            late.append(job)
         elif shares is None or shares.take(job):
             below.append(job)
         else:
             others.append(job)
-    return front + below + others + last
+    return front + below + others + late + excess
--- a/src/jayshunt/workspaces/tests/test_demand.py
+++ b/src/jayshunt/workspaces/tests/test_demand.py
@@ -56,6 +56,21 @@
         self.assertEqual({}, refusals(build_limits(hot=10_000), jobs, cores, 1.0))
 
 
+    def test_limit_that_does_not_bind_leaves_the_backlog_as_it_is(self) -> None:
+        """Only the first, narrow step counted, so that no queue refused any more."""
+        check = build_step(resources=Resources(100, 64), estimate_ms=500)
+        batch = build_step(
+            task_count=8, resources=Resources(13_000, 64), estimate_ms=1_800, after=(0,)
+        )
+        jobs = [build_workspace_job(check, batch, number=n) for n in range(60)]
+        cores = {POOL: 1_000.0}
+        self.assertEqual(
+            refusals(build_limits(hot=0), jobs, cores, 1.0),
+            refusals(build_limits(hot=7_000_000), jobs, cores, 1.0),
+        )
+        self.assertIn(QUEUE, refusals(build_limits(hot=0), jobs, cores, 1.0))
+
+
 class SubmissionTest(unittest.TestCase):
     """Test submissions of what exceeds the limit of its workspace."""
 
