End a gang in the simulation of limits only when all its tasks run

Hypothesis found a run above the limit: one task of a gang was reported done while the start order of the other was still on its way, so the tracker took the whole gang for done and the late order was carried out. A worker cannot report this: tasks of a gang make progress only while all of them run. The check itself is unchanged.

The failing sequence of 150 actions passed only with this.

--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -10,6 +10,7 @@
     Bounds,
     FleetConfig,
     Resources,
+    RunEnd,
     StartOrder,
     StepSpec,
     Workspace,
@@ -226,6 +227,18 @@
         else:
             self.tracker.record_not_started(task, item.run, self.now_s)
 
+    def end_run(self) -> None:
+        """End a random run successfully; a gang ends only if all its tasks run."""
+        runs = [(key, w) for w in self.workers.values() for key in w.runs]
+        key, worker = self.rng.choice(runs or [(None, None)])
+        if key is None:
+            return
+        if self.jobs[key.job][0][key.step].is_gang:
+            members = {other for other, _ in runs if other[:3] == key[:3]}
+            if len(members) < self.jobs[key.job][0][key.step].task_count:
+                return
+        worker.end(key, RunEnd.DONE)
+
     def store(self) -> None:
         """Store the progress of changed jobs, unless the store is unavailable."""
         if self.rng.random() < 0.3:
