Show what workspaces use, wait for and are refused

Nothing told an operator why the jobs of a workspace waited or were refused.

Metrics by workspace: cores in use, jobs that wait and starts that the limit holds, share of each short pool used and entitled (dispatcher), refusals by code (every entry). At most 50 workspaces have series of their own; the others are summed. The dump of the dispatcher has the same numbers with the limit.

--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -19,7 +19,7 @@
 
 
 def describe_dispatch(dispatcher) -> dict:
-    """Return the dispatcher's jobs, workers with their VMs, and waves."""
+    """Return the dispatcher's jobs, workspaces, workers with their VMs, and waves."""
     with dispatcher.lock:
         tracker = dispatcher.tracker
         return {
@@ -27,6 +27,13 @@
             "jobs": len(tracker.jobs),
             "active": sorted(tracker.active),
             "counts": dict(tracker.counts),
+            "workspaces": [
+                {
+                    **asdict(report),
+                    "limit": dispatcher.planner.workspaces.limits.get(report.workspace),
+                }
+                for report in dispatcher.planner.workspaces.report()
+            ],
             "workers": [
                 {
                     "worker": view.worker.worker,
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -61,12 +61,15 @@
         link: DispatcherLink,
         clock: Clock,
         limit_of: Callable[[WorkspaceName], Resources | None] = lambda _: None,
+        observe_refusal: Callable[[WorkspaceName, str], None] = lambda *_: None,
     ) -> None:
         """Use the store, and `link` to reach the dispatcher.
 
         `limit_of` returns the limit of a workspace in the configuration in force, None
-        if it has none.
+        if it has none. `observe_refusal` is called with the workspace and the code of
+        each refusal.
         """
+        self._observe_refusal = observe_refusal
         self._limit_of = limit_of
         self._store = store
         self._link = link
@@ -221,10 +224,12 @@
             extra={
                 "job": spec.job,
                 "queue": spec.queue,
+                "workspace": spec.workspace,
                 "reason": reason,
                 "retry_after_s": retry_after_s,
             },
         )
+        self._observe_refusal(spec.workspace, code)
         raise JobRefused(code, retry_after_s, reason)
 
     def _give_up_if_due(
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -4,6 +4,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from jayshunt.workspaces.reporting import MAX_WORKSPACES, OTHERS, WorkspaceReport
+
 # From an answer by a dispatcher on the same VM up to a caller's full timeout.
 ANSWER_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 # From an immediate start to a wait far beyond the objective of a job.
@@ -36,6 +38,13 @@
             buckets=WAIT_BUCKETS_S,
             registry=self._registry,
         )
+        self._refusals = Counter(
+            "jayshunt_workspace_refusals",
+            "Jobs of a workspace that were refused, by code.",
+            ["workspace", "code"],
+            registry=self._registry,
+        )
+        self._refused_workspaces: set[str] = set()
         self._registry.register(_StateCollector(store, link))
 
     def observe_answer(self, method: str, status: int, took_s: float) -> None:
@@ -47,6 +56,14 @@
         """Record how long a task waited for its start."""
         self._wait_s.labels(pool).observe(waited_s)
 
+    def observe_refusal(self, workspace: str, code: str) -> None:
+        """Count a refused job; those of workspaces beyond the first 50 are summed."""
+        if len(self._refused_workspaces) < MAX_WORKSPACES:
+            self._refused_workspaces.add(workspace)
+        if workspace not in self._refused_workspaces:
+            workspace = OTHERS
+        self._refusals.labels(workspace, code).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -79,6 +96,36 @@
                 runs.add_metric([what], count)
             yield runs
             yield from _pool_gauges(dispatcher)
+            yield from _workspace_gauges(dispatcher.planner.workspaces.report())
+
+
+def _workspace_gauges(reports: list[WorkspaceReport]):
+    used = GaugeMetricFamily(
+        "jayshunt_workspace_cores",
+        "Cores that the tasks of a workspace may be using.",
+        labels=["workspace"],
+    )
+    waiting = GaugeMetricFamily(
+        "jayshunt_workspace_jobs_waiting",
+        "Jobs of a workspace that wait, and steps or gangs that its limit holds.",
+        labels=["workspace", "what"],
+    )
+    share = GaugeMetricFamily(
+        "jayshunt_workspace_share",
+        "Fraction of a short pool that a workspace uses or is entitled to.",
+        labels=["workspace", "pool", "what"],
+    )
+    for report in reports:
+        name = report.workspace
+        used.add_metric([name], report.used.cpu_millicores / 1000)
+        waiting.add_metric([name, "waiting"], report.waiting)
+        waiting.add_metric([name, "held"], report.held)
+        for pool, fraction in report.entitled.items():
+            share.add_metric([name, pool, "entitled"], fraction)
+            share.add_metric([name, pool, "used"], report.share[pool])
+    yield used
+    yield waiting
+    yield share
 
 
 def _pool_gauges(dispatcher):
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -81,7 +81,11 @@
         )
         self._metrics = EntryMetrics(self._store, self._link)
         self._job_service = EntryJobService(
-            self._store, self._link, self._clock, self._limit_of
+            self._store,
+            self._link,
+            self._clock,
+            self._limit_of,
+            self._metrics.observe_refusal,
         )
         self._tasks = TaskGroup("entry")
         self._front_server = _build_server(
--- a/src/jayshunt/workspaces/control.py
+++ b/src/jayshunt/workspaces/control.py
@@ -12,6 +12,7 @@
 from jayshunt.ids import PoolName, QueueName, WorkerId, WorkspaceName
 from jayshunt.workspaces.limits import WorkspaceLimits, limits_of
 from jayshunt.workspaces.rates import RateLedger
+from jayshunt.workspaces.reporting import WorkspaceReport, report_workspaces
 from jayshunt.workspaces.shares import PoolShares, find_short_pools, order_by_share
 from jayshunt.workspaces.usage import (
     NO_UNCONFIRMED_RUNS,
@@ -107,6 +108,12 @@
         queues = [queue for queue in self._applied_config.queues if not queue.is_public]
         return self._rates.refusals(queues, waits_s(), now_s)
 
+    def report(self) -> list[WorkspaceReport]:
+        """Return what each workspace uses and waits for, for metrics and dumps."""
+        tracker = self._dispatcher.tracker
+        jobs = [tracker.jobs[job] for job in tracker.active]
+        return report_workspaces(tracker.usage, jobs, self.held, self.short)
+
     def _workspaces(self) -> tuple[Workspace, ...]:
         """Return the workspaces if their shares and rates apply."""
         config = self._applied_config
