Test how an entry learns of refused workspaces

The poll of refusals carries workspaces since shares were added, without a test of how long an entry keeps them.

Tests run: workspaces.tests.test_demand 7 passed.

--- a/src/jayshunt/workspaces/tests/test_demand.py
+++ b/src/jayshunt/workspaces/tests/test_demand.py
@@ -1,11 +1,15 @@
 """Test that held jobs are no demand, and that jobs which cannot start are refused."""
 
+import threading
 import unittest
+from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.backlog import refusals
+from jayshunt.dispatch.const import STATUS_INTERVAL_S
 from jayshunt.dispatch.entry import EntryJobService
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
+from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import Resources
 from jayshunt.dispatch.sizing import PoolSizer
 from jayshunt.dispatch.tests.builders import (
@@ -113,5 +117,34 @@
         self.assertFalse(self.submit().is_new)
 
 
+class RefusalPollTest(unittest.TestCase):
+    """Test how an entry learns of the workspaces that the dispatcher refuses."""
+
+    def test_refusals_of_workspaces_are_kept_as_long_as_those_of_queues(self) -> None:
+        """An entry must not refuse by an answer that is no longer confirmed."""
+        stop, clock, store = threading.Event(), ManualClock(0.0), FakeStore()
+        store.last_success_age_s = lambda: 0.0
+        planner = SimpleNamespace(
+            refusals=lambda: stop.set() or {},
+            workspace_refusals=lambda: {QUEUE: {HOT: 4.0}},
+        )
+        ready = threading.Event()
+        ready.set()
+        link = DispatcherLink(
+            SimpleNamespace(term=None, entry="e", incarnation="i"),
+            store,
+            clock,
+            SimpleNamespace(record_answer=lambda: None),
+        )
+        link.own_dispatcher = SimpleNamespace(
+            planner=planner, ready=ready, term_valid=lambda: True
+        )
+        link.poll_refusals(stop)
+        self.assertEqual(4.0, link.workspace_retry_after_s(QUEUE, HOT))
+        self.assertEqual(0.0, link.workspace_retry_after_s(QUEUE, COLD))
+        clock.advance(4 * STATUS_INTERVAL_S + 0.1)
+        self.assertEqual(0.0, link.workspace_retry_after_s(QUEUE, HOT))
+
+
 if __name__ == "__main__":
     unittest.main()
