--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -23,7 +23,7 @@
 
 
 def describe_dispatch(dispatcher) -> dict:
-    """Return the dispatcher's jobs, workers with their VMs, interference and waves."""
+    """Return jobs, workspaces, workers with their VMs, interference and waves."""
     with dispatcher.lock:
         tracker = dispatcher.tracker
         return {
@@ -31,6 +31,13 @@
             "jobs": len(tracker.jobs),
             "active": sorted(tracker.active),
             "counts": dict(tracker.counts),
+            "workspaces": [
+                {
+                    **asdict(report),
+                    "limit": dispatcher.planner.workspaces.limits.get(report.workspace),
+                }
+                for report in dispatcher.planner.workspaces.report()
+            ],
             "workers": [
                 {
                     "worker": view.worker.worker,
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -67,12 +67,15 @@
         clock: Clock,
         refusals: RefusalLog | None = None,
         limit_of: Callable[[WorkspaceName], Resources | None] = lambda _: None,
+        observe_refusal: Callable[[WorkspaceName, str], None] = lambda *_: None,
     ) -> None:
         """Use the store, and `link` to reach the dispatcher.
 
         `refusals` records calls for another workspace's jobs. `limit_of` returns the
         limit of a workspace in the configuration in force, None if it has none.
+        `observe_refusal` is called with the workspace and the code of each refusal.
         """
+        self._observe_refusal = observe_refusal
         self._limit_of = limit_of
         self._store = store
         self._link = link
@@ -268,10 +271,12 @@
             extra={
                 "job": spec.job,
                 "queue": spec.queue,
+                "workspace": spec.workspace,
                 "reason": reason,
                 "retry_after_s": retry_after_s,
             },
         )
+        self._observe_refusal(spec.workspace, code)
         raise JobRefused(code, retry_after_s, reason)
 
     def _give_up_if_due(
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -88,7 +88,12 @@
             node.bounds, self._clock, lambda: self._config.read_s, refusals
         )
         self._job_service = EntryJobService(
-            self._store, self._link, self._clock, refusals, self._limit_of
+            self._store,
+            self._link,
+            self._clock,
+            refusals,
+            self._limit_of,
+            self._metrics.observe_refusal,
         )
         self._tasks = TaskGroup("entry")
         self._front_server = _build_server(
