--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -36,8 +36,8 @@
 RETRY_S = 0.1
 # How many submissions with an unknown outcome an entry remembers, the latest ones.
 MAX_UNKNOWN = 10_000
-# Only a change of the configuration makes room for a job larger than its workspace's
-# limit, which no caller is worth waiting for.
+# Only a change of the configuration lets a job start that exceeds its workspace's
+# limit, so that an early retry is useless. The code, and the time in seconds.
 EXCEEDS_LIMIT = ("exceeds_workspace_limit", 60.0)
 
 
