--- a/src/jayshunt/dispatch/commits.py
+++ b/src/jayshunt/dispatch/commits.py
@@ -14,7 +14,6 @@
 from jayshunt.dispatch.store_models import Item, Put, TransactionResult
 from jayshunt.dispatch.tasks import Job
 from jayshunt.ids import Revision
-from jayshunt.overload.recovery import wait_for_store
 from jayshunt.platform.store import LeaseGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -76,7 +75,7 @@
             if len(self._tracker.dirty) < JOBS_PER_COMMIT:
                 self._clock.wait(stop, COMMIT_BATCH_S)
             if not self.write_once():
-                wait_for_store(self._store, self._clock, stop, RETRY_S)
+                self._clock.wait(stop, RETRY_S)
 
     def flush(self, timeout_s: float) -> bool:
         """Write all remaining changes; return whether everything is stored."""
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -33,7 +33,6 @@
 from jayshunt.dispatch.tasks import Job
 from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import JobId, QueueName, Revision, WorkerId
-from jayshunt.overload.recovery import wait_for_store
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -104,7 +103,7 @@
                 _LOGGER.info(
                     "dispatch: cannot read accepted jobs", extra={"reason": str(error)}
                 )
-                wait_for_store(self._store, self._clock, stop, RETRY_S)
+                self._clock.wait(stop, RETRY_S)
 
     def add_job(
         self,
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -29,7 +29,6 @@
 from jayshunt.dispatch.records import TERM_KEY, decode_term, encode_term
 from jayshunt.dispatch.store_models import Put, Term
 from jayshunt.ids import EntryId, LeaseId, Revision
-from jayshunt.overload.recovery import LAST_RENEWALS_S, RENEW_TIMEOUT_S
 from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -246,10 +245,7 @@
     def _renew_once(self, own: OwnTerm) -> None:
         sent_s = self._now_s()
         try:
-            is_urgent = own.renewal_age_s > LAST_RENEWALS_S
-            is_short = own.is_failing and not is_urgent
-            timeout_s = RENEW_TIMEOUT_S if is_short else None
-            self._store.renew_lease(own.term.lease, timeout_s)
+            self._store.renew_lease(own.term.lease)
         except LeaseGone:
             _LOGGER.warning(
                 "dispatch: the term was lost", extra={"token": own.term.token}
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -125,7 +125,7 @@
         """Return how long calls have been succeeding."""
         return 0.0 if self.failing_s else self.reachable_s
 
-    def get(self, key: str, timeout_s: float = 1.2) -> Item | None:
+    def get(self, key: str) -> Item | None:
         """Return one item."""
         self._check("get")
         return self.items.get(key)
@@ -172,7 +172,7 @@
         self.leases.add(lease)
         return KeyLease(lease, ttl_s)
 
-    def renew_lease(self, lease: LeaseId, timeout_s: float | None = None) -> None:
+    def renew_lease(self, lease: LeaseId) -> None:
         """Renew a lease."""
         self._check("renew")
         if lease not in self.leases:
--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -11,7 +11,6 @@
 from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.term import suspend_aware_s
 from jayshunt.ids import Revision, WorkerId
-from jayshunt.overload.recovery import wait_for_store
 from jayshunt.platform.const import WORKER_PREFIX
 from jayshunt.platform.formats import decode_worker
 from jayshunt.platform.store import HistoryGone, PlatformStore
@@ -72,7 +71,7 @@
                         extra={"reason": str(error)},
                     )
                 self._revision = None
-                wait_for_store(self._store, self._clock, stop, RETRY_S)
+                self._clock.wait(stop, RETRY_S)
 
     def _read_or_watch(self, stop: threading.Event) -> None:
         now_s, sent_s = self._clock.monotonic_s(), self._now_s()
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -67,10 +67,9 @@
         self._last_success_s: float | None = None
         self._reachable_since_s: float | None = None
 
-    def get(self, key: str, timeout_s: float = CALL_TIMEOUT_S) -> Item | None:
+    def get(self, key: str) -> Item | None:
         """Return the item of a key, or None if the key does not exist."""
-        path = "/kv-key?" + urlencode({"key": key})
-        answer = self._call("get", "GET", path, timeout_s=timeout_s)
+        answer = self._call("get", "GET", "/kv-key?" + urlencode({"key": key}))
         if answer.status == 404:
             return None
         with self._decoding("get"):
@@ -178,15 +177,9 @@
             document = json.loads(answer.body)
             return KeyLease(LeaseId(str(document["lease"])), document["ttlMs"] / 1000)
 
-    def renew_lease(self, lease: LeaseId, timeout_s: float | None = None) -> None:
+    def renew_lease(self, lease: LeaseId) -> None:
         """Renew a lease; raise LeaseGone if it has ended."""
-        answer = self._call(
-            "renew",
-            "POST",
-            f"/kv-keep/{quote(lease)}",
-            {},
-            timeout_s=CALL_TIMEOUT_S if timeout_s is None else timeout_s,
-        )
+        answer = self._call("renew", "POST", f"/kv-keep/{quote(lease)}", {})
         if answer.status == 404:
             raise LeaseGone(lease)
 
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -21,7 +21,6 @@
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import OwnTerm, TermElection
 from jayshunt.ids import WorkspaceName
-from jayshunt.overload.recovery import StoreProbe
 from jayshunt.platform.const import CONFIG_KEY
 from jayshunt.platform.formats import decode_config
 from jayshunt.platform.front_api import FrontApi
@@ -123,7 +122,6 @@
             extra={"entry": node.entry, "zone": node.zone, "front": str(node.front)},
         )
         for task in (
-            StoreProbe(self._store, self._clock).run,
             self._config.run,
             self._election.follow,
             self._election.renew,
--- a/src/jayshunt/workspaces/__init__.py
+++ b/src/jayshunt/workspaces/__init__.py
@@ -1,1 +1,1 @@
-"""Authenticate callers by the keys of workspaces, and check who owns a job."""
+"""Authenticate workspaces, and decide what each of them may run and submit."""
