--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -3,7 +3,7 @@
 import unittest
 
 from jayshunt.clock import ManualClock
-from jayshunt.dispatch.fleet import PendingEnd
+from jayshunt.dispatch.fleet import PendingEnd, StrayRun
 from jayshunt.dispatch.models import OrderAnswer, OrderRefusal
 from jayshunt.dispatch.sessions import WorkerSession
 from jayshunt.dispatch.tasks import TaskPhase
@@ -63,6 +63,20 @@
         self.assertGreaterEqual(self.clock.monotonic_s(), LEASE_S)
         self.assertLess(self.clock.monotonic_s(), LEASE_S * 1.2)
 
+    def test_stray_runs_of_a_silent_worker_end_with_its_lease(self) -> None:
+        """A workspace was charged for them for ever, up to its limit."""
+        task = place(self.tracker, self.job, 0, self.view)
+        unanswered = [no_answer(Outcome.UNKNOWN)] * 40
+        self.worker_api.poll_answers = [build_report(task), *unanswered]
+        run_steps(self.session._poll_once())
+        self.view.release(task)
+        self.view.add_stray(task.key, StrayRun.of_task(task, task.run))
+        for _ in range(40):
+            self.clock.advance(0.25)
+            run_steps(self.session._poll_once())
+        self.assertTrue(self.view.is_ended)
+        self.assertEqual({}, self.view.strays)
+
     def test_holder_that_may_be_replaced_gives_no_worker_up(self) -> None:
         """A successor that reaches the worker goes on renewing its lease.
 
