Show tasks run twice while the store is down

Cause: a worker lists at most 500 ends at a time. A dispatcher takes a run that is neither among the listed runs nor among the listed ends for one that ended without an end, and starts its task again.

--- /dev/null
+++ b/review/lab/checks.py
@@ -0,0 +1,60 @@
+"""Check recorded events against rules."""
+
+
+def runs_of(events: list[dict]) -> list[dict]:
+    """Return every run with its worker, start, end and how it ended.
+
+    A run that the record shows no end of ended with its minion's life, or goes on.
+    """
+    runs: dict[tuple, dict] = {}
+    for row in events:
+        if row["event"] == "start":
+            runs[row["who"], row["task"], row["run"]] = {
+                "worker": row["who"],
+                "task": row["task"],
+                "run": row["run"],
+                "start_s": row["at_s"],
+                "end_s": None,
+                "how": None,
+                "n": None,
+            }
+        elif row["event"] == "end":
+            run = runs[row["who"], row["task"], row["run"]]
+            run["end_s"], run["how"], run["n"] = row["at_s"], row["how"], row["n"]
+        elif row["event"] == "killed":
+            for run in runs.values():
+                if run["worker"] == row["worker"] and run["end_s"] is None:
+                    run["end_s"], run["how"] = row["at_s"], "crashed"
+    return list(runs.values())
+
+
+def noted_ends(events: list[dict]) -> set[tuple]:
+    """Return the ends that were taken note of: worker and number."""
+    return {
+        (row["who"], end[0])
+        for row in events
+        if row["event"] == "noted"
+        for end in row["ends"]
+    }
+
+
+def find_twice(events: list[dict]) -> list[str]:
+    """Return what breaks TWICE: runs side by side, or a start after a noted `done`."""
+    noted = noted_ends(events)
+    by_task: dict[str, list[dict]] = {}
+    for run in runs_of(events):
+        by_task.setdefault(run["task"], []).append(run)
+    broken = []
+    for task, runs in by_task.items():
+        runs.sort(key=lambda run: run["start_s"])
+        for n, first in enumerate(runs):
+            for later in runs[n + 1 :]:
+                names = f"{first['worker']} and {later['worker']}"
+                if first["end_s"] is None or later["start_s"] < first["end_s"]:
+                    broken.append(f"{task}: two runs at once, on {names}")
+                elif first["how"] == "done" and (first["worker"], first["n"]) in noted:
+                    after_s = later["start_s"] - first["end_s"]
+                    broken.append(
+                        f"{task}: started {after_s:.2f} s after `done`, on {names}"
+                    )
+    return broken
