Show a job of a removed queue that never goes on after a hand-over

Cause: a stored job keeps some settings of its queue, but not its advice policy. A successor that finds the queue removed starts the job's tasks without tickets, and the workers refuse every start.

--- /dev/null
+++ b/review/lab/advice.py
@@ -0,0 +1,32 @@
+"""Stand in for the advice service: it allows every minion, each with its ticket."""
+
+import asyncio
+
+from lab.http import Answer, Request, Server
+from lab.store import Store
+
+
+class Advice:
+    """Answer `POST /advise` after `decideMs` and `eachMs` for each minion."""
+
+    def __init__(
+        self, store: Store, decide_ms: float, each_ms: float, valid_ms: int
+    ) -> None:
+        """Look up in `store` which life a minion is in."""
+        self.server = Server(self._answer)
+        self.policy = {"decideMs": decide_ms, "eachMs": each_ms, "validMs": valid_ms}
+        self._store = store
+        self._turn = asyncio.Lock()
+
+    async def _answer(self, request: Request) -> Answer:
+        workers = request.json()["workers"]
+        policy = self.policy
+        async with self._turn:
+            wait_ms = policy["decideMs"] + policy["eachMs"] * len(workers)
+            await asyncio.sleep(wait_ms / 1000)
+        good = []
+        for worker in workers:
+            entry = self._store.content(f"servers/{worker}")
+            if entry is not None:
+                good.append([worker, f"t-{worker}-{entry['born']}"])
+        return 200, {"good": good, "validMs": policy["validMs"]}
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -14,6 +14,7 @@
 import tomllib
 from pathlib import Path
 
+from lab.advice import Advice
 from lab.http import HOST, call
 from lab.machines import Machine, Machines
 from lab.record import Record, read
@@ -116,7 +117,7 @@
         routes: list[dict],
         services: list[dict],
         entries: int = 3,
-        advice: str | None = None,
+        advice_policy: tuple[float, float, int] | None = None,
     ) -> None:
         """Prepare settings; start nothing."""
         self.record_path = case / "record.txt"
@@ -143,12 +144,16 @@
             "services": services,
             "limits": {},
         }
-        self._advice = advice
+        self.advice = (
+            None if advice_policy is None else Advice(self.store, *advice_policy)
+        )
 
     async def start(self) -> None:
         """Start everything, and wait until an entry dispatches to all minions."""
         await self.store.start()
         await self.machines.start()
+        if self.advice is not None:
+            await self.advice.server.start()
         self.store.put("op/config", self.config)
         for entry in self.entries:
             self._write_settings(entry)
@@ -289,8 +294,8 @@
             ],
             "orders": "rpc",
         }
-        if self._advice is not None:
-            top["advice"] = self._advice
+        if self.advice is not None:
+            top["advice"] = self.advice.server.address
         tables = {
             "zones": {e.zone: "r1" for e in self.entries},
             "listenAddrs": {
