Show jobs that run on although their callers were told they are gone

Cause: a cancellation is stored only if the job is there. An entry that was frozen when a submission came stores it after another entry has answered the caller's DELETE with 410.

--- a/review/lab/machines.py
+++ b/review/lab/machines.py
@@ -15,6 +15,7 @@
 
 from lab.http import HOST, Answer, Request, Server
 from lab.record import Record
+from lab.relay import Relay
 from lab.store import Store
 
 REVIEW = Path(__file__).resolve().parent.parent
@@ -41,6 +42,7 @@
     process: subprocess.Popen | None = None
     lives: int = 0
     done_waves: set[int] = field(default_factory=set)
+    relay: Relay | None = None
 
 
 class Machines:
@@ -70,14 +72,27 @@
         self._heartbeat_s = heartbeat_s
         self._spare = spare_pools
         self._tasks: set[asyncio.Task] = set()
+        self.uses_relays = False
 
     async def start(self) -> None:
         """Listen, and start the minions of the machines that are on."""
         await self.server.start()
         for machine in self.machines.values():
+            if self.uses_relays:
+                machine.relay = Relay(machine.port)
+                await machine.relay.start()
             if machine.pool not in self._spare:
                 self.start_life(machine)
 
+    async def crash_dark(self, machine: Machine, down_s: float) -> None:
+        """Let a machine lose power, and its minion start again under its id."""
+        worker = machine.worker
+        machine.relay.go_dark()
+        self.kill(machine)
+        await asyncio.sleep(down_s)
+        self.start_life(machine, worker)
+        machine.relay.come_back()
+
     def stop(self) -> None:
         """Kill every minion that was started."""
         for machine in self.machines.values():
@@ -87,12 +102,13 @@
         """Start a life of a minion, under the id `worker` or a new one."""
         machine.lives += 1
         machine.worker = worker or f"i-{machine.machine}-{machine.lives}"
+        port = machine.port if machine.relay is None else machine.relay.port
         plan = {
             "worker": machine.worker,
             "machine": machine.machine,
             "pool": machine.pool,
             "zone": machine.zone,
-            "address": f"{HOST}:{machine.port}",
+            "address": f"{HOST}:{port}",
             "port": machine.port,
             "labels": [machine.kind, machine.rack],
             "capacity": {"cpu": machine.cpu, "memMb": 262_144, "gpu": 0},
