--- a/review/lab/relay.py
+++ b/review/lab/relay.py
@@ -9,8 +9,8 @@
     """Forward connections to a port; while dark, nothing is forwarded or closed.
 
     A connection that was open when the machine went dark stays silent until its caller
-    sends something after the machine is back, and is reset then, as the machine does not
-    know it.
+    sends something after the machine is back. It is reset then, as the machine does
+    not know it.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -68,7 +68,7 @@
             writer.transport.abort()
 
     async def _wait_until_known_dead(self, reader) -> None:
-        """Return once the caller closes, or sends something to the machine that is back."""
+        """Return once the caller closes, or sends something after the machine is back."""
         while await self._read(reader):
             if not self.is_dark:
                 return
