--- a/review/2/run.py
+++ b/review/2/run.py
@@ -40,7 +40,7 @@
 
 async def case() -> list[str]:
     """Let the minion that gets the work lose power for a second."""
-    machines = [Machine(f"m-{n}", "desk", f"r1-{n}", "z1", 64_000) for n in range(4)]
+    machines = [Machine(f"m-{n}", "desk", f"r1-{n}", "z1", 64_000) for n in range(8)]
     lab = Deployment(
         Path(__file__).resolve().parent,
         machines,
