--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,6 +1,6 @@
-"""TWICE: work units that a restarted minion has begun are started again elsewhere.
+"""TWICE: tasks that a restarted worker has begun are started again elsewhere.
 
-A minion that starts again under its id takes orders meant for its former life.
+A worker that starts again under its id takes orders meant for its former life.
 The dispatcher learns of the restart by the next answer to a poll. It then takes all
 that it started there, before and after the restart, for lost.
 """
@@ -30,7 +30,7 @@
 
 
 async def submit_jobs(lab: Deployment, jobs: list[str]) -> None:
-    """Submit jobs of two work units, one after the other."""
+    """Submit jobs of two tasks, one after the other."""
     step = {"count": 2, "cpu": 1000, "memMb": 1000, "estimateMs": 800}
     for number in range(JOBS):
         entry = lab.entries[number % len(lab.entries)]
@@ -39,7 +39,7 @@
 
 
 async def case() -> list[str]:
-    """Let the minion that gets the work lose power for a second."""
+    """Let the worker that gets the work lose power for a second."""
     machines = [Machine(f"m-{n}", "desk", f"r1-{n}", "z1", 64_000) for n in range(8)]
     lab = Deployment(
         Path(__file__).resolve().parent,
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,7 +1,7 @@
-"""LOST: after one lost answer of the platform, a sound minion is never used again.
+"""LOST: after one lost answer of the platform, a sound worker is never used again.
 
 The upkeep whose answer was lost is ordered once more when the machine is back. The
-platform answers 200, as it is done already; the dispatcher then takes the new minion
+platform answers 200, as it is done already; the dispatcher then takes the new worker
 for the one that the order ended.
 """
 
@@ -75,7 +75,7 @@
     finally:
         lab.stop()
     return [
-        f"{job}: {state}, nothing of it ran in {WAITED_S:.0f} s, its minion was idle"
+        f"{job}: {state}, nothing of it ran in {WAITED_S:.0f} s, its worker was idle"
         for job, state in zip(jobs, states)
         if job not in started
     ]
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,7 +1,7 @@
-"""LOST: a job whose policy allows one minion is not started once that one crashed.
+"""LOST: a job whose policy allows one worker is not started once that one crashed.
 
-The dispatcher asks for advice on the 30 minions with the most free room. In an idle
-pool a minion that was restarted comes last, and is not asked about any more.
+The dispatcher asks for advice on the 30 workers with the most free room. In an idle
+pool a worker that was restarted comes last, and is not asked about any more.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 
 
 async def case() -> list[str]:
-    """Crash the minion that the policy allows, and submit jobs once it is back."""
+    """Crash the worker that the policy allows, and submit jobs once it is back."""
     machines = [
         Machine(
             f"m-{n:02}",
@@ -63,7 +63,7 @@
     finally:
         lab.stop()
     return [
-        f"{job}: {state}, nothing of it ran in {WAITED_S:.0f} s, its minion was idle"
+        f"{job}: {state}, nothing of it ran in {WAITED_S:.0f} s, its worker was idle"
         for job, state in zip(jobs, states)
         if job not in started
     ]
--- a/review/lab/advice.py
+++ b/review/lab/advice.py
@@ -1,4 +1,4 @@
-"""Stand in for the advice service, which allows some minions, each with its ticket."""
+"""Stand in for the advice service, which allows some workers, each with its ticket."""
 
 import asyncio
 
@@ -7,15 +7,15 @@
 
 
 class Advice:
-    """Answer `POST /advise` after `decideMs` and `eachMs` for each minion."""
+    """Answer `POST /advise` after `decideMs` and `eachMs` for each worker."""
 
     def __init__(
         self, store: Store, decide_ms: float, each_ms: float, valid_ms: int
     ) -> None:
-        """Look up in `store` which life a minion is in."""
+        """Look up in `store` which life a worker is in."""
         self.server = Server(self._answer)
         self.policy = {"decideMs": decide_ms, "eachMs": each_ms, "validMs": valid_ms}
-        # The machines whose minions may run any step; None for all of them.
+        # The machines whose workers may run any step; None for all of them.
         self.allowed: set[str] | None = None
         self._store = store
         self._turn = asyncio.Lock()
--- a/review/lab/checks.py
+++ b/review/lab/checks.py
@@ -4,7 +4,7 @@
 def runs_of(events: list[dict]) -> list[dict]:
     """Return every run with its worker, start, end and how it ended.
 
-    A run that the record shows no end of ended with its minion's life, or goes on.
+    A run that the record shows no end of ended with its worker's life, or goes on.
     """
     runs: dict[tuple, dict] = {}
     for row in events:
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -106,7 +106,7 @@
 
 
 class Deployment:
-    """A store, machines with minions, and entries in zones of their own.
+    """A store, machines with workers, and entries in zones of their own.
 
     `routes` are the queues of the first configuration, `services` the pools. Events are
     in `record`, logs of the entries in a temporary folder, or in LAB_KEEP if set.
@@ -151,7 +151,7 @@
         )
 
     async def start(self) -> None:
-        """Start everything, and wait until an entry dispatches to all minions."""
+        """Start everything, and wait until an entry dispatches to all workers."""
         await self.store.start()
         await self.machines.start()
         if self.advice is not None:
@@ -244,7 +244,7 @@
     async def submit(self, entry: Entry, prefix: str, steps: list[dict], **work) -> str:
         """Submit a job until it is accepted; return its id.
 
-        `work` is the `spec`: `ms`, `how` and `cpu` of each work unit.
+        `work` is the `spec`: `ms`, `how` and `cpu` of each task.
         """
         job = new_job_id()
         content = {"spec": json.dumps(work), "steps": steps}
@@ -369,7 +369,7 @@
 
 
 def new_job_id() -> str:
-    """Return an id as a requester chooses it."""
+    """Return an id as a client chooses it."""
     return secrets.token_hex(8)
 
 
--- a/review/lab/machines.py
+++ b/review/lab/machines.py
@@ -1,6 +1,6 @@
 """Stand in for the platform's machines: their list, moves and upkeeps.
 
-PROTOCOL.md, "Machines". A machine runs one life of a minion at a time, as a process.
+PROTOCOL.md, "Machines". A machine runs one life of a worker at a time, as a process.
 """
 
 import asyncio
@@ -23,10 +23,10 @@
 
 @dataclass
 class Machine:
-    """Hold one machine and the life of a minion that runs on it.
+    """Hold one machine and the life of a worker that runs on it.
 
     `done_waves` are the waves whose upkeep the machine has begun. `plan` holds further
-    fields of the plan of its minions.
+    fields of the plan of its workers.
     """
 
     machine: str
@@ -46,7 +46,7 @@
 
 
 class Machines:
-    """List machines, move them and take them down, and start their minions."""
+    """List machines, move them and take them down, and start their workers."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
         heartbeat_s: float,
         spare_pools: set[str],
     ) -> None:
-        """Start no minion; machines of spare pools are off."""
+        """Start no worker; machines of spare pools are off."""
         self.server = Server(self._answer)
         self.machines = {m.machine: m for m in machines}
         # Called with an order and the function that carries it out.
@@ -75,7 +75,7 @@
         self.uses_relays = False
 
     async def start(self) -> None:
-        """Listen, and start the minions of the machines that are on."""
+        """Listen, and start the workers of the machines that are on."""
         await self.server.start()
         for machine in self.machines.values():
             if self.uses_relays:
@@ -85,7 +85,7 @@
                 self.start_life(machine)
 
     async def crash_dark(self, machine: Machine, down_s: float) -> None:
-        """Let a machine lose power, and its minion start again under its id."""
+        """Let a machine lose power, and its worker start again under its id."""
         worker = machine.worker
         machine.relay.go_dark()
         self.kill(machine)
@@ -94,12 +94,12 @@
         machine.relay.come_back()
 
     def stop(self) -> None:
-        """Kill every minion that was started."""
+        """Kill every worker that was started."""
         for machine in self.machines.values():
             self.kill(machine)
 
     def start_life(self, machine: Machine, worker: str | None = None) -> None:
-        """Start a life of a minion, under the id `worker` or a new one."""
+        """Start a life of a worker, under the id `worker` or a new one."""
         machine.lives += 1
         machine.worker = worker or f"i-{machine.machine}-{machine.lives}"
         port = machine.port if machine.relay is None else machine.relay.port
@@ -124,7 +124,7 @@
         )
 
     def kill(self, machine: Machine) -> None:
-        """Kill the minion on a machine."""
+        """Kill the worker on a machine."""
         if machine.process is not None and machine.process.poll() is None:
             machine.process.send_signal(signal.SIGKILL)
             machine.process.wait()
--- a/review/lab/relay.py
+++ b/review/lab/relay.py
@@ -1,4 +1,4 @@
-"""Forward connections to one minion, and let its machine go dark."""
+"""Forward connections to one worker, and let its machine go dark."""
 
 import asyncio
 
--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -21,10 +21,10 @@
 
 
 class Store:
-    """Keep keys, leases and the history of changes, and the minions' entries."""
+    """Keep keys, leases and the history of changes, and the workers' entries."""
 
     def __init__(self, heartbeat_s: float) -> None:
-        """Start without keys; minions are removed after three silent heartbeats."""
+        """Start without keys; workers are removed after three silent heartbeats."""
         self.server = Server(self._answer)
         self.fault: Fault | None = None
         self.items: dict[str, dict] = {}
@@ -56,7 +56,7 @@
         return None if item is None else json.loads(base64.b64decode(item["value"]))
 
     def ping(self, worker: str, entry: dict) -> None:
-        """Take a minion's entry; it changes when more than `seq` changes."""
+        """Take a worker's entry; it changes when more than `seq` changes."""
         key = f"servers/{worker}"
         self._pings[key] = time.monotonic()
         known = self.content(key)
@@ -64,7 +64,7 @@
             self.put(key, entry)
 
     def forget(self, worker: str) -> None:
-        """Remove the entry of a minion that has left."""
+        """Remove the entry of a worker that has left."""
         self._pings.pop(f"servers/{worker}", None)
         self.remove(f"servers/{worker}")
 
--- a/review/lab/worker.py
+++ b/review/lab/worker.py
@@ -1,7 +1,7 @@
-"""Run one life of a minion as a process of its own.
+"""Run one life of a worker as a process of its own.
 
-PROTOCOL.md, "Running work units". The first argument is the plan as JSON. The `spec` of
-a job is JSON: `ms` is how long a work unit works, `how` how it ends.
+PROTOCOL.md, "Running tasks". The first argument is the plan as JSON. The `spec` of
+a job is JSON: `ms` is how long a task works, `how` how it ends.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 
 
 class Worker:
-    """Carry out orders and report runs, as one life of a minion."""
+    """Carry out orders and report runs, as one life of a worker."""
 
     def __init__(self, plan: dict) -> None:
         """Start without runs and without a fencing token."""
