--- a/review/2/run.py
+++ b/review/2/run.py
@@ -6,21 +6,24 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from lab.checks import find_twice  # noqa: E402
-from lab.deployment import (  # noqa: E402
+from standins.checks import find_twice  # noqa: E402
+from standins.deployment import (  # noqa: E402
     CannotRun,
     Deployment,
     route,
     run_case,
     service,
-    trouble,
 )
-from lab.machines import Machine  # noqa: E402
+from standins.machines import Machine  # noqa: E402
+
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE") != "0"
 
 DOWN_S = 1.0
 # From the start of the new life to its first write to the store; heartbeatMs is 1,500.
@@ -53,7 +56,7 @@
         await lab.start()
         submitting = asyncio.create_task(submit_jobs(lab, jobs))
         await asyncio.sleep(2.0)
-        if trouble():
+        if TROUBLE:
             started = [row for row in lab.events() if row["event"] == "start"]
             if not started:
                 raise CannotRun("nothing was started")
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -6,23 +6,26 @@
 """
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from lab.checks import runs_of  # noqa: E402
-from lab.deployment import (  # noqa: E402
+from standins.checks import runs_of  # noqa: E402
+from standins.deployment import (  # noqa: E402
     CannotRun,
     Deployment,
     route,
     run_case,
     service,
-    trouble,
 )
-from lab.http import Drop  # noqa: E402
-from lab.machines import Machine  # noqa: E402
+from standins.http import Drop  # noqa: E402
+from standins.machines import Machine  # noqa: E402
+
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE") != "0"
 
 LABELLED = "m-0"
 WAITED_S = 20.0
@@ -55,7 +58,7 @@
     try:
         await lab.start()
         caller = lab.entries[0]
-        if trouble():
+        if TROUBLE:
             lab.machines.fault = lose_one_answer
         names = [machine.machine for machine in machines]
         wave = {"wave": 1, "machines": names, "deadlineS": 30, "maxCount": 1}
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -5,14 +5,18 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from lab.checks import runs_of  # noqa: E402
-from lab.deployment import Deployment, route, run_case, service, trouble  # noqa: E402
-from lab.machines import Machine  # noqa: E402
+from standins.checks import runs_of  # noqa: E402
+from standins.deployment import Deployment, route, run_case, service  # noqa: E402
+from standins.machines import Machine  # noqa: E402
+
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE") != "0"
 
 MACHINES = 36
 ALLOWED = "m-00"
@@ -46,7 +50,7 @@
         await lab.start()
         caller = lab.entries[0]
         await asyncio.sleep(3.0)
-        if trouble():
+        if TROUBLE:
             worker = machines[0].worker
             lab.machines.kill(machines[0])
             await asyncio.sleep(DOWN_S)
--- a/review/lab/advice.py
+++ b/review/standins/advice.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from lab.http import Answer, Request, Server
-from lab.store import Store
+from standins.http import Answer, Request, Server
+from standins.store import Store
 
 
 class Advice:
--- a/review/lab/checks.py
+++ b/review/standins/checks.py
@@ -29,13 +29,25 @@
 
 
 def noted_ends(events: list[dict]) -> set[tuple]:
-    """Return the ends that were taken note of: worker and number."""
-    return {
-        (row["who"], end[0])
-        for row in events
-        if row["event"] == "noted"
-        for end in row["ends"]
-    }
+    """Return the ends that were taken note of: worker and number.
+
+    An end is left out if the lease of its worker lapsed before it was noted.
+    """
+    ended_s: dict[tuple, float] = {}
+    lapses_s: dict[str, list[float]] = {}
+    noted: set[tuple] = set()
+    for row in events:
+        who = row["who"]
+        if row["event"] == "end":
+            ended_s[who, row["n"]] = row["at_s"]
+        elif row["event"] == "lapse":
+            lapses_s.setdefault(who, []).append(row["at_s"])
+        elif row["event"] == "noted":
+            for number, *_ in row["ends"]:
+                since_s = ended_s[who, number]
+                if not any(since_s <= at_s for at_s in lapses_s.get(who, ())):
+                    noted.add((who, number))
+    return noted
 
 
 def find_twice(events: list[dict]) -> list[str]:
--- a/review/lab/deployment.py
+++ b/review/standins/deployment.py
@@ -15,11 +15,11 @@
 import traceback
 from pathlib import Path
 
-from lab.advice import Advice
-from lab.http import HOST, call
-from lab.machines import Machine, Machines
-from lab.record import Record, read
-from lab.store import Store
+from standins.advice import Advice
+from standins.http import HOST, call
+from standins.machines import Machine, Machines
+from standins.record import Record, read
+from standins.store import Store
 
 REVIEW = Path(__file__).resolve().parent.parent
 ROOT = REVIEW.parent
@@ -109,7 +109,7 @@
     """A store, machines with workers, and entries in zones of their own.
 
     `routes` are the queues of the first configuration, `services` the pools. Events are
-    in `record`, logs of the entries in a temporary folder, or in LAB_KEEP if set.
+    in `record`, logs of the entries in a temporary folder, or in REVIEW_KEEP if set.
     """
 
     def __init__(
@@ -125,7 +125,7 @@
         self.record_path = case / "record.txt"
         self.record_path.unlink(missing_ok=True)
         self.record = Record(self.record_path, "script")
-        keep = os.environ.get("LAB_KEEP")
+        keep = os.environ.get("REVIEW_KEEP")
         self._kept = keep is not None
         self.folder = Path(keep) if keep else Path(tempfile.mkdtemp())
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -373,11 +373,6 @@
     return secrets.token_hex(8)
 
 
-def trouble() -> bool:
-    """Return whether the disruption is to be brought about (TROUBLE is not 0)."""
-    return os.environ.get("TROUBLE") != "0"
-
-
 def run_case(case) -> None:
     """Run a case and exit: 1 if it returns what broke the rule, 0 if nothing did.
 
--- a/review/lab/machines.py
+++ b/review/standins/machines.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from lab.http import HOST, Answer, Request, Server
-from lab.record import Record
-from lab.relay import Relay
-from lab.store import Store
+from standins.http import HOST, Answer, Request, Server
+from standins.record import Record
+from standins.relay import Relay
+from standins.store import Store
 
 REVIEW = Path(__file__).resolve().parent.parent
 
@@ -119,7 +119,7 @@
             **machine.plan,
         }
         machine.process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "lab.worker", json.dumps(plan)],
+            [sys.executable, "-B", "-m", "standins.worker", json.dumps(plan)],
             env={**os.environ, "PYTHONPATH": str(REVIEW)},
         )
 
--- a/review/lab/relay.py
+++ b/review/standins/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lab.http import HOST
+from standins.http import HOST
 
 
 class Relay:
--- a/review/lab/store.py
+++ b/review/standins/store.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from lab.http import Answer, Request, Server
+from standins.http import Answer, Request, Server
 
 PAGE_ITEMS = 500
 STORE_ANSWER_S = 0.004
@@ -69,7 +69,7 @@
         self.remove(f"servers/{worker}")
 
     async def _answer(self, request: Request) -> Answer:
-        if request.path == "/lab/ping":
+        if request.path == "/standin/ping":
             body = request.json()
             self.ping(body["worker"], body["entry"])
             return 200, {}
--- a/review/lab/worker.py
+++ b/review/standins/worker.py
@@ -11,8 +11,8 @@
 import time
 from pathlib import Path
 
-from lab.http import Answer, Request, Server, call
-from lab.record import Record
+from standins.http import Answer, Request, Server, call
+from standins.record import Record
 
 MAX_ENDS_LISTED = 500
 STARTUP_S = 0.3
@@ -29,6 +29,7 @@
         self._born_ms = int(time.time() * 1000)
         self._token = 0
         self._until_ms = 0
+        self._lapsed_ms = 0
         self._runs: dict[str, dict] = {}
         self._due: list[tuple[float, str, int]] = []
         self._highest: dict[str, int] = {}
@@ -73,7 +74,7 @@
             "seq": self._seq,
         }
         body = {"worker": plan["worker"], "entry": entry}
-        await call("POST", plan["platform"], "/lab/ping", body, timeout_s=1.0)
+        await call("POST", plan["platform"], "/standin/ping", body, timeout_s=1.0)
 
     async def _answer(self, request: Request) -> Answer:
         if request.path == "/healthz":
@@ -182,6 +183,9 @@
             run = self._runs.get(task)
             if run is not None and run["number"] == number:
                 self._end(task, run["how"])
+        if lapse_s <= now_s and self._lapsed_ms != self._until_ms:
+            self._lapsed_ms = self._until_ms
+            self._record.write("lapse")
         if lapse_s <= now_s and self._runs:
             for task in list(self._runs):
                 self._end(task, "lapsed")
