Ask the next life of a worker which runs it has

Cause: an order names a worker's id, not its life. All that was ordered under the id ended with the life that was known, also the starts that the next life had taken, and the list in its own answer was dropped.

Change: RunTracker.replace_worker is the one step from a life to the next, for answers to polls and for the worker list. Runs that the former life reported are lost; a start that either life may have taken stays placed until the next life lists it or lacks it. Ends are not acknowledged after an unanswered poll, the longest lease bounds what a former life's clock cannot, reports of a life that is over place nothing, and learned speeds end with the life.

--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -94,22 +94,38 @@
 
     def record_worker_end(
         self, view: WorkerView, tasks: list[Task], end: WorkerEnd, now_s: float
-    ) -> None:
-        """Log the runs of a worker that ended, and blame its tasks if it crashed."""
+    ) -> list[LostRun]:
+        """Log the lost runs of a worker that ended, and blame `tasks` if it crashed.
+
+        Return what the crash makes of the other tasks that are placed on the worker,
+        for `record_lost` once it is known that they were lost with it.
+        """
         vm = view.worker.vm
+        others: list[LostRun] = []
+        keys = {task.key for task in tasks}
         for task in tasks:
             self._counts["lost"] += 1
             _log_lost(view, task, end, now_s)
         match end:
             case WorkerEnd.RESTARTED | WorkerEnd.REPLACED if not view.is_draining:
                 for lost in examine_crash(view):
-                    self._count(lost, view.worker.worker)
+                    if lost.task.key in keys:
+                        self._count(lost, view.worker.worker)
+                    else:
+                        others.append(lost)
             case WorkerEnd.LEASE_EXPIRED if vm is not None:
                 for lost in examine_crash(view):
                     self._add_unsettled(view, lost)
             case WorkerEnd.VM_ORDERED if vm is not None:
                 for task, run in self._unsettled.pop(vm, ()):
                     self._forget(task, run)
+        return others
+
+    def record_lost(self, view: WorkerView, lost: LostRun, now_s: float) -> None:
+        """Blame a task that was lost with the worker's incarnation before `view`."""
+        self._counts["lost"] += 1
+        _log_lost(view, lost.task, WorkerEnd.RESTARTED, now_s)
+        self._count(lost, view.worker.worker)
 
     def record_first_answer(self, view: WorkerView) -> None:
         """Settle the runs of the last life on the VM of a worker that answers."""
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -15,7 +15,7 @@
     WORKER_LEASE_S,
 )
 from jayshunt.dispatch.errors import TermEnded
-from jayshunt.dispatch.fleet import WorkerView, is_capacity_known
+from jayshunt.dispatch.fleet import WorkerEnd, WorkerView, is_capacity_known
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.intake_reader import IntakeReader
 from jayshunt.dispatch.messages import SessionContext, WorkerApi
@@ -94,7 +94,9 @@
         self._on_deposed = on_deposed
         self._connect_worker = connect_worker
         self.lock = threading.RLock()
-        self.tracker = RunTracker(own.term.token)
+        self.tracker = RunTracker(
+            own.term.token, max_lease_s=node.bounds.max_lease_ms / 1000
+        )
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._group = TaskGroup("dispatch")
         self._worker_loop = TaskLoop("workers")
@@ -135,6 +137,7 @@
             DemandForecaster() if node.features.demand_forecast else None,
         )
         self.tracker.on_task_done = self.planner.learn_run
+        self.tracker.on_worker_end = self.planner.speeds.forget
 
     # --- the term ---
 
@@ -294,6 +297,15 @@
         view.lease_end_s = self.inherited_runs_end_s
         self.open_session(view, self._connect_worker(worker, self.token))
 
+    def replace_worker(self, view: WorkerView, worker: Worker) -> None:
+        """Open a session with the next incarnation of a worker, at its address."""
+        with self.lock:
+            next_view = self.tracker.replace_worker(
+                view, worker, WorkerEnd.REPLACED, self._clock.monotonic_s()
+            )
+            next_view.extend_former_lease(self.inherited_runs_end_s)
+            self.open_session(next_view, self._connect_worker(worker, self.token))
+
     def open_session(self, view: WorkerView, worker_api: WorkerApi) -> WorkerSession:
         """Start renewing a worker's lease."""
         context = SessionContext(
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -86,6 +86,11 @@
     a failed run since the last successful one. `is_listed` is False once the worker
     left the platform's worker list. `usage` is that of the tracker to which the worker
     was added, in which its runs count for `pool`.
+
+    `unconfirmed` are the tasks that were started on this incarnation or on the one
+    before, by key, with what a crash of the one before makes of them. They are settled
+    by the first report. Until `former_lease_end_s`, runs may go on under a lease that
+    was meant for the incarnation before.
     """
 
     worker: Worker
@@ -110,6 +115,8 @@
     failed_jobs: list[JobId] = field(default_factory=list)
     last_done_s: float | None = None
     evacuation_reason: object | None = None
+    unconfirmed: dict = field(default_factory=dict)
+    former_lease_end_s: float = 0.0
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
     pool: PoolName = field(init=False)
 
@@ -235,6 +242,15 @@
         left_s = (until_ms - self.clock_ms) / 1000 / (1 - CLOCK_SKEW)
         self.lease_end_s = max(self.lease_end_s, self.clock_received_s + left_s)
 
+    def limit_lease(self, end_s: float) -> None:
+        """Record that no lease of an earlier term ends later than `end_s`."""
+        self.lease_end_s = max(min(self.lease_end_s, end_s), self.former_lease_end_s)
+
+    def extend_former_lease(self, end_s: float) -> None:
+        """Record that runs may go on until `end_s` by another incarnation's lease."""
+        self.former_lease_end_s = max(self.former_lease_end_s, end_s)
+        self.lease_end_s = max(self.lease_end_s, end_s)
+
     def record_clock(self, clock_ms: int, received_s: float) -> None:
         """Record the worker's clock from an answer."""
         self.clock_ms = clock_ms
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -123,6 +123,7 @@
             self._context.notify_changed()
             return
         context, task = self._context, item.task
+        known_clock_ms = self._view.clock_ms
         try:
             answer = yield from self._worker_api.start(order, ORDER_TIMEOUT_S)
         except JayshuntError as error:
@@ -130,6 +131,7 @@
             return
         with context.lock:
             now_s = context.clock.monotonic_s()
+            self._check_clock(answer.clock_ms, known_clock_ms, now_s)
             if answer.refusal is None:
                 context.tracker.counts["started"] += 1
                 context.tracker.record_start_accepted(task, item.run, now_s)
@@ -238,6 +240,25 @@
         self._context.tracker.counts["start_withheld"] += 1
         self._context.tracker.record_not_started(item.task, item.run, now_s)
 
+    def _check_clock(
+        self, clock_ms: int | None, known_clock_ms: int | None, now_s: float
+    ) -> None:
+        """Extend the worker's lease if another incarnation of it took the start.
+
+        `known_clock_ms` is a time of the worker's clock before the start was sent.
+        """
+        if clock_ms is None or known_clock_ms is None or clock_ms >= known_clock_ms:
+            return
+        self._context.tracker.extend_lease_of_other(self._view, now_s)
+        _LOGGER.info(
+            "dispatch: the clock of a worker went back, another life took a start",
+            extra={
+                "worker": self._view.worker.worker,
+                "clock_ms": clock_ms,
+                "known_clock_ms": known_clock_ms,
+            },
+        )
+
     def _handle_start_refusal(
         self, item: StartTask, answer: OrderAnswer, now_s: float
     ) -> None:
@@ -247,7 +268,6 @@
         match answer.refusal:
             case OrderRefusal.OTHER_INCARNATION:
                 context.tracker.remove_worker(view, now_s, WorkerEnd.RESTARTED)
-                return
             case OrderRefusal.NO_CAPACITY | OrderRefusal.LEASE_EXPIRED:
                 view.placement_paused_until_s = now_s + NO_CAPACITY_PAUSE_S
             case OrderRefusal.UNHEALTHY | OrderRefusal.OTHER:
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jayshunt.dispatch.fleet import (
     PendingEnd,
@@ -50,9 +50,15 @@
 
         `sent_s` is when the call that returned the report was sent.
         """
-        if is_other_incarnation(view, answer):
-            self._tracker.remove_worker(view, now_s, WorkerEnd.RESTARTED)
+        if view.is_ended:
             return []
+        if is_other_incarnation(view, answer):
+            # Its capacity and labels may differ, and are known once it is listed.
+            worker = replace(view.worker, started_ms=answer.started_ms)
+            view = self._tracker.replace_worker(
+                view, worker, WorkerEnd.RESTARTED, now_s
+            )
+            view.is_listed = False
         if view.last_answer_s is None:
             self._tracker.record_first_answer(view, now_s)
         view.record_clock(answer.clock_ms, now_s)
@@ -70,9 +76,32 @@
             stop = self._apply_running(view, row, now_s)
             if stop is not None:
                 stops.append(stop)
+        listed = reported | {(end.task, end.run) for end in answer.ended}
+        self._settle_unconfirmed(view, listed, sent_s, now_s)
         stops += self._resolve_missing(view, reported, sent_s, now_s)
         return stops
 
+    def _settle_unconfirmed(
+        self,
+        view: WorkerView,
+        listed: set[tuple[TaskKey, int]],
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Blame the tasks that were lost with the incarnation before this one.
+
+        `listed` are the runs that are or were on this one. A start that is sent while
+        this one answers cannot have ended the one before.
+        """
+        for key, lost in view.unconfirmed.items():
+            task = lost.task
+            started_s = task.acked_s if task.sent_s is None else task.sent_s
+            if (key, task.run) in listed or key not in view.tasks:
+                continue
+            if started_s is not None and started_s < sent_s:
+                self._tracker.crashes.record_lost(view, lost, now_s)
+        view.unconfirmed = {}
+
     def _apply_running(
         self, view: WorkerView, row: RunningRun, now_s: float
     ) -> StopOrder | None:
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -3,8 +3,9 @@
 The tracker knows the current run of each task and the worker on which it is or may be;
 `run_reports` updates it by the reports of workers. A task gets a new run only once the
 last one has certainly ended: the worker reported its end, another incarnation of the
-worker answered, the VM was shut down, or the worker's lease expired. The caller must
-hold a lock around every call; times are monotonic seconds.
+worker reported that it does not have the run, the VM was shut down, or the worker's
+lease expired. The caller must hold a lock around every call; times are monotonic
+seconds.
 """
 
 import logging
@@ -12,9 +13,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from jayshunt.dispatch.const import CLOCK_SKEW
+from jayshunt.dispatch.crash_blame import LostRun
 from jayshunt.dispatch.crash_tracker import CrashTracker
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView
-from jayshunt.dispatch.models import JobState, RunReport, TaskKey
+from jayshunt.dispatch.models import Bounds, JobState, RunReport, TaskKey, Worker
 from jayshunt.dispatch.run_reports import RunReports, StopOrder
 from jayshunt.dispatch.tasks import Job, Task, TaskPhase
 from jayshunt.ids import JobId, Revision, WorkerId
@@ -41,7 +44,8 @@
     with their worker (lost) and ended workers by cause (worker_ and the name of a
     `WorkerEnd`). `on_task_done` is called with the job, the task and the time before a
     task that was running is marked as done. `usage` sums the runs on all workers by
-    workspace.
+    workspace. `max_lease_s` is the longest lease that a worker accepts.
+    `on_worker_end` is called with the id of a worker of which an incarnation ended.
     """
 
     token: Revision
@@ -55,6 +59,8 @@
     ended_incarnations: set[tuple[WorkerId, int]] = field(default_factory=set)
     on_task_done: Callable[[Job, Task, float], None] | None = None
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
+    max_lease_s: float = Bounds().max_lease_ms / 1000
+    on_worker_end: Callable[[WorkerId], None] = lambda worker: None
     crashes: CrashTracker = field(init=False)
     _reports: RunReports = field(init=False, repr=False, compare=False)
 
@@ -165,11 +171,57 @@
 
         Its tasks wait for a new run.
         """
-        if view.is_ended:
-            return
+        if not view.is_ended:
+            self._end_incarnation(view, list(view.tasks.values()), now_s, end, detail)
+
+    def replace_worker(
+        self, view: WorkerView, worker: Worker, end: WorkerEnd, now_s: float
+    ) -> WorkerView:
+        """Replace a worker by its next incarnation, which has the same id and address.
+
+        An order names the id only, so that either incarnation may have carried out one
+        that was sent before the next one was known. Only a report tells them apart. Of
+        the tasks on the worker, those that a report showed to run there are lost, and
+        those whose starts were not sent wait again. The others stay placed until the
+        first report of the next incarnation. What was learned of the worker's ends,
+        clock, leases and failures is not carried over.
+        """
+        kept: list[Task] = []
+        lost: list[Task] = []
+        for task in view.tasks.values():
+            is_open = task.may_be_started and task.running_s is None
+            (kept if is_open else lost).append(task)
+        runs = self._end_incarnation(view, lost, now_s, end, f"{len(kept)} kept")
+        next_view = WorkerView(worker, now_s, last_heard_s=view.last_heard_s)
+        next_view.unconfirmed = {run.task.key: run for run in runs}
+        self.add_view(next_view)
+        for task in kept:
+            if task.phase is TaskPhase.STOPPING:
+                # The incarnation that accepted the stop may not be the one that is up.
+                task.acked_s = None
+            next_view.place(task)
+        self.extend_lease_of_other(next_view, now_s)
+        return next_view
+
+    def extend_lease_of_other(self, view: WorkerView, now_s: float) -> None:
+        """Record that a worker may hold a lease meant for another incarnation.
+
+        The end of a lease is a time on the worker's clock, which starts anew with each
+        incarnation, so that only the longest lease of all limits it.
+        """
+        view.extend_former_lease(now_s + self.max_lease_s / (1 - CLOCK_SKEW))
+
+    def _end_incarnation(
+        self,
+        view: WorkerView,
+        lost: list[Task],
+        now_s: float,
+        end: WorkerEnd,
+        detail: str,
+    ) -> list[LostRun]:
+        """End a worker's incarnation; return the runs on it that are not known lost."""
         view.is_ended = True
         self.ended_incarnations.add((view.worker.worker, view.worker.started_ms))
-        tasks = list(view.tasks.values())
         _LOGGER.info(
             "dispatch: a worker is over",
             extra={
@@ -177,17 +229,19 @@
                 "vm": view.worker.vm,
                 "pool": view.worker.pool,
                 "reason": f"{end.value}: {detail}" if detail else end.value,
-                "tasks": len(tasks),
+                "tasks": len(lost),
             },
         )
         self.counts[f"worker_{end.name.lower()}"] += 1
-        self.crashes.record_worker_end(view, tasks, end, now_s)
-        for task in tasks:
+        runs = self.crashes.record_worker_end(view, lost, end, now_s)
+        for task in lost:
             self.unplace(task, now_s)
         view.pending.clear()
         view.detach()
         if self.workers.get(view.worker.worker) is view:
             del self.workers[view.worker.worker]
+        self.on_worker_end(view.worker.worker)
+        return runs
 
     def record_first_answer(self, view: WorkerView, now_s: float) -> None:
         """Remove earlier lives on the VM of a worker that answers.
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -95,6 +95,9 @@
             noted = view.acknowledge_stored_ends(
                 context.tracker.stored_versions.__getitem__
             )
+            if view.is_failing:
+                # Another incarnation may answer, whose ends are numbered anew.
+                noted = 0
             wait_s = self._poll_wait_s(until_ms)
         try:
             answer = yield from self._worker_api.poll_runs(
@@ -114,8 +117,13 @@
             return self._handle_poll_refusal(answer)
         with context.lock:
             now_s = context.clock.monotonic_s()
+            if view.is_ended:
+                return False
             is_first = view.last_answer_s is None
             stops = context.tracker.apply_run_report(view, answer, sent_s, now_s)
+            if view.is_ended:
+                view = self._follow_next_incarnation()
+                is_first = True
             if is_first:
                 self._bound_inherited_lease(now_s)
         if is_first:
@@ -134,6 +142,15 @@
         context.notify_changed()
         return True
 
+    def _follow_next_incarnation(self) -> WorkerView:
+        """Go on with the incarnation that answered in place of the known one.
+
+        Orders still queued for the known one are not sent.
+        """
+        self.view = self._context.tracker.workers[self.view.worker.worker]
+        self.orders = OrderSender(self.view, self._worker_api, self._context)
+        return self.view
+
     def _learn_answer_time(self, late_s: float) -> None:
         """Adapt the timeout of polls to a worker that answers slowly.
 
@@ -150,7 +167,7 @@
         later than one granted now.
         """
         left_s = self._context.lease_s / (1 - CLOCK_SKEW) + LEASE_MARGIN_S
-        self.view.lease_end_s = min(self.view.lease_end_s, now_s + left_s)
+        self.view.limit_lease(now_s + left_s)
 
     def _lease_until_ms(self, now_s: float) -> int | None:
         """Return the lease end to request, or None to poll without a lease.
--- a/src/jayshunt/dispatch/speeds.py
+++ b/src/jayshunt/dispatch/speeds.py
@@ -28,6 +28,13 @@
         runs = self.recent_ratios.setdefault(task.worker, deque(maxlen=RUNS_REMEMBERED))
         runs.append(ratio)
 
+    def forget(self, worker: WorkerId) -> None:
+        """Forget the runs of a worker, of which another incarnation may follow.
+
+        It may be of another kind.
+        """
+        self.recent_ratios.pop(worker, None)
+
     def is_slow(self, worker: WorkerId) -> bool:
         """Return whether a worker's last runs were all far above the fleet's median."""
         runs = self.recent_ratios.get(worker)
--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -145,14 +145,18 @@
                 view.worker = listed_worker
                 view.is_listed = True
                 return
-            if view is not None and view.worker.started_ms != listed_worker.started_ms:
-                dispatcher.tracker.remove_worker(
-                    view, self._clock.monotonic_s(), WorkerEnd.REPLACED
-                )
-            elif view is not None:
+            if view is not None and view.worker.started_ms == listed_worker.started_ms:
                 view.worker = listed_worker
                 view.is_listed = True
                 return
+            if view is not None and view.worker.address == listed_worker.address:
+                dispatcher.replace_worker(view, listed_worker)
+                return
+            if view is not None:
+                # No order was sent to the other address.
+                dispatcher.tracker.remove_worker(
+                    view, self._clock.monotonic_s(), WorkerEnd.REPLACED
+                )
         dispatcher.add_worker(listed_worker)
 
     def _log_capacity_change(self, view: WorkerView, listed_worker: Worker) -> None:
