--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -319,6 +319,7 @@
             on_deposed=self._on_deposed,
             notify_changed=self.notify_changed,
             spawn=self._worker_loop.spawn,
+            on_ticket_refused=self.planner.tickets.drop,
             waiting_for_store=self._waiting_for_store,
         )
         session = WorkerSession(view, worker_api, context)
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -167,7 +167,7 @@
                 views,
                 self.departures.being_emptied(),
                 self.inventory.spare_pools(),
-                self.departures.recent_orders.blocked(now_s),
+                self.departures.not_to_choose(now_s),
             )
             for vm in chosen:
                 reason = EvacuationReason.upkeep(state.wave.number)
@@ -190,7 +190,7 @@
                 self.departures.being_emptied(),
                 now_s,
                 self.departures.available_orders(now_s),
-                self.departures.recent_orders.blocked(now_s),
+                self.departures.not_to_choose(now_s),
                 self._dispatcher.planner.demand_gate(now_s),
             )
             self._log_needs(now_s)
--- a/src/jayshunt/dispatch/messages.py
+++ b/src/jayshunt/dispatch/messages.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from jayshunt.clock import Clock
-from jayshunt.dispatch.models import OrderAnswer, RunReport, StartOrder, TaskKey
+from jayshunt.dispatch.models import OrderAnswer, RunReport, StartOrder, TaskKey, Worker
 from jayshunt.dispatch.run_tracker import RunTracker
 from jayshunt.dispatch.tasks import Task
 from jayshunt.ids import PoolName
@@ -84,8 +84,9 @@
     enough for a start.
     `spawn` starts a task in the term's TaskLoop. Sessions call `on_deposed` when a
     worker has seen a later term, and `notify_changed` when there may be something to
-    place or to store. `waiting_for_store` holds the sessions and order senders that
-    wait until the progress of jobs is stored.
+    place or to store. `on_ticket_refused` is called with a task and the worker that
+    refused the ticket of its start. `waiting_for_store` holds the sessions and order
+    senders that wait until the progress of jobs is stored.
     """
 
     tracker: RunTracker
@@ -98,4 +99,5 @@
     on_deposed: Callable[[str], None]
     notify_changed: Callable[[], None]
     spawn: Callable[[Callable[[], Steps]], None]
+    on_ticket_refused: Callable[[Task, Worker], None] = lambda task, worker: None
     waiting_for_store: set = field(default_factory=set)
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -272,6 +272,8 @@
                 view.placement_paused_until_s = now_s + NO_CAPACITY_PAUSE_S
             case OrderRefusal.UNHEALTHY | OrderRefusal.OTHER:
                 view.set_aside_until_s = now_s + UNHEALTHY_PAUSE_S
+            case OrderRefusal.NO_TICKET:
+                context.on_ticket_refused(item.task, view.worker)
         context.tracker.counts["start_refused"] += 1
         context.tracker.record_not_started(item.task, item.run, now_s)
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -313,7 +313,7 @@
             },
         )
         self.observe_wait(job.config.pool, now_s - task.waiting_since_s)
-        ticket = self.tickets.ticket(task, worker)
+        ticket = self.tickets.ticket(task, view.worker)
         is_stored_first = task.run_at_risk is not None
         version = tracker.versions[job.spec.job] if is_stored_first else 0
         return self._dispatcher.sessions[worker], StartTask(
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -35,6 +35,7 @@
         """Start with the VMs."""
         self.vms = vms
         self.orders: list = []
+        self.refused: set[VmId] = set()
         self.together: threading.Barrier | None = None
 
     def list(self):
@@ -48,6 +49,11 @@
         self.orders.append((vm, pool))
         return DutyAnswer(None)
 
+    def upkeep(self, vm, wave, token) -> DutyAnswer:
+        """Record an upkeep, and refuse it for the VMs in `refused`."""
+        self.orders.append((vm, wave))
+        return DutyAnswer(DutyRefusal.BUSY if vm in self.refused else None)
+
 
 class FleetDutyTest(unittest.TestCase):
     """Test stale lists, orders of earlier dispatchers and concurrent orders."""
@@ -126,6 +132,19 @@
             [["vm-w1", "w1", 0.0]], json.loads(self.store.get(ORDERED_KEY).value)
         )
 
+    def test_vm_whose_upkeep_is_refused_does_not_hold_up_its_wave(self) -> None:
+        """It was chosen again in each round, and the others of its wave never."""
+        machines = [build_vm(f"w{n}") for n in range(1, 5)]
+        duty = self.duty(*machines)
+        self.machines.refused = {VmId("vm-w2"), VmId("vm-w3")}
+        names = [vm.vm for vm in machines]
+        wave = {"wave": 1, "machines": names, "deadlineS": 30, "maxCount": 1}
+        self.store.transact({}, (Put("op/wave/1", json.dumps(wave).encode()),))
+        for _ in range(8):
+            duty._round()
+            self.clock.advance(0.1)
+        self.assertIn(("vm-w4", 1), self.machines.orders)
+
     def test_orders_for_many_vms_go_out_together(self) -> None:
         """Sent one by one, the orders for a fleet take up most of a burst."""
         vms = [build_vm(f"w{n}") for n in range(1, 9)]
--- a/src/jayshunt/dispatch/vm_departures.py
+++ b/src/jayshunt/dispatch/vm_departures.py
@@ -23,6 +23,9 @@
 # One order takes about 5 ms, so this many calls in parallel are more than enough for
 # the order rate of a large fleet.
 MAX_CALLS_AT_ONCE = 12
+# A VM whose order was refused is chosen again after this time, so that others get their
+# turn meanwhile.
+REFUSED_PAUSE_S = 3.0
 
 Leaving = list[tuple[Evacuation, WorkerView | None]]
 
@@ -52,6 +55,7 @@
         self._inventory = inventory
         self._waves = waves
         self._evacuations: dict[VmId, Evacuation] = {}
+        self._refused_s: dict[VmId, float] = {}
         self._budget = OrderBudget(orders_per_s)
         self._callers = ThreadPoolExecutor(MAX_CALLS_AT_ONCE, "vm-orders")
         self.recent_orders: RecentOrders | None = None
@@ -61,6 +65,13 @@
         """Return the VMs that are being emptied."""
         return set(self._evacuations)
 
+    def not_to_choose(self, now_s: float) -> set[VmId]:
+        """Return the VMs that were ordered too recently or whose order was refused."""
+        refused = {
+            vm for vm, at_s in self._refused_s.items() if now_s - at_s < REFUSED_PAUSE_S
+        }
+        return refused | self.recent_orders.blocked(now_s)
+
     def available_orders(self, now_s: float) -> int:
         """Return how many orders the platform's rate allows now."""
         return self._budget.available(now_s)
@@ -90,6 +101,8 @@
         """Forget the VMs that left the platform's list."""
         for vm in self._evacuations.keys() - self._inventory.vms.keys():
             del self._evacuations[vm]
+        for vm in self._refused_s.keys() - self._inventory.vms.keys():
+            del self._refused_s[vm]
 
     def advance(self, now_s: float) -> None:
         """Stop what is to be stopped, and order the VMs that are empty.
@@ -232,6 +245,7 @@
             return
         # A VM that is busy is down or leaving; the next VM list shows which.
         self._evacuations.pop(evacuation.vm, None)
+        self._refused_s[evacuation.vm] = self._clock.monotonic_s()
         if view is not None:
             view.evacuation_reason = None
         if refusal is DutyRefusal.NOT_OF_WAVE:
--- a/src/jayshunt/dispatch/waves.py
+++ b/src/jayshunt/dispatch/waves.py
@@ -21,12 +21,14 @@
 ) -> list[VmId]:
     """Return the VMs to empty now, those with the fewest tasks to lose first.
 
-    VMs in `blocked` may not be ordered yet and would be idle if emptied now.
+    VMs in `blocked` may not be ordered yet and would be idle if emptied now. One whose
+    worker does not answer can't be emptied, and takes no other VM's turn.
     """
     in_progress = sum(
         1
         for vm in wave.vms
-        if vm in being_emptied or (vm in vms and vms[vm].state is VmState.UPKEEP)
+        if (vm in being_emptied and not _is_silent(views.get(vm)))
+        or (vm in vms and vms[vm].state is VmState.UPKEEP)
     )
     free_slots = wave.max_down + EMPTIED_AHEAD - in_progress
     if free_slots <= 0:
@@ -44,6 +46,10 @@
     return candidates[:free_slots]
 
 
+def _is_silent(view: WorkerView | None) -> bool:
+    return view is not None and view.is_failing
+
+
 def _disruption(
     vm: VmId,
     vms: dict[VmId, Vm],
