Let a worker's silence show that an order for its VM ended it

Cause: the answer to the upkeep was lost, the order was repeated, and the platform answered 200 because it was done already. That 200 was taken for the effect of the repeated order, and the worker that was there by then was noted as ended for good. A dispatcher that ends between order and record does the same, and so does a move.

Change: a 200 settles the wave or the pool only. The worker gets no tasks until it answers a poll that was sent later; if that fails it is removed, and its listed entry passed over for 6 s and then asked again. Of the same kind: a pace counted as set before its answer, and as 100 for a run that a later term adopts; such a pace is unknown now and ordered again.

--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -117,10 +117,14 @@
                 for lost in examine_crash(view):
                     self._add_unsettled(view, lost)
             case WorkerEnd.VM_ORDERED if vm is not None:
-                for task, run in self._unsettled.pop(vm, ()):
-                    self._forget(task, run)
+                self.record_vm_ordered(vm)
         return others
 
+    def record_vm_ordered(self, vm: VmId) -> None:
+        """Drop the unsettled runs on a VM, on which this term ended the worker."""
+        for task, run in self._unsettled.pop(vm, ()):
+            self._forget(task, run)
+
     def record_lost(self, view: WorkerView, lost: LostRun, now_s: float) -> None:
         """Blame a task that was lost with the worker's incarnation before `view`."""
         self._counts["lost"] += 1
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -21,6 +21,9 @@
 PROBATION_S = 0.3
 # An idle worker answers every two seconds.
 EMPTY_ANSWER_VALID_S = 3.0
+# A worker that answers a poll sent this long after an order for its VM was accepted was
+# not ended by the order.
+ORDER_EFFECT_S = 0.5
 # Subtracted from the age up to which a capacity is known, for the order's way.
 CAPACITY_AGE_MARGIN_S = 0.3
 
@@ -89,7 +92,9 @@
 
     `unconfirmed` are the tasks that were started on this incarnation or on the one
     before, by key, with what a crash of the one before makes of them. They are settled
-    by the first report. Until `former_lease_end_s`, runs may go on under a lease that
+    by the first report. `ordered_away_s` is when the platform accepted an order for the
+    worker's VM, which ends the worker unless it was carried out before. Until
+    `former_lease_end_s`, runs may go on under a lease that
     was meant for the incarnation before.
     """
 
@@ -117,6 +122,7 @@
     evacuation_reason: object | None = None
     unconfirmed: dict = field(default_factory=dict)
     former_lease_end_s: float = 0.0
+    ordered_away_s: float | None = None
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
     pool: PoolName = field(init=False)
 
@@ -274,7 +280,7 @@
             return Obstacle.SILENT
         if not self.is_listed:
             return Obstacle.NOT_LISTED
-        if self.evacuation_reason is not None:
+        if self.evacuation_reason is not None or self.ordered_away_s is not None:
             return Obstacle.EMPTIED
         if self.is_draining:
             return Obstacle.DRAINING
@@ -282,6 +288,17 @@
             return Obstacle.PAUSED
         return Obstacle.SET_ASIDE if now_s < self.set_aside_until_s else None
 
+    def is_ordered_away(self, sent_s: float) -> bool:
+        """Return whether the worker's VM was ordered away before `sent_s`."""
+        return self.ordered_away_s is not None and sent_s >= self.ordered_away_s
+
+    def outlived_order(self, sent_s: float) -> bool:
+        """Return whether the answer to a poll shows that no order ended the worker.
+
+        The poll was sent at `sent_s`.
+        """
+        return self.is_ordered_away(sent_s - ORDER_EFFECT_S)
+
     def is_confirmed_empty(self, now_s: float) -> bool:
         """Return whether a recent answer shows that the worker runs nothing.
 
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -327,17 +327,24 @@
                 context.tracker.record_stop_accepted(order, now_s)
 
     def _send_pace(self, item: PaceTask) -> Steps:
-        if not self._context.term_valid():
+        context = self._context
+        if not context.term_valid():
             return
         try:
-            yield from self._worker_api.pace(
+            answer = yield from self._worker_api.pace(
                 item.task, item.run, item.percent, ORDER_TIMEOUT_S
             )
+            failure = None if answer.refusal is None else answer.refusal.value
         except JayshuntError as error:
-            _LOGGER.info(
-                "dispatch: a change of pace got no answer",
-                extra={"task": item.task.name, "reason": str(error)},
-            )
+            failure = str(error)
+        if failure is None:
+            return
+        with context.lock:
+            context.tracker.record_pace_unknown(item.task, item.run)
+        _LOGGER.info(
+            "dispatch: a change of pace failed",
+            extra={"task": item.task.name, "reason": failure},
+        )
 
 
 def _unexpected(error: Exception) -> JayshuntError:
--- a/src/jayshunt/dispatch/pacing.py
+++ b/src/jayshunt/dispatch/pacing.py
@@ -27,7 +27,9 @@
     last_slowed_s: dict[WorkerId, float] = field(default_factory=dict)
 
     def decide(self, tasks: Iterable[Task], now_s: float) -> list[tuple[Task, int]]:
-        """Return the filling tasks of one worker whose pace changes, with the new pace.
+        """Return the filling tasks of one worker to pace, with the new pace.
+
+        These are the tasks whose pace changes or is not known.
 
         The pace is a percentage of full speed.
         """
@@ -43,6 +45,7 @@
             (task, pace)
             for task in filling
             if (pace := self._pace(task, latency_ratio, now_s)) != task.pace
+            or not task.is_pace_known
         ]
 
     def _pace(self, task: Task, latency_ratio: float, now_s: float) -> int:
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -190,6 +190,8 @@
         """Return the cores of each pool's workers that answered in this term."""
         cores: dict[PoolName, float] = {}
         for view in self._dispatcher.tracker.workers.values():
+            if view.ordered_away_s is not None:
+                continue
             if not view.is_draining and view.last_answer_s is not None:
                 pool = view.worker.pool
                 worker_cores = view.worker.capacity.cpu_millicores / 1000
@@ -459,6 +461,6 @@
         for view in workers.values():
             session = self._dispatcher.sessions.get(view.worker.worker)
             for task, percent in self._pacer.decide(view.tasks.values(), now_s):
-                task.pace = percent
+                task.pace, task.is_pace_known = percent, True
                 items.append((session, PaceTask(task.key, task.run, percent)))
         return items
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -64,6 +64,12 @@
         view.record_clock(answer.clock_ms, now_s)
         view.last_answer_s = view.last_heard_s = now_s
         view.is_failing = False
+        if view.outlived_order(sent_s):
+            view.ordered_away_s = None
+            _LOGGER.info(
+                "dispatch: a worker outlived an order for its VM, carried out before",
+                extra={"worker": view.worker.worker, "vm": view.worker.vm},
+            )
         for end in sorted(answer.ended, key=lambda e: e.number):
             if end.number > view.applied_upto:
                 view.applied_upto = end.number
@@ -125,6 +131,7 @@
             # An earlier term started the run, or it was believed to have ended.
             task.run = row.run
             task.acked_s = now_s
+            task.is_pace_known = False
             view.place(task)
             self._update_running(task, row, now_s)
             return None
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -30,6 +30,9 @@
 # this many runs per revision.
 RUNS_PER_REVISION = 16
 
+# The worker list keeps a silent worker for three heartbeats, 4.5 s.
+DEPARTED_S = 6.0
+
 
 @dataclass
 class RunTracker:
@@ -62,6 +65,7 @@
     max_lease_s: float = Bounds().max_lease_ms / 1000
     on_worker_end: Callable[[WorkerId], None] = lambda worker: None
     crashes: CrashTracker = field(init=False)
+    _departed_until_s: dict[tuple[WorkerId, int], float] = field(default_factory=dict)
     _reports: RunReports = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -134,6 +138,12 @@
             return
         self.unplace(task, now_s)
 
+    def record_pace_unknown(self, key: TaskKey, run: int) -> None:
+        """Record that an order for the pace of a run may not have been carried out."""
+        task = self.find_task(key)
+        if task is not None and task.run == run:
+            task.is_pace_known = False
+
     def record_stop_accepted(self, order: StopOrder, now_s: float) -> None:
         """Record that a worker accepted a stop order.
 
@@ -243,6 +253,34 @@
         self.on_worker_end(view.worker.worker)
         return runs
 
+    def record_ordered_away(self, view: WorkerView, now_s: float) -> None:
+        """Record that the platform accepted an order for an idle worker's VM.
+
+        Nothing is started on the worker until it answers a poll that was sent later.
+        """
+        view.ordered_away_s = now_s
+        view.evacuation_reason = None
+        if view.worker.vm is not None:
+            self.crashes.record_vm_ordered(view.worker.vm)
+
+    def remove_ordered_away(self, view: WorkerView, now_s: float, reason: str) -> None:
+        """Remove a worker that no longer answers after an order for its VM.
+
+        It may stay listed for a while, and is not used again within DEPARTED_S. As it
+        may also be out of reach, it is then used if it is still listed.
+        """
+        self.remove_worker(view, now_s, WorkerEnd.VM_ORDERED, reason)
+        incarnation = (view.worker.worker, view.worker.started_ms)
+        self.ended_incarnations.discard(incarnation)
+        self._departed_until_s[incarnation] = now_s + DEPARTED_S
+
+    def is_over(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a listed worker has ended, although it is still listed."""
+        incarnation = (worker.worker, worker.started_ms)
+        if incarnation in self.ended_incarnations:
+            return True
+        return now_s < self._departed_until_s.get(incarnation, 0.0)
+
     def record_first_answer(self, view: WorkerView, now_s: float) -> None:
         """Remove earlier lives on the VM of a worker that answers.
 
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -110,11 +110,11 @@
                 and MIN_WAIT_S <= waited_s < wait_s + self._answer_slack_s
             )
             self._answer_slack_s = min(MAX_ANSWER_SLACK_S, 2 * self._answer_slack_s)
-            self._handle_no_answer(str(error), was_waiting)
+            self._handle_no_answer(str(error), sent_s, was_waiting)
             return False
         self._learn_answer_time(context.clock.monotonic_s() - sent_s - wait_s)
         if isinstance(answer, OrderAnswer):
-            return self._handle_poll_refusal(answer)
+            return self._handle_poll_refusal(answer, sent_s)
         with context.lock:
             now_s = context.clock.monotonic_s()
             if view.is_ended:
@@ -181,17 +181,23 @@
         return self.view.lease_until_ms(now_s, self._context.lease_s)
 
     def _poll_wait_s(self, until_ms: int | None) -> float:
-        if until_ms is None or any(
-            task.phase is TaskPhase.STOPPING for task in self.view.tasks.values()
+        if (
+            until_ms is None
+            or self.view.ordered_away_s is not None
+            or any(t.phase is TaskPhase.STOPPING for t in self.view.tasks.values())
         ):
             return 0.1 if until_ms is not None else 0.0
         return POLL_WAIT_S if self.view.tasks else IDLE_POLL_WAIT_S
 
-    def _handle_no_answer(self, reason: str, was_waiting: bool = False) -> None:
+    def _handle_no_answer(
+        self, reason: str, sent_s: float, was_waiting: bool = False
+    ) -> None:
         """Note that a poll failed, and give the worker up once its lease is over.
 
-        `was_waiting` tells that the connection broke while the worker waited to answer,
-        so that it lived until then. After a timeout it is not known when it was lost.
+        One whose VM was ordered away before the poll was sent, at `sent_s`, is given up
+        at once, as it runs nothing. `was_waiting` tells that the connection broke while
+        the worker waited to answer, so that it lived until then. After a timeout it is
+        not known when it was lost.
         """
         context, view = self._context, self.view
         with context.lock:
@@ -203,6 +209,9 @@
                     view.last_heard_s = now_s
                 context.tracker.crashes.record_failing(view)
             view.is_failing = True
+            if view.is_ordered_away(sent_s) and not view.tasks and not view.strays:
+                context.tracker.remove_ordered_away(view, now_s, reason)
+                return
             if now_s < view.lease_end_s + LEASE_MARGIN_S:
                 return
             if context.term_confirmed_s() < view.lease_end_s:
@@ -218,7 +227,7 @@
                 )
         context.notify_changed()
 
-    def _handle_poll_refusal(self, answer: OrderAnswer) -> bool:
+    def _handle_poll_refusal(self, answer: OrderAnswer, sent_s: float) -> bool:
         context, view = self._context, self.view
         match answer.refusal:
             case OrderRefusal.FENCED:
@@ -237,5 +246,5 @@
                         "reason": answer.refusal.value if answer.refusal else "",
                     },
                 )
-                self._handle_no_answer("it refuses its lease")
+                self._handle_no_answer("it refuses its lease", sent_s)
         return False
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -44,6 +44,9 @@
     latency in milliseconds if the step has a target, and `pace` its speed in percent of
     full speed. Times are monotonic seconds.
 
+    `is_pace_known` is False if the run may have another pace: an earlier term may have
+    set it, or an order for it was refused or got no answer.
+
     `sent_s` is when the order to start the current run was sent, None while it waits.
     `crashes` counts the workers that crashed under the task. A suspect is started apart
     from other tasks. `run_at_risk` is stored with the job's progress, so that a later
@@ -71,6 +74,7 @@
     percent: int = 0
     load: float = 0.0
     pace: int = 100
+    is_pace_known: bool = True
     crashes: CrashCounts = NO_CRASHES
     is_suspect: bool = False
     run_at_risk: RunAtRisk | None = None
@@ -136,6 +140,7 @@
         self.percent = 0
         self.load = 0.0
         self.pace = 100
+        self.is_pace_known = True
         self.run_at_risk = None
 
 
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -1,7 +1,9 @@
 """Fake workers, their clients and the platform's store for tests of job dispatch."""
 
+import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.models import (
@@ -14,6 +16,7 @@
     StartOrder,
     TaskKey,
 )
+from jayshunt.dispatch.run_tracker import RunTracker
 from jayshunt.dispatch.store_models import (
     Item,
     KeyLease,
@@ -21,8 +24,9 @@
     TransactionResult,
     WatchAnswer,
 )
+from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal
 from jayshunt.errors import JayshuntError, Outcome
-from jayshunt.ids import LeaseId, Revision
+from jayshunt.ids import LeaseId, Revision, VmId
 from jayshunt.platform.store import LeaseGone
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 from jayshunt.task_loop import Sleep, Steps, Wait
@@ -243,6 +247,7 @@
         """Initialize the fake without answers."""
         self.poll_answers: list = []
         self.start_answers: list = []
+        self.pace_answers: list = []
         self.sent: list = []
 
     def poll_runs(self, noted_upto, lease_until_ms, wait_ms, timeout_s):
@@ -257,6 +262,12 @@
         return self._next(self.start_answers)
         yield
 
+    def pace(self, task, run, percent, timeout_s: float) -> OrderAnswer:
+        """Return the next answer to an order for a pace, or raise it."""
+        self.sent.append((task, run, percent))
+        return self._next(self.pace_answers)
+        yield
+
     def stop(self, task, run, timeout_s: float) -> OrderAnswer:
         """Accept every stop."""
         self.sent.append((task, run))
@@ -273,3 +284,54 @@
 def no_answer(outcome: Outcome) -> JayshuntError:
     """Return the error that a call without an answer raises."""
     return JayshuntError("no_answer", step="worker", outcome=outcome)
+
+
+class FakeMachines:
+    """Fake the platform: list VMs and record the orders for them."""
+
+    def __init__(self, *vms) -> None:
+        """Start with the VMs."""
+        self.vms = vms
+        self.orders: list = []
+        self.refused: set[VmId] = set()
+        self.together: threading.Barrier | None = None
+
+    def list(self):
+        """Return the VMs."""
+        return self.vms
+
+    def move(self, vm, pool, token) -> DutyAnswer:
+        """Record a move; with `together` set, wait for that many concurrent calls."""
+        if self.together is not None:
+            self.together.wait(timeout=5.0)
+        self.orders.append((vm, pool))
+        return DutyAnswer(None)
+
+    def upkeep(self, vm, wave, token) -> DutyAnswer:
+        """Record an upkeep, and refuse it for the VMs in `refused`."""
+        self.orders.append((vm, wave))
+        return DutyAnswer(DutyRefusal.BUSY if vm in self.refused else None)
+
+
+def build_fleet_dispatcher(tracker: RunTracker) -> SimpleNamespace:
+    """Return what the duty for VMs uses of a dispatcher whose term is valid."""
+    run_times = SimpleNamespace(predict_ms=lambda _, step: step.estimate_ms)
+    dispatcher = SimpleNamespace(
+        tracker=tracker,
+        lock=threading.RLock(),
+        planner=SimpleNamespace(
+            run_times=run_times,
+            wake=lambda: None,
+            knows_all_runs=True,
+            demand_gate=lambda now_s: None,
+        ),
+        ready=threading.Event(),
+        term_valid=lambda: True,
+        term_condition={},
+        token=1,
+        worker_list_read=True,
+        send_stops=lambda stops: None,
+        report_deposed=lambda reason: None,
+    )
+    dispatcher.ready.set()
+    return dispatcher
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -3,7 +3,6 @@
 import json
 import threading
 import unittest
-from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.errors import TermEnded
@@ -22,39 +21,16 @@
     build_vm,
     place,
 )
-from jayshunt.dispatch.tests.fakes import FakeStore
-from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, VmState, Wave
+from jayshunt.dispatch.tests.fakes import (
+    FakeMachines,
+    FakeStore,
+    build_fleet_dispatcher,
+)
+from jayshunt.dispatch.vms import DutyRefusal, VmState, Wave
 from jayshunt.dispatch.wave_book import WaveState
 from jayshunt.ids import PoolName, Revision, VmId
 
 
-class FakeMachines:
-    """Fake the platform: list VMs and record the orders for them."""
-
-    def __init__(self, *vms) -> None:
-        """Start with the VMs."""
-        self.vms = vms
-        self.orders: list = []
-        self.refused: set[VmId] = set()
-        self.together: threading.Barrier | None = None
-
-    def list(self):
-        """Return the VMs."""
-        return self.vms
-
-    def move(self, vm, pool, token) -> DutyAnswer:
-        """Record a move; with `together` set, wait for that many concurrent calls."""
-        if self.together is not None:
-            self.together.wait(timeout=5.0)
-        self.orders.append((vm, pool))
-        return DutyAnswer(None)
-
-    def upkeep(self, vm, wave, token) -> DutyAnswer:
-        """Record an upkeep, and refuse it for the VMs in `refused`."""
-        self.orders.append((vm, wave))
-        return DutyAnswer(DutyRefusal.BUSY if vm in self.refused else None)
-
-
 class FleetDutyTest(unittest.TestCase):
     """Test stale lists, orders of earlier dispatchers and concurrent orders."""
 
@@ -65,25 +41,7 @@
         self.view = add_worker_view(self.tracker)
         self.store = FakeStore()
         self.clock = ManualClock(0.0)
-        run_times = SimpleNamespace(predict_ms=lambda _, step: step.estimate_ms)
-        self.dispatcher = SimpleNamespace(
-            tracker=self.tracker,
-            lock=threading.RLock(),
-            planner=SimpleNamespace(
-                run_times=run_times,
-                wake=lambda: None,
-                knows_all_runs=True,
-                demand_gate=lambda now_s: None,
-            ),
-            ready=threading.Event(),
-            term_valid=lambda: True,
-            term_condition={},
-            token=1,
-            worker_list_read=True,
-            send_stops=lambda stops: None,
-            report_deposed=lambda reason: None,
-        )
-        self.dispatcher.ready.set()
+        self.dispatcher = build_fleet_dispatcher(self.tracker)
 
     def duty(self, *vms) -> FleetDuty:
         """Return a FleetDuty whose platform lists the VMs."""
--- a/src/jayshunt/dispatch/vm_departures.py
+++ b/src/jayshunt/dispatch/vm_departures.py
@@ -7,7 +7,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
-from jayshunt.dispatch.fleet import WorkerEnd, WorkerView, has_not_answered
+from jayshunt.dispatch.fleet import WorkerView, has_not_answered
 from jayshunt.dispatch.order_budget import OrderBudget
 from jayshunt.dispatch.recent_orders import RecentOrders
 from jayshunt.dispatch.run_reports import StopOrder
@@ -225,12 +225,18 @@
                 self._apply_refusal(evacuation, view, answer.refusal)
 
     def _apply_accepted(self, evacuation: Evacuation, view: WorkerView | None) -> None:
+        """Apply an accepted order: the VM had its upkeep, or is in the pool.
+
+        The platform also accepts an order that it carried out before, of which the
+        answer was lost or which an earlier dispatcher gave. So only the worker's
+        silence shows that the order ended it.
+        """
         vm, reason = evacuation.vm, evacuation.reason
         self._evacuations.pop(vm, None)
         self._inventory.record_order(vm, reason)
         if view is not None:
-            self._dispatcher.tracker.remove_worker(
-                view, self._clock.monotonic_s(), WorkerEnd.VM_ORDERED, str(reason)
+            self._dispatcher.tracker.record_ordered_away(
+                view, self._clock.monotonic_s()
             )
         if reason.wave is not None:
             self._waves.mark_done(reason.wave, vm)
--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -120,10 +120,7 @@
     def _update(self, listed_worker: Worker) -> None:
         dispatcher = self._dispatcher
         with dispatcher.lock:
-            if (
-                listed_worker.worker,
-                listed_worker.started_ms,
-            ) in dispatcher.tracker.ended_incarnations:
+            if dispatcher.tracker.is_over(listed_worker, self._clock.monotonic_s()):
                 # The list still has a worker for a while after its VM is gone.
                 return
             view = dispatcher.tracker.workers.get(listed_worker.worker)
