--- a/src/jayshunt/dispatch/config_follower.py
+++ b/src/jayshunt/dispatch/config_follower.py
@@ -5,8 +5,10 @@
 import threading
 from collections.abc import Callable
 
+from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import CONFIG_WATCH_S
+from jayshunt.dispatch.malformed import MalformedEntries
 from jayshunt.dispatch.models import FleetConfig
 from jayshunt.dispatch.store_models import Item
 from jayshunt.errors import DECODE_ERRORS
@@ -41,6 +43,7 @@
         self._revision: Revision | None = None
         self._current: FleetConfig | None = None
         self._is_reachable = True
+        self._malformed = MalformedEntries()
         self.read_s: float | None = None
 
     def current(self) -> FleetConfig | None:
@@ -106,10 +109,11 @@
         try:
             config = self._decode(item.value)
         except DECODE_ERRORS as error:
-            _LOGGER.error(
-                "config: failed to decode a version",
-                extra={"reason": _describe(error), "revision": item.revision},
-            )
+            if self._malformed.remember(item.key, item.revision):
+                _LOGGER.error(
+                    "config: failed to decode a version",
+                    extra={"reason": _describe(error), "revision": item.revision},
+                )
             return
         if self._current is not None and config.version <= self._current.version:
             return
@@ -137,4 +141,4 @@
         case json.JSONDecodeError() | KeyError():
             return f"{type(error).__name__}: {error}"
         case _:
-            return type(error).__name__
+            return describe_invalid(error)
--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -256,10 +256,11 @@
     """Log a run that ended with its worker.
 
     `reported_ms` is for how long the worker's answers showed the run to be there, None
-    if no answer followed its start.
+    if no answer showed it.
     """
     reported_ms = None
-    if task.acked_s is not None and view.last_answer_s is not None:
+    is_reported = task.running_s is not None and task.acked_s is not None
+    if is_reported and view.last_answer_s is not None:
         reported_ms = round((view.last_answer_s - task.acked_s) * 1000)
     _LOGGER.info(
         "dispatch: a run was lost with its worker",
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -6,8 +6,9 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import NoReturn
+from typing import NoReturn, TypeVar
 
+from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
     ACCEPT_TIMEOUT_S,
@@ -25,8 +26,8 @@
     stored_state,
     stored_workspace,
 )
-from jayshunt.dispatch.store_models import Put
-from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.dispatch.store_models import Item, Put
+from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import JobId, QueueName, Revision, WorkspaceName
 from jayshunt.overload.admission import refuse
 from jayshunt.platform.store import PlatformStore
@@ -38,6 +39,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+Decoded = TypeVar("Decoded")
+
 RETRY_S = 0.1
 # How many submissions with an unknown outcome an entry remembers, the latest ones.
 MAX_UNKNOWN = 10_000
@@ -193,7 +196,7 @@
                 if item is None:
                     _LOGGER.info("entry: no such job to cancel", extra={"job": job})
                     return False
-                if not self._may_access(job, item.value, caller):
+                if not self._may_access(job, item, caller):
                     return False
                 self._store.transact({key: Revision(0)}, (Put(key, b"{}"),))
                 break
@@ -245,7 +248,7 @@
         try:
             item = self._store.get(accepted_key(spec.job))
             if item is not None:
-                self._check_submitter(spec, item.value)
+                self._check_submitter(spec, item)
                 return Accepted(False)
         except StoreUnavailable as error:
             _LOGGER.info(
@@ -313,7 +316,7 @@
         The job is new if it was stored by a write of this call whose answer was lost.
         """
         for item in conflicts:
-            self._check_submitter(spec, item.value)
+            self._check_submitter(spec, item)
         if is_unknown and conflicts and conflicts[0].value == value:
             self._link.notify_accepted(spec.job, value, conflicts[0].created)
             is_new = True
@@ -327,30 +330,45 @@
 
     def _stored_state(self, job: JobId, caller: WorkspaceName) -> JobState | None:
         item = self._store.get(accepted_key(job))
-        if item is None or not self._may_access(job, item.value, caller):
+        if item is None or not self._may_access(job, item, caller):
             return None
         # The dispatcher may have missed the notice; it ignores a job that it knows.
         self._link.notify_accepted(job, item.value, item.created)
         progress = self._store.get(progress_key(job))
-        state = JobState.QUEUED if progress is None else stored_state(progress.value)
+        state = JobState.QUEUED
+        if progress is not None:
+            state = _decode(stored_state, progress)
         if not state.is_final and self._store.get(cancelled_key(job)) is not None:
             return JobState.CANCELLED
         return state
 
-    def _may_access(self, job: JobId, value: bytes, caller: WorkspaceName) -> bool:
+    def _may_access(self, job: JobId, item: Item, caller: WorkspaceName) -> bool:
         """Return whether a caller may use a stored job; record it if not."""
-        if may_access(stored_workspace(value), caller):
+        if may_access(_decode(stored_workspace, item), caller):
             return True
         reason = RefusalReason.OTHER_WORKSPACE
         self._refusals.record(reason, job=job, workspace=caller)
         return False
 
-    def _check_submitter(self, spec: JobSpec, value: bytes) -> None:
+    def _check_submitter(self, spec: JobSpec, item: Item) -> None:
         """Raise JobIdTaken if a stored job is not the one that is submitted again."""
-        if not is_same_submitter(stored_workspace(value), spec.workspace):
+        if not is_same_submitter(_decode(stored_workspace, item), spec.workspace):
             self._refuse_taken(spec)
 
     def _refuse_taken(self, spec: JobSpec) -> NoReturn:
         reason = RefusalReason.ID_TAKEN
         self._refusals.record(reason, job=spec.job, workspace=spec.workspace)
         raise JobIdTaken
+
+
+def _decode(decode: Callable[[bytes], Decoded], item: Item) -> Decoded:
+    """Decode a stored record; raise JayshuntError if another program overwrote it."""
+    try:
+        return decode(item.value)
+    except DECODE_ERRORS as error:
+        raise JayshuntError(
+            "unreadable_record",
+            step="entry.decode",
+            outcome=Outcome.UNKNOWN,
+            detail=f"{item.key}: {describe_invalid(error)}",
+        ) from error
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -92,10 +92,10 @@
 
     `unconfirmed` are the tasks that were started on this incarnation or on the one
     before, by key, with what a crash of the one before makes of them. They are settled
-    by the first report. `ordered_away_s` is when the platform accepted an order for the
-    worker's VM, which ends the worker unless it was carried out before. Until
-    `former_lease_end_s`, runs may go on under a lease that
-    was meant for the incarnation before.
+    by the first report. Until `former_lease_end_s`, runs may go on under a lease that
+    was meant for the incarnation before. `ordered_away_s` is when the platform accepted
+    an order for the worker's VM, which ends the worker unless the platform had carried
+    it out before.
     """
 
     worker: Worker
@@ -373,5 +373,9 @@
 
 def is_other_incarnation(view: WorkerView, answer: RunReport) -> bool:
     """Return whether an answer comes from another incarnation with the same id."""
-    started_ms = view.worker.started_ms
-    return bool(started_ms and answer.started_ms and answer.started_ms != started_ms)
+    return is_other_start(view.worker.started_ms, answer.started_ms)
+
+
+def is_other_start(known_ms: int, seen_ms: int) -> bool:
+    """Return whether two start times show two incarnations; 0 is an unknown one."""
+    return bool(known_ms and seen_ms and known_ms != seen_ms)
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -92,6 +92,13 @@
         surplus = self.sizer.surplus_cores(self.inventory.vms)
         return self.inventory.spare_cores() + surplus
 
+    def is_on_known_vm(self, view: WorkerView) -> bool:
+        """Return whether a worker's VM is in the VM list, as far as that was read.
+
+        Another program may list workers that do not exist.
+        """
+        return not self.inventory.vms or view.worker.vm in self.inventory.vms
+
     def may_have_runs(self, view: WorkerView) -> bool:
         """Return whether a worker may still run something, as far as is known.
 
@@ -133,6 +140,8 @@
         config = self._config()
         if config is None or not self._dispatcher.worker_list_read:
             return
+        if now_s < self.departures.recent_orders.unknown_until_s:
+            return
         for state in self.waves.open_states(set(self.inventory.vms)):
             self._plan_wave(state, now_s)
         self._plan_moves(config, now_s)
--- a/src/jayshunt/dispatch/handover.py
+++ b/src/jayshunt/dispatch/handover.py
@@ -118,7 +118,9 @@
                     else now_s - view.last_answer_s
                 )
                 for view in dispatcher.tracker.workers.values()
-                if view.is_listed and dispatcher.fleet.may_have_runs(view)
+                if view.is_listed
+                and dispatcher.fleet.is_on_known_vm(view)
+                and dispatcher.fleet.may_have_runs(view)
             ]
         if has_lost_most_workers(ages):
             _LOGGER.warning(
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -5,12 +5,14 @@
 import time
 from collections.abc import Callable
 
+from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
     INTAKE_POLL_S,
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
+from jayshunt.dispatch.malformed import MalformedEntries
 from jayshunt.dispatch.models import FleetConfig, JobState, QueueConfig, StepSpec
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
@@ -33,6 +35,7 @@
 from jayshunt.dispatch.tasks import Job
 from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import JobId, QueueName, Revision, WorkerId
+from jayshunt.platform.formats import is_job_id
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
 
@@ -79,6 +82,7 @@
         self._config = config
         self._revision: Revision | None = None
         self._suspicion_revision: Revision | None = None
+        self._malformed = MalformedEntries()
         self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
 
     def run(self, stop: threading.Event) -> None:
@@ -212,9 +216,7 @@
         try:
             return decode_handoff(item.value)
         except DECODE_ERRORS as error:
-            _LOGGER.warning(
-                "dispatch: ignoring a malformed handoff", extra={"reason": repr(error)}
-            )
+            self._malformed.log(item.key, item.revision, describe_invalid(error))
             return None
 
     def _read_or_delete_suspicion(self) -> None:
@@ -225,7 +227,7 @@
         """
         dispatcher = self._dispatcher
         item = self._store.get(SUSPECT_KEY)
-        stored = decode_suspicion(item)
+        stored = decode_suspicion(item, self._malformed)
         if self._suspicion_revision is None:
             dispatcher.was_predecessor_suspected = (
                 stored is not None and stored.is_ended
@@ -265,12 +267,11 @@
     def _add_item(self, item: Item, progress: Item | None) -> None:
         job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
         try:
+            if not is_job_id(job_id):
+                raise ValueError("the key is no id of a job")
             self.add_job(job_id, item.value, item.created, False, progress)
         except DECODE_ERRORS as error:
-            _LOGGER.error(
-                "dispatch: cannot decode a stored job",
-                extra={"job": job_id, "reason": str(error)},
-            )
+            self._malformed.log(item.key, item.revision, describe_invalid(error))
 
     def _apply_cancel(self, item: Item) -> None:
         if not item.key.startswith(CANCELLED_PREFIX) or item.value is None:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -8,7 +8,10 @@
 import threading
 from dataclasses import asdict
 
+from pydantic import TypeAdapter
+
 from jayshunt import http_client
+from jayshunt.checked import CheckedModel, Name, Number, describe_invalid
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
     DISPATCHER_WAIT_S,
@@ -24,7 +27,7 @@
 from jayshunt.dispatch.store_models import Term
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import TermElection
-from jayshunt.errors import JayshuntError, Outcome
+from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import JobId, LeaseId, QueueName, WorkspaceName
 from jayshunt.overload.models import QueueOutlook, Refusal
 from jayshunt.overload.outlook import decode_outlooks
@@ -32,6 +35,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_REFUSALS = TypeAdapter(dict[QueueName, Number])
+_WORKSPACE_REFUSALS = TypeAdapter(dict[QueueName, dict[WorkspaceName, Number]])
+
 NOTICES_PER_CALL = 50
 MAX_NOTICES = 5_000
 # A call without a dispatcher is retried on each change of the term, and at the latest
@@ -39,6 +45,13 @@
 POLL_S = 0.05
 
 
+class ReportBody(CheckedModel):
+    """Represent an entry's report of its access to the store."""
+
+    entry: Name
+    store_answer_age_s: Number | None
+
+
 class DispatcherLink:
     """Send an entry's calls and notices to the entry that holds the term.
 
@@ -194,17 +207,7 @@
             try:
                 answer = self._call("refusals", self._own_report(), 0.0)
                 self._failure_detector.record_answer()
-                self._end_lease(answer.get("end_lease"))
-                self._refusals = {
-                    QueueName(name): after_s
-                    for name, after_s in answer["refusals"].items()
-                }
-                self._outlooks = decode_outlooks(answer.get("outlooks", {}))
-                self._workspace_refusals = {
-                    QueueName(name): {WorkspaceName(w): s for w, s in after_s.items()}
-                    for name, after_s in answer.get("workspace_refusals", {}).items()
-                }
-                self._refusals_s = self._clock.monotonic_s()
+                self._apply_refusals(answer)
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: failed to read refusals: %s", error)
                 if term is not None and self._is_remote(term):
@@ -212,6 +215,21 @@
                     self._failure_detector.record_silence(term, sent_s)
             self._clock.wait(stop, interval_s)
 
+    def _apply_refusals(self, answer: dict) -> None:
+        """Apply an answer to a poll; raise JayshuntError if it is malformed."""
+        try:
+            self._end_lease(answer.get("end_lease"))
+            refusals = _REFUSALS.validate_python(answer["refusals"])
+            self._outlooks = decode_outlooks(answer.get("outlooks", {}))
+            by_workspace = _WORKSPACE_REFUSALS.validate_python(
+                answer.get("workspace_refusals", {})
+            )
+        except DECODE_ERRORS as error:
+            raise _unreadable_answer("refusals", "", error) from error
+        self._refusals = refusals
+        self._workspace_refusals = by_workspace
+        self._refusals_s = self._clock.monotonic_s()
+
     def _is_remote(self, term: Term) -> bool:
         """Return whether a term is held by another process."""
         return term.incarnation != self._election.incarnation
@@ -221,11 +239,15 @@
         return list(self._reports.values())
 
     def record_report(self, body: dict) -> None:
-        """Record an entry's report, which it sends when it polls for refusals."""
+        """Record an entry's report, which it sends when it polls for refusals.
+
+        Raise ValueError if it is malformed.
+        """
         now_s = self._clock.monotonic_s()
-        age_s = body["store_answer_age_s"]
+        report = ReportBody.model_validate(body)
+        age_s = report.store_answer_age_s
         answered_s = None if age_s is None else now_s - age_s
-        self._reports[body["entry"]] = EntryReport(answered_s, now_s)
+        self._reports[report.entry] = EntryReport(answered_s, now_s)
 
     def _own_report(self) -> dict:
         return {
@@ -297,7 +319,10 @@
             self._handles.put(handle)
         if answer.status != 200:
             raise _status_error(call, str(term.peer), answer.status)
-        return json.loads(answer.body)
+        try:
+            return dict(json.loads(answer.body))
+        except DECODE_ERRORS as error:
+            raise _unreadable_answer(call, str(term.peer), error) from error
 
     def _take_handle(self):
         try:
@@ -306,6 +331,17 @@
             return http_client.new_handle()
 
 
+def _unreadable_answer(call: str, peer: str, error: Exception) -> JayshuntError:
+    return JayshuntError(
+        "unreadable_answer",
+        step=f"dispatch.{call}",
+        peer=peer,
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=1.0,
+        detail=f"malformed answer: {describe_invalid(error)}",
+    )
+
+
 def _status_error(call: str, peer: str, status: int) -> JayshuntError:
     if status != 504:
         return NoDispatcher(f"dispatch.{call}", peer, f"status {status}")
@@ -350,7 +386,13 @@
             return {"found": found}
         case "notices":
             for notice in body["notices"]:
-                _take_notice(dispatcher, notice)
+                try:
+                    _take_notice(dispatcher, notice)
+                except DECODE_ERRORS as error:
+                    _LOGGER.warning(
+                        "dispatch: ignoring a malformed notice of an entry",
+                        extra={"reason": describe_invalid(error)},
+                    )
             return {}
         case _:
             raise NoDispatcher(f"dispatch.{call}", detail="unknown call")
--- a/src/jayshunt/dispatch/peer_api.py
+++ b/src/jayshunt/dispatch/peer_api.py
@@ -1,13 +1,17 @@
 """Serve the calls of other entries, the state dump, the metrics and readiness."""
 
 import json
+import logging
 from collections.abc import Callable
 from urllib.parse import parse_qsl
 
+from jayshunt.checked import describe_invalid
 from jayshunt.dispatch.link import DispatcherLink, answer_call
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.serving.connection import IncomingRequest
 
+_LOGGER = logging.getLogger(__name__)
+
 PREFIX = "/dispatch/"
 REFUSALS = "/dispatch/refusals"
 WHERE = "/dispatch/where"
@@ -39,7 +43,10 @@
             start_response("200 -", [("Content-Type", "application/json")])
             return [json.dumps(self._dump(), default=str).encode()]
         if path == REFUSALS:
-            self._link.record_report(json.loads(request.body))
+            try:
+                self._link.record_report(json.loads(request.body))
+            except DECODE_ERRORS as error:
+                return _refuse(start_response, error)
             if self._link.handover_lease is not None:
                 answer = {"refusals": {}, "end_lease": self._link.handover_lease}
                 start_response("200 -", [("Content-Type", "application/json")])
@@ -64,6 +71,8 @@
             is_unknown = error.outcome is not Outcome.NOT_RUN
             start_response("504 -" if is_unknown else "503 -", [])
             return [str(error).encode()]
+        except DECODE_ERRORS as error:
+            return _refuse(start_response, error)
         start_response("200 -", [("Content-Type", "application/json")])
         return [json.dumps(answer).encode()]
 
@@ -87,6 +96,14 @@
         return [json.dumps(answer).encode()]
 
 
+def _refuse(start_response: Callable, error: Exception) -> list[bytes]:
+    """Refuse a call with a malformed body."""
+    reason = describe_invalid(error)
+    _LOGGER.warning("dispatch: malformed call of an entry", extra={"reason": reason})
+    start_response("400 -", [])
+    return [reason.encode()]
+
+
 def _decode_question(request: IncomingRequest) -> dict:
     if request.head.method == "POST":
         return dict(json.loads(request.body))
--- a/src/jayshunt/dispatch/recent_orders.py
+++ b/src/jayshunt/dispatch/recent_orders.py
@@ -8,14 +8,20 @@
 """
 
 import json
+import logging
 from dataclasses import dataclass
 
+from jayshunt.checked import describe_invalid
 from jayshunt.dispatch.errors import TermEnded
+from jayshunt.dispatch.record_models import STORED_ORDERS
 from jayshunt.dispatch.records import ORDERED_KEY
 from jayshunt.dispatch.store_models import Put
+from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import Revision, VmId, WorkerId
 from jayshunt.platform.store import PlatformStore
 
+_LOGGER = logging.getLogger(__name__)
+
 # Orders are stored for longer than the worker list keeps a silent worker, which is
 # three heartbeats, 4.5 s.
 ORDER_KEPT_S = 8.0
@@ -37,19 +43,32 @@
 class RecentOrders:
     """Track the last orders of earlier dispatchers and of this one, oldest first.
 
-    Orders for the VMs of `earlier` are blocked until `block_s` after their last order.
+    Orders for the VMs of `earlier` are blocked until `block_s` after their last order,
+    and for all VMs until `unknown_until_s`.
     """
 
     block_s: float
+    unknown_until_s: float = 0.0
     earlier: tuple[VmOrder, ...] = ()
     own: tuple[VmOrder, ...] = ()
 
     @classmethod
     def read(cls, store: PlatformStore, now_s: float, block_s: float) -> "RecentOrders":
-        """Read the stored orders of earlier dispatchers."""
+        """Read the stored orders of earlier dispatchers.
+
+        If they are malformed, any VM may have been ordered just now.
+        """
         item = store.get(ORDERED_KEY)
-        earlier = () if item is None else _decode(item.value, now_s)
-        return cls(block_s, earlier)
+        if item is None:
+            return cls(block_s)
+        try:
+            return cls(block_s, earlier=_decode(item.value, now_s))
+        except DECODE_ERRORS as error:
+            _LOGGER.warning(
+                "dispatch: ignoring malformed orders for VMs",
+                extra={"reason": describe_invalid(error)},
+            )
+            return cls(block_s, unknown_until_s=now_s + block_s)
 
     def may_order(self, vm: VmId, now_s: float) -> bool:
         """Return whether an order for a VM may be sent."""
@@ -103,5 +122,5 @@
     """
     return tuple(
         VmOrder(VmId(vm), read_s - (age[0] if age else 0.0), WorkerId(worker) or None)
-        for vm, worker, *age in json.loads(value)
+        for vm, worker, *age in STORED_ORDERS.validate_json(value, strict=True)
     )
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -14,6 +14,16 @@
     StepSpec,
     TaskKey,
 )
+from jayshunt.dispatch.record_models import (
+    STORED_HANDOFF,
+    StoredCrashes,
+    StoredJob,
+    StoredOwner,
+    StoredProgress,
+    StoredState,
+    StoredStep,
+    StoredTerm,
+)
 from jayshunt.dispatch.store_models import Term
 from jayshunt.dispatch.tasks import Job, Task, TaskPhase
 from jayshunt.ids import (
@@ -86,50 +96,49 @@
 
 
 def decode_job(job: JobId, value: bytes) -> tuple[JobSpec, float]:
-    """Decode an accepted job and the wall-clock time in seconds of its acceptance."""
-    fields = json.loads(value)
+    """Decode an accepted job and the wall-clock time in seconds of its acceptance.
+
+    Raise ValueError if it is malformed, as all decoders here do.
+    """
+    fields = StoredJob.model_validate_json(value)
     spec = JobSpec(
         job=job,
-        queue=QueueName(fields["queue"]),
-        payload=fields["payload"],
-        steps=tuple(_step(row) for row in fields["steps"]),
-        times=fields.get("times", 0),
-        start_at_ms=fields.get("start_at_ms", 0),
-        interval_ms=fields.get("interval_ms", 0),
-        workspace=WorkspaceName(fields.get("workspace", "")),
+        queue=QueueName(fields.queue),
+        payload=fields.payload,
+        steps=tuple(_step(row) for row in fields.steps),
+        times=fields.times,
+        start_at_ms=fields.start_at_ms,
+        interval_ms=fields.interval_ms,
+        workspace=WorkspaceName(fields.workspace),
     )
-    return spec, fields.get("accepted_at_s", 0.0)
+    return spec, fields.accepted_at_s
 
 
 def stored_workspace(value: bytes) -> WorkspaceName:
     """Decode only the owner of an accepted job, an empty name if it has none."""
-    return WorkspaceName(json.loads(value).get("workspace", ""))
+    return WorkspaceName(StoredOwner.model_validate_json(value).workspace)
 
 
 def decode_queue(value: bytes) -> QueueConfig:
     """Decode the settings of an accepted job's queue at the time of acceptance."""
-    fields = json.loads(value)
+    fields = StoredJob.model_validate_json(value)
     return QueueConfig(
-        queue=QueueName(fields["queue"]),
+        queue=QueueName(fields.queue),
         host="",
         path_prefix="",
-        pool=PoolName(fields["pool"]),
-        priority=fields["priority"],
-        max_failures=fields["max_failures"],
-        stretch=fields["stretch"],
-        target_latency_ms=fields["target_latency_ms"],
+        pool=PoolName(fields.pool),
+        priority=fields.priority,
+        max_failures=fields.max_failures,
+        stretch=fields.stretch,
+        target_latency_ms=fields.target_latency_ms,
     )
 
 
-def _step(row: dict) -> StepSpec:
-    return StepSpec(
-        **{
-            **row,
-            "resources": Resources(**row.get("resources", {})),
-            "after": tuple(row.get("after", ())),
-            "data_rack": RackName(row.get("data_rack", "")),
-        }
-    )
+def _step(row: StoredStep) -> StepSpec:
+    fields = dict(row)
+    fields["resources"] = Resources(**dict(row.resources))
+    fields["data_rack"] = RackName(row.data_rack)
+    return StepSpec(**fields)
 
 
 def encode_progress(job: Job) -> bytes:
@@ -172,33 +181,32 @@
 
 def apply_progress(job: Job, value: bytes) -> None:
     """Apply a stored progress record to a job that was just read."""
-    fields = json.loads(value)
-    for name, indices in fields.get("done", {}).items():
+    fields = StoredProgress.model_validate_json(value)
+    for name, indices in fields.done.items():
         occurrence, step = (int(part) for part in name.split("."))
         for index in indices:
             task = job.task(TaskKey(job.spec.job, occurrence, step, index))
             if task is not None:
                 job.mark_done(task)
-    for name, runs in fields.get("failures", {}).items():
+    for name, runs in fields.failures.items():
         task = _task(job, name)
         if task is not None:
             task.failed_runs = tuple(runs)
             task.run = max(task.run, *runs)
             job.has_started = True
-    for name, checkpoint in fields.get("checkpoints", {}).items():
+    for name, checkpoint in fields.checkpoints.items():
         task = _task(job, name)
         if task is not None:
             task.checkpoint = checkpoint
             job.has_started = True
-    for name, row in fields.get("crashes", {}).items():
+    for name, row in fields.crashes.items():
         task = _task(job, name)
         if task is not None:
             _apply_crashes(task, row)
             job.has_started = True
-    state = JobState(fields["state"])
-    if state.is_final:
-        job.state = state
-    job.stored_state = state
+    if fields.state.is_final:
+        job.state = fields.state
+    job.stored_state = fields.state
 
 
 def _runs_at_risk(task: Task) -> tuple[RunAtRisk, ...]:
@@ -217,20 +225,15 @@
     return fields
 
 
-def _apply_crashes(task: Task, fields: dict) -> None:
-    task.crashes = CrashCounts(
-        at_start=fields.get("at_start", 0),
-        later=fields.get("later", 0),
-        uncertain=fields.get("uncertain", 0),
-        cleared=fields.get("cleared", 0),
-    )
-    task.unsettled_runs = tuple(RunAtRisk(**run) for run in fields.get("runs", ()))
+def _apply_crashes(task: Task, row: StoredCrashes) -> None:
+    task.crashes = CrashCounts(row.at_start, row.later, row.uncertain, row.cleared)
+    task.unsettled_runs = tuple(RunAtRisk(**dict(run)) for run in row.runs)
     task.is_suspect = is_suspicious(task)
 
 
 def stored_state(value: bytes) -> JobState:
     """Decode only the job's state from a progress record."""
-    return JobState(json.loads(value)["state"])
+    return StoredState.model_validate_json(value).state
 
 
 def _task_name(key: TaskKey) -> str:
@@ -254,7 +257,7 @@
     """Decode the names of tasks and ids of jobs that a term left, by worker."""
     return {
         WorkerId(worker): frozenset(names)
-        for worker, names in json.loads(value).items()
+        for worker, names in STORED_HANDOFF.validate_json(value, strict=True).items()
     }
 
 
@@ -272,11 +275,11 @@
 
 def decode_term(value: bytes, created: Revision) -> Term:
     """Decode a term, with its key's creation revision as the fencing token."""
-    fields = json.loads(value)
+    fields = StoredTerm.model_validate_json(value)
     return Term(
-        entry=EntryId(fields["entry"]),
-        peer=Address(fields["host"], fields["port"]),
-        incarnation=fields["incarnation"],
+        entry=EntryId(fields.entry),
+        peer=Address(fields.host, fields.port),
+        incarnation=fields.incarnation,
         token=created,
-        lease=LeaseId(fields["lease"]),
+        lease=LeaseId(fields.lease),
     )
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -272,6 +272,9 @@
         self.remove_worker(view, now_s, WorkerEnd.VM_ORDERED, reason)
         incarnation = (view.worker.worker, view.worker.started_ms)
         self.ended_incarnations.discard(incarnation)
+        for known, until_s in list(self._departed_until_s.items()):
+            if now_s >= until_s:
+                del self._departed_until_s[known]
         self._departed_until_s[incarnation] = now_s + DEPARTED_S
 
     def is_over(self, worker: Worker, now_s: float) -> bool:
@@ -284,8 +287,10 @@
     def record_first_answer(self, view: WorkerView, now_s: float) -> None:
         """Remove earlier lives on the VM of a worker that answers.
 
-        A VM runs one worker at a time, so the runs of its earlier lives have ended.
+        A VM runs one worker at a time, so the runs of its earlier lives have ended. The
+        one that answers has not, whatever was concluded before.
         """
+        self.ended_incarnations.discard((view.worker.worker, view.worker.started_ms))
         for other in list(self.workers.values()):
             if (
                 other.worker.vm == view.worker.vm is not None
--- a/src/jayshunt/dispatch/suspicion.py
+++ b/src/jayshunt/dispatch/suspicion.py
@@ -13,7 +13,10 @@
 from dataclasses import asdict, dataclass, replace
 from enum import Enum
 
+from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
+from jayshunt.dispatch.malformed import MalformedEntries
+from jayshunt.dispatch.record_models import StoredSuspicion
 from jayshunt.dispatch.records import SUSPECT_KEY
 from jayshunt.dispatch.store_models import Item, Put, Term
 from jayshunt.errors import DECODE_ERRORS, JayshuntError
@@ -75,23 +78,27 @@
     return json.dumps(asdict(suspicion)).encode()
 
 
-def decode_suspicion(item: Item | None) -> Suspicion | None:
-    """Return the suspicion in a store item, or None if it is absent or malformed."""
+def decode_suspicion(
+    item: Item | None, malformed: MalformedEntries | None = None
+) -> Suspicion | None:
+    """Return the suspicion in a store item, or None if it is absent or malformed.
+
+    A malformed one is logged unless `malformed` shows that it was before.
+    """
     if item is None or item.value is None:
         return None
     try:
-        fields = json.loads(item.value)
-        return Suspicion(
-            Revision(int(fields["token"])),
-            EntryId(str(fields["entry"])),
-            ZoneName(str(fields["zone"])),
-            bool(fields["is_ended"]),
-        )
+        fields = StoredSuspicion.model_validate_json(item.value)
     except DECODE_ERRORS as error:
-        _LOGGER.warning(
-            "dispatch: ignoring a malformed suspicion", extra={"reason": repr(error)}
-        )
+        log = malformed or MalformedEntries()
+        log.log(SUSPECT_KEY, item.revision, describe_invalid(error))
         return None
+    return Suspicion(
+        Revision(fields.token),
+        EntryId(fields.entry),
+        ZoneName(fields.zone),
+        fields.is_ended,
+    )
 
 
 class DispatcherFailureDetector:
@@ -108,6 +115,7 @@
         self._token: Revision | None = None
         self._silent_since_s = 0.0
         self._has_stored_suspicion = False
+        self._malformed = MalformedEntries()
 
     def record_answer(self) -> None:
         """Clear the silence and remove this entry's stored suspicion, if any."""
@@ -142,7 +150,7 @@
     def _act(self, term: Term, silent_s: float) -> None:
         item = self._store.get(SUSPECT_KEY)
         own = Suspicion(term.token, self._entry, self._zone)
-        stored = decode_suspicion(item)
+        stored = decode_suspicion(item, self._malformed)
         action = next_action(own, stored, silent_s)
         if action is SuspectAction.WAIT:
             return
@@ -174,7 +182,7 @@
     def _withdraw(self) -> None:
         try:
             item = self._store.get(SUSPECT_KEY)
-            stored = decode_suspicion(item)
+            stored = decode_suspicion(item, self._malformed)
             if stored is None or stored.entry != self._entry or stored.is_ended:
                 return
             self._store.transact({SUSPECT_KEY: item.revision}, (), (SUSPECT_KEY,))
--- a/src/jayshunt/dispatch/term.py
+++ b/src/jayshunt/dispatch/term.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
     CANDIDATE_RETRY_S,
@@ -25,9 +26,11 @@
     TERM_RENEW_S,
     TERM_WATCH_S,
 )
+from jayshunt.dispatch.malformed import MalformedEntries
 from jayshunt.dispatch.models import EntryNode
 from jayshunt.dispatch.records import TERM_KEY, decode_term, encode_term
-from jayshunt.dispatch.store_models import Put, Term
+from jayshunt.dispatch.store_models import Item, Put, Term
+from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import EntryId, LeaseId, Revision
 from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
@@ -179,6 +182,7 @@
         self._leaving = threading.Event()
         self._candidate_after_s = 0.0
         self._started_s = clock.monotonic_s()
+        self._malformed = MalformedEntries()
         self.terms_held = 0
 
     @property
@@ -264,16 +268,18 @@
         if self._revision is None:
             items, revision = self._store.list(TERM_KEY)
             self._revision = revision
+            items = [item for item in items if item.key == TERM_KEY]
             self._apply_term_item(items[0] if items else None)
         if self._term is None and not self._leaving.is_set():
             self._campaign(stop)
         answer = self._store.watch(TERM_KEY, self._revision, TERM_WATCH_S, stop)
         self._revision = max(self._revision, answer.revision)
         for event in answer.events:
-            self._apply_term_item(None if event.value is None else event)
+            if event.key == TERM_KEY:
+                self._apply_term_item(None if event.value is None else event)
 
-    def _apply_term_item(self, item) -> None:
-        term = None if item is None else decode_term(item.value, item.created)
+    def _apply_term_item(self, item: Item | None) -> None:
+        term = None if item is None else self._decode_term(item)
         own = self._own
         if term is not None and self._is_predecessor(term):
             # This entry was restarted, so the process that held that term is gone.
@@ -289,6 +295,18 @@
                 self._give_up(own, is_graceful=False)
         self._publish(term)
 
+    def _decode_term(self, item: Item) -> Term | None:
+        """Return the term in an item, None if another program overwrote it.
+
+        No entry can hold the term while the item is there, so that it is removed.
+        """
+        try:
+            return decode_term(item.value, item.created)
+        except DECODE_ERRORS as error:
+            self._malformed.log(item.key, item.revision, describe_invalid(error))
+        self._store.transact({TERM_KEY: item.revision}, (), (TERM_KEY,))
+        return None
+
     def _is_predecessor(self, term: Term) -> bool:
         return term.entry == self.entry and term.incarnation != self.incarnation
 
@@ -350,7 +368,9 @@
         item = self._store.get(TERM_KEY)
         if item is None or item.value is None:
             return None
-        found = decode_term(item.value, item.created)
+        found = self._decode_term(item)
+        if found is None:
+            return None
         is_own = found.incarnation == term.incarnation and found.lease == lease
         return item.created if is_own else None
 
--- a/src/jayshunt/dispatch/tests/fleet_builders.py
+++ b/src/jayshunt/dispatch/tests/fleet_builders.py
@@ -120,6 +120,7 @@
         self._lock = threading.Lock()
         self._running: dict[TaskKey, str] = {}
         self._stored_tasks = 0
+        self._stored_jobs: set[JobId] = set()
         self._leased: defaultdict[int, set[str]] = defaultdict(set)
         self._changed = threading.Condition(self._lock)
         self.workers = {f"w{n}": TimedWorker(f"w{n}", self) for n in range(workers)}
@@ -153,7 +154,7 @@
         """Wait until each stored task was started; return whether all were."""
         with self._changed:
             return self._changed.wait_for(
-                lambda: len(self.starts) == self._stored_tasks, timeout_s
+                lambda: self._count_started() == self._stored_tasks, timeout_s
             )
 
     def add_long_running_jobs(self, count: int) -> None:
@@ -164,6 +165,11 @@
             value = encode_job(spec, build_queue(), time.time())
             self.store.transact({}, (Put(accepted_key(spec.job), value),))
             self._stored_tasks += TASKS_PER_JOB
+            self._stored_jobs.add(spec.job)
+
+    def _count_started(self) -> int:
+        """Return how many tasks of the stored jobs were started."""
+        return sum(task.job in self._stored_jobs for task in self.starts)
 
     def running(self) -> int:
         """Return how many runs the workers have."""
--- a/src/jayshunt/dispatch/tests/test_worker_restarts.py
+++ b/src/jayshunt/dispatch/tests/test_worker_restarts.py
@@ -97,6 +97,15 @@
         self.assertFalse(self.accepted.is_suspect)
         self.assertEqual(1, self.unanswered.crashes.uncertain)
 
+    def test_life_that_answers_has_not_ended(self) -> None:
+        """An odd entry of the list ended a live worker, which was never used again."""
+        odd = build_worker(started_ms=9)
+        self.tracker.replace_worker(self.view, odd, WorkerEnd.REPLACED, 1.5)
+        view = self.tracker.workers["w1"]
+        self.tracker.apply_run_report(view, build_report(), 2.0, 2.0)
+        self.assertEqual(1, self.tracker.workers["w1"].worker.started_ms)
+        self.assertFalse(self.tracker.is_over(build_worker(), 3.0))
+
     def test_late_report_of_the_former_life_places_nothing(self) -> None:
         """A task that was placed on it again was never resolved."""
         self.report()
--- a/src/jayshunt/dispatch/wave_book.py
+++ b/src/jayshunt/dispatch/wave_book.py
@@ -4,10 +4,14 @@
 import logging
 from dataclasses import dataclass, field
 
+from jayshunt.checked import describe_invalid
 from jayshunt.dispatch.errors import TermEnded
+from jayshunt.dispatch.malformed import MalformedEntries
+from jayshunt.dispatch.record_models import StoredWave
 from jayshunt.dispatch.records import WAVE_PREFIX
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.vms import Wave
+from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import Revision, VmId
 from jayshunt.platform.const import WAVE_PREFIX as DECLARED_PREFIX
 from jayshunt.platform.const import WAVE_STATUS_PREFIX
@@ -41,6 +45,7 @@
     def __init__(self) -> None:
         """Start without a wave."""
         self.states: dict[int, WaveState] = {}
+        self._malformed = MalformedEntries()
 
     def includes(self, vm: VmId | None) -> bool:
         """Return whether a VM is due for upkeep in an unfinished wave."""
@@ -72,16 +77,16 @@
         """Read newly declared waves, with the progress of earlier terms."""
         items, _ = store.list(DECLARED_PREFIX)
         for item in items:
-            wave = decode_wave(item.value)
-            if wave is None or wave.number in self.states:
+            if self._malformed.is_known(item.key, item.revision):
+                continue
+            wave = decode_wave(item.value, item.key.removeprefix(DECLARED_PREFIX))
+            if wave is None:
+                self._malformed.remember(item.key, item.revision)
+                continue
+            if wave.number in self.states:
                 continue
             state = WaveState(wave)
-            stored = store.get(f"{WAVE_PREFIX}{wave.number}")
-            if stored is not None:
-                fields = json.loads(stored.value)
-                state.done = {VmId(vm) for vm in fields["done"]}
-                state.is_completed = fields["completed"]
-                state.needs_write = False
+            self._read_progress(store, state)
             self.states[wave.number] = state
             _LOGGER.info(
                 "dispatch: a wave was declared",
@@ -94,6 +99,23 @@
                 },
             )
 
+    def _read_progress(self, store: PlatformStore, state: WaveState) -> None:
+        """Read what earlier terms did of a wave, nothing if that is malformed.
+
+        Upkeep that is ordered once more does nothing.
+        """
+        item = store.get(f"{WAVE_PREFIX}{state.wave.number}")
+        if item is None:
+            return
+        try:
+            fields = StoredWave.model_validate_json(item.value)
+        except DECODE_ERRORS as error:
+            self._malformed.log(item.key, item.revision, describe_invalid(error))
+            return
+        state.done = {VmId(vm) for vm in fields.done}
+        state.is_completed = fields.completed
+        state.needs_write = False
+
     def write(self, store: PlatformStore, condition: dict[str, Revision]) -> None:
         """Store the changed waves and the status that the operator reads.
 
--- a/src/jayshunt/dispatch/worker_list.py
+++ b/src/jayshunt/dispatch/worker_list.py
@@ -3,10 +3,11 @@
 import logging
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import WORKER_LIST_REFRESH_S, WORKER_LIST_WAIT_S
-from jayshunt.dispatch.fleet import WorkerEnd, WorkerView
+from jayshunt.dispatch.fleet import WorkerEnd, WorkerView, is_other_start
 from jayshunt.dispatch.models import Worker
 from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.term import suspend_aware_s
@@ -43,6 +44,7 @@
         self._now_s = now_s
         self._revision: Revision | None = None
         self._revisions: dict[str, Revision] = {}
+        self._malformed: set[str] = set()
         self._read_s = 0.0
         self._confirmed_s = float("-inf")
         self.is_read = False
@@ -108,14 +110,21 @@
             return
         known = self._revisions.get(item.key)
         worker = WorkerId(item.key.removeprefix(WORKER_PREFIX))
-        if known == item.revision and worker in self._dispatcher.tracker.workers:
+        is_settled = (
+            worker in self._dispatcher.tracker.workers or item.key in self._malformed
+        )
+        if known == item.revision and is_settled:
             return
         if known is not None and item.revision < known:
             return
         self._revisions[item.key] = item.revision
         listed_worker = decode_worker(worker, item.value)
-        if listed_worker is not None:
-            self._update(listed_worker)
+        if listed_worker is None:
+            self._malformed.add(item.key)
+            self._mark_unlisted(worker, "its entry is malformed")
+            return
+        self._malformed.discard(item.key)
+        self._update(listed_worker)
 
     def _update(self, listed_worker: Worker) -> None:
         dispatcher = self._dispatcher
@@ -124,6 +133,13 @@
                 # The list still has a worker for a while after its VM is gone.
                 return
             view = dispatcher.tracker.workers.get(listed_worker.worker)
+            if view is not None and not is_other_start(
+                view.worker.started_ms, listed_worker.started_ms
+            ):
+                # An entry without a start time tells no other incarnation.
+                started_ms = listed_worker.started_ms or view.worker.started_ms
+                listed_worker = replace(listed_worker, started_ms=started_ms)
+                view.worker = replace(view.worker, started_ms=started_ms)
             is_same_worker = view is not None and (
                 view.worker.address == listed_worker.address
                 and view.worker.started_ms == listed_worker.started_ms
@@ -172,10 +188,19 @@
 
     def _mark_removed(self, key: str) -> None:
         self._revisions.pop(key, None)
-        worker = WorkerId(key.removeprefix(WORKER_PREFIX))
+        self._malformed.discard(key)
+        self._mark_unlisted(
+            WorkerId(key.removeprefix(WORKER_PREFIX)), "its entry is gone"
+        )
+
+    def _mark_unlisted(self, worker: WorkerId, reason: str) -> None:
+        """Start nothing more on a worker that no entry names; its runs go on."""
         with self._dispatcher.lock:
             view = self._dispatcher.tracker.workers.get(worker)
             if view is None:
                 return
             view.is_listed = False
-        _LOGGER.info("dispatch: a worker left the list", extra={"worker": worker})
+        _LOGGER.info(
+            "dispatch: a worker left the list",
+            extra={"worker": worker, "reason": reason},
+        )
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -6,8 +6,10 @@
 import math
 from dataclasses import replace
 
+from pydantic import TypeAdapter
+
+from jayshunt.checked import MAX_COUNT, MAX_WHOLE, Token, describe_invalid
 from jayshunt.dispatch.models import (
-    Address,
     AdvicePolicy,
     FleetConfig,
     JobSpec,
@@ -32,6 +34,14 @@
     WorkspaceName,
     ZoneName,
 )
+from jayshunt.platform.documents import (
+    CapacityFields,
+    ConfigDocument,
+    RouteRow,
+    ServiceRow,
+    WaveEntry,
+    WorkerEntry,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,9 +50,10 @@
 MAX_TASKS_PER_STEP = 10_000
 # Limits the memory of one job at the dispatcher to about 20 MB, with all occurrences.
 MAX_TASKS_PER_JOB = 50_000
-# Amounts of resources and durations above this are malformed; it is 24 days in ms.
-MAX_COUNT = 2**31
 JOB_ID_CHARS = 16
+# A worker's record has a few hundred bytes.
+MAX_ENTRY_BYTES = 16_384
+_WORKER_ID = TypeAdapter(Token)
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -51,17 +62,15 @@
 
 
 def decode_config(value: bytes) -> FleetConfig:
-    """Decode the operator's configuration document."""
-    fields = json.loads(value)
-    queues = tuple(_decode_queue(row) for row in _rows(fields.get("routes")))
-    pools = tuple(_decode_pool(row) for row in _rows(fields.get("services")))
-    workspaces = (_decode_workspace(row) for row in _rows(fields.get("tenants")))
+    """Decode the operator's configuration document; raise ValueError if malformed."""
+    document = ConfigDocument.model_validate(json.loads(value))
+    workspaces = (_decode_workspace(row) for row in _rows(document.tenants))
     return FleetConfig(
-        ConfigVersion(int(fields["version"])),
-        queues,
-        pools,
+        ConfigVersion(document.version),
+        tuple(_queue(row) for row in document.routes),
+        tuple(_pool(row) for row in document.services),
         tuple(workspace for workspace in workspaces if workspace is not None),
-        requires_keys=fields.get("tenants") is not None,
+        requires_keys=document.tenants is not None,
     )
 
 
@@ -119,36 +128,32 @@
     return list(rows or ())
 
 
-def _decode_queue(row: dict) -> QueueConfig:
-    advice = row.get("advice")
+def _queue(row: RouteRow) -> QueueConfig:
+    advice = row.advice
     return QueueConfig(
-        queue=QueueName(row["name"]),
-        host=str(row.get("host", "")).lower(),
-        path_prefix=row["prefix"],
-        pool=PoolName(row["service"]),
-        priority=int(row.get("priority", 0)),
-        max_failures=max(1, int(row.get("attempts", 1))),
-        stretch=float(row.get("stretch", 1.0)),
-        target_latency_ms=int(row.get("targetLatencyMs", 0)),
-        timeout_ms=int(row.get("timeoutMs", 0)),
+        queue=QueueName(row.name),
+        host=row.host.lower(),
+        path_prefix=row.prefix,
+        pool=PoolName(row.service),
+        priority=row.priority,
+        max_failures=max(1, int(row.attempts)),
+        stretch=row.stretch,
+        target_latency_ms=int(row.targetLatencyMs),
+        timeout_ms=int(row.timeoutMs),
         advice=(
-            AdvicePolicy(
-                decide_ms=float(advice.get("decideMs", 0)),
-                per_worker_ms=float(advice.get("eachMs", 0)),
-                valid_ms=float(advice.get("validMs", 0)),
-            )
-            if isinstance(advice, dict)
-            else None
+            None
+            if advice is None
+            else AdvicePolicy(advice.decideMs, advice.eachMs, advice.validMs)
         ),
-        is_public=row.get("public") is True,
+        is_public=row.public is True,
     )
 
 
-def _decode_pool(row: dict) -> PoolConfig:
+def _pool(row: ServiceRow) -> PoolConfig:
     return PoolConfig(
-        pool=PoolName(row["name"]),
-        is_spare=bool(row.get("spare", False)),
-        rejects_overload=bool(row.get("rejectsOverload", False)),
+        pool=PoolName(row.name),
+        is_spare=bool(row.spare),
+        rejects_overload=bool(row.rejectsOverload),
     )
 
 
@@ -187,7 +192,7 @@
         payload=payload,
         steps=steps,
         times=times,
-        start_at_ms=int(fields.get("startAtMs", 0)),
+        start_at_ms=_read_count(fields, "startAtMs", MAX_WHOLE),
         interval_ms=_read_count(fields, "intervalMs"),
     )
 
@@ -228,11 +233,11 @@
     )
 
 
-def _read_count(fields: dict, name: str) -> int:
-    """Return a whole number from 0 to MAX_COUNT; a missing or empty field is 0."""
+def _read_count(fields: dict, name: str, limit: int = MAX_COUNT) -> int:
+    """Return a whole number from 0 to `limit`; a missing or empty field is 0."""
     count = int(fields.get(name) or 0)
-    if not 0 <= count <= MAX_COUNT:
-        raise ValueError(f"{name}: {count} is not from 0 to {MAX_COUNT}")
+    if not 0 <= count <= limit:
+        raise ValueError(f"{name}: {count} is not from 0 to {limit}")
     return count
 
 
@@ -245,6 +250,11 @@
     return RackName(racks[0] if racks else "")
 
 
+def resources_of(fields: CapacityFields) -> Resources:
+    """Return the amounts of resources in a checked document."""
+    return Resources(fields.cpu, fields.memMb, fields.gpu or 0)
+
+
 def decode_worker(worker: str, value: bytes) -> Worker | None:
     """Decode one record of the worker list; return None if it is malformed.
 
@@ -252,35 +262,29 @@
     ignored.
     """
     try:
-        fields = json.loads(value)
-        host, _, port = fields["address"].rpartition(":")
-        state = fields["state"]
-        if state not in ("ready", "draining"):
-            raise ValueError(f"unknown state {state!r}")
-        capacity_fields = fields["capacity"]
-        if not isinstance(capacity_fields["cpu"], int) or not isinstance(
-            capacity_fields["memMb"], int
-        ):
-            raise ValueError("capacity is not a number")
-        labels = fields.get("labels") or []
-        return Worker(
-            worker=WorkerId(worker),
-            pool=PoolName(_require_string(fields["service"])),
-            address=Address(host, int(port)),
-            zone=ZoneName(_require_string(fields.get("zone", ""))),
-            state=(WorkerState.READY if state == "ready" else WorkerState.DRAINING),
-            capacity=decode_resources(capacity_fields),
-            labels=frozenset(labels),
-            rack=rack_of(labels),
-            vm=VmId(fields["machine"]) if fields.get("machine") else None,
-            started_ms=int(fields.get("born", 0)),
-        )
+        worker_id = WorkerId(_WORKER_ID.validate_python(worker))
+        if len(value) > MAX_ENTRY_BYTES:
+            raise ValueError("the record is too long")
+        entry = WorkerEntry.model_validate_json(value)
     except DECODE_ERRORS as error:
         _LOGGER.warning(
             "platform: ignoring a malformed record of the worker list",
-            extra={"worker": worker, "reason": str(error)},
+            extra={"worker": worker, "reason": describe_invalid(error)},
         )
         return None
+    is_ready = entry.state == "ready"
+    return Worker(
+        worker=worker_id,
+        pool=PoolName(entry.service),
+        address=entry.address,
+        zone=ZoneName(entry.zone),
+        state=WorkerState.READY if is_ready else WorkerState.DRAINING,
+        capacity=resources_of(entry.capacity),
+        labels=frozenset(entry.labels or ()),
+        rack=rack_of(entry.labels),
+        vm=VmId(entry.machine) if entry.machine else None,
+        started_ms=entry.born,
+    )
 
 
 def _require_string(value: object) -> str:
@@ -296,24 +300,28 @@
     return value
 
 
-def decode_wave(value: bytes) -> Wave | None:
+def decode_wave(value: bytes, name: str | None = None) -> Wave | None:
     """Decode a maintenance wave that the operator declared.
 
-    A malformed wave is logged and ignored: the result is None.
+    `name` is what follows the prefix of the wave's key, and has to be its number. A
+    malformed wave is logged and ignored: the result is None.
     """
     try:
-        fields = json.loads(value)
-        return Wave(
-            number=int(fields["wave"]),
-            vms=tuple(VmId(vm) for vm in fields["machines"]),
-            deadline_s=float(fields.get("deadlineS", 0)),
-            max_down=max(1, int(fields.get("maxCount", 1))),
-        )
+        entry = WaveEntry.model_validate_json(value)
+        if name is not None and name != str(entry.wave):
+            raise ValueError("the key is that of another wave")
     except DECODE_ERRORS as error:
         _LOGGER.warning(
-            "platform: ignoring a malformed wave", extra={"reason": str(error)}
+            "platform: ignoring a malformed wave",
+            extra={"wave": name, "reason": describe_invalid(error)},
         )
         return None
+    return Wave(
+        number=entry.wave,
+        vms=tuple(VmId(vm) for vm in dict.fromkeys(entry.machines)),
+        deadline_s=entry.deadlineS,
+        max_down=max(1, entry.maxCount),
+    )
 
 
 def encode_wave_status(number: int, is_completed: bool) -> bytes:
--- a/src/jayshunt/platform/machine_calls.py
+++ b/src/jayshunt/platform/machine_calls.py
@@ -1,16 +1,24 @@
 """Client of the platform's VM service: list, move and take down VMs for upkeep."""
 
 import json
+import logging
+from urllib.parse import quote
 
 from jayshunt import http_client
+from jayshunt.checked import MAX_TEXT_CHARS, describe_invalid
 from jayshunt.dispatch.models import Address
 from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, Vm, VmState
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import EntryId, PoolName, VmId, WorkerId, ZoneName
 from jayshunt.platform.const import FENCING_TOKEN_HEADER, HOLDER_HEADER
-from jayshunt.platform.formats import decode_resources, rack_of
+from jayshunt.platform.documents import MachinePage, MachineRow
+from jayshunt.platform.formats import rack_of, resources_of
+
+_LOGGER = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 1.5
+# Far above the pages of the largest fleet; a list without an end must not be read on.
+MAX_PAGES = 1_000
 _STATES = {state.value: state for state in VmState}
 _REFUSALS = {
     "fence": DutyRefusal.FENCED,
@@ -32,29 +40,57 @@
         self._base = f"http://{address}"
         self._entry = entry
         self.calls = 0
+        self._known: dict[VmId, Vm] = {}
+        self._malformed: set[str] = set()
 
     def list(self) -> tuple[Vm, ...]:
         """Return every VM with its pool, state and current worker, from all pages."""
         vms: list[Vm] = []
+        malformed: set[str] = set()
         path = "/machines"
-        while True:
+        for _ in range(MAX_PAGES):
             answer = self._call("GET", path, None, {})
             try:
-                fields = json.loads(answer.body)
-                vms += [_decode_vm(row) for row in fields["machines"]]
-                next_token = fields.get("nextToken")
+                page = MachinePage.model_validate_json(answer.body)
             except DECODE_ERRORS as error:
-                # A list without the malformed row would show its VM as gone.
-                raise JayshuntError(
-                    "unreadable_answer",
-                    step="machines/machines",
-                    outcome=Outcome.UNKNOWN,
-                    retry_after_s=1.0,
-                    detail=f"malformed list of VMs: {error!r}",
-                ) from error
-            if not next_token:
+                raise _unreadable(describe_invalid(error)) from error
+            for row in page.machines:
+                vm = self._decode_row(row, malformed)
+                if vm is not None:
+                    vms.append(vm)
+            if not page.nextToken:
+                self._malformed = malformed
                 return tuple(vms)
-            path = f"/machines?pageToken={next_token}"
+            path = f"/machines?pageToken={quote(page.nextToken, errors='replace')}"
+        raise _unreadable(f"more than {MAX_PAGES} pages")
+
+    def _decode_row(self, row: object, malformed: set[str]) -> Vm | None:
+        """Return the VM of a row, None if the row is malformed and names none.
+
+        The VM of a malformed row stays as it was, or is down if it was never listed: it
+        would seem gone otherwise, and its waves complete. A malformed row is logged
+        unless it was in the last list too; those of this list are added to `malformed`.
+        """
+        try:
+            vm = _vm(MachineRow.model_validate(row))
+            self._known[vm.vm] = vm
+            return vm
+        except DECODE_ERRORS as error:
+            reason = describe_invalid(error)
+        name = row.get("machine") if isinstance(row, dict) else None
+        name = name if isinstance(name, str) else ""
+        entry = f"{name[:MAX_TEXT_CHARS]} {reason}"
+        if entry not in self._malformed | malformed:
+            _LOGGER.warning(
+                "platform: ignoring a malformed row of the list of VMs",
+                extra={"vm": name[:MAX_TEXT_CHARS], "reason": reason},
+            )
+        malformed.add(entry)
+        try:
+            named = MachineRow(machine=name, pool="unknown")
+        except DECODE_ERRORS:
+            return None
+        return self._known.get(VmId(name)) or _vm(named)
 
     def move(self, vm: VmId, pool: PoolName, token: int) -> DutyAnswer:
         """Move a VM to a pool; the platform ends all its runs immediately."""
@@ -104,14 +140,24 @@
         return DutyRefusal.OTHER
 
 
-def _decode_vm(row: dict) -> Vm:
+def _vm(row: MachineRow) -> Vm:
     return Vm(
-        vm=VmId(row["machine"]),
-        pool=PoolName(row["pool"]),
-        state=_STATES.get(row.get("state"), VmState.DOWN),
-        zone=ZoneName(row.get("zone", "")),
-        rack=rack_of(row.get("labels", ())),
-        labels=frozenset(row.get("labels", ())),
-        capacity=decode_resources(row.get("capacity", {})),
-        worker=WorkerId(row["id"]) if row.get("id") else None,
+        vm=VmId(row.machine),
+        pool=PoolName(row.pool),
+        state=_STATES.get(row.state, VmState.DOWN),
+        zone=ZoneName(row.zone),
+        rack=rack_of(row.labels),
+        labels=frozenset(row.labels),
+        capacity=resources_of(row.capacity),
+        worker=WorkerId(row.id) if row.id else None,
+    )
+
+
+def _unreadable(reason: str) -> JayshuntError:
+    return JayshuntError(
+        "unreadable_answer",
+        step="machines/machines",
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=1.0,
+        detail=f"malformed list of VMs: {reason}",
     )
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -96,7 +96,7 @@
             answer = self._call(
                 "list",
                 "GET",
-                "/kv-range?" + urlencode(query),
+                "/kv-range?" + urlencode(query, errors="surrogatepass"),
                 timeout_s=LIST_TIMEOUT_S,
                 stall_s=LIST_STALL_S,
             )
--- a/src/jayshunt/platform/tests/test_worker_calls.py
+++ b/src/jayshunt/platform/tests/test_worker_calls.py
@@ -3,7 +3,7 @@
 import unittest
 
 from jayshunt.dispatch.models import OrderRefusal, TaskKey
-from jayshunt.dispatch.vms import DutyRefusal
+from jayshunt.dispatch.vms import DutyRefusal, VmState
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import EntryId, JobId, PoolName, VmId, WorkerId
 from jayshunt.platform.machine_calls import VmServiceClient
@@ -89,7 +89,7 @@
     """Test the list of VMs and the orders on the wire."""
 
     def test_malformed_list_is_refused_as_a_whole(self) -> None:
-        """A VM that is missing from the list would count as gone."""
+        """VMs that are missing from the list would count as gone."""
         server = ScriptedServer()
         self.addCleanup(server.server_close)
         self.addCleanup(server.shutdown)
@@ -97,7 +97,7 @@
         vm = {"machine": "m-1", "pool": "desk", "state": "up"}
         server.answers = [
             *((200, body) for body in MALFORMED_BODIES),
-            (200, {"machines": [vm, {**vm, "capacity": {"cpu": "x"}}]}),
+            (200, {"machines": [vm], "nextToken": 7}),
         ]
         for _ in range(len(server.answers)):
             with self.assertRaises(JayshuntError):
@@ -107,6 +107,27 @@
             answer = calls.move(VmId("m-1"), PoolName("desk"), 7)
             self.assertIs(DutyRefusal.OTHER, answer.refusal)
 
+    def test_malformed_row_hides_no_vm(self) -> None:
+        """One odd row stopped all duties, as the list was refused as long as it was.
+
+        Its own VM must not count as gone either, which would complete its waves.
+        """
+        server = ScriptedServer()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        calls = VmServiceClient(server.address, EntryId("entry-1"))
+        rows = [{"machine": f"m-{n}", "pool": "desk", "state": "up"} for n in range(3)]
+        odd = [{**row, "capacity": {"cpu": "x"}} for row in (rows[0], rows[1])]
+        page = {"machines": [odd[0], None, 7, {"pool": "desk"}, odd[1], rows[2]]}
+        server.answers = [(200, {"machines": [rows[0]]}), (200, page), (200, page)]
+        calls.list()
+        with self.assertLogs("jayshunt.platform.machine_calls", "WARNING") as logs:
+            found = {vm.vm: vm.state for vm in calls.list()}
+            calls.list()
+        expected = {"m-0": VmState.UP, "m-1": VmState.DOWN, "m-2": VmState.UP}
+        self.assertEqual(expected, found)
+        self.assertEqual(4, len(logs.records))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -1,9 +1,10 @@
 """Clients of the workers and of the advice service."""
 
 import json
-from collections.abc import Generator
+from collections.abc import Generator, Iterator
 
 from jayshunt import http_client
+from jayshunt.checked import MAX_REASON_CHARS, MAX_WHOLE, describe_invalid
 from jayshunt.dispatch.messages import OrderSteps
 from jayshunt.dispatch.models import (
     Address,
@@ -20,6 +21,7 @@
 from jayshunt.http_client import HttpAnswer, HttpCall
 from jayshunt.ids import WorkerId
 from jayshunt.platform.const import INSTANCE_HEADER, MAX_HOLD_WAIT_MS
+from jayshunt.platform.documents import AdvicePage, TicketRow
 
 # Values of `reason` in a refusal. `late`: the lease of the order has expired. `old`:
 # the worker already stopped or ended a run of this task with this or a higher number.
@@ -115,7 +117,7 @@
                 step="worker/hold",
                 peer=self._base.removeprefix("http://"),
                 outcome=Outcome.UNKNOWN,
-                detail=f"malformed report of runs: {error!r}",
+                detail=f"malformed report of runs: {error!r:.{MAX_REASON_CHARS}}",
             ) from error
 
     def _send_order(self, path: str, body: dict, timeout_s: float) -> OrderSteps:
@@ -157,16 +159,24 @@
         fields = json.loads(body) if body else {}
         reason = fields.get("reason", "")
         clock_ms = fields.get("clockMs")
-        clock_ms = None if clock_ms is None else int(clock_ms)
+        clock_ms = None if clock_ms is None else _whole(clock_ms)
     except DECODE_ERRORS:
         return None, ""
     return clock_ms, reason if isinstance(reason, str) else ""
 
 
+def _whole(value: object) -> int:
+    """Return a whole number; raise ValueError above the largest that JSON holds."""
+    number = int(value)
+    if not 0 <= number <= MAX_WHOLE:
+        raise ValueError(f"not from 0 to {MAX_WHOLE}")
+    return number
+
+
 def _decode_report(fields: dict) -> RunReport:
     return RunReport(
-        clock_ms=int(fields["clockMs"]),
-        started_ms=int(fields.get("born", 0)),
+        clock_ms=_whole(fields["clockMs"]),
+        started_ms=_whole(fields.get("born", 0)),
         running=tuple(_decode_running(row) for row in fields.get("running", ())),
         ended=tuple(_decode_ended(row) for row in fields.get("ended", ())),
     )
@@ -174,14 +184,21 @@
 
 def _decode_running(row: list) -> RunningRun:
     load = row[4] if len(row) > 4 and isinstance(row[4], (int, float)) else 0
+    if not 0 <= load <= MAX_WHOLE:
+        load = 0
     checkpoint = str(row[2] or "")
-    return RunningRun(TaskKey.parse(row[0]), int(row[1]), checkpoint, int(row[3]), load)
+    run, percent = _whole(row[1]), _whole(row[3])
+    return RunningRun(TaskKey.parse(row[0]), run, checkpoint, percent, load)
 
 
 def _decode_ended(row: list) -> EndedRun:
     saved = row[4] if len(row) > 4 and row[4] else ""
     return EndedRun(
-        int(row[0]), TaskKey.parse(row[1]), int(row[2]), _RUN_ENDS[row[3]], str(saved)
+        _whole(row[0]),
+        TaskKey.parse(row[1]),
+        _whole(row[2]),
+        _RUN_ENDS[row[3]],
+        str(saved),
     )
 
 
@@ -209,12 +226,22 @@
                 "advice_refused", step="advice.ask", detail=f"status {answer.status}"
             )
         try:
-            fields = json.loads(answer.body)
-            tickets = {WorkerId(row[0]): str(row[1]) for row in fields["good"]}
-            return tickets, fields.get("validMs", 0) / 1000
+            page = AdvicePage.model_validate_json(answer.body)
         except DECODE_ERRORS as error:
             raise JayshuntError(
                 "unreadable_answer",
                 step="advice.ask",
-                detail=f"malformed advice: {error!r}",
+                detail=f"malformed advice: {describe_invalid(error)}",
             ) from error
+        return dict(_tickets(page.good)), page.validMs / 1000
+
+
+def _tickets(rows: list) -> Iterator[tuple[WorkerId, str]]:
+    """Yield the workers and tickets of the rows; a malformed row names no worker."""
+    for row in rows:
+        try:
+            worker, ticket, *_ = row
+            checked = TicketRow(worker=worker, ticket=ticket)
+        except DECODE_ERRORS:
+            continue
+        yield WorkerId(checked.worker), checked.ticket
--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -12,6 +12,7 @@
 from jayshunt_soak.const import SETTLE_TIMEOUT_S
 from jayshunt_soak.faults import Fault, FaultPlayer, draw_faults, impairments
 from jayshunt_soak.keys import KeyProber, check_keys, check_secrecy
+from jayshunt_soak.odd_entries import check_survival
 from jayshunt_soak.testbed import Testbed
 
 START_TIMEOUT_S = 20.0
@@ -46,6 +47,7 @@
         disturbed = impairments(faults, load_started_s)
         broken = check(load.jobs, testbed.events(), disturbed)
         broken += check_keys(prober.probes, disturbed) + check_secrecy(testbed)
+        broken += check_survival(testbed.entries)
     finally:
         testbed.heal()
         testbed.stop()
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from jayshunt_soak.const import ENTRIES, MILLICORES_PER_VM, RACKS, SHRUNK_SHARES
+from jayshunt_soak.odd_entries import draw_entries
 from jayshunt_soak.platform.store import StoreFaults
 from jayshunt_soak.testbed import Testbed
 
@@ -39,10 +40,12 @@
     STORE_SILENT_FOR_ENTRY = "store silent for one entry"
     CONFIG = "configuration changed"
     VM_SHRINK = "VM shrunk"
+    ODD_ENTRIES = "odd entries in the store"
 
 
 # Drawn apart from the others, so that a seed draws the same others as before.
 SHRINKS = frozenset({FaultKind.VM_SHRINK})
+DRAWN_APART = frozenset({*SHRINKS, FaultKind.ODD_ENTRIES})
 
 
 @dataclass(frozen=True)
@@ -62,13 +65,24 @@
     """Return the faults of a run; they come in bursts and overlap."""
     rng = random.Random(seed)
     faults: list[Fault] = []
-    kinds = [kind for kind in FaultKind if kind not in SHRINKS]
+    kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     at_s = rng.uniform(1.0, 2.5)
     while at_s < seconds:
         kind = rng.choice(kinds)
         faults.append(Fault(kind, at_s, rng.uniform(0.5, 6.0), rng.randrange(1_000)))
         at_s += rng.choice((0.05, 0.4, 1.5, 3.0))
-    return sorted(faults + _draw_shrinks(seed, seconds), key=lambda fault: fault.at_s)
+    faults += _draw_shrinks(seed, seconds) + _draw_odd_entries(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_odd_entries(seed: int, seconds: float) -> list[Fault]:
+    rng = random.Random(f"{seed}-odd")
+    kind, faults = FaultKind.ODD_ENTRIES, []
+    at_s = rng.uniform(0.2, 2.0)
+    while at_s < seconds:
+        faults.append(Fault(kind, at_s, rng.uniform(1.0, 8.0), rng.randrange(1_000)))
+        at_s += rng.uniform(1.0, 4.0)
+    return faults
 
 
 def _draw_shrinks(seed: int, seconds: float) -> list[Fault]:
@@ -96,7 +110,7 @@
             load_started_s + fault.at_s + max(fault.for_s, RESTARTED_S),
         )
         for fault in faults
-        if fault.kind not in (*SHRINKS, FaultKind.CONFIG)
+        if fault.kind not in (*DRAWN_APART, FaultKind.CONFIG)
     ]
 
 
@@ -172,6 +186,11 @@
                 return testbed.store.discard_history()
             case FaultKind.CONFIG:
                 return testbed.store_next_config()
+            case FaultKind.ODD_ENTRIES:
+                entries = draw_entries(fault.target)
+                for key, value in entries.items():
+                    testbed.store.put(key, value)
+                return lambda: testbed.store.remove(*entries)
             case _:
                 testbed.store.faults = store_faults(fault.kind)
                 return lambda: setattr(testbed.store, "faults", StoreFaults())
--- a/src/jayshunt_soak/platform/store.py
+++ b/src/jayshunt_soak/platform/store.py
@@ -81,6 +81,12 @@
         with self._changed:
             self._write(key, base64.b64encode(value).decode(), 0)
 
+    def remove(self, *keys: str) -> None:
+        """Remove keys as another program does."""
+        with self._changed:
+            for key in keys:
+                self._remove(key)
+
     def values(self, prefix: str) -> dict[str, bytes]:
         """Return the values of all keys that start with a prefix."""
         with self._changed:
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -8,7 +8,7 @@
 import sys
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from jayshunt import http_client
@@ -60,7 +60,7 @@
     """Describe one process that is restarted whenever it ends.
 
     `ends` lists the times at which it ended, `restart_s` is the time of its next
-    start; both are monotonic seconds.
+    start; both are monotonic seconds. `statuses` are the exit statuses.
     """
 
     name: str
@@ -70,6 +70,7 @@
     process: subprocess.Popen | None = None
     restart_s: float | None = 0.0
     ends: list[float] | None = None
+    statuses: list[int] = field(default_factory=list)
 
     def send_signal(self, number: int) -> None:
         """Send a signal to the process if it is running."""
@@ -207,6 +208,7 @@
         now_s = time.monotonic()
         if program.process is not None and program.process.poll() is not None:
             program.ends = [*(program.ends or []), now_s]
+            program.statuses.append(program.process.returncode)
             program.process, program.restart_s = None, now_s + RESTART_DELAY_S
         if program.process is None and now_s >= program.restart_s:
             with program.log.open("ab") as log:
