Skip the pace of workers without a session

Cause: paces that are not known are ordered in more rounds than before, and the planner took each worker to have a session. Change: a worker without a session is skipped, and its paces stay unknown.

--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -460,6 +460,8 @@
             self.interference.observe(workers, self.speeds.is_slow, now_s)
         for view in workers.values():
             session = self._dispatcher.sessions.get(view.worker.worker)
+            if session is None:
+                continue
             for task, percent in self._pacer.decide(view.tasks.values(), now_s):
                 task.pace, task.is_pace_known = percent, True
                 items.append((session, PaceTask(task.key, task.run, percent)))
--- a/src/jayshunt/error_help.py
+++ b/src/jayshunt/error_help.py
@@ -49,6 +49,7 @@
     "unknown_task": "The worker has no such task.",
     "unknown_team": "The configuration has no such team.",
     "unreadable_answer": "The answer did not come from an entry's operator interface.",
+    "unreadable_record": "Another program overwrote a record of the job in the store.",
     "upstream_failed": "The connection to the instance failed.",
     "upstream_timeout": "The instance gave no complete answer in time.",
     "value_too_large": "A stored value would exceed the store's limit.",
--- a/src/jayshunt/platform/documents.py
+++ b/src/jayshunt/platform/documents.py
@@ -68,7 +68,7 @@
     zone: Text = ""
     labels: Annotated[list[Text], Field(max_length=MAX_LABELS)] = []
     capacity: CapacityFields = CapacityFields()
-    id: Token | None = None
+    id: Text | None = None
 
 
 class MachinePage(CheckedModel):
@@ -118,7 +118,7 @@
     """Represent a route of the configuration."""
 
     name: Name
-    prefix: Name
+    prefix: Text
     service: Name
     host: Text = ""
     priority: Annotated[int, Field(ge=-1_000_000, le=1_000_000)] = 0
