Log what the choice of a worker relied on

The line "dispatch: placed" named the task and the worker only, so that a start on a worker of another pool, with another label or beyond the limit of its step could not be traced to what the dispatcher believed. It now names the version of the configuration, the queue, the worker's pool and life, the age of the worker list and, where the step asks for them, the labels and the number of its tasks on the worker.

--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -6,13 +6,14 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from functools import partial
+from math import isfinite
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.backlog import expected_waits_s, refusals
 from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.features import Features
 from jayshunt.dispatch.fleet import WorkerView
-from jayshunt.dispatch.free_capacity import CandidateWorker, due_jobs
+from jayshunt.dispatch.free_capacity import CandidateWorker, due_jobs, step_key
 from jayshunt.dispatch.messages import PaceTask, StartTask
 from jayshunt.dispatch.models import Bounds, FleetConfig, QueueConfig
 from jayshunt.dispatch.pacing import Pacer
@@ -312,6 +313,7 @@
                 "failures": task.failures,
                 "crashes": task.crashes.total,
                 "free_millicores": view.free().cpu_millicores,
+                **self._describe_choice(job, task, view),
             },
         )
         self.observe_wait(job.config.pool, now_s - task.waiting_since_s)
@@ -322,6 +324,30 @@
             task, run, job.spec.payload, version, ticket
         )
 
+    def _describe_choice(self, job: Job, task: Task, view: WorkerView) -> dict:
+        """Return what the choice of a worker relied on, for the log.
+
+        `born` is the start time of the worker's incarnation. `list_age_ms` is the age
+        of the worker list, which tells pool and labels. `of_step` is how many
+        tasks of the step are known to be on the worker with this one, for a step with
+        a limit per worker.
+        """
+        worker, list_age_s = view.worker, self._dispatcher.worker_list_age_s()
+        fields = {
+            "config": self._applied_config.version if self._applied_config else None,
+            "queue": job.spec.queue,
+            "pool": worker.pool,
+            "born": worker.started_ms,
+            "list_age_ms": round(list_age_s * 1000) if isfinite(list_age_s) else None,
+        }
+        if task.spec.required_label:
+            fields["required_label"] = task.spec.required_label
+            fields["labels"] = sorted(worker.labels)
+        if task.spec.max_per_worker:
+            fields["of_step"] = view.load.tasks_per_step[step_key(task)]
+            fields["max_per_worker"] = task.spec.max_per_worker
+        return fields
+
     def _apply_config(self) -> None:
         config = self._config()
         if config is None or config is self._applied_config:
