Bound the stand-in store's pages, and set limits of an entry

The stand-in answered a range with up to 200 items of any size, where the platform stops at about 1 MB. Pages now end at 1 MB of values.

Settings of an entry take other limits, so that tests can lower its memory and descriptors. Soaks are unchanged.

--- a/src/jayshunt_soak/platform/formats.py
+++ b/src/jayshunt_soak/platform/formats.py
@@ -94,8 +94,17 @@
     return json.dumps({"spec": json.dumps(payload), "steps": rows}).encode()
 
 
-def entry_settings(name: str, ports: list[int], store: str, machines: str) -> str:
-    """Return the settings file of one entry; ports are front, ready and peer."""
+def entry_settings(
+    name: str,
+    ports: list[int],
+    store: str,
+    machines: str,
+    limits: dict[str, int] | None = None,
+) -> str:
+    """Return the settings file of one entry; ports are front, ready and peer.
+
+    `limits` replaces or adds settings of the table `limits`.
+    """
     front, ready, peer = ports
     bounds = {"stopMs": STOP_MS, "holdMaxMs": HOLD_MAX_MS, "leaseMs": 1000}
     bounds |= {"strictRevoke": True, "revokeMs": int(REVOKE_S * 1000)}
@@ -103,7 +112,7 @@
     bounds |= {"graceS": 6, "status_s": STATUS_S, "moveS": MOVE_S}
     tables = {
         "listenAddrs": {"front": f"{HOST}:{front}", "readyAddr": f"{HOST}:{ready}"},
-        "limits": {"cpuShare": 0.5, "cores": 2, "memoryMb": 300},
+        "limits": {"cpuShare": 0.5, "cores": 2, "memoryMb": 300, **(limits or {})},
         "bounds": bounds,
         "platform": {"address": store, "writesPerS": 400, "readsPerS": 2000},
         "cloudApi": {"address": machines, "dutiesPerS": 64.0},
--- a/src/jayshunt_soak/platform/store.py
+++ b/src/jayshunt_soak/platform/store.py
@@ -10,6 +10,7 @@
 from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
 
 PAGE_ITEMS = 200
+PAGE_BYTES = 1024 * 1024
 WATCH_CHECK_INTERVAL_S = 0.2
 SILENT_DROP_S = 8.0
 
@@ -135,8 +136,8 @@
                 for key in self._items
                 if key.startswith(query["prefix"]) and key > query.get("after", "")
             )
-            items = [self._items[key] for key in keys[:PAGE_ITEMS]]
-            content = {"items": items, "hasMore": len(keys) > PAGE_ITEMS}
+            items = _first_page([self._items[key] for key in keys[:PAGE_ITEMS]])
+            content = {"items": items, "hasMore": len(keys) > len(items)}
             return Reply(200, self._with_revision(content))
 
     def _watch(self, query: dict) -> Reply:
@@ -228,3 +229,13 @@
         ]:
             del self._last_heartbeat_s[key]
             self._remove(key)
+
+
+def _first_page(items: list[dict]) -> list[dict]:
+    """Return the first items whose values take at most PAGE_BYTES; at least one."""
+    size_bytes = 0
+    for count, item in enumerate(items):
+        size_bytes += len(item["value"])
+        if count and size_bytes > PAGE_BYTES:
+            return items[:count]
+    return items
