Let idle and slow callers give way to others in the HTTP server

A crowd of idle or trickling clients occupied all connections of a server until its timeouts, so that ordinary callers were refused, and each of them held a thread, up to 64 KB of buffer and kernel buffers without limit. Threads never ended after a crowd.

While there are almost as many connections as allowed, each new one now closes the one that has been without a request for longest, else the slowest sender or receiver; only if all others are being served is the new one refused. The slowest sender also gives up its memory when that is short. Long heads count as memory, bodies are read into one buffer, a chunked body's framing is bounded, and a read no longer holds its buffer while it waits. The status of refusals for lack of memory and the size of kernel buffers are set by the server's limits. Threads end after 5 s without a connection. Refusals are logged once a second with their counts, and the dump shows them with the held bytes.

--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 from urllib.parse import unquote_to_bytes
 
@@ -13,7 +14,12 @@
 from jayshunt.serving.cancellation import Cancellation
 from jayshunt.serving.const import LINGER_S
 from jayshunt.serving.head import RequestHead, parse_head
-from jayshunt.serving.limits import BodyCharge, BodyMemoryLimit, ServerLimits
+from jayshunt.serving.limits import (
+    RequestCharge,
+    RequestMemory,
+    ServerLimits,
+    SizeLimits,
+)
 from jayshunt.serving.problems import problem_parts
 from jayshunt.serving.stream import CallerStream, ConnectionClosed
 
@@ -22,6 +28,8 @@
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus} | {
     499: "Cancelled"
 }
+# Refusals for lack of memory, whose status is that of the server's limits.
+OVERLOAD_CODES = frozenset({"bodies_exhaust_memory"})
 BODYLESS_STATUS = frozenset({204, 304})
 # Answers up to this size are sent in one system call together with their head.
 MAX_JOINED_ANSWER_BYTES = 64 * 1024
@@ -30,7 +38,16 @@
 Application = Callable[[dict, Callable], Iterable[bytes]]
 
 
-@dataclass(frozen=True, slots=True)
+class Activity(Enum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    READING = "reading"
+    SERVING = "serving"
+    WRITING = "writing"
+
+
+@dataclass(slots=True)
 class IncomingRequest:
     """One fully read request; `jayshunt.request` in the WSGI environment.
 
@@ -41,6 +58,14 @@
     body: bytes
     client: str
     cancellation: Cancellation
+    charge: RequestCharge | None = None
+
+    def release_body(self, environ: dict, kept_bytes: int = 0) -> None:
+        """Drop the body; `kept_bytes` stay charged for what was decoded from it."""
+        self.body = b""
+        environ["wsgi.input"] = io.BytesIO()
+        if self.charge is not None:
+            self.charge.reduce_to(kept_bytes)
 
 
 class CallerConnection:
@@ -52,32 +77,36 @@
         client: str,
         application: Application,
         limits: ServerLimits,
-        body_memory: BodyMemoryLimit,
+        memory: RequestMemory,
         clock: Clock,
         is_draining: Callable[[], bool],
         idle_stop_fd: int = -1,
         scheme: str = "http",
+        sizes: Callable[[], SizeLimits] | None = None,
+        observe_refusal: Callable[[JayshuntError], None] = lambda _: None,
     ) -> None:
         """Prepare to read the first request.
 
         While `is_draining` returns true, answers get `Connection: close`. For
-        `idle_stop_fd`, see CallerStream.
+        `idle_stop_fd`, see CallerStream. `sizes` returns the limits of the next
+        request, those of `limits` by default. `observe_refusal` is called for each
+        request that is refused while it is read.
         """
         self._connection = connection
         self._client = client
         self._application = application
         self._limits = limits
-        self._stream = CallerStream(connection, clock, idle_stop_fd)
-        self._charge = BodyCharge(body_memory)
+        self._charge = RequestCharge(memory, self)
+        self._stream = CallerStream(connection, clock, self._charge, idle_stop_fd)
+        self._clock = clock
+        self._sizes = sizes or (lambda: limits.sizes)
+        self._observe_refusal = observe_refusal
         self._is_draining = is_draining
         self._scheme = scheme
         self._current: Cancellation | None = None
         self.served = 0
-
-    @property
-    def is_serving(self) -> bool:
-        """Return whether a request has been read and is being processed."""
-        return self._current is not None
+        # Read by other threads, so that both values change at once.
+        self.activity = (Activity.IDLE, clock.monotonic_s())
 
     def cancel_current(self) -> None:
         """Cancel the request being served, if there is one."""
@@ -96,37 +125,58 @@
             # is closed without waiting LINGER_S.
             linger_s = 0.0
         finally:
-            self._charge.release()
+            self._charge.reduce_to(0)
             self._stream.close_gracefully(linger_s)
 
     def _serve_one(self) -> bool:
+        self._begin(Activity.IDLE)
         try:
             request = self._read()
         except JayshuntError as error:
-            _LOGGER.info("serving: refused a request of %s: %s", self._client, error)
-            status, headers, body = problem_parts(error)
-            self._write(status, headers, body, keep_alive=False)
+            self._observe_refusal(error)
+            self._begin(Activity.WRITING)
+            self._refuse(error)
             return False
+        self._begin(Activity.SERVING)
         self._current = request.cancellation
         try:
             status, headers, body = self._run(request)
         finally:
             self._current = None
-            self._charge.release()
+            request.body = b""
+            self._charge.reduce_to(0)
         keep_alive = request.head.keep_alive and not self._is_draining()
         without_body = request.head.method == "HEAD" or status in BODYLESS_STATUS
+        self._begin(Activity.WRITING)
+        if self._limits.are_answers_charged and len(body) > MAX_JOINED_ANSWER_BYTES:
+            try:
+                self._charge.acquire(len(body))
+            except JayshuntError as error:
+                self._observe_refusal(error)
+                self._refuse(error)
+                return False
         self._write(status, headers, body, keep_alive, without_body)
+        self._charge.reduce_to(0)
         return keep_alive
 
-    def _read(self) -> IncomingRequest:
-        limits = self._limits
-        head = parse_head(
-            self._stream.read_head(limits.idle_timeout_s, limits.read_timeout_s)
-        )
-        body = self._stream.read_body(
-            head, limits.max_body_bytes, limits.read_timeout_s, self._charge
+    def _begin(self, activity: Activity) -> None:
+        self.activity = (activity, self._clock.monotonic_s())
+
+    def _refuse(self, error: JayshuntError) -> None:
+        is_overload = error.code in OVERLOAD_CODES
+        status, headers, body = problem_parts(
+            error, self._limits.overload_status if is_overload else None
         )
-        return IncomingRequest(head, body, self._client, Cancellation())
+        self._write(status, headers, body, keep_alive=False)
+
+    def _read(self) -> IncomingRequest:
+        timeout_s = self._limits.read_timeout_s
+        self._stream.wait_for_request(self._limits.idle_timeout_s)
+        self._begin(Activity.READING)
+        sizes = self._sizes()
+        head = parse_head(self._stream.read_head(timeout_s, sizes.max_head_bytes))
+        body = self._stream.read_body(head, sizes.max_body_bytes, timeout_s)
+        return IncomingRequest(head, body, self._client, Cancellation(), self._charge)
 
     def _run(self, request: IncomingRequest) -> tuple[int, Headers, bytes]:
         started: list = []
--- a/src/jayshunt/serving/const.py
+++ b/src/jayshunt/serving/const.py
@@ -19,7 +19,26 @@
 MAX_HEADER_COUNT = 100
 MAX_TRAILER_BYTES = 4 * 1024
 MAX_CHUNK_LINE_BYTES = 128
-READ_BYTES = 64 * 1024
+# Longer heads are charged to the memory for requests.
+FREE_HEAD_BYTES = 4 * 1024
+# How much is read at a time, which bounds the pipelined bytes that a connection holds.
+READ_HEAD_BYTES = 8 * 1024
+READ_BODY_BYTES = 64 * 1024
+# The framing of a chunked body may take up as much as the body, and at least this.
+MIN_FRAMING_BYTES = 4 * 1024
+# How long a request waits for memory after a slow sender was closed for it.
+ROOM_WAIT_S = 1.0
+# From so many connections below the limit on, each new one closes the idlest one.
+MAX_CONNECTION_RESERVE = 32
+# How long a new connection waits until one was closed for it.
+CLOSE_WAIT_S = 0.05
+# A connection that has waited for or sent a request for a shorter time is not closed
+# for another one.
+MIN_OCCUPIED_S = 0.2
+# The latest refusals and closed connections are logged together at this interval.
+PRESSURE_LOG_INTERVAL_S = 1.0
+# A thread without a connection ends after this time.
+THREAD_IDLE_S = 5.0
 # After its last answer, a connection is still read for this long. Closing it with
 # unread bytes sends a reset, which can discard the answer before the caller
 # reads it.
@@ -30,10 +49,9 @@
 # closes idle connections, a new one stays open for this long, because a close
 # could race with that request.
 FIRST_REQUEST_S = 0.5
-# Threads that write refusals to connections over the limit, and how many refusals
-# may be pending; further connections are closed without one.
-REFUSAL_THREADS = 2
-MAX_PENDING_REFUSALS = 64
+# How many refusals of connections over the limit may be written at a time; further
+# connections are closed without one.
+MAX_PENDING_REFUSALS = 32
 ACCEPT_POLL_S = 0.05
 TLS_CHECK_INTERVAL_S = 1.0
 
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -6,7 +6,8 @@
 import ssl
 import threading
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable
+from functools import partial
 from socketserver import BaseServer
 
 from werkzeug.serving import BaseWSGIServer
@@ -14,17 +15,31 @@
 from jayshunt.clock import Clock, SystemClock
 from jayshunt.errors import JayshuntError
 from jayshunt.serving.cancellation import DisconnectWatcher
-from jayshunt.serving.connection import REASON_PHRASES, Application, CallerConnection
+from jayshunt.serving.connection import (
+    REASON_PHRASES,
+    Activity,
+    Application,
+    CallerConnection,
+)
+from jayshunt.serving.connection_table import ConnectionTable
 from jayshunt.serving.const import (
     ACCEPT_POLL_S,
+    CLOSE_WAIT_S,
     MAX_PENDING_REFUSALS,
-    REFUSAL_THREADS,
 )
-from jayshunt.serving.limits import BodyMemoryLimit, ConnectionLimit, ServerLimits
+from jayshunt.serving.limits import (
+    ConnectionLimit,
+    RequestCharge,
+    RequestMemory,
+    ServerLimits,
+    SizeLimits,
+)
 from jayshunt.serving.listener import drop_new_connections
+from jayshunt.serving.pressure_log import PressureLog
 from jayshunt.serving.problems import problem_parts
 from jayshunt.serving.stream import CallerStream
 from jayshunt.serving.tls import ReloadingTls
+from jayshunt.serving.worker_pool import WorkerPool
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -37,6 +52,11 @@
     the accept queue are accepted, the port is closed, and idle connections are
     closed. Requests in flight are answered within the drain timeout. `counts` holds
     the number of connections by "accepted" or the code of the refusal.
+
+    While there are almost as many connections as allowed, each new one closes the one
+    that has been without a request for longest, or that has been sending or receiving
+    for longest. Only if all others are being served is the new one refused. In the
+    same way, the slowest sender gives up its memory for other requests.
     """
 
     multithread = True
@@ -50,22 +70,31 @@
         limits: ServerLimits,
         tls: ReloadingTls | None = None,
         clock: Clock | None = None,
+        sizes: Callable[[], SizeLimits] | None = None,
+        name: str = "http",
     ) -> None:
-        """Bind the address; connections are accepted after `start`."""
-        super().__init__(host, port, app)
+        """Bind the address; connections are accepted after `start`.
+
+        `sizes` returns the limits of a request where these change. `name` is that of
+        the server in logs and the dump.
+        """
         self._limits = limits
+        super().__init__(host, port, app)
+        self.name = name
+        self._sizes = sizes
         self._tls = tls
         self._clock = clock or SystemClock()
         self._connection_limit = ConnectionLimit(limits)
-        self._body_memory = BodyMemoryLimit(limits.max_held_body_bytes)
-        self._executor = ThreadPoolExecutor(limits.max_connections, "http")
-        self._refusal_executor = ThreadPoolExecutor(REFUSAL_THREADS, "http-refusal")
+        self._connections = ConnectionTable(self._clock)
+        self._memory = RequestMemory(
+            limits.max_held_body_bytes, self._connections.close_slowest
+        )
+        self._workers = WorkerPool(name)
+        self._refusal_workers = WorkerPool(f"{name}-refusal")
         self._refusal_slots = threading.BoundedSemaphore(MAX_PENDING_REFUSALS)
+        self._pressure = PressureLog(name, self._clock)
         self._watcher = DisconnectWatcher()
         self._acceptor: threading.Thread | None = None
-        self._lock = threading.Lock()
-        self._open: dict[socket.socket, CallerConnection | None] = {}
-        self._all_closed = threading.Condition(self._lock)
         self._stopping = threading.Event()
         self._idle_stop_fd = os.eventfd(0)
         self.counts: Counter[str] = Counter()
@@ -80,6 +109,14 @@
         """Return the number of connections that are open."""
         return self._connection_limit.total
 
+    def server_bind(self) -> None:
+        """Bind the address; accepted connections inherit the sizes of the buffers."""
+        size = self._limits.socket_buffer_bytes
+        if size is not None:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        super().server_bind()
+
     def start(self) -> None:
         """Start accepting connections."""
         self._watcher.start()
@@ -103,11 +140,14 @@
         # The descriptor stays readable, so that a connection that becomes idle later
         # is closed as well.
         os.eventfd_write(self._idle_stop_fd, 1)
-        if not self._wait_closed(self._limits.drain_timeout_s):
-            self._shut_down_all()
+        if not self._connections.wait_closed(self._limits.drain_timeout_s):
+            _LOGGER.warning(
+                "serving: closed %s connections at the drain timeout",
+                self._connections.close_all(),
+            )
         self._watcher.stop()
-        self._executor.shutdown(wait=True)
-        self._refusal_executor.shutdown(wait=True)
+        self._workers.stop()
+        self._refusal_workers.stop()
         os.close(self._idle_stop_fd)
 
     def get_request(self) -> tuple[socket.socket, tuple]:
@@ -117,25 +157,37 @@
         return connection, address
 
     def process_request(self, request: socket.socket, client_address: tuple) -> None:
-        """Hand a connection to the thread pool, or refuse it if it exceeds a limit."""
+        """Hand a connection to a thread, or refuse it if it exceeds a limit."""
         client = client_address[0]
-        reason = self._connection_limit.acquire(client)
+        wait_s = 0.0
+        if self._connection_limit.is_crowded and self._connections.close_idlest():
+            self._pressure.record("closed_for_new_connection", client)
+            wait_s = CLOSE_WAIT_S
+        reason = self._connection_limit.acquire(client, wait_s)
         self.counts[reason or "accepted"] += 1
         if reason is not None:
+            self._pressure.record(reason, client)
             self._refuse(request, reason)
             return
-        with self._lock:
-            self._open[request] = None
-        self._executor.submit(self._serve, request, client)
+        self._connections.add(request)
+        try:
+            self._workers.submit(partial(self._serve, request, client))
+        except RuntimeError:
+            _LOGGER.exception("serving: failed to start a thread")
+            self._end(request, request, client)
 
     def diagnostics(self) -> dict:
         """Return the server's state for the dump."""
-        with self._lock:
-            serving = [c for c in self._open.values() if c and c.is_serving]
         return {
             "open_connections": self._connection_limit.total,
-            "requests_being_served": len(serving),
-            "held_body_bytes": self._body_memory.held_bytes,
+            "max_connections": self._limits.max_connections,
+            "requests_being_served": self._connections.count(Activity.SERVING),
+            "threads": self._workers.thread_count,
+            "held_body_bytes": self._memory.held_bytes,
+            "peak_held_body_bytes": self._memory.peak_bytes,
+            "max_held_body_bytes": self._limits.max_held_body_bytes,
+            "refused": dict(self._pressure.counts),
+            "closed_for_others": dict(self._connections.closed_counts),
             "callers_gone": self._watcher.disconnect_count,
             "draining": self.draining,
             "connections": dict(self.counts),
@@ -154,14 +206,18 @@
         except Exception:
             _LOGGER.exception("serving: unexpected error on a connection")
         finally:
-            with self._lock:
-                self._open.pop(plain, None)
-                self._all_closed.notify_all()
-            connection.close()
-            plain.close()
-            self._connection_limit.release(client)
+            self._end(plain, connection, client)
+
+    def _end(
+        self, plain: socket.socket, connection: socket.socket, client: str
+    ) -> None:
+        self._connections.remove(plain)
+        connection.close()
+        plain.close()
+        self._connection_limit.release(client)
 
     def _do_handshake(self, plain: socket.socket) -> ssl.SSLSocket:
+        self._connections.begin_handshake(plain)
         plain.settimeout(self._limits.read_timeout_s)
         # `wrap_socket` detaches the socket that it is given. With a duplicate, a
         # shutdown of `plain` still wakes a thread that is blocked in TLS.
@@ -175,14 +231,15 @@
             client,
             self.app,
             self._limits,
-            self._body_memory,
+            self._memory,
             self._clock,
             self._stopping.is_set,
             self._idle_stop_fd,
             "http" if connection is plain else "https",
+            self._sizes,
+            lambda error: self._pressure.record(error.code, client, str(error)),
         )
-        with self._lock:
-            self._open[plain] = served
+        self._connections.set_served(plain, served)
         self._watcher.add(connection, served.cancel_current)
         try:
             served.serve()
@@ -195,15 +252,15 @@
             # than the limit saves.
             connection.close()
             return
-        self._refusal_executor.submit(self._write_refusal, connection, reason)
+        self._refusal_workers.submit(partial(self._write_refusal, connection, reason))
 
     def _write_refusal(self, connection: socket.socket, reason: str) -> None:
         error = JayshuntError(reason, step="serving.accept", retry_after_s=1.0)
-        status, headers, body = problem_parts(error)
+        status, headers, body = problem_parts(error, self._limits.overload_status)
         lines = [f"HTTP/1.1 {status} {REASON_PHRASES[status]}", "Connection: close"]
         lines += [f"{name}: {value}" for name, value in headers]
         try:
-            stream = CallerStream(connection, self._clock)
+            stream = CallerStream(connection, self._clock, RequestCharge(self._memory))
             stream.write("\r\n".join([*lines, "", ""]).encode() + body, 1.0)
             stream.close_gracefully()
         except OSError as problem:
@@ -221,29 +278,3 @@
                 return
             connection.setblocking(True)
             self.process_request(connection, address)
-
-    def _wait_closed(self, timeout_s: float) -> bool:
-        end_s = self._clock.monotonic_s() + timeout_s
-        with self._lock:
-            while self._open:
-                left_s = end_s - self._clock.monotonic_s()
-                if left_s <= 0:
-                    return False
-                self._all_closed.wait(left_s)
-        return True
-
-    def _shut_down_all(self) -> None:
-        with self._lock:
-            _LOGGER.warning(
-                "serving: closed %s connections at the drain timeout",
-                len(self._open),
-            )
-            for connection in self._open:
-                _shut_down(connection, socket.SHUT_RDWR)
-
-
-def _shut_down(connection: socket.socket, how: int) -> None:
-    try:
-        connection.shutdown(how)
-    except OSError as error:
-        _LOGGER.debug("serving: the connection was already closed: %s", error)
--- a/src/jayshunt/serving/limits.py
+++ b/src/jayshunt/serving/limits.py
@@ -1,19 +1,38 @@
-"""Limit connections and the memory for request bodies."""
+"""Limit connections and the memory for requests."""
 
 import threading
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from jayshunt.errors import JayshuntError
+from jayshunt.serving.const import (
+    DEFAULT_STATUS,
+    MAX_CONNECTION_RESERVE,
+    MAX_HEAD_BYTES,
+    ROOM_WAIT_S,
+)
 from jayshunt.settings.models import Limits
 
 
+@dataclass(frozen=True, slots=True)
+class SizeLimits:
+    """Store how many bytes the head and the body of one request may have."""
+
+    max_head_bytes: int
+    max_body_bytes: int
+
+
 @dataclass(frozen=True)
 class ServerLimits:
     """Limits of one HTTP server; times are in seconds.
 
     `read_timeout_s` bounds a whole head and, separately, a whole body.
-    `max_held_body_bytes` applies to the bodies of all connections together.
+    `max_held_body_bytes` applies to the bodies and long heads of all connections
+    together, and with `are_answers_charged` also to large answers, which are then
+    refused beyond it. `socket_buffer_bytes` is the size of the kernel's buffers of
+    each connection, which Linux doubles; None leaves it to the kernel.
+    `overload_status` is the status of refusals for lack of connections or memory.
     `drain_grace_s` is the time for which a stopping server still accepts new
     requests, so that the balancer and callers with open connections can stop
     using it.
@@ -21,14 +40,29 @@
 
     max_connections: int = 256
     max_connections_per_client: int | None = None
+    max_head_bytes: int = MAX_HEAD_BYTES
     max_body_bytes: int = 8 * 1024 * 1024
     max_held_body_bytes: int = 64 * 1024 * 1024
+    are_answers_charged: bool = False
+    socket_buffer_bytes: int | None = None
+    overload_status: int = DEFAULT_STATUS
     read_timeout_s: float = 10.0
     write_timeout_s: float = 10.0
     idle_timeout_s: float = 60.0
     drain_grace_s: float = 1.0
     drain_timeout_s: float = 30.0
 
+    @property
+    def crowded_connections(self) -> int:
+        """Return from how many connections on each new one closes another one."""
+        reserve = min(MAX_CONNECTION_RESERVE, self.max_connections // 8)
+        return self.max_connections - reserve
+
+    @property
+    def sizes(self) -> SizeLimits:
+        """Return the limits of one request."""
+        return SizeLimits(self.max_head_bytes, self.max_body_bytes)
+
 
 # Operators' calls are few and small; their port drains after the callers' port.
 OPERATOR_LIMITS = ServerLimits(
@@ -62,6 +96,7 @@
         """Start without open connections."""
         self._limits = limits
         self._lock = threading.Lock()
+        self._released = threading.Condition(self._lock)
         self._open: Counter[str] = Counter()
         self._total = 0
 
@@ -70,10 +105,20 @@
         """Return the number of open connections."""
         return self._total
 
-    def acquire(self, client: str) -> str | None:
-        """Count a new connection, or return the error code of the limit it exceeds."""
+    @property
+    def is_crowded(self) -> bool:
+        """Return whether a new connection has to displace another one."""
+        return self._total >= self._limits.crowded_connections
+
+    def acquire(self, client: str, wait_s: float = 0.0) -> str | None:
+        """Count a new connection, or return the error code of the limit it exceeds.
+
+        Wait up to `wait_s` until another one is closed.
+        """
         per_client = self._limits.max_connections_per_client
         with self._lock:
+            if self._total >= self._limits.max_connections and wait_s:
+                self._released.wait(wait_s)
             if self._total >= self._limits.max_connections:
                 return "too_many_connections"
             if per_client is not None and self._open[client] >= per_client:
@@ -87,65 +132,104 @@
         with self._lock:
             self._total -= 1
             self._open[client] -= 1
+            self._released.notify()
             if not self._open[client]:
                 del self._open[client]
 
 
-class BodyMemoryLimit:
-    """Limit on the bytes of request bodies held in memory over all connections."""
+class RequestMemory:
+    """Limit on the bytes of requests held in memory over all connections.
+
+    `make_room` closes the connection that has been sending its request for longest,
+    other than the given one, and returns whether there was any.
+    """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self, max_bytes: int, make_room: Callable[[object], bool] = lambda _: False
+    ) -> None:
         """Start with no bytes held."""
         self._max_bytes = max_bytes
-        self._lock = threading.Lock()
+        self._make_room = make_room
+        self._released = threading.Condition()
+        self._waiting = 0
         self._held = 0
+        self.peak_bytes = 0
 
     @property
     def held_bytes(self) -> int:
         """Return the number of bytes held now."""
         return self._held
 
-    def acquire(self, size: int) -> bool:
-        """Add bytes to the count; return False if they would exceed the limit."""
-        with self._lock:
-            if self._held + size > self._max_bytes:
-                return False
-            self._held += size
+    def acquire(self, size: int, owner: object = None) -> bool:
+        """Add bytes to the count; return False if they exceed the limit.
+
+        If others hold them, wait for ROOM_WAIT_S at most until a slow sender gave way.
+        """
+        if self._try_acquire(size):
             return True
+        if size > self._max_bytes or not self._make_room(owner):
+            return False
+        with self._released:
+            self._waiting += 1
+            try:
+                return self._released.wait_for(
+                    lambda: self._add(size), timeout=ROOM_WAIT_S
+                )
+            finally:
+                self._waiting -= 1
 
     def release(self, size: int) -> None:
         """Subtract bytes that are no longer held."""
-        with self._lock:
+        with self._released:
             self._held -= size
+            if self._waiting:
+                self._released.notify_all()
+
+    def _try_acquire(self, size: int) -> bool:
+        with self._released:
+            return self._add(size)
 
+    def _add(self, size: int) -> bool:
+        if self._held + size > self._max_bytes:
+            return False
+        self._held += size
+        self.peak_bytes = max(self.peak_bytes, self._held)
+        return True
 
-class BodyCharge:
-    """Bytes that one body has charged to the shared limit.
+
+class RequestCharge:
+    """Bytes that one connection has charged to the shared limit.
 
     Bytes are charged on arrival and not when `Content-Length` announces them, so
     that a slow sender cannot reserve memory that others need.
     """
 
-    def __init__(self, memory: BodyMemoryLimit) -> None:
-        """Start with no bytes charged."""
+    def __init__(self, memory: RequestMemory, owner: object = None) -> None:
+        """Start with no bytes charged; `owner` is the connection."""
         self._memory = memory
+        self._owner = owner
         self._acquired = 0
 
     def acquire(self, size: int) -> None:
-        """Charge arrived bytes; raise JayshuntError if they exceed the limit."""
+        """Charge bytes; raise JayshuntError if they exceed the limit."""
         if size <= 0:
             return
-        if not self._memory.acquire(size):
+        if not self._memory.acquire(size, self._owner):
             raise JayshuntError(
                 "bodies_exhaust_memory",
                 step="serving.body",
                 retry_after_s=1.0,
-                detail="the bodies of requests in flight use up their memory",
+                detail="the requests in flight use up their memory",
             )
         self._acquired += size
 
-    def release(self) -> None:
-        """Release all charged bytes at the end of the request."""
-        if self._acquired:
-            self._memory.release(self._acquired)
-            self._acquired = 0
+    def raise_to(self, size: int) -> None:
+        """Charge bytes up to `size`; raise JayshuntError if they exceed the limit."""
+        self.acquire(size - self._acquired)
+
+    def reduce_to(self, size: int) -> None:
+        """Release the charged bytes beyond `size`."""
+        surplus = self._acquired - size
+        if surplus > 0:
+            self._memory.release(surplus)
+            self._acquired = size
--- a/src/jayshunt/serving/problems.py
+++ b/src/jayshunt/serving/problems.py
@@ -9,9 +9,15 @@
 from jayshunt.serving.const import DEFAULT_STATUS, PROBLEM_TYPE, STATUS_OF_CODE
 
 
-def problem_parts(error: JayshuntError) -> tuple[int, list[tuple[str, str]], bytes]:
-    """Return status, headers and body of the problem response to an error."""
-    status = STATUS_OF_CODE.get(error.code, DEFAULT_STATUS)
+def problem_parts(
+    error: JayshuntError, status: int | None = None
+) -> tuple[int, list[tuple[str, str]], bytes]:
+    """Return status, headers and body of the problem response to an error.
+
+    `status` replaces the status of the error's code.
+    """
+    if status is None:
+        status = STATUS_OF_CODE.get(error.code, DEFAULT_STATUS)
     content = {
         "type": f"urn:jayshunt:error:{error.code}",
         "title": error.code.replace("_", " "),
