Derive what callers can make an entry hold from its memory

Clients outside the limits could make it exceed its memory, and the platform ends such a process.

The limits of the three servers now follow from `limits.memoryMb` and `limits.maxFds` (memory_budget.py, server_limits.py). `limits.maxHeaderBytes` and `limits.maxBodyBytes` of the configuration apply where they are present. What decoding may take is charged before a body is decoded, a body is dropped once it is decoded, and a document with too many values is refused first. Texts and lists of a job have the bounds of its record.

A refusal for lack of connections or memory is 504 on the callers' port, since an earlier submission of the job may have been accepted. Dump and metrics show connections, held bytes, refusals and connections closed for others.

Measured with tracemalloc: 1 MB of `[{},{},..]` takes 26 MB decoded; with 50,000 values, the costliest documents take 178 bytes a value, and text with one character outside the basic plane 8 bytes a byte.

--- a/src/jayshunt/dispatch/memory_budget.py
+++ b/src/jayshunt/dispatch/memory_budget.py
@@ -16,6 +16,30 @@
 JOBS_SHARE = 0.25
 CONNECTIONS_SHARE = 0.15
 REQUESTS_SHARE = 0.25
+# An open connection: its thread and objects (22 KB), the kernel's buffer of unread
+# bytes (16 KB), up to 12 KB of a head or of pipelined requests, and what is parsed from
+# a head of usual size.
+CONNECTION_BYTES = 64 * 1024
+# Used where the settings do not name the descriptors. The platform reserves some of
+# them for files. HttpMulti keeps most of the others for connections to workers.
+DEFAULT_MAX_FDS = 4_100
+RESERVED_FDS = 200
+CONNECTION_FDS_SHARE = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class ServerShare:
+    """Store which parts of the connections and of the memory one server may use."""
+
+    connections: float
+    requests: float
+
+
+CALLERS_SHARE = ServerShare(connections=0.65, requests=0.7)
+PEERS_SHARE = ServerShare(connections=0.25, requests=0.25)
+READINESS_SHARE = ServerShare(connections=0.1, requests=0.05)
+# Below this, health checks, tools and peers could not call at the same time.
+MIN_CONNECTIONS = 8
 
 
 @dataclass(frozen=True)
@@ -45,3 +69,18 @@
         connections_bytes=int(free_bytes * CONNECTIONS_SHARE),
         requests_bytes=int(free_bytes * REQUESTS_SHARE),
     )
+
+
+def max_connections(budget: MemoryBudget, max_fds: int, share: ServerShare) -> int:
+    """Return how many connections a server may have; `max_fds` is 0 if not known.
+
+    For example, with 300 MB and 4,100 descriptors the callers' server may have 368.
+    """
+    fds = max(0, (max_fds or DEFAULT_MAX_FDS) - RESERVED_FDS) * CONNECTION_FDS_SHARE
+    total = min(budget.connections_bytes // CONNECTION_BYTES, int(fds))
+    return max(MIN_CONNECTIONS, int(total * share.connections))
+
+
+def max_request_bytes(budget: MemoryBudget, share: ServerShare) -> int:
+    """Return how many bytes of memory the requests at a server may take."""
+    return int(budget.requests_bytes * share.requests)
--- a/src/jayshunt/dispatch/metrics.py
+++ b/src/jayshunt/dispatch/metrics.py
@@ -1,5 +1,7 @@
 """Export the metrics of an entry to Prometheus."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
@@ -15,6 +17,10 @@
 WAIT_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
+METHODS = frozenset({"GET", "POST", "DELETE"})
+OTHER_METHOD = "other"
+
+
 class EntryMetrics:
     """Record the counters and histograms of one entry."""
 
@@ -54,10 +60,14 @@
             registry=self._registry,
         )
         self._refused_workspaces: set[str] = set()
+        self.describe_servers: Callable[[], dict[str, dict]] = dict
         self._registry.register(_StateCollector(store, link))
+        self._registry.register(_ServerCollector(lambda: self.describe_servers()))
 
     def observe_answer(self, method: str, status: int, took_s: float) -> None:
-        """Count one answer to a caller."""
+        """Count one answer to a caller, who may have sent any word as the method."""
+        if method not in METHODS:
+            method = OTHER_METHOD
         self._answers.labels(method, str(status)).inc()
         self._answer_s.labels(method).observe(took_s)
 
@@ -115,6 +125,42 @@
             yield from _workspace_gauges(dispatcher.planner.workspaces.report())
 
 
+class _ServerCollector(Collector):
+    """Read the state of the servers at each scrape."""
+
+    def __init__(self, describe: Callable[[], dict[str, dict]]) -> None:
+        """Store the source, which returns the diagnostics by server."""
+        self._describe = describe
+
+    def collect(self):
+        """Yield connections, held bytes and what was refused or closed."""
+        state = GaugeMetricFamily(
+            "jayshunt_server",
+            "Open connections, threads, and held bytes of requests.",
+            labels=["server", "what"],
+        )
+        refused = CounterMetricFamily(
+            "jayshunt_server_refusals",
+            "Refused requests and connections, by cause.",
+            labels=["server", "cause"],
+        )
+        closed = CounterMetricFamily(
+            "jayshunt_server_closed_for_others",
+            "Connections closed for others, by what they did.",
+            labels=["server", "activity"],
+        )
+        for server, fields in self._describe().items():
+            for what in ("open_connections", "threads", "held_body_bytes"):
+                state.add_metric([server, what], fields[what])
+            for cause, count in fields["refused"].items():
+                refused.add_metric([server, cause], count)
+            for activity, count in fields["closed_for_others"].items():
+                closed.add_metric([server, activity], count)
+        yield state
+        yield refused
+        yield closed
+
+
 def _workspace_gauges(reports: list[WorkspaceReport]):
     used = GaugeMetricFamily(
         "jayshunt_workspace_cores",
--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -79,7 +79,8 @@
     its advice service at `advice`. `vm_orders_per_s` is the rate of VM orders that the
     platform accepts from all entries together. `link_mbps` is the bandwidth of the
     entry's network link, which counts in the election. `features` are the optional
-    parts that are on.
+    parts that are on. `memory_mb` and `max_fds`, the file descriptors, are those of the
+    process, 0 if not known.
     """
 
     entry: EntryId
@@ -97,6 +98,7 @@
     vm_orders_per_s: float = DEFAULT_PER_S
     link_mbps: float = 1_000.0
     features: Features = Features()
+    max_fds: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,6 +203,8 @@
     """Store one version of the operator's configuration.
 
     If `requires_keys`, calls to queues that are not public need a key of a workspace.
+    `max_head_bytes` and `max_body_bytes` limit callers' requests; None leaves the
+    defaults.
     """
 
     version: ConfigVersion
@@ -208,6 +212,8 @@
     pools: tuple[PoolConfig, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     requires_keys: bool = False
+    max_head_bytes: int | None = None
+    max_body_bytes: int | None = None
 
     def rejects_overload(self, pool: PoolName) -> bool:
         """Return whether the workers of a pool refuse what exceeds their capacity.
--- a/src/jayshunt/dispatch/tests/where_builders.py
+++ b/src/jayshunt/dispatch/tests/where_builders.py
@@ -12,6 +12,8 @@
 from jayshunt.dispatch.recent_orders import RecentOrders
 from jayshunt.dispatch.tests.builders import QUEUE, SPARE, build_vm
 from jayshunt.dispatch.tests.fleet_builders import FakeFleet
+from jayshunt.serving.cancellation import Cancellation
+from jayshunt.serving.connection import IncomingRequest
 
 JOB_TEXT = json.dumps(
     {"steps": [{"cpu": 6_000, "memMb": 4_000, "count": 2, "estimateMs": 400}]}
@@ -61,7 +63,8 @@
 def ask(api: PeerApi, question: dict) -> tuple[str, dict]:
     """Return the status line and the fields of the answer to a question."""
     head = SimpleNamespace(method="POST", target="/dispatch/where")
-    request = SimpleNamespace(head=head, body=json.dumps(question).encode())
+    body = json.dumps(question).encode()
+    request = IncomingRequest(head, body, "127.0.0.1", Cancellation())
     statuses: list[str] = []
     (body,) = api(
         {"jayshunt.request": request}, lambda status, _: statuses.append(status)
--- a/src/jayshunt/platform/documents.py
+++ b/src/jayshunt/platform/documents.py
@@ -8,6 +8,7 @@
 from pydantic import BeforeValidator, Field
 
 from jayshunt.checked import (
+    MAX_COUNT,
     AddressText,
     CheckedModel,
     Count,
@@ -138,6 +139,22 @@
     rejectsOverload: bool | None = False
 
 
+def _size_or_none(value: object) -> object:
+    """Return a size in bytes, or None, as without one, if it is none."""
+    is_size = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_size and 0 < value <= MAX_COUNT else None
+
+
+Size = Annotated[Count | None, BeforeValidator(_size_or_none)]
+
+
+class LimitFields(CheckedModel):
+    """Represent the limits of callers' requests, in bytes."""
+
+    maxHeaderBytes: Size = None
+    maxBodyBytes: Size = None
+
+
 class ConfigDocument(CheckedModel):
     """Represent the operator's configuration; `tenants` are checked row by row."""
 
@@ -145,3 +162,4 @@
     routes: Annotated[list[RouteRow], BeforeValidator(_rows)] = []
     services: Annotated[list[ServiceRow], BeforeValidator(_rows)] = []
     tenants: Any = None
+    limits: Annotated[LimitFields | None, BeforeValidator(_fields_or_none)] = None
--- a/src/jayshunt/platform/formats.py
+++ b/src/jayshunt/platform/formats.py
@@ -8,7 +8,14 @@
 
 from pydantic import TypeAdapter
 
-from jayshunt.checked import MAX_COUNT, MAX_WHOLE, Token, describe_invalid
+from jayshunt.checked import (
+    MAX_COUNT,
+    MAX_REASON_CHARS,
+    MAX_WHOLE,
+    Text,
+    Token,
+    describe_invalid,
+)
 from jayshunt.dispatch.models import (
     AdvicePolicy,
     FleetConfig,
@@ -37,16 +44,21 @@
 from jayshunt.platform.documents import (
     CapacityFields,
     ConfigDocument,
+    LimitFields,
     RouteRow,
     ServiceRow,
     WaveEntry,
     WorkerEntry,
 )
+from jayshunt.serving.connection import count_values
 
 _LOGGER = logging.getLogger(__name__)
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 64
+# A job with all fields of all steps has 2,600 values. Objects take up many times
+# their text.
+MAX_VALUES = 10_000
 MAX_TASKS_PER_STEP = 10_000
 # Limits the memory of one job at the dispatcher to about 20 MB, with all occurrences.
 MAX_TASKS_PER_JOB = 50_000
@@ -54,6 +66,7 @@
 # A worker's record has a few hundred bytes.
 MAX_ENTRY_BYTES = 16_384
 _WORKER_ID = TypeAdapter(Token)
+_TEXT = TypeAdapter(Text)
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -65,12 +78,15 @@
     """Decode the operator's configuration document; raise ValueError if malformed."""
     document = ConfigDocument.model_validate(json.loads(value))
     workspaces = (_decode_workspace(row) for row in _rows(document.tenants))
+    limits = document.limits or LimitFields()
     return FleetConfig(
         ConfigVersion(document.version),
         tuple(_queue(row) for row in document.routes),
         tuple(_pool(row) for row in document.services),
         tuple(workspace for workspace in workspaces if workspace is not None),
         requires_keys=document.tenants is not None,
+        max_head_bytes=limits.maxHeaderBytes,
+        max_body_bytes=limits.maxBodyBytes,
     )
 
 
@@ -83,7 +99,7 @@
     """Decode a workspace; a malformed row is logged and ignored."""
     try:
         return Workspace(
-            workspace=WorkspaceName(_require_text(row["name"])),
+            workspace=WorkspaceName(_TEXT.validate_python(_require_text(row["name"]))),
             key_digests=frozenset(
                 digest_key(_require_text(key)) for key in _keys(row.get("apiKeys"))
             ),
@@ -164,11 +180,13 @@
     workspace: WorkspaceName = WorkspaceName(""),
 ) -> JobSpec:
     """Decode a job of a workspace; raise MalformedSubmission if that is impossible."""
+    if count_values(body) > MAX_VALUES:
+        raise MalformedSubmission(f"more than {MAX_VALUES} values")
     try:
         spec = job_from_fields(job, queue, json.loads(body))
         return replace(spec, workspace=workspace)
     except DECODE_ERRORS as error:
-        raise MalformedSubmission(str(error)) from error
+        raise MalformedSubmission(str(error)[:MAX_REASON_CHARS]) from error
 
 
 def job_from_fields(job: JobId, queue: QueueName, fields: dict) -> JobSpec:
@@ -198,7 +216,7 @@
 
 
 def _decode_step(number: int, row: dict) -> StepSpec:
-    after = tuple(int(n) for n in row.get("after", ()))
+    after = tuple(dict.fromkeys(int(n) for n in row.get("after", ())))
     if any(not 0 <= n < number for n in after):
         raise ValueError(f"steps[{number}].after: numbers of earlier steps")
     count = int(row.get("count", 1))
@@ -212,12 +230,12 @@
         has_checkpoints=bool(row.get("checkpoint", False)),
         is_gang=bool(row.get("gang", False)),
         same_rack=bool(row.get("sameRack", False)),
-        required_label=str(row.get("requires", "") or ""),
-        data_rack=RackName(str(row.get("affinity", "") or "")),
+        required_label=_read_text(row, "requires"),
+        data_rack=RackName(_read_text(row, "affinity")),
         max_per_worker=_read_count(row, "antiAffinity"),
         is_speculative=bool(row.get("speculative", False)),
         is_long_running=bool(row.get("longRunning", False)),
-        image=str(row.get("image", "") or ""),
+        image=_read_text(row, "image"),
         target_ms=_read_count(row, "targetMs"),
         fills=bool(row.get("fills", False)),
         max_unavailable=_read_count(row, "mayMiss"),
@@ -233,6 +251,17 @@
     )
 
 
+def _read_text(fields: dict, name: str) -> str:
+    """Return a text within the limits of `Text`; a missing one is empty."""
+    value = fields.get(name)
+    if not value:
+        return ""
+    try:
+        return _TEXT.validate_python(str(value))
+    except ValueError as error:
+        raise ValueError(f"{name}: {describe_invalid(error)}") from error
+
+
 def _read_count(fields: dict, name: str, limit: int = MAX_COUNT) -> int:
     """Return a whole number from 0 to `limit`; a missing or empty field is 0."""
     count = int(fields.get(name) or 0)
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 
+from jayshunt.checked import MAX_TEXT_CHARS
 from jayshunt.dispatch.entry import EntryJobService
 from jayshunt.dispatch.models import FleetConfig, QueueConfig
 from jayshunt.errors import JayshuntError, Outcome
@@ -16,6 +17,7 @@
     read_credential,
 )
 from jayshunt.platform.formats import (
+    MAX_VALUES,
     MalformedSubmission,
     decode_submission,
     is_job_id,
@@ -33,11 +35,16 @@
 # sending the response.
 DEADLINE_FRACTION = 0.85
 JSON_TYPE = ("Content-Type", "application/json")
+# What a job within the limits of its fields takes while it is being stored.
+MAX_KEPT_BYTES = 64 * 1024
 # Refusals for lack of room, of the fleet or of the caller's workspace.
 OVERLOAD_CODES = frozenset(
     {"queue_behind", "exceeds_workspace_limit", "workspace_rate"}
 )
 
+# Refusals before it is known whether an earlier submission of the job was accepted.
+UNCHECKED_CODES = frozenset({"bodies_exhaust_memory"})
+
 Answer = tuple[int, dict | None, list[tuple[str, str]]]
 
 
@@ -80,6 +87,8 @@
         return [data]
 
     def _answer(self, request: IncomingRequest, environ: dict) -> Answer:
+        if request.head.method != "POST":
+            request.release_body(environ)
         config = self._config()
         if config is None:
             return 503, {"error": "no configuration yet"}, [("Retry-After", "1")]
@@ -89,7 +98,11 @@
         if queue is None:
             _LOGGER.info(
                 "entry: no such queue",
-                extra={"host": host, "path": path, "version": config.version},
+                extra={
+                    "host": host[:MAX_TEXT_CHARS],
+                    "path": path[:MAX_TEXT_CHARS],
+                    "version": config.version,
+                },
             )
             return 404, {"error": "no such queue"}, []
         rest = path[len(queue.path_prefix) :].strip("/")
@@ -134,7 +147,7 @@
                 return self._waiting_count(queue, timeout_s)
             case "POST", job if job:
                 return self._submit(
-                    queue, JobId(job), workspace, request.body, timeout_s
+                    request, environ, queue, JobId(job), workspace, timeout_s
                 )
             case "GET", job:
                 return self._state(JobId(job), workspace, timeout_s)
@@ -147,14 +160,17 @@
 
     def _submit(
         self,
+        request: IncomingRequest,
+        environ: dict,
         queue: QueueConfig,
         job: JobId,
         workspace: WorkspaceName,
-        body: bytes,
         timeout_s: float,
     ) -> Answer:
         try:
-            spec = decode_submission(job, queue.queue, body, workspace)
+            request.charge_decoding(MAX_VALUES)
+            spec = decode_submission(job, queue.queue, request.body, workspace)
+            request.release_body(environ, min(len(request.body), MAX_KEPT_BYTES))
         except MalformedSubmission as error:
             _LOGGER.info(
                 "entry: malformed job", extra={"job": job, "reason": str(error)}
@@ -202,7 +218,7 @@
     if error.retry_after_s is not None:
         headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
     status = 503
-    if error.outcome is not Outcome.NOT_RUN:
+    if error.outcome is not Outcome.NOT_RUN or error.code in UNCHECKED_CODES:
         status = 504
     elif error.code in OVERLOAD_CODES:
         status = 429
--- a/src/jayshunt/platform/settings.py
+++ b/src/jayshunt/platform/settings.py
@@ -59,6 +59,7 @@
         memory_mb=int(_number(limits, "limits.memoryMb", 0.0)),
         heartbeat_ms=int(_number(fields, "heartbeatMs", 1_500.0)),
         bounds=_decode_bounds(bounds),
+        max_fds=int(_number(limits, "limits.maxFds", 0.0)),
         link_mbps=_number(limits, "limits.linkMbps", 1_000.0),
         vm_orders_per_s=_number(vm_service, "cloudApi.dutiesPerS", DEFAULT_PER_S),
     )
--- a/src/jayshunt/platform/tests/test_front_api.py
+++ b/src/jayshunt/platform/tests/test_front_api.py
@@ -121,6 +121,15 @@
         self.entry.error = AcceptUnknown("no answer of the store")
         self.assertEqual(504, self.submit().status)
 
+    def test_refusal_for_lack_of_memory_is_no_final_refusal(self) -> None:
+        """An earlier submission of the job may have been accepted at another entry."""
+        body = json.dumps({"steps": [{"image": "x" * 199}] * 64}).encode()
+        memory = self.server._memory
+        self.assertTrue(memory.acquire(memory._max_bytes - len(body) - 1_000))
+        answer = self.call("POST", f"/quotes/{JOB}", body)
+        self.assertEqual(504, answer.status)
+        self.assertEqual([], self.entry.callers)
+
     def test_malformed_requests_get_an_answer(self) -> None:
         """A caller whose connection breaks would send the same request again."""
         for body in (b"[" * 200_000, b'{"steps":[{"cpu":1e999}]}', b"\xff"):
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -16,7 +16,7 @@
 from jayshunt.dispatch.handover import HandoverMonitor
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.metrics import EntryMetrics
-from jayshunt.dispatch.models import Address, EntryNode, Resources, Worker
+from jayshunt.dispatch.models import EntryNode, Resources, Worker
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import OwnTerm, TermElection
@@ -24,10 +24,15 @@
 from jayshunt.platform.const import CONFIG_KEY
 from jayshunt.platform.formats import decode_config
 from jayshunt.platform.front_api import FrontApi
+from jayshunt.platform.server_limits import (
+    caller_limits,
+    peer_limits,
+    readiness_limits,
+    request_sizes,
+)
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import WorkerClient
 from jayshunt.serving.http_server import HttpServer
-from jayshunt.serving.limits import ServerLimits
 from jayshunt.tasks import TaskGroup
 from jayshunt.workspaces.authentication import Authenticator
 from jayshunt.workspaces.limits import limits_of
@@ -35,27 +40,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 1024 * 1024
-# The balancer stops sending new connections after two missed readiness checks,
-# one second apart.
-READY_GRACE_S = 2.4
-# The sum with READY_GRACE_S stays below the 6 s after which the platform sends
-# SIGKILL. The stops of the background tasks and of the two other servers add to it.
-DRAIN_TIMEOUT_S = 2.2
-CALLER_LIMITS = ServerLimits(
-    max_connections=1_500,
-    max_body_bytes=MAX_BODY_BYTES,
-    drain_grace_s=READY_GRACE_S,
-    drain_timeout_s=DRAIN_TIMEOUT_S,
-)
-# Limits of the peers' server and of the server for readiness checks.
-PEER_LIMITS = ServerLimits(
-    max_connections=600,
-    max_body_bytes=4 * MAX_BODY_BYTES,
-    drain_grace_s=0.0,
-    drain_timeout_s=0.5,
-)
-
 
 class PlatformEntry:
     """Components of one entry; the dispatcher runs here while it holds the term."""
@@ -95,24 +79,31 @@
             self._metrics.observe_refusal,
         )
         self._tasks = TaskGroup("entry")
-        self._front_server = _build_server(
-            node.front,
+        self._front_server = HttpServer(
+            *node.front,
             FrontApi(
                 self._job_service,
                 self._config.current,
                 self._metrics.observe_answer,
                 self._authenticator,
             ),
-            CALLER_LIMITS,
+            caller_limits(node),
+            sizes=lambda: request_sizes(node, self._config.current()),
+            name="front",
         )
-        self._ready_server = _build_server(
-            node.ready, ReadyApi(self._is_ready), PEER_LIMITS
+        self._ready_server = HttpServer(
+            *node.ready,
+            ReadyApi(self._is_ready),
+            readiness_limits(node),
+            name="readiness",
         )
-        self._peer_server = _build_server(
-            node.peer,
+        self._peer_server = HttpServer(
+            *node.peer,
             PeerApi(self._link, self._dump, self._metrics.render),
-            PEER_LIMITS,
+            peer_limits(node),
+            name="peers",
         )
+        self._metrics.describe_servers = self._describe_servers
 
     def start(self) -> None:
         """Start every component."""
@@ -175,14 +166,15 @@
         return limits_of(self._config.current()).get(workspace)
 
     def _dump(self) -> dict:
-        return describe(
+        state = describe(
             self._node, self._config, self._election, self._link, self._authenticator
         )
+        return {**state, "servers": self._describe_servers()}
+
+    def _describe_servers(self) -> dict[str, dict]:
+        servers = (self._front_server, self._ready_server, self._peer_server)
+        return {server.name: server.diagnostics() for server in servers}
 
 
 def _connect_worker(worker: Worker, token: int) -> WorkerClient:
     return WorkerClient(worker.worker, worker.address, token)
-
-
-def _build_server(address: Address, app, limits: ServerLimits) -> HttpServer:
-    return HttpServer(address.host, address.port, app, limits)
--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -12,7 +12,12 @@
 from jayshunt.clock import Clock
 from jayshunt.errors import JayshuntError
 from jayshunt.serving.cancellation import Cancellation
-from jayshunt.serving.const import LINGER_S
+from jayshunt.serving.const import (
+    LINGER_S,
+    RECEIVED_FACTOR,
+    TEXT_FACTOR,
+    VALUE_BYTES,
+)
 from jayshunt.serving.head import RequestHead, parse_head
 from jayshunt.serving.limits import (
     RequestCharge,
@@ -38,6 +43,11 @@
 Application = Callable[[dict, Callable], Iterable[bytes]]
 
 
+def count_values(body: bytes) -> int:
+    """Return at least how many values a JSON document has, without decoding it."""
+    return body.count(b",") + body.count(b"{") + body.count(b"[")
+
+
 class Activity(Enum):
     """What a connection is doing."""
 
@@ -60,6 +70,17 @@
     cancellation: Cancellation
     charge: RequestCharge | None = None
 
+    def charge_decoding(self, max_values: int) -> None:
+        """Charge what the body's decoded JSON may take, until `release_body`.
+
+        A body with more than `max_values` values is not to be decoded. Raise
+        JayshuntError if the memory for requests is exhausted.
+        """
+        values = count_values(self.body)
+        if self.charge is not None and values <= max_values:
+            decoded_bytes = len(self.body) * TEXT_FACTOR + values * VALUE_BYTES
+            self.charge.acquire(int(decoded_bytes / RECEIVED_FACTOR))
+
     def release_body(self, environ: dict, kept_bytes: int = 0) -> None:
         """Drop the body; `kept_bytes` stay charged for what was decoded from it."""
         self.body = b""
--- a/src/jayshunt/serving/const.py
+++ b/src/jayshunt/serving/const.py
@@ -21,6 +21,11 @@
 MAX_CHUNK_LINE_BYTES = 128
 # Longer heads are charged to the memory for requests.
 FREE_HEAD_BYTES = 4 * 1024
+# A byte of a request takes up so much memory while it is received, with its copies.
+RECEIVED_FACTOR = 2.5
+# A byte of JSON takes up so much as text, and each value this much as an object.
+TEXT_FACTOR = 8
+VALUE_BYTES = 180
 # How much is read at a time, which bounds the pipelined bytes that a connection holds.
 READ_HEAD_BYTES = 8 * 1024
 READ_BODY_BYTES = 64 * 1024
