--- /dev/null
+++ b/src/jayshunt/dispatch/memory_budget.py
@@ -0,0 +1,86 @@
+"""Divide the memory of an entry's VM between what callers can make it hold.
+
+The platform ends a process that exceeds `limits.memoryMb`, so that every limit on what
+clients can make an entry hold is derived here from that setting. `docs/reference.md`
+lists the shares.
+"""
+
+from dataclasses import dataclass
+
+# Used where the settings do not name the memory.
+DEFAULT_MEMORY_MB = 300
+# The interpreter, the libraries and the code of an entry that holds nothing.
+PROCESS_BYTES = 64 * 1024**2
+# Shares of what is left. The rest is for workers, lists of the store and logs, and for
+# memory that the allocator does not return.
+JOBS_SHARE = 0.25
+CONNECTIONS_SHARE = 0.15
+REQUESTS_SHARE = 0.25
+# An open connection: its thread and objects (22 KB), the kernel's buffer of unread
+# bytes (16 KB), up to 12 KB of a head or of pipelined requests, and what is parsed from
+# a head of usual size.
+CONNECTION_BYTES = 64 * 1024
+# Used where the settings do not name the descriptors. The platform reserves some of
+# them for files. HttpMulti keeps most of the others for connections to workers.
+DEFAULT_MAX_FDS = 4_100
+RESERVED_FDS = 200
+CONNECTION_FDS_SHARE = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class ServerShare:
+    """Store which parts of the connections and of the memory one server may use."""
+
+    connections: float
+    requests: float
+
+
+CALLERS_SHARE = ServerShare(connections=0.65, requests=0.7)
+PEERS_SHARE = ServerShare(connections=0.25, requests=0.25)
+READINESS_SHARE = ServerShare(connections=0.1, requests=0.05)
+# Below this, health checks, tools and peers could not call at the same time.
+MIN_CONNECTIONS = 8
+
+
+@dataclass(frozen=True)
+class MemoryBudget:
+    """Store how many bytes of memory each kind of load may take in one entry.
+
+    `jobs_bytes` is for the jobs that the dispatcher holds, `connections_bytes` for the
+    threads and buffers of open connections, and `requests_bytes` for the heads and
+    bodies of requests in progress, with their copies and the objects decoded from them.
+    """
+
+    jobs_bytes: int
+    connections_bytes: int
+    requests_bytes: int
+
+
+def divide_memory(memory_mb: int) -> MemoryBudget:
+    """Return the budget of an entry with `memory_mb` MB of memory, 0 if not known.
+
+    For example, 300 MB leave 59 MB for jobs, 35 MB for connections and 59 MB for
+    requests.
+    """
+    total_bytes = (memory_mb or DEFAULT_MEMORY_MB) * 1024**2
+    free_bytes = max(0, total_bytes - PROCESS_BYTES)
+    return MemoryBudget(
+        jobs_bytes=int(free_bytes * JOBS_SHARE),
+        connections_bytes=int(free_bytes * CONNECTIONS_SHARE),
+        requests_bytes=int(free_bytes * REQUESTS_SHARE),
+    )
+
+
+def max_connections(budget: MemoryBudget, max_fds: int, share: ServerShare) -> int:
+    """Return how many connections a server may have; `max_fds` is 0 if not known.
+
+    For example, with 300 MB and 4,100 descriptors the callers' server may have 368.
+    """
+    fds = max(0, (max_fds or DEFAULT_MAX_FDS) - RESERVED_FDS) * CONNECTION_FDS_SHARE
+    total = min(budget.connections_bytes // CONNECTION_BYTES, int(fds))
+    return max(MIN_CONNECTIONS, int(total * share.connections))
+
+
+def max_request_bytes(budget: MemoryBudget, share: ServerShare) -> int:
+    """Return how many bytes of memory the requests at a server may take."""
+    return int(budget.requests_bytes * share.requests)
