Bound the memory of the jobs that a dispatcher holds

An accepted job costs the dispatcher up to 30 MB (50,000 tasks), and any number was accepted: a dozen such jobs, each one inside the limits, exceed the 300 MB of an entry VM, at this dispatcher and at each successor that reads them.

Cause: what a job takes was not counted anywhere.

Change: job_memory.py estimates the bytes of a job from its tasks, occurrences and texts, and decides by the share of the entry's memory that memory_budget.py leaves for jobs. Entries learn with the dispatcher's refusals how much room there is, and refuse a job that exceeds it (429, jobs_exhaust_memory) unless it is stored already. Jobs over a hundredth of the memory may fill three quarters of it, so that ordinary jobs find room beside large ones. Jobs that are accepted all the same, by an entry that does not know, stay in the store, count as waiting, and are added once earlier ones have ended.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -18,6 +18,8 @@
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView, is_capacity_known
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.intake_reader import IntakeReader
+from jayshunt.dispatch.job_memory import JobMemory, JobRoom
+from jayshunt.dispatch.memory_budget import divide_memory
 from jayshunt.dispatch.messages import SessionContext, WorkerApi
 from jayshunt.dispatch.models import EntryNode, FleetConfig, JobState, Worker
 from jayshunt.dispatch.order_sender import OrderSender
@@ -95,7 +97,9 @@
         self._connect_worker = connect_worker
         self.lock = threading.RLock()
         self.tracker = RunTracker(
-            own.term.token, max_lease_s=node.bounds.max_lease_ms / 1000
+            own.term.token,
+            max_lease_s=node.bounds.max_lease_ms / 1000,
+            memory=JobMemory(divide_memory(node.memory_mb).jobs_bytes),
         )
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._group = TaskGroup("dispatch")
@@ -351,6 +355,16 @@
 
     # --- requests from entries ---
 
+    def job_room(self) -> JobRoom:
+        """Return how much memory new jobs may take.
+
+        While accepted jobs wait in the store for memory, there is none.
+        """
+        with self.lock:
+            if self._intake.deferred:
+                return JobRoom(max_small_bytes=0, small_bytes=0, large_bytes=0)
+            return self.tracker.memory.room()
+
     def job_state(self, job_id: JobId, caller: WorkspaceName) -> JobState | None:
         """Return the state of a job that callers see.
 
@@ -425,4 +439,4 @@
                 and not job.has_started
                 and not job.spec.times
                 and not job.state.is_final
-            )
+            ) + sum(found == queue for found in self._intake.deferred.values())
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -16,6 +16,7 @@
     ISOLATED_AFTER_S,
 )
 from jayshunt.dispatch.errors import AcceptUnknown, JobIdTaken, JobRefused
+from jayshunt.dispatch.job_memory import estimate_job_bytes
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig, Resources
 from jayshunt.dispatch.records import (
@@ -47,6 +48,8 @@
 # Only a change of the configuration lets a job start that exceeds its workspace's
 # limit, so that an early retry is useless. The code, and the time in seconds.
 EXCEEDS_LIMIT = ("exceeds_workspace_limit", 60.0)
+# Memory is free again once jobs have ended; the code, and the time in seconds.
+NO_MEMORY = ("jobs_exhaust_memory", 5.0)
 
 
 @dataclass(frozen=True)
@@ -109,6 +112,10 @@
             return self._refuse_unless_known(
                 spec, *EXCEEDS_LIMIT, f"a task or gang exceeds the limit {limit}"
             )
+        if not self._link.has_room(estimate_job_bytes(spec)):
+            return self._refuse_unless_known(
+                spec, *NO_MEMORY, "the dispatcher has no memory for the job"
+            )
         retry_after_s = self._retry_after_s(spec, queue)
         if retry_after_s > 0 and not spec.is_long_running:
             return self._refuse_unless_known(
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -12,8 +12,15 @@
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
+from jayshunt.dispatch.job_memory import estimate_job_bytes
 from jayshunt.dispatch.malformed import MalformedEntries
-from jayshunt.dispatch.models import FleetConfig, JobState, QueueConfig, StepSpec
+from jayshunt.dispatch.models import (
+    FleetConfig,
+    JobSpec,
+    JobState,
+    QueueConfig,
+    StepSpec,
+)
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -77,7 +84,11 @@
         clock: Clock,
         config: Callable[[], FleetConfig | None],
     ) -> None:
-        """Initialize the reader; the first run reads everything."""
+        """Initialize the reader; the first run reads everything.
+
+        `deferred` are accepted jobs, with their queues, that stay in the store until
+        there is memory for them, the oldest first.
+        """
         self._dispatcher = dispatcher
         self._store = store
         self._clock = clock
@@ -85,6 +96,7 @@
         self._revision: Revision | None = None
         self._suspicion_revision: Revision | None = None
         self._malformed = MalformedEntries()
+        self.deferred: dict[JobId, QueueName] = {}
         self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
 
     def run(self, stop: threading.Event) -> None:
@@ -101,6 +113,7 @@
                 self._poll_changes()
                 self._clock.wait(stop, INTAKE_POLL_S)
                 self._forget_details()
+                self._add_deferred()
                 self._remove_expired()
                 self._delete_old_suspicion()
             except HistoryGone:
@@ -129,6 +142,8 @@
         if tracker.knows(job_id):
             return
         spec, accepted_at_s = decode_job(job_id, value)
+        if self._is_deferred(spec):
+            return
         now_s = self._clock.monotonic_s()
         has_progress = progress is not None and progress.value is not None
         age_s = 0.0 if is_new else min(60.0, max(0.0, time.time() - accepted_at_s))
@@ -164,6 +179,42 @@
                 },
             )
 
+    def _is_deferred(self, spec: JobSpec) -> bool:
+        """Return whether a job stays in the store, as there is no memory for it."""
+        with self._dispatcher.lock:
+            memory = self._dispatcher.tracker.memory
+            if memory.may_hold(estimate_job_bytes(spec)):
+                self.deferred.pop(spec.job, None)
+                return False
+            is_new = spec.job not in self.deferred
+            self.deferred.setdefault(spec.job, spec.queue)
+        if is_new:
+            _LOGGER.warning(
+                "dispatch: a job waits in the store for memory",
+                extra={
+                    "job": spec.job,
+                    "held_bytes": memory.held_bytes,
+                    "limit_bytes": memory.limit_bytes,
+                    "waiting": len(self.deferred),
+                },
+            )
+        return True
+
+    def _add_deferred(self) -> None:
+        """Add the jobs that waited in the store, as far as there is memory."""
+        for job_id in list(self.deferred):
+            accepted = self._store.get(accepted_key(job_id))
+            if accepted is None or accepted.value is None:
+                self.deferred.pop(job_id, None)
+                continue
+            self._add_item(accepted, self._store.get(progress_key(job_id)))
+            if job_id in self.deferred:
+                return
+            cancelled = self._store.get(cancelled_key(job_id))
+            if cancelled is not None:
+                self._apply_cancel(cancelled)
+            self._dispatcher.notify_changed()
+
     def _queue_config(self, queue: QueueName, value: bytes) -> QueueConfig:
         for found in self._config().queues:
             if found.queue == queue:
@@ -274,6 +325,7 @@
                 raise ValueError("the key is no id of a job")
             self.add_job(job_id, item.value, item.created, False, progress)
         except DECODE_ERRORS as error:
+            self.deferred.pop(job_id, None)
             self._malformed.log(item.key, item.revision, describe_invalid(error))
 
     def _apply_cancel(self, item: Item) -> None:
--- a/src/jayshunt/dispatch/job_memory.py
+++ b/src/jayshunt/dispatch/job_memory.py
@@ -3,6 +3,7 @@
 import sys
 from dataclasses import dataclass
 
+from jayshunt.checked import MAX_WHOLE, CheckedModel, Whole
 from jayshunt.dispatch.models import JobSpec
 
 # Measured with tracemalloc on CPython 3.11, rounded up for the times, numbers and lists
@@ -15,7 +16,7 @@
 # A job that needs more than SMALL_SHARE of the memory for jobs is a large one. Large
 # jobs may fill LARGE_SHARE of it; the rest is kept for small jobs.
 SMALL_SHARE = 0.01
-UNLIMITED = sys.maxsize
+UNLIMITED = MAX_WHOLE
 LARGE_SHARE = 0.75
 
 
@@ -38,19 +39,20 @@
     )
 
 
-@dataclass(frozen=True)
-class JobRoom:
-    """Represent how many bytes a new job may take: a small one, and a large one."""
+class JobRoom(CheckedModel):
+    """Represent how many bytes a new job may take: a small one, and a large one.
 
-    small_bytes: int
-    large_bytes: int
-    is_small_below_bytes: int
+    A job of up to `max_small_bytes` is a small one.
+    """
+
+    max_small_bytes: Whole
+    small_bytes: Whole
+    large_bytes: Whole
 
     def has_room(self, job_bytes: int) -> bool:
         """Return whether a job of this size may be accepted now."""
-        if job_bytes <= self.is_small_below_bytes:
-            return job_bytes <= self.small_bytes
-        return job_bytes <= self.large_bytes
+        is_small = job_bytes <= self.max_small_bytes
+        return job_bytes <= (self.small_bytes if is_small else self.large_bytes)
 
 
 @dataclass
@@ -63,9 +65,9 @@
     def room(self) -> JobRoom:
         """Return what a new job may take."""
         return JobRoom(
+            max_small_bytes=int(self.limit_bytes * SMALL_SHARE),
             small_bytes=max(0, self.limit_bytes - self.held_bytes),
             large_bytes=max(0, int(self.limit_bytes * LARGE_SHARE) - self.held_bytes),
-            is_small_below_bytes=int(self.limit_bytes * SMALL_SHARE),
         )
 
     def may_hold(self, job_bytes: int) -> bool:
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -23,6 +23,7 @@
 from jayshunt.dispatch.dispatcher import Dispatcher
 from jayshunt.dispatch.errors import NoDispatcher
 from jayshunt.dispatch.handover import EntryReport
+from jayshunt.dispatch.job_memory import JobRoom
 from jayshunt.dispatch.models import JobState
 from jayshunt.dispatch.store_models import Term
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
@@ -77,6 +78,7 @@
         self._refusals: dict[QueueName, float] = {}
         self._outlooks: dict[QueueName, QueueOutlook] = {}
         self._workspace_refusals: dict[QueueName, dict[WorkspaceName, float]] = {}
+        self._job_room: JobRoom | None = None
         self._refusals_s = 0.0
         self._reports: dict[str, EntryReport] = {}
         self.handover_lease: LeaseId | None = None
@@ -100,6 +102,16 @@
             return 0.0
         return self._workspace_refusals.get(queue_name, {}).get(workspace, 0.0)
 
+    def has_room(self, job_bytes: int) -> bool:
+        """Return whether the dispatcher has memory for a new job of this size.
+
+        Without a recent answer it is taken to have. It keeps what it cannot hold in the
+        store then.
+        """
+        if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
+            return True
+        return self._job_room is None or self._job_room.has_room(job_bytes)
+
     def outlook(self, queue_name: QueueName) -> QueueOutlook | None:
         """Return the outlook of a queue, None if there is no recent one."""
         if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
@@ -224,10 +236,13 @@
             by_workspace = _WORKSPACE_REFUSALS.validate_python(
                 answer.get("workspace_refusals", {})
             )
+            room = answer.get("job_room")
+            job_room = None if room is None else JobRoom.model_validate(room)
         except DECODE_ERRORS as error:
             raise _unreadable_answer("refusals", "", error) from error
         self._refusals = refusals
         self._workspace_refusals = by_workspace
+        self._job_room = job_room
         self._refusals_s = self._clock.monotonic_s()
 
     def _is_remote(self, term: Term) -> bool:
@@ -366,6 +381,7 @@
             answer = {
                 "refusals": dispatcher.planner.refusals(),
                 "workspace_refusals": dispatcher.planner.workspace_refusals(),
+                "job_room": dispatcher.job_room().model_dump(),
             }
             if dispatcher.planner.admission is not None:
                 answer["outlooks"] = dispatcher.planner.admission.encode_outlooks()
--- a/src/jayshunt/dispatch/tests/test_job_memory.py
+++ b/src/jayshunt/dispatch/tests/test_job_memory.py
@@ -1,19 +1,27 @@
 """Test how much memory jobs take at the dispatcher, and what it holds of them."""
 
+import tracemalloc
 import unittest
 
+from jayshunt.dispatch.job_memory import JobMemory, estimate_job_bytes
+from jayshunt.dispatch.memory_budget import divide_memory
 from jayshunt.dispatch.models import JobState, RunEnd
+from jayshunt.dispatch.records import cancelled_key
 from jayshunt.dispatch.run_tracker import ENDED_DETAILS_S
+from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import (
     JOB,
+    QUEUE,
     add_worker_view,
     build_end,
     build_job,
     build_report,
+    build_spec,
     build_step,
     build_tracker,
     place,
 )
+from jayshunt.dispatch.tests.fleet_builders import TASKS_PER_JOB, FakeFleet
 
 FORGOTTEN_S = 2.0 + ENDED_DETAILS_S
 
@@ -79,5 +87,90 @@
         self.assertNotIn(JOB, self.tracker.stored_versions)
 
 
+class JobRoomTest(unittest.TestCase):
+    """Decide which jobs a dispatcher with 300 MB may hold."""
+
+    def setUp(self) -> None:
+        """Start without jobs."""
+        self.memory = JobMemory(divide_memory(300).jobs_bytes)
+
+    def test_estimate_covers_what_jobs_take(self) -> None:
+        """A low estimate lets the sum of jobs exceed the memory."""
+        many = tuple(build_step(task_count=2_000) for _ in range(5))
+        for steps, changes in (
+            (many, {}),
+            ((build_step(),), {}),
+            ((build_step(required_label="x" * 200),) * 64, {}),
+            ((build_step(),), {"times": 5_000, "interval_ms": 1}),
+        ):
+            tracemalloc.start()
+            job = build_job(*steps, **changes)
+            job.create_due_occurrences(1e15)
+            job.ready_tasks()
+            taken_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertLess(taken_bytes, estimate_job_bytes(job.spec))
+
+    def test_largest_job_fits_while_there_are_few(self) -> None:
+        """A single job inside the limits is served."""
+        spec = build_spec(*[build_step(task_count=10_000)] * 5)
+        self.assertTrue(self.memory.room().has_room(estimate_job_bytes(spec)))
+
+    def test_large_jobs_leave_memory_for_small_ones(self) -> None:
+        """Ordinary callers were refused, or the process ended, beside large jobs."""
+        large = estimate_job_bytes(build_spec(build_step(task_count=10_000)))
+        small = estimate_job_bytes(build_spec(build_step(task_count=50)))
+        while self.memory.room().has_room(large):
+            self.memory.held_bytes += large
+        for _ in range(100):
+            self.assertTrue(self.memory.room().has_room(small))
+            self.memory.held_bytes += small
+        self.assertLess(self.memory.held_bytes, self.memory.limit_bytes)
+
+    def test_job_larger_than_the_limit_is_held_alone(self) -> None:
+        """Accepted before the limit was lowered, it would wait for ever."""
+        self.assertTrue(self.memory.may_hold(2 * self.memory.limit_bytes))
+        self.memory.held_bytes = self.memory.limit_bytes // 2
+        self.assertFalse(self.memory.may_hold(self.memory.limit_bytes))
+
+
+class DeferredJobTest(unittest.TestCase):
+    """Read more accepted jobs from the store than there is memory for."""
+
+    def setUp(self) -> None:
+        """Store three jobs of a size of which two can be held."""
+        self.fleet = FakeFleet(0)
+        self.fleet.add_long_running_jobs(3)
+        self.dispatcher = self.fleet.build_dispatcher()
+        self.addCleanup(self.dispatcher.stop, False)
+        self.tracker = self.dispatcher.tracker
+        step = build_step(task_count=TASKS_PER_JOB, is_long_running=True)
+        self.tracker.memory.limit_bytes = 5 * estimate_job_bytes(build_spec(step)) // 2
+        self.intake = self.dispatcher._intake
+        self.intake._read_all()
+
+    def test_jobs_beyond_the_memory_wait_in_the_store(self) -> None:
+        """A successor that read all accepted jobs at once ran out of memory."""
+        self.assertEqual(2, len(self.tracker.jobs))
+        self.assertEqual(1, len(self.intake.deferred))
+        self.assertFalse(self.dispatcher.job_room().has_room(1))
+        self.assertEqual(3, self.dispatcher.count_waiting(QUEUE))
+
+    def test_waiting_job_is_added_once_there_is_memory(self) -> None:
+        """An accepted job must run in the end, unless it was cancelled meanwhile."""
+        (waiting,) = self.intake.deferred
+        key = cancelled_key(waiting)
+        self.fleet.store.transact({}, (Put(key, b"{}"),))
+        self.intake._add_deferred()
+        self.assertNotIn(waiting, self.tracker.jobs)
+        ended = next(iter(self.tracker.jobs.values()))
+        ended.state = JobState.CANCELLED
+        self.tracker.record_stored(ended, 1, JobState.CANCELLED, 0.0)
+        self.tracker.forget_details(FORGOTTEN_S)
+        self.intake._add_deferred()
+        self.assertEqual({}, self.intake.deferred)
+        self.assertEqual(JobState.CANCELLED, self.tracker.jobs[waiting].state)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -257,6 +257,7 @@
         """Start with an unreachable dispatcher."""
         self.refuse_s = 0.0
         self.queue_outlook = None
+        self.free_bytes = float("inf")
         self.workspace_retry_s = 0.0
         self.notified: list = []
         self.state = None
@@ -271,6 +272,10 @@
         """Return after how long refused callers may retry."""
         return self.refuse_s
 
+    def has_room(self, job_bytes: int) -> bool:
+        """Return whether the dispatcher has memory for a job."""
+        return job_bytes <= self.free_bytes
+
     def outlook(self, queue):
         """Return the outlook of a queue, if the test has set one."""
         return self.queue_outlook
@@ -336,6 +341,17 @@
         self.store.run_late()
         self.assertIn(accepted_key(self.spec.job), self.store.items)
 
+    def test_job_without_memory_is_refused_unless_it_was_accepted(self) -> None:
+        """Accepted jobs beyond the memory ended the dispatcher."""
+        self.link.free_bytes = 0
+        with self.assertRaises(JobRefused):
+            self.submit()
+        self.assertEqual({}, self.store.items)
+        self.link.free_bytes = float("inf")
+        self.submit()
+        self.link.free_bytes = 0
+        self.assertFalse(self.submit().is_new)
+
     def test_entry_without_the_store_lets_the_dispatcher_write(self) -> None:
         """An entry that is cut off from the store must still serve its callers."""
         self.store.fault = lambda step: "down"
--- a/src/jayshunt/overload/tests/test_admission.py
+++ b/src/jayshunt/overload/tests/test_admission.py
@@ -176,6 +176,7 @@
         dispatcher = SimpleNamespace(
             lock=threading.RLock(),
             tracker=tracker,
+            job_room=tracker.memory.room,
             fleet=SimpleNamespace(
                 inventory=SimpleNamespace(vms={}), fetchable_cores=lambda: 0.0
             ),
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -35,7 +35,12 @@
 JSON_TYPE = ("Content-Type", "application/json")
 # Refusals for lack of room, of the fleet or of the caller's workspace.
 OVERLOAD_CODES = frozenset(
-    {"queue_behind", "exceeds_workspace_limit", "workspace_rate"}
+    {
+        "queue_behind",
+        "exceeds_workspace_limit",
+        "workspace_rate",
+        "jobs_exhaust_memory",
+    }
 )
 
 Answer = tuple[int, dict | None, list[tuple[str, str]]]
