Read accepted jobs page by page, within the memory for jobs

A dispatcher read the records of all accepted jobs, and then of their progress, into memory at the start of its term. Callers decide how large and how many these are, so that each successor could run out of memory on what the one before had accepted.

Cause: a list was taken for small because those of the platform are.

Change: PlatformStore.pages yields one page at a time. Of accepted jobs beyond the memory for jobs only the ids are kept; those that have ended count as ended, and the others are read once there is memory. A watch reads at most 4 MB; if more has changed, the list is read again as after a lost history. A job that waits is not loaded by a notice, which lacks its progress.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -375,9 +375,10 @@
             is_shown = may_access(job.spec.workspace, caller)
             return job.public_state() if is_shown else None
         ended = self.tracker.ended.get(job_id)
-        if ended is None or not may_access(ended.workspace, caller):
+        if ended is None or ended.workspace is None:
+            # The entry reads the store.
             return None
-        return ended.state
+        return ended.state if may_access(ended.workspace, caller) else None
 
     def notify_accepted(self, job_id: JobId, value: bytes, created: int) -> None:
         """Add a job that an entry has just stored."""
@@ -439,4 +440,4 @@
                 and not job.has_started
                 and not job.spec.times
                 and not job.state.is_final
-            ) + sum(found == queue for found in self._intake.deferred.values())
+            ) + sum(job.queue == queue for job in self._intake.deferred.values())
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
@@ -39,7 +40,7 @@
 )
 from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.suspicion import decode_suspicion
-from jayshunt.dispatch.tasks import Job
+from jayshunt.dispatch.tasks import EndedJob, Job
 from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import JobId, QueueName, Revision, WorkerId
 from jayshunt.platform.formats import is_job_id
@@ -70,6 +71,17 @@
     return ":".join([text, *(f"{k}={v}" for k, v in options.items() if v)])
 
 
+@dataclass(frozen=True, slots=True)
+class DeferredJob:
+    """Represent an accepted job that waits in the store for memory.
+
+    The queue is not known, and the size 0, for a job that was not decoded.
+    """
+
+    queue: QueueName | None = None
+    job_bytes: int = 0
+
+
 class IntakeReader:
     """Add every accepted job in the store to the tracker.
 
@@ -86,8 +98,8 @@
     ) -> None:
         """Initialize the reader; the first run reads everything.
 
-        `deferred` are accepted jobs, with their queues, that stay in the store until
-        there is memory for them, the oldest first.
+        `deferred` are accepted jobs that stay in the store until there is memory for
+        them, the oldest first.
         """
         self._dispatcher = dispatcher
         self._store = store
@@ -96,7 +108,7 @@
         self._revision: Revision | None = None
         self._suspicion_revision: Revision | None = None
         self._malformed = MalformedEntries()
-        self.deferred: dict[JobId, QueueName] = {}
+        self.deferred: dict[JobId, DeferredJob] = {}
         self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
 
     def run(self, stop: threading.Event) -> None:
@@ -139,10 +151,11 @@
         Otherwise its age is taken from the stored time, up to a minute.
         """
         tracker, lock = self._dispatcher.tracker, self._dispatcher.lock
-        if tracker.knows(job_id):
+        if tracker.knows(job_id) or job_id in self.deferred:
             return
         spec, accepted_at_s = decode_job(job_id, value)
-        if self._is_deferred(spec):
+        has_ended = progress is not None and stored_state(progress.value).is_final
+        if not has_ended and self._is_deferred(spec):
             return
         now_s = self._clock.monotonic_s()
         has_progress = progress is not None and progress.value is not None
@@ -182,35 +195,36 @@
     def _is_deferred(self, spec: JobSpec) -> bool:
         """Return whether a job stays in the store, as there is no memory for it."""
         with self._dispatcher.lock:
-            memory = self._dispatcher.tracker.memory
-            if memory.may_hold(estimate_job_bytes(spec)):
-                self.deferred.pop(spec.job, None)
-                return False
-            is_new = spec.job not in self.deferred
-            self.deferred.setdefault(spec.job, spec.queue)
-        if is_new:
-            _LOGGER.warning(
-                "dispatch: a job waits in the store for memory",
-                extra={
-                    "job": spec.job,
-                    "held_bytes": memory.held_bytes,
-                    "limit_bytes": memory.limit_bytes,
-                    "waiting": len(self.deferred),
-                },
+            memory, job_bytes = self._dispatcher.tracker.memory, estimate_job_bytes(
+                spec
             )
+            if memory.may_hold(job_bytes):
+                return False
+            self.deferred[spec.job] = DeferredJob(spec.queue, job_bytes)
+        _LOGGER.warning(
+            "dispatch: a job waits in the store for memory",
+            extra={
+                "job": spec.job,
+                "job_bytes": job_bytes,
+                "held_bytes": memory.held_bytes,
+                "limit_bytes": memory.limit_bytes,
+                "waiting": len(self.deferred),
+            },
+        )
         return True
 
     def _add_deferred(self) -> None:
         """Add the jobs that waited in the store, as far as there is memory."""
-        for job_id in list(self.deferred):
-            accepted = self._store.get(accepted_key(job_id))
-            if accepted is None or accepted.value is None:
-                self.deferred.pop(job_id, None)
-                continue
-            self._add_item(accepted, self._store.get(progress_key(job_id)))
-            if job_id in self.deferred:
+        memory = self._dispatcher.tracker.memory
+        for job_id, waiting in list(self.deferred.items()):
+            if not memory.may_hold(waiting.job_bytes):
                 return
+            accepted = self._store.get(accepted_key(job_id))
+            progress = self._store.get(progress_key(job_id))
             cancelled = self._store.get(cancelled_key(job_id))
+            self.deferred.pop(job_id, None)
+            if accepted is not None:
+                self._add_item(accepted, progress)
             if cancelled is not None:
                 self._apply_cancel(cancelled)
             self._dispatcher.notify_changed()
@@ -222,30 +236,72 @@
         return decode_queue(value)
 
     def _read_all(self) -> None:
-        """Read all jobs, then their progress, so that progress is never older."""
-        items, revision = self._store.list(INTAKE_PREFIX)
-        progress, _ = self._store.list(PROGRESS_PREFIX)
-        found = {item.key: item for item in progress}
-        for item in items:
-            if item.key.startswith(ACCEPTED_PREFIX):
+        """Read all jobs, then their progress, so that progress is never older.
+
+        Both are read page by page, since callers decide how large they are. Of accepted
+        jobs beyond the memory for jobs, only the ids are kept.
+        """
+        accepted: dict[JobId, Item | None] = {}
+        cancelled: list[Item] = []
+        first: Revision | None = None
+        left_bytes = self._dispatcher.tracker.memory.limit_bytes
+        for page, revision in self._store.pages(INTAKE_PREFIX):
+            first = revision if first is None else first
+            for item in page:
+                if not item.key.startswith(ACCEPTED_PREFIX):
+                    cancelled.append(item)
+                    continue
                 job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
-                self._add_item(item, found.get(progress_key(job_id)))
-        for item in items:
+                if not self._dispatcher.tracker.knows(job_id):
+                    left_bytes -= len(item.value)
+                    accepted[job_id] = item if left_bytes > 0 else None
+        for page, _ in self._store.pages(PROGRESS_PREFIX):
+            for progress in page:
+                job_id = JobId(progress.key.removeprefix(PROGRESS_PREFIX))
+                if job_id in accepted:
+                    self._add_read(job_id, accepted.pop(job_id), progress)
+        for job_id, item in accepted.items():
+            self._add_read(job_id, item, None)
+        for item in cancelled:
             self._apply_cancel(item)
         self._read_handoff()
         self._read_or_delete_suspicion()
         if self._dispatcher.interference_summary is not None:
             self._dispatcher.interference_summary.read()
-        self._revision = revision
+        self._revision = first
         _LOGGER.info(
             "dispatch: read the accepted jobs",
             extra={
                 "jobs": len(self._dispatcher.tracker.jobs),
                 "active": len(self._dispatcher.tracker.active),
-                "revision": revision,
+                "waiting_for_memory": len(self.deferred),
+                "revision": first,
             },
         )
 
+    def _add_read(
+        self, job_id: JobId, item: Item | None, progress: Item | None
+    ) -> None:
+        """Add a job that was read; of one that was too much, keep how it stands."""
+        if item is not None:
+            self._add_item(item, progress)
+            return
+        state = JobState.QUEUED
+        if progress is not None:
+            try:
+                state = stored_state(progress.value)
+            except DECODE_ERRORS as error:
+                self._malformed.log(
+                    progress.key, progress.revision, describe_invalid(error)
+                )
+                return
+        with self._dispatcher.lock:
+            if state.is_final:
+                ended = EndedJob(state, None, self._clock.monotonic_s())
+                self._dispatcher.tracker.add_ended(job_id, ended)
+            else:
+                self.deferred[job_id] = DeferredJob()
+
     def _read_handoff(self) -> None:
         """Read the handoff of the last term and delete it before any order is given.
 
@@ -325,7 +381,6 @@
                 raise ValueError("the key is no id of a job")
             self.add_job(job_id, item.value, item.created, False, progress)
         except DECODE_ERRORS as error:
-            self.deferred.pop(job_id, None)
             self._malformed.log(item.key, item.revision, describe_invalid(error))
 
     def _apply_cancel(self, item: Item) -> None:
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -148,11 +148,12 @@
 class EndedJob:
     """Represent a job of which only the stored end is kept.
 
-    `ended_s` is when this term learned of the end, in monotonic seconds.
+    `ended_s` is when this term learned of the end, in monotonic seconds. `workspace` is
+    None if only the store knows the owner.
     """
 
     state: JobState
-    workspace: WorkspaceName
+    workspace: WorkspaceName | None
     ended_s: float
 
 
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -140,6 +140,13 @@
         found = [i for k, i in sorted(self.items.items()) if k.startswith(prefix)]
         return tuple(found), Revision(self.revision)
 
+    def pages(self, prefix: str, stale: bool = False):
+        """Yield the items whose keys have a prefix, one by one."""
+        items, revision = self.list(prefix, stale)
+        yield [], revision
+        for item in items:
+            yield [item], revision
+
     def watch(self, prefix: str, after: Revision, wait_s: float, stop=None):
         """Return the existing items that changed after a revision."""
         self._check("watch")
--- a/src/jayshunt/dispatch/tests/test_job_memory.py
+++ b/src/jayshunt/dispatch/tests/test_job_memory.py
@@ -6,7 +6,7 @@
 from jayshunt.dispatch.job_memory import JobMemory, estimate_job_bytes
 from jayshunt.dispatch.memory_budget import divide_memory
 from jayshunt.dispatch.models import JobState, RunEnd
-from jayshunt.dispatch.records import cancelled_key
+from jayshunt.dispatch.records import accepted_key, cancelled_key, progress_key
 from jayshunt.dispatch.run_tracker import ENDED_DETAILS_S
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.tests.builders import (
@@ -22,6 +22,7 @@
     place,
 )
 from jayshunt.dispatch.tests.fleet_builders import TASKS_PER_JOB, FakeFleet
+from jayshunt.ids import JobId, WorkspaceName
 
 FORGOTTEN_S = 2.0 + ENDED_DETAILS_S
 
@@ -145,7 +146,8 @@
         self.addCleanup(self.dispatcher.stop, False)
         self.tracker = self.dispatcher.tracker
         step = build_step(task_count=TASKS_PER_JOB, is_long_running=True)
-        self.tracker.memory.limit_bytes = 5 * estimate_job_bytes(build_spec(step)) // 2
+        self.job_bytes = estimate_job_bytes(build_spec(step))
+        self.tracker.memory.limit_bytes = 5 * self.job_bytes // 2
         self.intake = self.dispatcher._intake
         self.intake._read_all()
 
@@ -156,6 +158,33 @@
         self.assertFalse(self.dispatcher.job_room().has_room(1))
         self.assertEqual(3, self.dispatcher.count_waiting(QUEUE))
 
+    def test_records_beyond_the_memory_are_not_decoded(self) -> None:
+        """Their values alone exceed it; an ended one does not run again."""
+        dispatcher = self.fleet.build_dispatcher()
+        self.addCleanup(dispatcher.stop, False)
+        ended = JobId(f"{0:016x}")
+        self.fleet.store.transact(
+            {}, (Put(progress_key(ended), b'{"state":"completed"}'),)
+        )
+        dispatcher.tracker.memory.limit_bytes = 1
+        dispatcher._intake._read_all()
+        self.assertEqual({}, dispatcher.tracker.jobs)
+        self.assertEqual([ended], list(dispatcher.tracker.ended))
+        self.assertEqual(2, len(dispatcher._intake.deferred))
+        self.assertIsNone(dispatcher.job_state(ended, WorkspaceName("")))
+        dispatcher.tracker.memory.limit_bytes = 3 * self.job_bytes // 2
+        dispatcher._intake._add_deferred()
+        self.assertEqual(1, len(dispatcher.tracker.jobs))
+        self.assertEqual(1, len(dispatcher._intake.deferred))
+
+    def test_notice_does_not_load_a_waiting_job(self) -> None:
+        """Without the progress of earlier terms, its done tasks would run again."""
+        (waiting,) = self.intake.deferred
+        self.tracker.memory.limit_bytes *= 10
+        item = self.fleet.store.get(accepted_key(waiting))
+        self.dispatcher.notify_accepted(waiting, item.value, item.created)
+        self.assertNotIn(waiting, self.tracker.jobs)
+
     def test_waiting_job_is_added_once_there_is_memory(self) -> None:
         """An accepted job must run in the end, unless it was cancelled meanwhile."""
         (waiting,) = self.intake.deferred
--- a/src/jayshunt/http_client.py
+++ b/src/jayshunt/http_client.py
@@ -43,7 +43,8 @@
 class HttpCall:
     """Request to send; it fails if there is no complete response in `timeout_s`.
 
-    `step` names the call in errors.
+    A response with a body over `max_answer_bytes` fails with `answer_too_large`. `step`
+    names the call in errors.
     """
 
     method: str
@@ -52,6 +53,7 @@
     step: str
     body: bytes | None = None
     headers: dict[str, str] | None = None
+    max_answer_bytes: int = MAX_ANSWER_BYTES
 
 
 class Transfer:
@@ -74,7 +76,7 @@
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
-        handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
+        handle.setopt(pycurl.MAXFILESIZE, call.max_answer_bytes)
         handle.setopt(pycurl.WRITEFUNCTION, self._response_body.write)
         handle.setopt(pycurl.HEADERFUNCTION, self._header_lines.append)
         sent = [f"{name}: {value}" for name, value in (call.headers or {}).items()]
@@ -103,8 +105,11 @@
         # curl retries a request on its own when a reused connection breaks, so that a
         # failed connect may follow a request that was sent.
         is_not_run = number in NOT_SENT_ERRORS and self._sent_bytes == 0
+        code = "peer_unreachable" if is_not_run else "no_answer"
+        if number == pycurl.E_FILESIZE_EXCEEDED:
+            code = "answer_too_large"
         return JayshuntError(
-            "peer_unreachable" if is_not_run else "no_answer",
+            code,
             step=self._call.step,
             peer=self._call.url.split("/")[2],
             outcome=Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN,
@@ -125,19 +130,22 @@
     authority_file: Path | None = None,
     handle: pycurl.Curl | None = None,
     stall_s: int | None = None,
+    max_answer_bytes: int = MAX_ANSWER_BYTES,
 ) -> HttpAnswer:
     """Send one request and return the complete response.
 
     Raise JayshuntError `peer_unreachable` with outcome NOT_RUN if no connection could
     be made, and `no_answer` with UNKNOWN if the request may have reached the peer but
-    no complete response came within `timeout_s` seconds. A request in flight is
+    no complete response came within `timeout_s` seconds, or `answer_too_large` if its
+    body has over `max_answer_bytes`. A request in flight is
     aborted within a second after `stop` is set and raises likewise. `handle` replaces
     the one of the calling thread, so that many threads can share few connections,
     each used by one thread at a time. With `stall_s`, a request that transfers less
     than MIN_BYTES_PER_S for that many seconds is aborted before its timeout.
     """
     handle = handle or _thread_handle()
-    transfer = Transfer(handle, HttpCall(method, url, timeout_s, step, body, headers))
+    call = HttpCall(method, url, timeout_s, step, body, headers, max_answer_bytes)
+    transfer = Transfer(handle, call)
     if stall_s is not None:
         handle.setopt(pycurl.LOW_SPEED_LIMIT, MIN_BYTES_PER_S)
         handle.setopt(pycurl.LOW_SPEED_TIME, stall_s)
--- a/src/jayshunt/platform/store.py
+++ b/src/jayshunt/platform/store.py
@@ -33,6 +33,9 @@
 # A list call whose connection delivers almost no data fails within this time plus
 # one second.
 LIST_STALL_S = 1
+# An answer to a watch has all changes since a revision, also large ones that callers
+# caused. A larger one is not read; the list is read again, page by page.
+MAX_WATCH_BYTES = 4 * 1024 * 1024
 # Calls that fail for longer are an outage or a partition rather than a lost answer.
 OUTAGE_S = 0.5
 # Time beyond the wait of a watch that its response may take.
@@ -40,7 +43,7 @@
 
 
 class HistoryGone(Exception):
-    """Raised when the store has discarded the changes after a revision."""
+    """Raised when the changes after a revision are discarded or too large to read."""
 
 
 class LeaseGone(Exception):
@@ -85,7 +88,19 @@
         `stale` permits a stale read.
         """
         items: list[Item] = []
-        revision: Revision | None = None
+        first: Revision | None = None
+        for page, revision in self.pages(prefix, stale):
+            items += page
+            first = revision if first is None else first
+        return tuple(items), first
+
+    def pages(
+        self, prefix: str, stale: bool = False
+    ) -> Iterator[tuple[tuple[Item, ...], Revision]]:
+        """Yield the pages of a list with the store revision of each, one at least.
+
+        A page is read when it is asked for, so that only one is held in memory.
+        """
         after = ""
         while True:
             query = {"prefix": prefix}
@@ -102,13 +117,12 @@
             )
             with self._decoding("list"):
                 document = json.loads(answer.body)
-                page = [_decode_item(fields) for fields in document["items"]]
+                page = tuple(_decode_item(fields) for fields in document["items"])
                 has_more = bool(page and document.get("hasMore"))
-                if revision is None:
-                    revision = Revision(document["storeRevision"])
-            items += page
+                revision = Revision(document["storeRevision"])
+            yield page, revision
             if not has_more:
-                return tuple(items), revision
+                return
             after = page[-1].key
 
     def watch(
@@ -122,7 +136,7 @@
 
         Wait up to `wait_s` seconds for the first change; setting `stop` ends the
         wait early. Raise HistoryGone if the store has discarded changes after the
-        revision.
+        revision, or if they have more than MAX_WATCH_BYTES.
         """
         query = urlencode(
             {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
@@ -133,6 +147,7 @@
             "/kv-watch?" + query,
             timeout_s=wait_s + WATCH_SLACK_S,
             stop=stop,
+            max_answer_bytes=MAX_WATCH_BYTES,
         )
         if answer.status == 410:
             raise HistoryGone(prefix)
@@ -228,6 +243,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
         stop: threading.Event | None = None,
         stall_s: int | None = None,
+        max_answer_bytes: int = http_client.MAX_ANSWER_BYTES,
     ) -> http_client.HttpAnswer:
         step = f"store.{step}"
         sent_s = time.monotonic()
@@ -245,8 +261,11 @@
                 step=step,
                 stop=stop,
                 stall_s=stall_s,
+                max_answer_bytes=max_answer_bytes,
             )
         except JayshuntError as error:
+            if error.code == "answer_too_large" and step == "store.watch":
+                raise HistoryGone("the changes are too large to read") from error
             if stop is None or not stop.is_set():
                 self._record_failure(sent_s)
             if method == "POST" and error.outcome is Outcome.UNKNOWN:
--- a/src/jayshunt/platform/tests/test_store.py
+++ b/src/jayshunt/platform/tests/test_store.py
@@ -7,7 +7,12 @@
 from jayshunt.dispatch.models import Address
 from jayshunt.dispatch.store_models import Put
 from jayshunt.ids import Revision
-from jayshunt.platform.store import HistoryGone, LeaseGone, PlatformStore
+from jayshunt.platform.store import (
+    MAX_WATCH_BYTES,
+    HistoryGone,
+    LeaseGone,
+    PlatformStore,
+)
 from jayshunt.platform.tests.scripted_server import (
     HOST,
     MALFORMED_BODIES,
@@ -104,6 +109,23 @@
         self.assertEqual(["a", "b"], [item.key for item in items])
         self.assertEqual(7, revision, "changes after the first page are watched")
 
+    def test_pages_are_read_one_by_one(self) -> None:
+        """All accepted jobs in memory at once ended a new dispatcher."""
+        item = {"key": "a", "value": "dg==", "rev": 1, "createRev": 1, "lease": 0}
+        self.server.answers = [
+            (200, {"items": [item], "hasMore": True, "storeRevision": 7})
+        ]
+        page, revision = next(self.store.pages(""))
+        self.assertEqual((["a"], 7), ([item.key for item in page], revision))
+        self.assertEqual([], self.server.answers)
+
+    def test_changes_too_large_to_read_count_as_lost_history(self) -> None:
+        """A watch that always fails would hide all later jobs."""
+        event = {"key": "a", "value": "d" * MAX_WATCH_BYTES, "rev": 1}
+        self.server.answers = [(200, {"events": [event], "storeRevision": 7})]
+        with self.assertRaises(HistoryGone):
+            self.store.watch("a", Revision(1), 0.1)
+
     def test_lost_history_and_ended_lease(self) -> None:
         """Discarded history and an ended lease must not look like an outage."""
         self.server.answers = [(410, {}), (404, {})]
--- a/src/jayshunt/workspaces/tests/test_demand.py
+++ b/src/jayshunt/workspaces/tests/test_demand.py
@@ -9,6 +9,7 @@
 from jayshunt.dispatch.const import STATUS_INTERVAL_S
 from jayshunt.dispatch.entry import EntryJobService
 from jayshunt.dispatch.errors import AcceptUnknown, JobRefused
+from jayshunt.dispatch.job_memory import UNLIMITED, JobMemory
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import Resources
 from jayshunt.dispatch.sizing import PoolSizer
@@ -155,7 +156,10 @@
             SimpleNamespace(record_answer=lambda: None),
         )
         link.own_dispatcher = SimpleNamespace(
-            planner=planner, ready=ready, term_valid=lambda: True
+            planner=planner,
+            ready=ready,
+            term_valid=lambda: True,
+            job_room=JobMemory(UNLIMITED).room,
         )
         link.poll_refusals(stop)
         self.assertEqual(4.0, link.workspace_retry_after_s(QUEUE, HOT))
