--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
@@ -12,8 +13,15 @@
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
+from jayshunt.dispatch.job_memory import estimate_job_bytes
 from jayshunt.dispatch.malformed import MalformedEntries
-from jayshunt.dispatch.models import FleetConfig, JobState, QueueConfig, StepSpec
+from jayshunt.dispatch.models import (
+    FleetConfig,
+    JobSpec,
+    JobState,
+    QueueConfig,
+    StepSpec,
+)
 from jayshunt.dispatch.records import (
     ACCEPTED_PREFIX,
     CANCELLED_PREFIX,
@@ -32,7 +40,7 @@
 )
 from jayshunt.dispatch.store_models import Item
 from jayshunt.dispatch.suspicion import decode_suspicion
-from jayshunt.dispatch.tasks import Job
+from jayshunt.dispatch.tasks import EndedJob, Job
 from jayshunt.errors import DECODE_ERRORS
 from jayshunt.ids import JobId, QueueName, Revision, WorkerId
 from jayshunt.platform.formats import is_job_id
@@ -43,6 +51,8 @@
 
 RETRY_S = 0.2
 JOBS_PER_REMOVAL = 10
+# Removals at each check, so that one a second removes more jobs than are accepted.
+MAX_REMOVALS = 20
 
 
 def summarize_step(step: StepSpec) -> str:
@@ -61,6 +71,17 @@
     return ":".join([text, *(f"{k}={v}" for k, v in options.items() if v)])
 
 
+@dataclass(frozen=True, slots=True)
+class DeferredJob:
+    """Represent an accepted job that waits in the store for memory.
+
+    The queue is not known, and the size 0, for a job that was not decoded.
+    """
+
+    queue: QueueName | None = None
+    job_bytes: int = 0
+
+
 class IntakeReader:
     """Add every accepted job in the store to the tracker.
 
@@ -75,7 +96,11 @@
         clock: Clock,
         config: Callable[[], FleetConfig | None],
     ) -> None:
-        """Initialize the reader; the first run reads everything."""
+        """Initialize the reader; the first run reads everything.
+
+        `deferred` are accepted jobs that stay in the store until there is memory for
+        them, the oldest first.
+        """
         self._dispatcher = dispatcher
         self._store = store
         self._clock = clock
@@ -83,6 +108,7 @@
         self._revision: Revision | None = None
         self._suspicion_revision: Revision | None = None
         self._malformed = MalformedEntries()
+        self.deferred: dict[JobId, DeferredJob] = {}
         self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
 
     def run(self, stop: threading.Event) -> None:
@@ -98,6 +124,8 @@
                     self._dispatcher.notify_changed()
                 self._poll_changes()
                 self._clock.wait(stop, INTAKE_POLL_S)
+                self._forget_details()
+                self._add_deferred()
                 self._remove_expired()
                 self._delete_old_suspicion()
             except HistoryGone:
@@ -123,9 +151,12 @@
         Otherwise its age is taken from the stored time, up to a minute.
         """
         tracker, lock = self._dispatcher.tracker, self._dispatcher.lock
-        if job_id in tracker.jobs:
+        if tracker.knows(job_id) or job_id in self.deferred:
             return
         spec, accepted_at_s = decode_job(job_id, value)
+        has_ended = progress is not None and stored_state(progress.value).is_final
+        if not has_ended and self._is_deferred(spec):
+            return
         now_s = self._clock.monotonic_s()
         has_progress = progress is not None and progress.value is not None
         age_s = 0.0 if is_new else min(60.0, max(0.0, time.time() - accepted_at_s))
@@ -161,6 +192,43 @@
                 },
             )
 
+    def _is_deferred(self, spec: JobSpec) -> bool:
+        """Return whether a job stays in the store, as there is no memory for it."""
+        with self._dispatcher.lock:
+            memory, job_bytes = self._dispatcher.tracker.memory, estimate_job_bytes(
+                spec
+            )
+            if memory.may_hold(job_bytes):
+                return False
+            self.deferred[spec.job] = DeferredJob(spec.queue, job_bytes)
+        _LOGGER.warning(
+            "dispatch: a job waits in the store for memory",
+            extra={
+                "job": spec.job,
+                "job_bytes": job_bytes,
+                "held_bytes": memory.held_bytes,
+                "limit_bytes": memory.limit_bytes,
+                "waiting": len(self.deferred),
+            },
+        )
+        return True
+
+    def _add_deferred(self) -> None:
+        """Add the jobs that waited in the store, as far as there is memory."""
+        memory = self._dispatcher.tracker.memory
+        for job_id, waiting in list(self.deferred.items()):
+            if not memory.may_hold(waiting.job_bytes):
+                return
+            accepted = self._store.get(accepted_key(job_id))
+            progress = self._store.get(progress_key(job_id))
+            cancelled = self._store.get(cancelled_key(job_id))
+            self.deferred.pop(job_id, None)
+            if accepted is not None:
+                self._add_item(accepted, progress)
+            if cancelled is not None:
+                self._apply_cancel(cancelled)
+            self._dispatcher.notify_changed()
+
     def _queue_config(self, queue: QueueName, value: bytes) -> QueueConfig:
         for found in self._config().queues:
             if found.queue == queue:
@@ -168,30 +236,72 @@
         return decode_queue(value)
 
     def _read_all(self) -> None:
-        """Read all jobs, then their progress, so that progress is never older."""
-        items, revision = self._store.list(INTAKE_PREFIX)
-        progress, _ = self._store.list(PROGRESS_PREFIX)
-        found = {item.key: item for item in progress}
-        for item in items:
-            if item.key.startswith(ACCEPTED_PREFIX):
+        """Read all jobs, then their progress, so that progress is never older.
+
+        Both are read page by page, since callers decide how large they are. Of accepted
+        jobs beyond the memory for jobs, only the ids are kept.
+        """
+        accepted: dict[JobId, Item | None] = {}
+        cancelled: list[Item] = []
+        first: Revision | None = None
+        left_bytes = self._dispatcher.tracker.memory.limit_bytes
+        for page, revision in self._store.pages(INTAKE_PREFIX):
+            first = revision if first is None else first
+            for item in page:
+                if not item.key.startswith(ACCEPTED_PREFIX):
+                    cancelled.append(item)
+                    continue
                 job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
-                self._add_item(item, found.get(progress_key(job_id)))
-        for item in items:
+                if not self._dispatcher.tracker.knows(job_id):
+                    left_bytes -= len(item.value)
+                    accepted[job_id] = item if left_bytes > 0 else None
+        for page, _ in self._store.pages(PROGRESS_PREFIX):
+            for progress in page:
+                job_id = JobId(progress.key.removeprefix(PROGRESS_PREFIX))
+                if job_id in accepted:
+                    self._add_read(job_id, accepted.pop(job_id), progress)
+        for job_id, item in accepted.items():
+            self._add_read(job_id, item, None)
+        for item in cancelled:
             self._apply_cancel(item)
         self._read_handoff()
         self._read_or_delete_suspicion()
         if self._dispatcher.interference_summary is not None:
             self._dispatcher.interference_summary.read()
-        self._revision = revision
+        self._revision = first
         _LOGGER.info(
             "dispatch: read the accepted jobs",
             extra={
                 "jobs": len(self._dispatcher.tracker.jobs),
                 "active": len(self._dispatcher.tracker.active),
-                "revision": revision,
+                "waiting_for_memory": len(self.deferred),
+                "revision": first,
             },
         )
 
+    def _add_read(
+        self, job_id: JobId, item: Item | None, progress: Item | None
+    ) -> None:
+        """Add a job that was read; of one that was too much, keep how it stands."""
+        if item is not None:
+            self._add_item(item, progress)
+            return
+        state = JobState.QUEUED
+        if progress is not None:
+            try:
+                state = stored_state(progress.value)
+            except DECODE_ERRORS as error:
+                self._malformed.log(
+                    progress.key, progress.revision, describe_invalid(error)
+                )
+                return
+        with self._dispatcher.lock:
+            if state.is_final:
+                ended = EndedJob(state, None, self._clock.monotonic_s())
+                self._dispatcher.tracker.add_ended(job_id, ended)
+            else:
+                self.deferred[job_id] = DeferredJob()
+
     def _read_handoff(self) -> None:
         """Read the handoff of the last term and delete it before any order is given.
 
@@ -281,6 +391,10 @@
         if job is not None and not job.state.is_final:
             self._dispatcher.notify_cancelled(job_id)
 
+    def _forget_details(self) -> None:
+        with self._dispatcher.lock:
+            self._dispatcher.tracker.forget_details(self._clock.monotonic_s())
+
     def _remove_expired(self) -> None:
         """Remove jobs that ended longer ago than the retention time."""
         now_s = self._clock.monotonic_s()
@@ -288,24 +402,25 @@
             return
         self._next_removal_s = now_s + RETENTION_CHECK_S
         keep_s = self._dispatcher.retention_s + RETENTION_MARGIN_S
-        tracker, lock = self._dispatcher.tracker, self._dispatcher.lock
-        with lock:
-            expired = [
-                job
-                for job in tracker.jobs.values()
-                if job.ended_s is not None and now_s - job.ended_s > keep_s
-            ][:JOBS_PER_REMOVAL]
-        if not expired:
-            return
+        for _ in range(MAX_REMOVALS):
+            with self._dispatcher.lock:
+                expired = self._dispatcher.tracker.expired_jobs(
+                    now_s - keep_s, JOBS_PER_REMOVAL
+                )
+            if not expired or not self._remove_jobs(expired):
+                return
+
+    def _remove_jobs(self, expired: list[JobId]) -> bool:
+        """Remove jobs from the store and the tracker; return False if deposed."""
         keys: list[str] = []
-        for job in expired:
-            job_id = job.spec.job
+        for job_id in expired:
             keys += [accepted_key(job_id), cancelled_key(job_id), progress_key(job_id)]
         condition = self._dispatcher.term_condition
         result = self._store.transact(condition, (), tuple(keys))
         if result.revision is None:
             self._dispatcher.report_deposed("the term's key changed")
-            return
-        with lock:
-            for job in expired:
-                tracker.jobs.pop(job.spec.job, None)
+            return False
+        with self._dispatcher.lock:
+            for job_id in expired:
+                self._dispatcher.tracker.forget_job(job_id)
+        return True
--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -39,7 +39,12 @@
 MAX_KEPT_BYTES = 64 * 1024
 # Refusals for lack of room, of the fleet or of the caller's workspace.
 OVERLOAD_CODES = frozenset(
-    {"queue_behind", "exceeds_workspace_limit", "workspace_rate"}
+    {
+        "queue_behind",
+        "exceeds_workspace_limit",
+        "workspace_rate",
+        "jobs_exhaust_memory",
+    }
 )
 
 # Refusals before it is known whether an earlier submission of the job was accepted.
