--- a/src/jayshunt_soak/crowds.py
+++ b/src/jayshunt_soak/crowds.py
@@ -97,7 +97,10 @@
 
 @dataclass(frozen=True)
 class RandomMethods:
-    """Send requests with a method of `method_chars` random letters each."""
+    """Send requests with a method of `method_chars` random letters each.
+
+    A member stays until all are answered.
+    """
 
     count: int
     method_chars: int = 32
@@ -105,11 +108,13 @@
 
 @dataclass(frozen=True)
 class LongTargets:
-    """Send `count` pipelined requests with long random targets and field values."""
+    """Send pipelined requests with long random targets.
+
+    A member stays until all are answered.
+    """
 
     count: int
     target_bytes: int
-    field_bytes: int = 0
 
 
 Behavior = (
@@ -144,7 +149,14 @@
     """Mark the place in a request where a member waits for the others."""
 
 
+class _UntilClosed:
+    """Mark that a member reads answers until the entry closes the connection."""
+
+
 GATE = _Gate()
+UNTIL_CLOSED = _UntilClosed()
+
+Piece = bytes | float | _Gate | _UntilClosed
 
 
 def job_path(number: int) -> str:
@@ -207,10 +219,8 @@
     return request_head("GET", QUEUE_PATH, **fields)
 
 
-def pieces_of(
-    behavior: Behavior, rng: random.Random
-) -> Iterator[bytes | float | _Gate]:
-    """Yield what a member sends: bytes, pauses in seconds, and GATE."""
+def pieces_of(behavior: Behavior, rng: random.Random) -> Iterator["Piece"]:
+    """Yield what a member sends: bytes, pauses in seconds, GATE and UNTIL_CLOSED."""
     path = job_path(rng.getrandbits(64))
     match behavior:
         case Silence():
@@ -259,11 +269,14 @@
             for _ in range(count):
                 letters = rng.choices("ABCDEFGHIJKLMNOPQRSTUVWXYZ", k=method_chars)
                 yield request_head("".join(letters), QUEUE_PATH)
-        case LongTargets(count, target_bytes, field_bytes):
+            yield request_head("GET", QUEUE_PATH, Connection="close")
+            yield UNTIL_CLOSED
+        case LongTargets(count, target_bytes):
             for _ in range(count):
                 target = f"/nowhere-{rng.getrandbits(64):016x}"
-                target += "t" * (target_bytes - len(target))
-                yield request_head("GET", target, F="v" * field_bytes)
+                yield request_head("GET", target.ljust(target_bytes, "t"))
+            yield request_head("GET", QUEUE_PATH, Connection="close")
+            yield UNTIL_CLOSED
 
 
 def _blanks(size_bytes: int) -> Iterator[bytes]:
@@ -384,6 +397,7 @@
         self._run = run
         self._rng = rng
         self._is_done = False
+        self._is_awaiting = False
         self._progress_s: float | None = None
         self.is_at_gate = False
         self.thread = threading.Thread(target=self._act, daemon=True)
@@ -393,8 +407,8 @@
         """Return whether the member sent everything, or could send nothing lately."""
         if self._is_done or self._progress_s is None:
             return self._is_done
-        is_waiting = time.monotonic() - self._progress_s > BLOCKED_AFTER_S
-        return is_waiting and not self.is_at_gate
+        is_blocked = time.monotonic() - self._progress_s > BLOCKED_AFTER_S
+        return is_blocked and not self.is_at_gate and not self._is_awaiting
 
     def _act(self) -> None:
         try:
@@ -433,7 +447,7 @@
             self.is_at_gate = False
             connection.close()
 
-    def _send(self, connection: socket.socket, piece: bytes | float | _Gate) -> bool:
+    def _send(self, connection: socket.socket, piece: Piece) -> bool:
         """Send one piece; return False if the run is over."""
         match piece:
             case _Gate():
@@ -445,6 +459,9 @@
                 # The rest trickles, which presses as much as it ever will.
                 self._is_done = True
                 time.sleep(piece)
+            case _UntilClosed():
+                self._is_awaiting = True
+                self._stay(connection)
             case bytes():
                 left = memoryview(piece)
                 while left and not self._run.is_over:
