Keep queued log records from holding requests

Up to 4,000 records wait for the writer of the log. A record kept its arguments and its traceback, whose frames hold the body of the request that failed, and texts of any length that a caller sent.

A record is now formatted when it is queued: its message and its fields are cut at 2,000 characters and its traceback at 8,000, so that a queue of plain records is bounded to a few MB.

--- a/src/jayshunt/logs.py
+++ b/src/jayshunt/logs.py
@@ -27,6 +27,9 @@
 
 # A few seconds of records on the busiest day; each takes about 1 KB.
 MAX_QUEUED_RECORDS = 4_000
+# Longer texts in a record are cut, so that a full queue stays within a few MB.
+MAX_TEXT_CHARS = 2_000
+MAX_EXCEPTION_CHARS = 8_000
 DROPPED_MESSAGE = "logs: records were dropped, the reader is too slow"
 
 
@@ -42,7 +45,21 @@
         self.dropped = 0
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
-        """Return the record unchanged: the writer runs in the same process."""
+        """Return the record with short texts, and without arguments and traceback.
+
+        These refer to whatever the caller of the log holds, such as a request's body.
+        """
+        if record.args:
+            record.msg, record.args = record.getMessage(), None
+        if record.exc_info:
+            text = logging.Formatter().formatException(record.exc_info)
+            record.exc_text = text[-MAX_EXCEPTION_CHARS:]
+            record.exc_info = None
+        fields = vars(record)
+        for name, value in fields.items():
+            is_text = isinstance(value, str) and name != "exc_text"
+            if is_text and len(value) > MAX_TEXT_CHARS:
+                fields[name] = value[:MAX_TEXT_CHARS]
         return record
 
     def enqueue(self, record: logging.LogRecord) -> None:
@@ -74,7 +91,9 @@
             "message": record.getMessage(),
             **extra_fields(record),
         }
-        if record.exc_info:
+        if record.exc_text:
+            fields["exception"] = record.exc_text
+        elif record.exc_info:
             fields["exception"] = self.formatException(record.exc_info)
         return json.dumps(fields, default=str)
 
--- a/src/jayshunt/serving/tests/test_logs.py
+++ b/src/jayshunt/serving/tests/test_logs.py
@@ -1,9 +1,17 @@
 """Test that a slow reader of the log never blocks the process."""
 
+import json
 import logging
+import sys
 import unittest
 
-from jayshunt.logs import DROPPED_MESSAGE, BoundedHandler
+from jayshunt.logs import (
+    DROPPED_MESSAGE,
+    MAX_EXCEPTION_CHARS,
+    MAX_TEXT_CHARS,
+    BoundedHandler,
+    JsonFormatter,
+)
 
 
 class BoundedHandlerTest(unittest.TestCase):
@@ -22,6 +30,30 @@
         self.assertEqual((DROPPED_MESSAGE, 2), (summary.msg, summary.dropped))
         self.assertEqual("next", handler.queue.get_nowait().msg)
 
+    def test_records_hold_no_long_texts_or_frames(self) -> None:
+        """Queued records must not keep the bodies of the requests they tell of."""
+        handler = BoundedHandler()
+        try:
+            raise ValueError("x" * 100_000)
+        except ValueError as error:
+            logger = logging.getLogger("test")
+            record = logger.makeRecord(
+                "test",
+                40,
+                "",
+                0,
+                "%s",
+                (error,),
+                sys.exc_info(),
+                extra={"a": "y" * 9999},
+            )
+            handler.emit(record)
+        queued = handler.queue.get_nowait()
+        self.assertIsNone(queued.exc_info or queued.args)
+        self.assertLessEqual(len(queued.msg) + len(queued.a), 2 * MAX_TEXT_CHARS)
+        line = json.loads(JsonFormatter().format(queued))
+        self.assertLessEqual(len(line["exception"]), MAX_EXCEPTION_CHARS)
+
 
 if __name__ == "__main__":
     unittest.main()
