Ignore checkpoints that a record of progress cannot hold

A worker's checkpoint of more than 10,000 characters, or with a lone surrogate, was stored with the progress of its job, which the next term then refused as malformed as a whole. Such a checkpoint now counts as none where the worker's report is decoded, so that the task keeps its last one.

The texts of a stored step and its list of earlier steps have the bounds of a submission.

--- a/src/jayshunt/dispatch/record_models.py
+++ b/src/jayshunt/dispatch/record_models.py
@@ -23,7 +23,9 @@
 MAX_TASKS_PER_STEP = 10_000
 MAX_TASKS_PER_JOB = 50_000
 
-Checkpoint = Annotated[str, Field(max_length=10_000)]
+MAX_CHECKPOINT_CHARS = 10_000
+
+Checkpoint = Annotated[str, Field(max_length=MAX_CHECKPOINT_CHARS)]
 # Occurrence and step, and the index of a task.
 StepName = Annotated[str, Field(pattern=r"^\d{1,9}\.\d{1,9}$")]
 TaskName = Annotated[str, Field(pattern=r"^\d{1,9}\.\d{1,9}\.\d{1,9}$")]
@@ -45,16 +47,16 @@
     task_count: Annotated[int, Field(ge=1, le=MAX_TASKS_PER_STEP)]
     resources: StoredResources = StoredResources()
     estimate_ms: Count = 0
-    after: tuple[Count, ...] = ()
+    after: Annotated[tuple[Count, ...], Field(max_length=MAX_STEPS)] = ()
     has_checkpoints: bool = False
     is_gang: bool = False
     same_rack: bool = False
-    required_label: str = ""
-    data_rack: str = ""
+    required_label: Text = ""
+    data_rack: Text = ""
     max_per_worker: Count = 0
     is_speculative: bool = False
     is_long_running: bool = False
-    image: str = ""
+    image: Text = ""
     target_ms: Count = 0
     fills: bool = False
     max_unavailable: Count = 0
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -17,6 +17,7 @@
     StartOrder,
     TaskKey,
 )
+from jayshunt.dispatch.record_models import MAX_CHECKPOINT_CHARS
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.http_client import HttpAnswer, HttpCall
 from jayshunt.ids import WorkerId
@@ -186,19 +187,33 @@
     load = row[4] if len(row) > 4 and isinstance(row[4], (int, float)) else 0
     if not 0 <= load <= MAX_WHOLE:
         load = 0
-    checkpoint = str(row[2] or "")
+    checkpoint = _read_checkpoint(row[2])
     run, percent = _whole(row[1]), _whole(row[3])
     return RunningRun(TaskKey.parse(row[0]), run, checkpoint, percent, load)
 
 
+def _read_checkpoint(value: object) -> str:
+    """Return a checkpoint, or an empty text, as without one, if it cannot be stored.
+
+    The record of the job's progress could not be read back with it.
+    """
+    text = str(value or "")
+    if len(text) > MAX_CHECKPOINT_CHARS:
+        return ""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return ""
+    return text
+
+
 def _decode_ended(row: list) -> EndedRun:
-    saved = row[4] if len(row) > 4 and row[4] else ""
     return EndedRun(
         _whole(row[0]),
         TaskKey.parse(row[1]),
         _whole(row[2]),
         _RUN_ENDS[row[3]],
-        str(saved),
+        _read_checkpoint(row[4] if len(row) > 4 else ""),
     )
 
 
