Bound the notices to the dispatcher by bytes

An entry queued up to 5,000 notices with records of up to 1 MB each. A batch of 50 could exceed what the peers' port accepts, and was then sent again for ever while fewer than 50 others waited. A client of the peers' port could report under any number of entry names, which were all kept.

A record of more than 24 KB now goes without a notice, since the dispatcher finds the job at its next poll of the store. The queue holds 4 MB, a batch is sent once it has 32 KB, and it is dropped after 20 refusals. Reports of 1,000 entries are kept.

--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -40,6 +40,15 @@
 
 NOTICES_PER_CALL = 50
 MAX_NOTICES = 5_000
+# A job without a notice is found in the store by the dispatcher's next poll. The peers'
+# port takes a batch of this size on the smallest VMs too, with all characters escaped.
+MAX_NOTICE_BYTES = 24 * 1024
+NOTICE_BYTES_PER_CALL = 32 * 1024
+MAX_NOTICES_BYTES = 4 * 1024**2
+# A dispatcher may refuse a batch each time.
+NOTICE_TRIES = 20
+# Reports of other entries, by name; the oldest are dropped.
+MAX_REPORTS = 1_000
 # A call without a dispatcher is retried on each change of the term, and at the latest
 # after four times this.
 POLL_S = 0.05
@@ -74,11 +83,14 @@
         self._clock = clock
         self._handles: queue.LifoQueue = queue.LifoQueue()
         self._notices: queue.Queue = queue.Queue(MAX_NOTICES)
+        self._notices_bytes = 0
+        self._notices_lock = threading.Lock()
         self._refusals: dict[QueueName, float] = {}
         self._outlooks: dict[QueueName, QueueOutlook] = {}
         self._workspace_refusals: dict[QueueName, dict[WorkspaceName, float]] = {}
         self._refusals_s = 0.0
         self._reports: dict[str, EntryReport] = {}
+        self._reports_lock = threading.Lock()
         self.handover_lease: LeaseId | None = None
         self.own_dispatcher: Dispatcher | None = None
 
@@ -141,8 +153,11 @@
     def notify_accepted(self, job: JobId, value: bytes, created: int) -> None:
         """Queue one notice to the dispatcher about a job that was just stored.
 
-        Without the notice, the dispatcher would find the job in the store later.
+        Without the notice, the dispatcher would find the job in the store later, as
+        it does with a job that is too large for one.
         """
+        if len(value) > MAX_NOTICE_BYTES:
+            return
         self._notify(
             {"kind": "accepted", "job": job, "value": value.decode(), "rev": created}
         )
@@ -178,18 +193,21 @@
     def send_notices(self, stop: threading.Event) -> None:
         """Send queued notices in order and in batches, until stopped."""
         batch: list[dict] = []
+        tries = 0
         while not stop.is_set():
             if not batch:
-                batch = self._take_batch()
+                batch, tries = self._take_batch(), 0
             if not batch:
                 continue
+            tries += 1
             try:
                 self._call("notices", {"notices": batch}, 0.0)
                 batch = []
             except JayshuntError as error:
                 _LOGGER.debug("dispatch: failed to send notices, retrying: %s", error)
                 self._clock.wait(stop, NOTIFY_RETRY_S)
-                if self._notices.qsize() > NOTICES_PER_CALL:
+                has_many = self._notices.qsize() > NOTICES_PER_CALL
+                if has_many or tries >= NOTICE_TRIES:
                     # Dropping the batch is safe: a new dispatcher reads the store
                     # first, and a running one polls it (INTAKE_POLL_S).
                     batch = []
@@ -236,7 +254,8 @@
 
     def reports(self) -> list[EntryReport]:
         """Return the latest report of each other entry."""
-        return list(self._reports.values())
+        with self._reports_lock:
+            return list(self._reports.values())
 
     def record_report(self, body: dict) -> None:
         """Record an entry's report, which it sends when it polls for refusals.
@@ -247,7 +266,11 @@
         report = ReportBody.model_validate(body)
         age_s = report.store_answer_age_s
         answered_s = None if age_s is None else now_s - age_s
-        self._reports[report.entry] = EntryReport(answered_s, now_s)
+        with self._reports_lock:
+            self._reports.pop(report.entry, None)
+            self._reports[report.entry] = EntryReport(answered_s, now_s)
+            if len(self._reports) > MAX_REPORTS:
+                del self._reports[next(iter(self._reports))]
 
     def _own_report(self) -> dict:
         return {
@@ -269,9 +292,18 @@
             )
 
     def _notify(self, notice: dict) -> None:
+        size = _notice_bytes(notice)
+        with self._notices_lock:
+            is_full = self._notices_bytes + size > MAX_NOTICES_BYTES
+            if not is_full:
+                self._notices_bytes += size
         try:
+            if is_full:
+                raise queue.Full
             self._notices.put_nowait(notice)
         except queue.Full:
+            if not is_full:
+                self._subtract(size)
             _LOGGER.warning(
                 "dispatch: a notice was dropped", extra={"job": notice["job"]}
             )
@@ -279,12 +311,20 @@
     def _take_batch(self) -> list[dict]:
         """Return queued notices, or an empty batch after half a second without one."""
         batch: list[dict] = []
+        size = 0
         with contextlib.suppress(queue.Empty):
             batch.append(self._notices.get(timeout=0.5))
-            while len(batch) < NOTICES_PER_CALL:
+            size += _notice_bytes(batch[-1])
+            while len(batch) < NOTICES_PER_CALL and size < NOTICE_BYTES_PER_CALL:
                 batch.append(self._notices.get_nowait())
+                size += _notice_bytes(batch[-1])
+        self._subtract(size)
         return batch
 
+    def _subtract(self, size: int) -> None:
+        with self._notices_lock:
+            self._notices_bytes -= size
+
     def _call(self, call: str, body: dict, wait_s: float) -> dict:
         """Call the dispatcher; on failure, wait for a successor for up to `wait_s`."""
         end_s = self._clock.monotonic_s() + min(wait_s, DISPATCHER_WAIT_S)
@@ -331,6 +371,11 @@
             return http_client.new_handle()
 
 
+def _notice_bytes(notice: dict) -> int:
+    """Return about how many bytes a notice takes in a queue or in a call."""
+    return len(notice.get("value", "")) + 400
+
+
 def _unreadable_answer(call: str, peer: str, error: Exception) -> JayshuntError:
     return JayshuntError(
         "unreadable_answer",
