Bound the queue of log records by bytes

The queue held up to 4,000 records of any size, so that tracebacks, which a malformed request may cause again and again, could take tens of MB. It is now also full at 6 MB; further records are dropped and counted as before.

--- a/src/jayshunt/logs.py
+++ b/src/jayshunt/logs.py
@@ -27,12 +27,42 @@
 
 # A few seconds of records on the busiest day; each takes about 1 KB.
 MAX_QUEUED_RECORDS = 4_000
-# Longer texts in a record are cut, so that a full queue stays within a few MB.
+MAX_QUEUED_BYTES = 6 * 1024**2
+# What a record takes besides its message and its traceback.
+RECORD_BYTES = 1_500
+# Longer texts in a record are cut.
 MAX_TEXT_CHARS = 2_000
 MAX_EXCEPTION_CHARS = 8_000
 DROPPED_MESSAGE = "logs: records were dropped, the reader is too slow"
 
 
+class RecordQueue(queue.Queue):
+    """Queue of log records that is also full at MAX_QUEUED_BYTES."""
+
+    def _init(self, maxsize: int) -> None:
+        super()._init(maxsize)
+        self._held_bytes = 0
+
+    def _put(self, item: logging.LogRecord | None) -> None:
+        size = _record_bytes(item)
+        if self._held_bytes + size > MAX_QUEUED_BYTES:
+            raise queue.Full
+        self._held_bytes += size
+        super()._put(item)
+
+    def _get(self) -> logging.LogRecord | None:
+        item = super()._get()
+        self._held_bytes -= _record_bytes(item)
+        return item
+
+
+def _record_bytes(record: logging.LogRecord | None) -> int:
+    """Return about how many bytes a record takes; None ends the listener."""
+    if record is None:
+        return 0
+    return RECORD_BYTES + len(str(record.msg)) + len(record.exc_text or "")
+
+
 class BoundedHandler(logging.handlers.QueueHandler):
     """Handler that queues records for a writer thread and drops them when full.
 
@@ -41,7 +71,7 @@
 
     def __init__(self, max_records: int = MAX_QUEUED_RECORDS) -> None:
         """Start with an empty queue."""
-        super().__init__(queue.Queue(max_records))
+        super().__init__(RecordQueue(max_records))
         self.dropped = 0
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
--- a/src/jayshunt/serving/tests/test_logs.py
+++ b/src/jayshunt/serving/tests/test_logs.py
@@ -8,6 +8,7 @@
 from jayshunt.logs import (
     DROPPED_MESSAGE,
     MAX_EXCEPTION_CHARS,
+    MAX_QUEUED_BYTES,
     MAX_TEXT_CHARS,
     BoundedHandler,
     JsonFormatter,
@@ -30,6 +31,19 @@
         self.assertEqual((DROPPED_MESSAGE, 2), (summary.msg, summary.dropped))
         self.assertEqual("next", handler.queue.get_nowait().msg)
 
+    def test_queue_is_bounded_by_bytes(self) -> None:
+        """Tracebacks take many times the memory of plain records."""
+        handler = BoundedHandler()
+        for _ in range(1_500):
+            record = {"msg": "", "exc_text": "x" * MAX_EXCEPTION_CHARS}
+            handler.emit(logging.makeLogRecord(record))
+        self.assertGreater(handler.dropped, 0)
+        queued = handler.queue.qsize()
+        self.assertLessEqual(queued * MAX_EXCEPTION_CHARS, MAX_QUEUED_BYTES)
+        while handler.queue.qsize():
+            handler.queue.get_nowait()
+        self.assertEqual(0, handler.queue._held_bytes)
+
     def test_records_hold_no_long_texts_or_frames(self) -> None:
         """Queued records must not keep the bodies of the requests they tell of."""
         handler = BoundedHandler()
