Share the descriptors and list an entry's limits in the reference

The servers of an entry allowed 2,700 connections and its calls to workers keep 3,000 idle ones, while a process has 4,100 descriptors. The servers now share 15 % of the descriptors that the platform leaves, connections to workers 75 %, and the length of a server's accept queue follows its limit, since the unread bytes of connections that wait there count as memory. TaskLoop takes the number of idle connections; the dispatcher does not pass it yet and keeps 3,000.

The reference lists each limit with its value for 128 and 300 MB, from the code.

--- a/src/jayshunt/dispatch/memory_budget.py
+++ b/src/jayshunt/dispatch/memory_budget.py
@@ -14,17 +14,19 @@
 # Shares of what is left. The rest is for workers, lists of the store and logs, and for
 # memory that the allocator does not return.
 JOBS_SHARE = 0.25
-CONNECTIONS_SHARE = 0.15
+CONNECTIONS_SHARE = 0.2
 REQUESTS_SHARE = 0.25
 # An open connection: its thread and objects (22 KB), the kernel's buffer of unread
-# bytes (16 KB), up to 12 KB of a head or of pipelined requests, and what is parsed from
-# a head of usual size.
-CONNECTION_BYTES = 64 * 1024
+# bytes (16 KB), that of another connection that waits to be accepted, up to 12 KB of a
+# head or of pipelined requests, and what is parsed from a head of usual size.
+CONNECTION_BYTES = 80 * 1024
 # Used where the settings do not name the descriptors. The platform reserves some of
-# them for files. HttpMulti keeps most of the others for connections to workers.
+# them for files. The rest is shared by open connections, idle connections to workers
+# and calls in flight.
 DEFAULT_MAX_FDS = 4_100
 RESERVED_FDS = 200
 CONNECTION_FDS_SHARE = 0.15
+WORKER_FDS_SHARE = 0.75
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +61,7 @@
 def divide_memory(memory_mb: int) -> MemoryBudget:
     """Return the budget of an entry with `memory_mb` MB of memory, 0 if not known.
 
-    For example, 300 MB leave 59 MB for jobs, 35 MB for connections and 59 MB for
+    For example, 300 MB leave 59 MB for jobs, 47 MB for connections and 59 MB for
     requests.
     """
     total_bytes = (memory_mb or DEFAULT_MEMORY_MB) * 1024**2
@@ -74,13 +76,22 @@
 def max_connections(budget: MemoryBudget, max_fds: int, share: ServerShare) -> int:
     """Return how many connections a server may have; `max_fds` is 0 if not known.
 
-    For example, with 300 MB and 4,100 descriptors the callers' server may have 368.
+    For example, with 300 MB and 4,100 descriptors the callers' server may have 380.
     """
-    fds = max(0, (max_fds or DEFAULT_MAX_FDS) - RESERVED_FDS) * CONNECTION_FDS_SHARE
-    total = min(budget.connections_bytes // CONNECTION_BYTES, int(fds))
+    fds = int(_shared_fds(max_fds) * CONNECTION_FDS_SHARE)
+    total = min(budget.connections_bytes // CONNECTION_BYTES, fds)
     return max(MIN_CONNECTIONS, int(total * share.connections))
 
 
+def max_idle_worker_connections(max_fds: int) -> int:
+    """Return how many idle connections to workers may be kept."""
+    return int(_shared_fds(max_fds) * WORKER_FDS_SHARE)
+
+
 def max_request_bytes(budget: MemoryBudget, share: ServerShare) -> int:
     """Return how many bytes of memory the requests at a server may take."""
     return int(budget.requests_bytes * share.requests)
+
+
+def _shared_fds(max_fds: int) -> int:
+    return max(0, (max_fds or DEFAULT_MAX_FDS) - RESERVED_FDS)
--- a/src/jayshunt/error_help.py
+++ b/src/jayshunt/error_help.py
@@ -4,7 +4,7 @@
     "already_run": "The request with this idempotency key ran; no answer is stored.",
     "answer_crossed": "The answer did not belong to the request and was discarded.",
     "bad_request": "The request is malformed; `detail` says where.",
-    "bodies_exhaust_memory": "Bodies of requests in flight use all their memory.",
+    "bodies_exhaust_memory": "Requests in flight use all their memory; retry later.",
     "body_too_large": "The body is larger than `limits.max_body_bytes`.",
     "broker_unavailable": "No broker of the pool answers in this zone; retry later.",
     "can_never_run": "No worker can ever run the job.",
--- a/src/jayshunt/http_multi.py
+++ b/src/jayshunt/http_multi.py
@@ -25,11 +25,15 @@
     from these two with either the answer or the error, never from `start`.
     """
 
-    def __init__(self, selector: selectors.BaseSelector) -> None:
+    def __init__(
+        self,
+        selector: selectors.BaseSelector,
+        max_idle_connections: int = MAX_IDLE_CONNECTIONS,
+    ) -> None:
         """Start without calls; sockets of calls are registered in `selector`."""
         self._selector = selector
         self._multi = pycurl.CurlMulti()
-        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, max_idle_connections)
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._timer_end_s: float | None = None
--- a/src/jayshunt/platform/tests/test_server_limits.py
+++ b/src/jayshunt/platform/tests/test_server_limits.py
@@ -4,7 +4,11 @@
 import unittest
 from dataclasses import replace
 
-from jayshunt.dispatch.memory_budget import CONNECTION_BYTES, divide_memory
+from jayshunt.dispatch.memory_budget import (
+    CONNECTION_BYTES,
+    divide_memory,
+    max_idle_worker_connections,
+)
 from jayshunt.dispatch.metrics import EntryMetrics
 from jayshunt.dispatch.models import FleetConfig
 from jayshunt.ids import ConfigVersion, JobId, QueueName
@@ -58,7 +62,8 @@
         for max_fds in (1_000, 4_100):
             node = build_node(100_000, max_fds)
             connections = sum(limits(node).max_connections for limits in SERVERS)
-            self.assertLessEqual(connections, 0.15 * (max_fds - 200))
+            to_workers = max_idle_worker_connections(max_fds)
+            self.assertLessEqual(connections + to_workers, 0.9 * (max_fds - 200))
 
     def test_configuration_limits_requests(self) -> None:
         """The operator's limits must hold, as far as the memory allows them."""
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -25,6 +25,7 @@
 from jayshunt.serving.const import (
     ACCEPT_POLL_S,
     CLOSE_WAIT_S,
+    MAX_ACCEPT_QUEUE,
     MAX_PENDING_REFUSALS,
 )
 from jayshunt.serving.limits import (
@@ -60,7 +61,6 @@
     """
 
     multithread = True
-    request_queue_size = 512
 
     def __init__(
         self,
@@ -79,6 +79,7 @@
         the server in logs and the dump.
         """
         self._limits = limits
+        self.request_queue_size = min(MAX_ACCEPT_QUEUE, limits.max_connections)
         super().__init__(host, port, app)
         self.name = name
         self._sizes = sizes
--- a/src/jayshunt/task_loop.py
+++ b/src/jayshunt/task_loop.py
@@ -34,7 +34,7 @@
 
 from jayshunt.errors import JayshuntError
 from jayshunt.http_client import HttpAnswer, HttpCall
-from jayshunt.http_multi import HttpMulti
+from jayshunt.http_multi import MAX_IDLE_CONNECTIONS, HttpMulti
 from jayshunt.tasks import RESTART_DELAY_S
 
 _LOGGER = logging.getLogger(__name__)
@@ -105,11 +105,13 @@
 class TaskLoop:
     """Thread that resumes tasks; `spawn` and `stop` may be called from any thread."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self, name: str, max_idle_connections: int = MAX_IDLE_CONNECTIONS
+    ) -> None:
         """Create the loop; no task runs before `start`."""
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
         self._selector = selectors.DefaultSelector()
-        self._http = HttpMulti(self._selector)
+        self._http = HttpMulti(self._selector, max_idle_connections)
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._ready: deque[Callable[[], None]] = deque()
--- a/src/jayshunt_measure/reference.py
+++ b/src/jayshunt_measure/reference.py
@@ -23,6 +23,7 @@
 from jayshunt.reports import entry_metrics
 from jayshunt.serving.const import DEFAULT_STATUS, STATUS_OF_CODE
 from jayshunt.settings.models import EntrySettings
+from jayshunt_measure.platform_limits import platform_limit_rows
 
 PACKAGE = Path(jayshunt.__file__).parent
 REFERENCE = PACKAGE.parent.parent / "docs" / "reference.md"
@@ -44,6 +45,7 @@
         "Generated from the code by `script/reference`; do not edit it by hand.",
         "",
         *_section("Settings", _model_rows(EntrySettings), MODEL_COLUMNS),
+        *_section("Limits on the platform", platform_limit_rows(), LIMIT_COLUMNS),
         *_section("Configuration", _model_rows(ConfigDocument), MODEL_COLUMNS),
         *_section("Commands", _command_rows(), ("command", "arguments", "meaning")),
         *_section("Exit codes", _exit_rows(), ("code", "name", "meaning")),
@@ -53,6 +55,7 @@
     return "\n".join(lines).rstrip() + "\n"
 
 
+LIMIT_COLUMNS = ("limit", "with 128 MB", "with 300 MB", "derived from")
 MODEL_COLUMNS = ("key", "type", "default", "allowed")
 
 
