Derive the sizes of requests once for each configuration

The limits of a request's head and body were derived from memory and configuration for each request. They are now derived once for each version.

--- a/src/jayshunt/platform/server_limits.py
+++ b/src/jayshunt/platform/server_limits.py
@@ -1,5 +1,7 @@
 """Derive the limits of an entry's three servers from the memory of its VM."""
 
+from collections.abc import Callable
+
 from jayshunt.dispatch.memory_budget import (
     CALLERS_SHARE,
     PEERS_SHARE,
@@ -79,6 +81,30 @@
     )
 
 
+class CurrentSizes:
+    """Limits of callers' requests by the configuration in force.
+
+    They are derived once for each version, and not for each request.
+    """
+
+    def __init__(
+        self, node: EntryNode, config: Callable[[], FleetConfig | None]
+    ) -> None:
+        """Use the configuration that `config` returns, None before the first one."""
+        self._node = node
+        self._config = config
+        self._derived = (None, request_sizes(node, None))
+
+    def __call__(self) -> SizeLimits:
+        """Return the limits of the next request."""
+        config = self._config()
+        derived_from, sizes = self._derived
+        if config is not derived_from:
+            sizes = request_sizes(self._node, config)
+            self._derived = (config, sizes)
+        return sizes
+
+
 def request_sizes(node: EntryNode, config: FleetConfig | None) -> SizeLimits:
     """Return the limits of a caller's request by the configuration and the memory."""
     head_bytes, body_bytes = MAX_HEAD_BYTES, DEFAULT_BODY_BYTES
--- a/src/jayshunt/platform/tests/test_server_limits.py
+++ b/src/jayshunt/platform/tests/test_server_limits.py
@@ -18,6 +18,7 @@
     decode_submission,
 )
 from jayshunt.platform.server_limits import (
+    CurrentSizes,
     caller_limits,
     peer_limits,
     readiness_limits,
@@ -74,6 +75,14 @@
         sizes = request_sizes(node, replace(config, max_body_bytes=2**31))
         self.assertLess(sizes.max_body_bytes, caller_limits(node).max_held_body_bytes)
 
+    def test_new_configuration_is_in_force_at_once(self) -> None:
+        """Limits that are derived once must follow a later version."""
+        current = [None]
+        sizes = CurrentSizes(build_node(), lambda: current[0])
+        self.assertEqual(1024 * 1024, sizes().max_body_bytes)
+        current[0] = decode_limits({"maxBodyBytes": 5_000})
+        self.assertEqual(5_000, sizes().max_body_bytes)
+
     def test_default_sizes(self) -> None:
         """Without limits, or with malformed ones, requests are limited as before."""
         node = build_node()
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -25,10 +25,10 @@
 from jayshunt.platform.formats import decode_config
 from jayshunt.platform.front_api import FrontApi
 from jayshunt.platform.server_limits import (
+    CurrentSizes,
     caller_limits,
     peer_limits,
     readiness_limits,
-    request_sizes,
 )
 from jayshunt.platform.store import PlatformStore
 from jayshunt.platform.worker_calls import WorkerClient
@@ -88,7 +88,7 @@
                 self._authenticator,
             ),
             caller_limits(node),
-            sizes=lambda: request_sizes(node, self._config.current()),
+            sizes=CurrentSizes(node, self._config.current),
             name="front",
         )
         self._ready_server = HttpServer(
--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -128,7 +128,8 @@
         self._charge = RequestCharge(memory, self)
         self._stream = CallerStream(connection, clock, self._charge, idle_stop_fd)
         self._clock = clock
-        self._sizes = sizes or (lambda: limits.sizes)
+        own_sizes = limits.sizes
+        self._sizes = sizes or (lambda: own_sizes)
         self._observe_refusal = observe_refusal
         self._is_crowded = is_crowded
         self._is_draining = is_draining
--- a/src/jayshunt/serving/limits.py
+++ b/src/jayshunt/serving/limits.py
@@ -149,7 +149,8 @@
         """Start with no bytes held."""
         self._max_bytes = max_bytes
         self._make_room = make_room
-        self._released = threading.Condition()
+        self._lock = threading.Lock()
+        self._released = threading.Condition(self._lock)
         self._waiting = 0
         self._held = 0
         self.peak_bytes = 0
@@ -179,20 +180,21 @@
 
     def release(self, size: int) -> None:
         """Subtract bytes that are no longer held."""
-        with self._released:
+        with self._lock:
             self._held -= size
             if self._waiting:
                 self._released.notify_all()
 
     def _try_acquire(self, size: int) -> bool:
-        with self._released:
+        with self._lock:
             return self._add(size)
 
     def _add(self, size: int) -> bool:
         if self._held + size > self._max_bytes:
             return False
         self._held += size
-        self.peak_bytes = max(self.peak_bytes, self._held)
+        if self._held > self.peak_bytes:
+            self.peak_bytes = self._held
         return True
 
 
