--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -25,6 +25,7 @@
 from jayshunt.serving.const import (
     ACCEPT_POLL_S,
     CLOSE_WAIT_S,
+    MAX_ACCEPT_QUEUE,
     MAX_PENDING_REFUSALS,
 )
 from jayshunt.serving.limits import (
@@ -60,7 +61,6 @@
     """
 
     multithread = True
-    request_queue_size = 512
 
     def __init__(
         self,
@@ -79,6 +79,7 @@
         the server in logs and the dump.
         """
         self._limits = limits
+        self.request_queue_size = min(MAX_ACCEPT_QUEUE, limits.max_connections)
         super().__init__(host, port, app)
         self.name = name
         self._sizes = sizes
@@ -160,7 +161,7 @@
         """Hand a connection to a thread, or refuse it if it exceeds a limit."""
         client = client_address[0]
         wait_s = 0.0
-        if self._connection_limit.is_crowded and self._connections.close_idlest():
+        if self._connection_limit.is_crowded() and self._connections.close_idlest():
             self._pressure.record("closed_for_new_connection", client)
             wait_s = CLOSE_WAIT_S
         reason = self._connection_limit.acquire(client, wait_s)
@@ -238,6 +239,7 @@
             "http" if connection is plain else "https",
             self._sizes,
             lambda error: self._pressure.record(error.code, client, str(error)),
+            self._connection_limit.is_crowded,
         )
         self._connections.set_served(plain, served)
         self._watcher.add(connection, served.cancel_current)
