Keep memory for small jobs while large ones wait in the store

Ordinary callers got 429 for as long as one accepted job waited in the store for memory: test_crowds' callers after a crowd of jobs with very many occurrences. Small jobs now use the part of the memory that is kept for them, and a large job that waits does not take it either.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -358,12 +358,13 @@
     def job_room(self) -> JobRoom:
         """Return how much memory new jobs may take.
 
-        While accepted jobs wait in the store for memory, there is none.
+        While accepted jobs wait in the store for memory, there is none for large ones.
         """
         with self.lock:
+            room = self.tracker.memory.room()
             if self._intake.deferred:
-                return JobRoom(max_small_bytes=0, small_bytes=0, large_bytes=0)
-            return self.tracker.memory.room()
+                return room.model_copy(update={"large_bytes": 0})
+            return room
 
     def job_state(self, job_id: JobId, caller: WorkspaceName) -> JobState | None:
         """Return the state of a job that callers see.
--- a/src/jayshunt/dispatch/job_memory.py
+++ b/src/jayshunt/dispatch/job_memory.py
@@ -77,4 +77,4 @@
         there is hardly anything else.
         """
         is_alone = self.held_bytes <= self.limit_bytes * SMALL_SHARE
-        return is_alone or self.held_bytes + job_bytes <= self.limit_bytes
+        return is_alone or self.room().has_room(job_bytes)
