Return memory to the system after a crowd

After crowds of large bodies an entry kept much of the memory that it had freed: glibc keeps free memory in up to eight arenas for each core, and after it has freed one large block, it takes the next ones from there.

An entry now uses two arenas, and takes blocks from 128 KB on from the system. Without glibc nothing changes.

--- a/deploy/platform_entry.py
+++ b/deploy/platform_entry.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
+from jayshunt.allocator import limit_free_memory  # noqa: E402
 from jayshunt.dispatch.features import load_features  # noqa: E402
 from jayshunt.logs import LogFormat, LogTarget, configure_logging  # noqa: E402
 from jayshunt.platform.settings import load_settings, settings_path  # noqa: E402
@@ -18,6 +19,7 @@
 
 def main() -> None:
     """Serve until SIGTERM."""
+    limit_free_memory()
     logs = configure_logging(LogFormat.JSON, target=LogTarget.STDOUT, bounded=True)
     node = replace(load_settings(settings_path()), features=load_features(FEATURES))
     process = PlatformEntry(node)
