Keep a part of the memory for small requests

A tenth of that memory, as far as the largest body fits beside it, is now kept for requests that take less than 32 KB.

--- a/src/jayshunt/platform/tests/test_front_api.py
+++ b/src/jayshunt/platform/tests/test_front_api.py
@@ -125,7 +125,7 @@
         """An earlier submission of the job may have been accepted at another entry."""
         body = json.dumps({"steps": [{"image": "x" * 199}] * 64}).encode()
         memory = self.server._memory
-        self.assertTrue(memory.acquire(memory._max_bytes - len(body) - 1_000))
+        memory._held = memory._max_bytes - len(body) - 1_000
         answer = self.call("POST", f"/quotes/{JOB}", body)
         self.assertEqual(504, answer.status)
         self.assertEqual([], self.entry.callers)
--- a/src/jayshunt/serving/const.py
+++ b/src/jayshunt/serving/const.py
@@ -31,6 +31,10 @@
 READ_BODY_BYTES = 64 * 1024
 # The framing of a chunked body may take up as much as the body, and at least this.
 MIN_FRAMING_BYTES = 4 * 1024
+# A part of the memory for requests is kept for those that take up less than this, with
+# what is decoded from them.
+SMALL_REQUEST_BYTES = 32 * 1024
+SMALL_REQUESTS_SHARE = 0.1
 # How long a request waits for memory after a slow sender was closed for it.
 ROOM_WAIT_S = 1.0
 # From so many connections below the limit on, each new one closes the idlest one.
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -88,7 +88,9 @@
         self._connection_limit = ConnectionLimit(limits)
         self._connections = ConnectionTable(self._clock)
         self._memory = RequestMemory(
-            limits.max_held_body_bytes, self._connections.close_slowest
+            limits.max_held_body_bytes,
+            self._connections.close_slowest,
+            limits.reserved_bytes,
         )
         self._workers = WorkerPool(name)
         self._refusal_workers = WorkerPool(f"{name}-refusal")
--- a/src/jayshunt/serving/limits.py
+++ b/src/jayshunt/serving/limits.py
@@ -11,6 +11,8 @@
     MAX_CONNECTION_RESERVE,
     MAX_HEAD_BYTES,
     ROOM_WAIT_S,
+    SMALL_REQUEST_BYTES,
+    SMALL_REQUESTS_SHARE,
 )
 from jayshunt.settings.models import Limits
 
@@ -58,6 +60,15 @@
         reserve = min(MAX_CONNECTION_RESERVE, self.max_connections // 8)
         return self.max_connections - reserve
 
+    @property
+    def reserved_bytes(self) -> int:
+        """Return how much of the memory for requests is kept for small ones.
+
+        One body of the largest size always fits beside it.
+        """
+        share = int(self.max_held_body_bytes * SMALL_REQUESTS_SHARE)
+        return max(0, min(share, self.max_held_body_bytes - self.max_body_bytes))
+
     @property
     def sizes(self) -> SizeLimits:
         """Return the limits of one request."""
@@ -144,10 +155,14 @@
     """
 
     def __init__(
-        self, max_bytes: int, make_room: Callable[[object], bool] = lambda _: False
+        self,
+        max_bytes: int,
+        make_room: Callable[[object], bool] = lambda _: False,
+        reserved_bytes: int = 0,
     ) -> None:
-        """Start with no bytes held."""
+        """Start with no bytes held; `reserved_bytes` are kept for small requests."""
         self._max_bytes = max_bytes
+        self._reserved_bytes = reserved_bytes
         self._make_room = make_room
         self._lock = threading.Lock()
         self._released = threading.Condition(self._lock)
@@ -160,20 +175,25 @@
         """Return the number of bytes held now."""
         return self._held
 
-    def acquire(self, size: int, owner: object = None) -> bool:
-        """Add bytes to the count; return False if they exceed the limit.
+    def acquire(self, size: int, held: int = 0, owner: object = None) -> bool:
+        """Add bytes of a request to the count; return False if they exceed the limit.
 
-        If others hold them, wait for ROOM_WAIT_S at most until a slow sender gave way.
+        `held` bytes of the same request are counted already. If others hold the
+        bytes, wait for ROOM_WAIT_S at most until a slow sender gave way.
         """
-        if self._try_acquire(size):
-            return True
-        if size > self._max_bytes or not self._make_room(owner):
+        limit = self._max_bytes
+        if held + size > SMALL_REQUEST_BYTES:
+            limit -= self._reserved_bytes
+        with self._lock:
+            if self._add(size, limit):
+                return True
+        if size > limit or not self._make_room(owner):
             return False
-        with self._released:
+        with self._lock:
             self._waiting += 1
             try:
                 return self._released.wait_for(
-                    lambda: self._add(size), timeout=ROOM_WAIT_S
+                    lambda: self._add(size, limit), timeout=ROOM_WAIT_S
                 )
             finally:
                 self._waiting -= 1
@@ -185,12 +205,8 @@
             if self._waiting:
                 self._released.notify_all()
 
-    def _try_acquire(self, size: int) -> bool:
-        with self._lock:
-            return self._add(size)
-
-    def _add(self, size: int) -> bool:
-        if self._held + size > self._max_bytes:
+    def _add(self, size: int, limit: int) -> bool:
+        if self._held + size > limit:
             return False
         self._held += size
         if self._held > self.peak_bytes:
@@ -215,7 +231,7 @@
         """Charge bytes; raise JayshuntError if they exceed the limit."""
         if size <= 0:
             return
-        if not self._memory.acquire(size, self._owner):
+        if not self._memory.acquire(size, self._acquired, self._owner):
             raise JayshuntError(
                 "bodies_exhaust_memory",
                 step="serving.body",
--- a/src/jayshunt/serving/tests/test_memory_limits.py
+++ b/src/jayshunt/serving/tests/test_memory_limits.py
@@ -8,9 +8,10 @@
 from unittest import mock
 
 from jayshunt.clock import ManualClock
+from jayshunt.errors import JayshuntError
 from jayshunt.serving import worker_pool
 from jayshunt.serving.const import MIN_OCCUPIED_S
-from jayshunt.serving.limits import RequestMemory
+from jayshunt.serving.limits import RequestCharge, RequestMemory
 from jayshunt.serving.pressure_log import PressureLog
 from jayshunt.serving.tests.builders import (
     WAIT_S,
@@ -171,6 +172,15 @@
         self.assertTrue(memory.acquire(50))
         self.assertFalse(RequestMemory(100).acquire(101))
 
+    def test_large_requests_leave_memory_to_small_ones(self):
+        """A crowd of large bodies must not have small submissions refused."""
+        memory = RequestMemory(1_000_000, reserved_bytes=100_000)
+        charges = [RequestCharge(memory) for _ in range(20)]
+        with self.assertRaises(JayshuntError):
+            for charge in charges:
+                charge.acquire(100_000)
+        RequestCharge(memory).acquire(10_000)
+
     def test_refusals_are_logged_together(self):
         """A crowd must not fill the log."""
         clock = ManualClock()
