Refuse jobs that exceed the memory of an idle dispatcher

An entry without a recent answer of the dispatcher accepted a job that no dispatcher of the deployment can hold. It was held alone, and left no memory for the jobs of ordinary callers: test_jobs_of_very_many_occurrences_that_are_due, whose callers got 429 afterwards. Entries know the limit from their own settings, and refuse such a job at once. One that was accepted with more memory stays in the store.

--- a/src/jayshunt/dispatch/job_memory.py
+++ b/src/jayshunt/dispatch/job_memory.py
@@ -73,8 +73,7 @@
     def may_hold(self, job_bytes: int) -> bool:
         """Return whether an accepted job may be held now.
 
-        A job that is larger than the limit would never run, so that one is held while
-        there is hardly anything else.
+        One that exceeds the memory of an idle dispatcher is never held. Entries refuse
+        such jobs, so that there are some only if the limit was lowered.
         """
-        is_alone = self.held_bytes <= self.limit_bytes * SMALL_SHARE
-        return is_alone or self.room().has_room(job_bytes)
+        return self.room().has_room(job_bytes)
--- a/src/jayshunt/dispatch/link.py
+++ b/src/jayshunt/dispatch/link.py
@@ -67,8 +67,13 @@
         store: PlatformStore,
         clock: Clock,
         failure_detector: DispatcherFailureDetector,
+        idle_room: JobRoom | None = None,
     ) -> None:
-        """Start with no notices to send and no known refusals."""
+        """Start with no notices to send and no known refusals.
+
+        `idle_room` is the memory for a job at a dispatcher that holds none.
+        """
+        self._idle_room = idle_room
         self._failure_detector = failure_detector
         self._election = election
         self._store = store
@@ -105,9 +110,11 @@
     def has_room(self, job_bytes: int) -> bool:
         """Return whether the dispatcher has memory for a new job of this size.
 
-        Without a recent answer it is taken to have. It keeps what it cannot hold in the
-        store then.
+        Without a recent answer, it is taken to hold no jobs. What it cannot hold waits
+        in the store then.
         """
+        if self._idle_room is not None and not self._idle_room.has_room(job_bytes):
+            return False
         if self._clock.monotonic_s() - self._refusals_s > 4 * STATUS_INTERVAL_S:
             return True
         return self._job_room is None or self._job_room.has_room(job_bytes)
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -14,7 +14,9 @@
 from jayshunt.dispatch.dispatcher import Dispatcher
 from jayshunt.dispatch.entry import EntryJobService
 from jayshunt.dispatch.handover import HandoverMonitor
+from jayshunt.dispatch.job_memory import JobMemory
 from jayshunt.dispatch.link import DispatcherLink
+from jayshunt.dispatch.memory_budget import divide_memory
 from jayshunt.dispatch.metrics import EntryMetrics
 from jayshunt.dispatch.models import Address, EntryNode, Resources, Worker
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
@@ -76,7 +78,11 @@
             node.entry, node.zone, self._store, self._clock
         )
         self._link = DispatcherLink(
-            self._election, self._store, self._clock, failure_detector
+            self._election,
+            self._store,
+            self._clock,
+            failure_detector,
+            JobMemory(divide_memory(node.memory_mb).jobs_bytes).room(),
         )
         self._handover_monitor = HandoverMonitor(
             self._election, self._link, self._store, self._clock
