Count runs that are being stopped for the limit per worker

Cause: a run that a worker reports although it is not its task's current one, for example of a start that was carried out late, is kept as a stray run and stopped. It took room until a report showed it gone, but the limit counted only the tasks that are placed on the worker. Another task of the step started beside it.

Change: the load of a worker counts runs, not tasks, of each step with a limit. Stray runs are counted there where they are added and forgotten, so that all that reads the limit agrees: placement of single tasks, gangs, tasks with tickets, moves between workers and the explanation of a placement.

The dispatch tests pass.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -4,7 +4,12 @@
 from enum import Enum
 
 from jayshunt.dispatch.const import CLOCK_SKEW, FAILURES_SET_ASIDE, SET_ASIDE_S
-from jayshunt.dispatch.free_capacity import CandidateWorker, Load
+from jayshunt.dispatch.free_capacity import (
+    CandidateWorker,
+    Load,
+    StepKey,
+    limited_step,
+)
 from jayshunt.dispatch.models import (
     Resources,
     RunReport,
@@ -54,18 +59,21 @@
 class StrayRun:
     """Represent a reported run that isn't its task's current one; it is stopped.
 
-    It counts with `resources` as used by `workspace`, None if its job is unknown.
+    It counts with `resources` as used by `workspace`, None if its job is unknown, and
+    for the limit per worker of `limited_step`, None if that has no limit.
     """
 
     run: int
     reserved: Resources
     resources: Resources
     workspace: WorkspaceName | None
+    limited_step: StepKey | None = None
 
     @classmethod
     def of_task(cls, task: Task, run: int) -> "StrayRun":
         """Return a stray run of a known task."""
-        return cls(run, task.spec.reserved, task.spec.resources, task.workspace)
+        spec, step = task.spec, limited_step(task)
+        return cls(run, spec.reserved, spec.resources, task.workspace, step)
 
 
 @dataclass
@@ -80,7 +88,8 @@
     `placement_paused_until_s` and `set_aside_until_s`, nor while the worker's VM is
     being emptied for `evacuation_reason`.
 
-    `tasks` are the placed tasks by key and `load` the sum of what they reserve.
+    `tasks` are the placed tasks by key and `load` the sum of what they reserve, with
+    the stray runs in its `runs_per_step`.
     `suspects` are the placed tasks that are suspected of crashes. `last_heard_s` is
     the time of the last answer of any kind.
     `strays` are the stray runs by task key and run number, `pending` the reported
@@ -188,6 +197,7 @@
         if before is not None:
             self._forget_stray(before)
         self.strays[key, stray.run] = stray
+        self.load.count_run(stray.limited_step, 1)
         self.usage.add(self.pool, stray.workspace, stray.resources, stray.reserved)
 
     def clear_strays(self) -> None:
@@ -197,6 +207,7 @@
         self.strays.clear()
 
     def _forget_stray(self, stray: StrayRun) -> None:
+        self.load.count_run(stray.limited_step, -1)
         self.usage.remove(self.pool, stray.workspace, stray.resources, stray.reserved)
 
     def probation_weight(self, now_s: float) -> int:
--- a/src/jayshunt/dispatch/free_capacity.py
+++ b/src/jayshunt/dispatch/free_capacity.py
@@ -18,20 +18,26 @@
     return (task.key.job, task.key.occurrence, task.key.step)
 
 
+def limited_step(task: Task) -> StepKey | None:
+    """Return a task's step if it has a limit per worker."""
+    return step_key(task) if task.spec.max_per_worker else None
+
+
 @dataclass
 class Load:
     """Sum the reservations and the tasks on a worker.
 
     `long_running_reserved` is the share of `reserved` that belongs to long-running
-    tasks. `tasks_per_step` counts the tasks of each step that has a
-    `max_per_worker`. `filling` counts tasks that use otherwise idle processors,
-    `serving` those with a latency target. `images` counts both kinds by image and by
-    whether they fill, as far as they have an image.
+    tasks. `runs_per_step` counts the runs of each step that has a `max_per_worker`,
+    also stray runs that are being stopped, which no other sum includes. `filling`
+    counts tasks that use otherwise idle processors, `serving` those with a latency
+    target. `images` counts both kinds by image and by whether they fill, as far as
+    they have an image.
     """
 
     reserved: Resources = Resources()
     long_running_reserved: Resources = Resources()
-    tasks_per_step: Counter = field(default_factory=Counter)
+    runs_per_step: Counter = field(default_factory=Counter)
     long_running: int = 0
     filling: int = 0
     serving: int = 0
@@ -56,20 +62,24 @@
         return Load(
             self.reserved,
             self.long_running_reserved,
-            self.tasks_per_step.copy() if self.tasks_per_step else Counter(),
+            self.runs_per_step.copy() if self.runs_per_step else Counter(),
             self.long_running,
             self.filling,
             self.serving,
             self.images.copy(),
         )
 
+    def count_run(self, step: StepKey | None, change: int) -> None:
+        """Add `change` runs of a step with a limit per worker; None is another step."""
+        if step is None:
+            return
+        self.runs_per_step[step] += change
+        if not self.runs_per_step[step]:
+            del self.runs_per_step[step]
+
     def _count(self, task: Task, change: int) -> None:
         spec = task.spec
-        if spec.max_per_worker:
-            key = step_key(task)
-            self.tasks_per_step[key] += change
-            if not self.tasks_per_step[key]:
-                del self.tasks_per_step[key]
+        self.count_run(limited_step(task), change)
         if spec.is_long_running:
             self.long_running += change
         if spec.fills:
@@ -153,10 +163,7 @@
         return Obstacle.NO_ROOM
     if step.required_label and step.required_label not in candidate.worker.labels:
         return Obstacle.NO_LABEL
-    if (
-        step.max_per_worker
-        and candidate.load.tasks_per_step[key] >= step.max_per_worker
-    ):
+    if step.max_per_worker and candidate.load.runs_per_step[key] >= step.max_per_worker:
         return Obstacle.STEP_LIMIT
     return None
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -329,7 +329,7 @@
 
         `born` is the start time of the worker's incarnation. `list_age_ms` is the age
         of the worker list, which tells pool and labels. `of_step` is how many
-        tasks of the step are known to be on the worker with this one, for a step with
+        runs of the step are known to be on the worker with this one, for a step with
         a limit per worker.
         """
         worker, list_age_s = view.worker, self._dispatcher.worker_list_age_s()
@@ -344,7 +344,7 @@
             fields["required_label"] = task.spec.required_label
             fields["labels"] = sorted(worker.labels)
         if task.spec.max_per_worker:
-            fields["of_step"] = view.load.tasks_per_step[step_key(task)]
+            fields["of_step"] = view.load.runs_per_step[step_key(task)]
             fields["max_per_worker"] = task.spec.max_per_worker
         return fields
 
