Check pool, label and limit again before a start is sent

Cause: a start is placed in one step and sent in another. In between it waits behind the worker's other orders, and up to 0.6 s for the store. What the placement relied on was not checked again, except for room and the term. The worker's entry may name another pool or other labels meanwhile, or none at all; a configuration may send the queue to another pool; a report may show another run of the step.

Change: WorkerView.exclusion tells why a task that was placed must not start, and is asked under the lock that covers the decision to send. Such a start is withheld, its task waits again, and the next round places it by what is known then. The log line names pools, labels, start time and the count.

What a worker becomes after the start is sent is not covered by this.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -8,7 +8,9 @@
     CandidateWorker,
     Load,
     StepKey,
+    lacks_label,
     limited_step,
+    step_key,
 )
 from jayshunt.dispatch.models import (
     Resources,
@@ -299,6 +301,23 @@
             return Obstacle.PAUSED
         return Obstacle.SET_ASIDE if now_s < self.set_aside_until_s else None
 
+    def exclusion(self, task: Task, pool: PoolName) -> Obstacle | None:
+        """Return why a task that was placed here must not start, None if it may.
+
+        `pool` is that of the task's queue now. The worker's entry, its runs or the
+        configuration may have changed since the task was placed. Pool and labels of a
+        worker are known only while it is listed.
+        """
+        step = task.spec
+        if not self.is_listed:
+            return Obstacle.NOT_LISTED
+        if self.worker.pool != pool:
+            return Obstacle.OTHER_POOL
+        if lacks_label(step, self.worker):
+            return Obstacle.NO_LABEL
+        runs = self.load.runs_per_step[step_key(task)] if step.max_per_worker else 0
+        return Obstacle.STEP_LIMIT if runs > step.max_per_worker else None
+
     def is_ordered_away(self, sent_s: float) -> bool:
         """Return whether the worker's VM was ordered away before `sent_s`."""
         return self.ordered_away_s is not None and sent_s >= self.ordered_away_s
--- a/src/jayshunt/dispatch/free_capacity.py
+++ b/src/jayshunt/dispatch/free_capacity.py
@@ -23,6 +23,11 @@
     return step_key(task) if task.spec.max_per_worker else None
 
 
+def lacks_label(step: StepSpec, worker: Worker) -> bool:
+    """Return whether a worker lacks the label that a step requires."""
+    return bool(step.required_label) and step.required_label not in worker.labels
+
+
 @dataclass
 class Load:
     """Sum the reservations and the tasks on a worker.
@@ -161,7 +166,7 @@
         return Obstacle.AVOIDED
     if not candidate.free.can_fit(step.reserved):
         return Obstacle.NO_ROOM
-    if step.required_label and step.required_label not in candidate.worker.labels:
+    if lacks_label(step, candidate.worker):
         return Obstacle.NO_LABEL
     if step.max_per_worker and candidate.load.runs_per_step[key] >= step.max_per_worker:
         return Obstacle.STEP_LIMIT
--- a/src/jayshunt/dispatch/obstacles.py
+++ b/src/jayshunt/dispatch/obstacles.py
@@ -16,5 +16,6 @@
     PROBATION = "on probation, a suspect of a crash was just started"
     AVOIDED = "tasks of the step were slowed down by its neighbors there"
     NO_ROOM = "no room"
+    OTHER_POOL = "in another pool than its queue"
     NO_LABEL = "lacks the required label"
     STEP_LIMIT = "has as many tasks of the step as may share a worker"
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -6,6 +6,7 @@
 
 from jayshunt.dispatch.const import ORDER_TIMEOUT_S
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView
+from jayshunt.dispatch.free_capacity import step_key
 from jayshunt.dispatch.messages import PaceTask, SessionContext, StartTask, WorkerApi
 from jayshunt.dispatch.models import OrderAnswer, OrderRefusal, StartOrder, TaskKey
 from jayshunt.dispatch.run_reports import StopOrder
@@ -219,26 +220,37 @@
             return "the worker has no room left"
         if not self._context.knows_capacity(self._view.worker.pool):
             return "the worker's capacity may be outdated"
+        job = self._context.tracker.jobs[item.task.key.job]
+        exclusion = self._view.exclusion(item.task, job.config.pool)
+        if exclusion is not None:
+            return exclusion.value
         if not self._is_stored(item):
             return "the store does not know of the start"
         return None
 
     def _withhold_start(self, item: StartTask, reason: str, now_s: float) -> None:
         """Return a task that was placed on the worker to waiting."""
-        view = self._view
+        view, task = self._view, item.task
+        job = self._context.tracker.jobs[task.key.job]
         _LOGGER.info(
             "dispatch: a start was withheld",
             extra={
-                "task": item.task.key.name,
+                "task": task.key.name,
                 "run": item.run,
                 "worker": view.worker.worker,
                 "reason": reason,
                 "capacity": str(view.worker.capacity),
                 "reserved": str(view.reserved()),
+                "born": view.worker.started_ms,
+                "pool": view.worker.pool,
+                "queue_pool": job.config.pool,
+                "labels": sorted(view.worker.labels),
+                "required_label": task.spec.required_label,
+                "of_step": view.load.runs_per_step[step_key(task)],
             },
         )
         self._context.tracker.counts["start_withheld"] += 1
-        self._context.tracker.record_not_started(item.task, item.run, now_s)
+        self._context.tracker.record_not_started(task, item.run, now_s)
 
     def _check_clock(
         self, clock_ms: int | None, known_clock_ms: int | None, now_s: float
--- a/src/jayshunt/dispatch/tests/test_excluded_workers.py
+++ b/src/jayshunt/dispatch/tests/test_excluded_workers.py
@@ -1,19 +1,28 @@
 """Test that no task starts on a worker that its step or its queue excludes."""
 
 import unittest
+from dataclasses import replace
 
+from jayshunt.clock import ManualClock
 from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.messages import StartTask
+from jayshunt.dispatch.models import OrderAnswer
+from jayshunt.dispatch.order_sender import OrderSender
 from jayshunt.dispatch.placing import plan_placements
-from jayshunt.dispatch.tasks import Task
+from jayshunt.dispatch.tasks import Task, TaskPhase
 from jayshunt.dispatch.tests.builders import (
     POOL,
+    SPARE,
     add_worker_view,
     build_job,
+    build_queue,
     build_report,
+    build_session_context,
     build_step,
     build_tracker,
     place,
 )
+from jayshunt.dispatch.tests.fakes import FakeWorkerApi, run_steps
 from jayshunt.ids import WorkerId
 
 
@@ -48,5 +57,60 @@
         self.assertEqual([other], self.choose(self.views[0]))
 
 
+class ChangeBeforeStartTest(unittest.TestCase):
+    """Change what a placement relied on before the start order is sent."""
+
+    def setUp(self) -> None:
+        """Place one of two tasks, which need a label and must not share a worker."""
+        step = build_step(task_count=2, max_per_worker=1, required_label="arm")
+        self.job = build_job(step)
+        self.tracker = build_tracker(self.job)
+        self.view = add_worker_view(self.tracker, labels=frozenset({"arm"}))
+        self.task, self.other = self.job.tasks()
+        self.tracker.record_order(self.task, self.view, 16, 0.0)
+
+    def is_sent(self) -> bool:
+        """Return whether the start is sent; else the task has to wait again."""
+        worker_api = FakeWorkerApi()
+        worker_api.start_answers = [OrderAnswer(None)]
+        context = build_session_context(self.tracker, ManualClock(0.0))
+        orders = OrderSender(self.view, worker_api, context)
+        run_steps(orders._send_start(StartTask(self.task, 16, "payload")))
+        self.assertEqual(not worker_api.sent, self.task in self.job.ready_tasks())
+        return bool(worker_api.sent)
+
+    def test_start_is_sent_if_nothing_changed(self) -> None:
+        """A check that always fails would withhold every start."""
+        self.assertTrue(self.is_sent())
+
+    def test_worker_listed_in_another_pool_is_not_started_on(self) -> None:
+        """A task ran in a pool to which no configuration sends its queue."""
+        self.view.worker = replace(self.view.worker, pool=SPARE)
+        self.assertFalse(self.is_sent())
+
+    def test_task_is_not_started_in_the_former_pool_of_its_queue(self) -> None:
+        """A new configuration sent the queue elsewhere while the start waited."""
+        self.job.config = build_queue(pool=SPARE)
+        self.assertFalse(self.is_sent())
+
+    def test_worker_listed_without_the_label_is_not_started_on(self) -> None:
+        """A task ran on a worker of another kind than it requires."""
+        self.view.worker = replace(self.view.worker, labels=frozenset({"x86"}))
+        self.assertFalse(self.is_sent())
+
+    def test_worker_that_left_the_list_is_not_started_on(self) -> None:
+        """Its pool and labels are no longer known."""
+        self.view.is_listed = False
+        self.assertFalse(self.is_sent())
+
+    def test_start_that_would_exceed_the_limit_is_not_sent(self) -> None:
+        """A run that another term started was found after the task was placed."""
+        self.other.run = 7
+        report = build_report(self.other)
+        self.tracker.apply_run_report(self.view, report, 0.5, 0.5)
+        self.assertIs(TaskPhase.RUNNING, self.other.phase)
+        self.assertFalse(self.is_sent())
+
+
 if __name__ == "__main__":
     unittest.main()
