Test the limit per worker across a worker's next life

Cause, on landings before: a worker that had started again ended all that was ordered under its id, also a start that its next life had taken or was about to take. The task counted as waiting, ran elsewhere, and the room for its step on the worker looked free: another task of the step started there, beside the start that was counted as lost.

The product is not changed: keeps such a task placed on the next life until a report settles it.

--- a/src/jayshunt/dispatch/tests/test_excluded_workers.py
+++ b/src/jayshunt/dispatch/tests/test_excluded_workers.py
@@ -56,6 +56,24 @@
         self.tracker.apply_run_report(self.views[0], build_report(), 1.8, 1.8)
         self.assertEqual([other], self.choose(self.views[0]))
 
+    def test_limit_counts_starts_that_the_next_life_of_a_worker_may_take(self) -> None:
+        """Such a start counted as lost, and another task of the step started there."""
+        sent, other = self.job.tasks()
+        self.tracker.record_order(sent, self.views[0], 16, 0.0)
+        self.tracker.record_sent(sent, 0.1)
+        restarted = build_report(started_ms=2)
+        self.tracker.apply_run_report(self.views[0], restarted, 0.2, 0.3)
+        next_view = self.tracker.workers.get(WorkerId("w1"))
+        if next_view is None:
+            next_view = add_worker_view(self.tracker, "w1", started_ms=2)
+        for running in ((), (sent,)):
+            report = build_report(*running, started_ms=2)
+            self.tracker.apply_run_report(next_view, report, 0.4, 0.5)
+            for task in self.choose(self.views[1])[:1]:
+                place(self.tracker, self.job, task.key.index, self.views[1], 0.6)
+            self.assertEqual([], self.choose(next_view))
+        self.assertEqual([WorkerId("w1"), WorkerId("w2")], [sent.worker, other.worker])
+
 
 class ChangeBeforeStartTest(unittest.TestCase):
     """Change what a placement relied on before the start order is sent."""
