Hold inherited jobs back for every pool that their queue had

Callers would see a task run on two workers at once after a dispatcher was lost, if a configuration had sent the task's queue to another pool before.

Cause: without a handoff, a dispatcher holds an inherited job back while a worker of the job's pool has not answered. It took the pool from the present configuration. Runs of the job may also be in the pools to which earlier configurations sent its queue, and a later term cannot know these.

Change: a job keeps the pools in which its runs may be: that of its acceptance, which is stored with it, and each one that a configuration adds. A new pool is stored with the job's progress before a start is sent there, by the wait that starts of suspects have already. RunTracker.apply_config is the one place that changes the configuration of a job. The job reader calls it under the lock, so that a job that is read while a configuration comes into force does not keep the former one.

A queue that changes its pool costs one write of progress for each of its active jobs that had not been there.

--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -34,7 +34,7 @@
 from jayshunt.dispatch.suspicion import decode_suspicion
 from jayshunt.dispatch.tasks import Job
 from jayshunt.errors import DECODE_ERRORS
-from jayshunt.ids import JobId, QueueName, Revision, WorkerId
+from jayshunt.ids import JobId, Revision, WorkerId
 from jayshunt.platform.formats import is_job_id
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
@@ -129,9 +129,10 @@
         now_s = self._clock.monotonic_s()
         has_progress = progress is not None and progress.value is not None
         age_s = 0.0 if is_new else min(60.0, max(0.0, time.time() - accepted_at_s))
+        accepted = decode_queue(value)
         job = Job(
             spec,
-            self._queue_config(spec.queue, value),
+            accepted,
             accepted_s=now_s - age_s,
             created=Revision(created),
             is_inherited=created < self._dispatcher.token,
@@ -146,6 +147,7 @@
         with lock:
             added = tracker.add_job(job)
             if added:
+                tracker.apply_config(job, self._queue_config(accepted))
                 self._dispatcher.planner.workspaces.record_added(job)
         if added and not job.state.is_final:
             self._dispatcher.planner.predict_work(job)
@@ -161,11 +163,12 @@
                 },
             )
 
-    def _queue_config(self, queue: QueueName, value: bytes) -> QueueConfig:
+    def _queue_config(self, accepted: QueueConfig) -> QueueConfig:
+        """Return the configuration of a queue, as of acceptance if it was removed."""
         for found in self._config().queues:
-            if found.queue == queue:
+            if found.queue == accepted.queue:
                 return found
-        return decode_queue(value)
+        return accepted
 
     def _read_all(self) -> None:
         """Read all jobs, then their progress, so that progress is never older."""
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -318,8 +318,9 @@
         )
         self.observe_wait(job.config.pool, now_s - task.waiting_since_s)
         ticket = self.tickets.ticket(task, view.worker)
-        is_stored_first = task.run_at_risk is not None
-        version = tracker.versions[job.spec.job] if is_stored_first else 0
+        version = job.pools_version
+        if task.run_at_risk is not None:
+            version = tracker.versions[job.spec.job]
         return self._dispatcher.sessions[worker], StartTask(
             task, run, job.spec.payload, version, ticket
         )
@@ -355,7 +356,8 @@
         self._applied_config = config
         queues: dict[QueueName, QueueConfig] = {q.queue: q for q in config.queues}
         for job in self.active_jobs():
-            job.config = queues.get(job.spec.queue, job.config)
+            queue = queues.get(job.spec.queue, job.config)
+            self._dispatcher.tracker.apply_config(job, queue)
 
     def _candidates(
         self, pools: set[PoolName], now_s: float
@@ -436,12 +438,12 @@
 
         If the last dispatcher ended its term gracefully, its handoff record lists the
         tasks of each worker and its jobs with ends not yet stored. Without one, every
-        inherited job of the worker's pool is held back.
+        inherited job that may have runs in the worker's pool is held back.
         """
         handoff = self._dispatcher.handoff
         if handoff is None:
             pools = {view.worker.pool for view in silent}
-            return lambda job: not job.is_inherited or job.config.pool not in pools
+            return lambda job: not job.is_inherited or pools.isdisjoint(job.pools)
         blocked_jobs = {
             name.partition(".")[0]
             for view in silent
--- a/src/jayshunt/dispatch/record_models.py
+++ b/src/jayshunt/dispatch/record_models.py
@@ -122,8 +122,9 @@
 
 
 class StoredProgress(StoredState):
-    """Represent the progress of a job."""
+    """Represent the progress of a job; `pools` may lack that of its acceptance."""
 
+    pools: tuple[Name, ...] = ()
     done: dict[StepName, list[Count]] = {}
     failures: dict[TaskName, Annotated[list[Whole], Field(min_length=1)]] = {}
     checkpoints: dict[TaskName, Checkpoint] = {}
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -146,8 +146,9 @@
 
     Done tasks are lists of indices by occurrence and step. Failed runs, checkpoints and
     crashes of the other tasks are keyed by occurrence, step and index. Crashes include
-    the runs of which it is not known whether they crashed their worker. A job in a
-    final state has only its state.
+    the runs of which it is not known whether they crashed their worker. Pools are left
+    out while there is only that of the job's acceptance. A job in a final state has
+    only its state.
     """
     done: dict[str, list[int]] = {}
     failures: dict[str, tuple[int, ...]] = {}
@@ -168,6 +169,8 @@
                 if task.crashes.total or _runs_at_risk(task):
                     crashes[_task_name(task.key)] = _encode_crashes(task)
     fields: dict = {"state": job.state.value}
+    if len(job.pools) > 1 and not job.state.is_final:
+        fields["pools"] = sorted(job.pools)
     if done:
         fields["done"] = done
     if failures:
@@ -182,6 +185,7 @@
 def apply_progress(job: Job, value: bytes) -> None:
     """Apply a stored progress record to a job that was just read."""
     fields = StoredProgress.model_validate_json(value)
+    job.pools.update(PoolName(pool) for pool in fields.pools)
     for name, indices in fields.done.items():
         occurrence, step = (int(part) for part in name.split("."))
         for index in indices:
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -17,7 +17,14 @@
 from jayshunt.dispatch.crash_blame import LostRun
 from jayshunt.dispatch.crash_tracker import CrashTracker
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView
-from jayshunt.dispatch.models import Bounds, JobState, RunReport, TaskKey, Worker
+from jayshunt.dispatch.models import (
+    Bounds,
+    JobState,
+    QueueConfig,
+    RunReport,
+    TaskKey,
+    Worker,
+)
 from jayshunt.dispatch.run_reports import RunReports, StopOrder
 from jayshunt.dispatch.tasks import Job, Task, TaskPhase
 from jayshunt.ids import JobId, Revision, WorkerId
@@ -91,6 +98,14 @@
             self.crashes.add_job(job)
         return True
 
+    def apply_config(self, job: Job, config: QueueConfig) -> None:
+        """Apply the configuration of a job's queue, and store a pool that is new."""
+        job.config = config
+        if config.pool not in job.pools and not job.state.is_final:
+            job.pools.add(config.pool)
+            self.mark_dirty(job)
+            job.pools_version = self.versions[job.spec.job]
+
     def cancel(self, job_id: JobId) -> list[StopOrder]:
         """Cancel a job and return the runs to stop."""
         job = self.jobs.get(job_id)
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -5,7 +5,7 @@
 
 from jayshunt.dispatch.crash_models import NO_CRASHES, CrashCounts, RunAtRisk
 from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig, StepSpec, TaskKey
-from jayshunt.ids import Revision, VmId, WorkerId, WorkspaceName
+from jayshunt.ids import PoolName, Revision, VmId, WorkerId, WorkspaceName
 
 # Allows for clock differences between VMs: a task must not start before its time.
 DUE_MARGIN_MS = 20
@@ -155,6 +155,9 @@
     that an earlier term may have started. `ready_cache` keeps the tasks whose
     dependencies are done, some of which may no longer be waiting; None means that it
     has to be recomputed. `is_excess` marks a job beyond the rate of its workspace.
+    `pools` are those in which runs of the job may be, as configurations sent its queue
+    there. Starts are sent once version `pools_version` of its progress is stored, so
+    that a later term knows the pools.
     """
 
     spec: JobSpec
@@ -173,6 +176,8 @@
     critical_path_ms: float = 0.0
     ready_cache: list[Task] | None = None
     is_excess: bool = False
+    pools: set[PoolName] = field(default_factory=set)
+    pools_version: int = 0
 
     def __post_init__(self) -> None:
         """Create the tasks, unless the job runs at scheduled times or has ended.
@@ -180,6 +185,7 @@
         A new dispatcher reads all jobs of the last minutes, most of which have ended.
         """
         self.critical_path_ms = compute_critical_path_ms(self.spec)
+        self.pools = self.pools or {self.config.pool}
         if not self.spec.times and not self.state.is_final:
             self.create_occurrence(0)
 
--- a/src/jayshunt/dispatch/tests/start_simulation.py
+++ b/src/jayshunt/dispatch/tests/start_simulation.py
@@ -221,7 +221,8 @@
     """Run the platform's side and the present dispatcher in simulated time.
 
     `problems` are the starts that break a part of the rule: a pool to which no
-    configuration sent the queue, a missing label, or too many tasks of a step.
+    configuration sent the queue, a missing label, or too many tasks of a step; and
+    those of a task that another worker runs.
     `taken_over` are those that no sender could exclude, as an order names a worker's
     id and not its life: another life than the sender knew took it. For the limit per
     worker that holds only if a stop of the run was accepted before, because a start
@@ -475,20 +476,20 @@
         life.orders[order.task, order.run] = is_own
         self.counts["starts"] += 1
         step = self.steps[order.task.job]
-        name = f"{self.now_s():.2f} {order.task.name} on {life.worker.worker}"
-        found = []
+        where = f"{self.now_s():.2f} {order.task.name} on {life.worker.worker}"
         if life.worker.pool not in self.sent_pools:
-            found.append(f"service: {name}")
+            self._record(f"service: {where}", is_own)
         if step.required_label and step.required_label not in life.worker.labels:
-            found.append(f"label: {name}")
-        same = [
-            (key, run)
-            for key, run in life.server.runs.items()
-            if key[:3] == order.task[:3]
-        ]
+            self._record(f"label: {where}", is_own)
+        same = [row for row in life.server.runs.items() if row[0][:3] == order.task[:3]]
         if step.max_per_worker and len(same) > step.max_per_worker:
-            is_own = not any(
-                row in self.stopped and not life.orders[row] for row in same
-            )
-            found.append(f"antiAffinity: {name} beside {same}")
-        (self.problems if is_own else self.taken_over).extend(found)
+            is_known = all(life.orders[row] or row not in self.stopped for row in same)
+            self._record(f"antiAffinity: {where} beside {same}", is_known)
+        for other in (vm.life for vm in self.vms if vm.life not in (None, life)):
+            run = other.server.runs.get(order.task)
+            if run is not None:
+                is_known = is_own and other.orders[order.task, run]
+                self._record(f"twice: {where} and {other.worker.worker}", is_known)
+
+    def _record(self, problem: str, is_avoidable: bool) -> None:
+        (self.problems if is_avoidable else self.taken_over).append(problem)
