--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -4,7 +4,14 @@
 from enum import Enum
 
 from jayshunt.dispatch.const import CLOCK_SKEW, FAILURES_SET_ASIDE, SET_ASIDE_S
-from jayshunt.dispatch.free_capacity import CandidateWorker, Load
+from jayshunt.dispatch.free_capacity import (
+    CandidateWorker,
+    Load,
+    StepKey,
+    lacks_label,
+    limited_step,
+    step_key,
+)
 from jayshunt.dispatch.models import (
     Resources,
     RunReport,
@@ -54,18 +61,21 @@
 class StrayRun:
     """Represent a reported run that isn't its task's current one; it is stopped.
 
-    It counts with `resources` as used by `workspace`, None if its job is unknown.
+    It counts with `resources` as used by `workspace`, None if its job is unknown, and
+    for the limit per worker of `limited_step`, None if that has no limit.
     """
 
     run: int
     reserved: Resources
     resources: Resources
     workspace: WorkspaceName | None
+    limited_step: StepKey | None = None
 
     @classmethod
     def of_task(cls, task: Task, run: int) -> "StrayRun":
         """Return a stray run of a known task."""
-        return cls(run, task.spec.reserved, task.spec.resources, task.workspace)
+        spec, step = task.spec, limited_step(task)
+        return cls(run, spec.reserved, spec.resources, task.workspace, step)
 
 
 @dataclass
@@ -80,7 +90,8 @@
     `placement_paused_until_s` and `set_aside_until_s`, nor while the worker's VM is
     being emptied for `evacuation_reason`.
 
-    `tasks` are the placed tasks by key and `load` the sum of what they reserve.
+    `tasks` are the placed tasks by key and `load` the sum of what they reserve, with
+    the stray runs in its `runs_per_step`.
     `suspects` are the placed tasks that are suspected of crashes. `last_heard_s` is
     the time of the last answer of any kind.
     `strays` are the stray runs by task key and run number, `pending` the reported
@@ -188,6 +199,7 @@
         if before is not None:
             self._forget_stray(before)
         self.strays[key, stray.run] = stray
+        self.load.count_run(stray.limited_step, 1)
         self.usage.add(self.pool, stray.workspace, stray.resources, stray.reserved)
 
     def clear_strays(self) -> None:
@@ -197,6 +209,7 @@
         self.strays.clear()
 
     def _forget_stray(self, stray: StrayRun) -> None:
+        self.load.count_run(stray.limited_step, -1)
         self.usage.remove(self.pool, stray.workspace, stray.resources, stray.reserved)
 
     def probation_weight(self, now_s: float) -> int:
@@ -288,6 +301,23 @@
             return Obstacle.PAUSED
         return Obstacle.SET_ASIDE if now_s < self.set_aside_until_s else None
 
+    def exclusion(self, task: Task, pool: PoolName) -> Obstacle | None:
+        """Return why a task that was placed here must not start, None if it may.
+
+        `pool` is that of the task's queue now. The worker's entry, its runs or the
+        configuration may have changed since the task was placed. Pool and labels of a
+        worker are known only while it is listed.
+        """
+        step = task.spec
+        if not self.is_listed:
+            return Obstacle.NOT_LISTED
+        if self.worker.pool != pool:
+            return Obstacle.OTHER_POOL
+        if lacks_label(step, self.worker):
+            return Obstacle.NO_LABEL
+        runs = self.load.runs_per_step[step_key(task)] if step.max_per_worker else 0
+        return Obstacle.STEP_LIMIT if runs > step.max_per_worker else None
+
     def is_ordered_away(self, sent_s: float) -> bool:
         """Return whether the worker's VM was ordered away before `sent_s`."""
         return self.ordered_away_s is not None and sent_s >= self.ordered_away_s
