Check in the soak that workers may run what they start

Its jobs had neither labels, limits nor tasks that last, and a stop took no time.

Worker stand-ins record their life, pool and labels with each start. A stop takes 180 ms, in which the run is still there. Another caller submits jobs that last and cancels them. Runs are told apart by the worker's life.

--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -13,6 +13,7 @@
 from jayshunt_soak.faults import Fault, FaultPlayer, draw_faults, impairments
 from jayshunt_soak.keys import KeyProber, check_keys, check_secrecy
 from jayshunt_soak.odd_entries import check_survival
+from jayshunt_soak.starts import check_starts
 from jayshunt_soak.testbed import Testbed
 
 START_TIMEOUT_S = 20.0
@@ -42,10 +43,13 @@
         # Let the last faults end by themselves; `heal` ends any that still last.
         time.sleep(max((fault.for_s for fault in faults[-4:]), default=0.0))
         testbed.heal()
+        load.cancel_lasting_jobs()
         load.wait_until_ended(SETTLE_TIMEOUT_S)
         testbed.record_due_ends()
         disturbed = impairments(faults, load_started_s)
-        broken = check(load.jobs, testbed.events(), disturbed)
+        events = testbed.events()
+        broken = check(load.jobs, events, disturbed)
+        broken += check_starts(load.jobs, events, testbed.stored_queues)
         broken += check_keys(prober.probes, disturbed) + check_secrecy(testbed)
         broken += check_survival(testbed.entries)
     finally:
--- a/src/jayshunt_soak/callers.py
+++ b/src/jayshunt_soak/callers.py
@@ -11,6 +11,7 @@
 from jayshunt_soak.const import (
     CALL_TIMEOUT_S,
     HOST,
+    KINDS,
     POOLS,
     PUBLIC_POOL,
     QUEUE_HOST,
@@ -29,6 +30,11 @@
 # How long after its start such a task crashes its worker; at 0, before the worker
 # answers.
 CRASH_AFTER_MS = (0, 10)
+LABEL_RATIO = 0.2
+LIMIT_RATIO = 0.4
+MAX_LASTING_JOBS = 4
+LASTING_PAUSE_S = (0.2, 1.2)
+CANCEL_TIMEOUT_S = 10.0
 
 
 @dataclass
@@ -54,6 +60,11 @@
     cancelled_s: float | None = None
     states: list[tuple[float, str]] = field(default_factory=list)
 
+    @property
+    def lasts(self) -> bool:
+        """Return whether the tasks run until the job is cancelled."""
+        return any(step.get("lasts") for step in self.steps)
+
     @property
     def path(self) -> str:
         """Return the request path of the job."""
@@ -133,9 +144,10 @@
 
     def start(self) -> None:
         """Start the callers."""
-        for number in range(CALLERS):
+        for number in range(CALLERS + 1):
+            run = self._run if number < CALLERS else self._run_lasting
             rng = random.Random(f"{self._seed}-{number}")
-            thread = threading.Thread(target=self._run, args=(rng,), daemon=True)
+            thread = threading.Thread(target=run, args=(rng,), daemon=True)
             thread.start()
             self._threads.append(thread)
 
@@ -158,7 +170,7 @@
     def _run(self, rng: random.Random) -> None:
         caller = Caller(self._testbed, rng)
         while not self._stopping.wait(rng.expovariate(1 / MEAN_PAUSE_S)):
-            job = self._submit(caller, rng)
+            job = self._submit(caller, rng, draw_job(rng))
             if job.accepted_s is not None and rng.random() < CANCEL_RATIO:
                 self._cancel(caller, job)
             with self._lock:
@@ -167,8 +179,37 @@
                 self._poll_state(caller, sampled)
         caller.disconnect()
 
-    def _submit(self, caller: Caller, rng: random.Random) -> SubmittedJob:
-        job = draw_job(rng)
+    def _run_lasting(self, rng: random.Random) -> None:
+        """Submit jobs that last, and cancel the oldest of more than a few."""
+        caller = Caller(self._testbed, rng)
+        while not self._stopping.wait(rng.uniform(*LASTING_PAUSE_S)):
+            self._submit(caller, rng, draw_lasting_job(rng))
+            lasting = self._lasting_jobs()
+            if len(lasting) > MAX_LASTING_JOBS:
+                self._cancel(caller, lasting[0])
+        caller.disconnect()
+
+    def _lasting_jobs(self) -> list[SubmittedJob]:
+        """Return the jobs that last until they are cancelled, the oldest first."""
+        return [
+            job
+            for job in list(self.jobs)
+            if job.lasts and job.cancelled_s is None and not job.is_refused
+        ]
+
+    def cancel_lasting_jobs(self) -> None:
+        """Cancel the jobs that last, until all have been or the time is up."""
+        caller = Caller(self._testbed, random.Random(self._seed))
+        end_s = time.monotonic() + CANCEL_TIMEOUT_S
+        while (lasting := self._lasting_jobs()) and time.monotonic() < end_s:
+            for job in lasting:
+                self._cancel(caller, job)
+            time.sleep(0.1)
+        caller.disconnect()
+
+    def _submit(
+        self, caller: Caller, rng: random.Random, job: SubmittedJob
+    ) -> SubmittedJob:
         with self._lock:
             self.jobs.append(job)
         body = formats.submission(job.steps)
@@ -192,7 +233,8 @@
     def _cancel(self, caller: Caller, job: SubmittedJob) -> None:
         job.cancel_sent_s = time.monotonic()
         answer = caller.call_for(job, "DELETE")
-        if answer is not None and answer[0] == 200:
+        is_unknown = job.accepted_s is None and answer is not None and answer[0] == 410
+        if is_unknown or answer is not None and answer[0] == 200:
             job.cancelled_s = time.monotonic()
 
     def _poll_state(self, caller: Caller, job: SubmittedJob) -> bool:
@@ -227,10 +269,44 @@
         number = int(job_id, 16) // JOBS_PER_DEADLY_JOB
         crash_after_ms = CRASH_AFTER_MS[number % len(CRASH_AFTER_MS)]
     for step in steps:
-        step["crash_after_ms"] = crash_after_ms
+        step |= {"crash_after_ms": crash_after_ms, "lasts": False}
+    _draw_limits(job_id, steps)
     return SubmittedJob(job_id, pool, steps, fails, is_deadly)
 
 
+def _draw_limits(job_id: str, steps: list[dict]) -> None:
+    """Let steps require a label, or limit their tasks on one worker.
+
+    Drawn from the job's id, so that a seed draws the same jobs as before.
+    """
+    rng = random.Random(f"{job_id}-limits")
+    for step in steps:
+        if rng.random() < LABEL_RATIO:
+            step["required_label"] = rng.choice(KINDS)
+        if rng.random() < LIMIT_RATIO:
+            step["max_per_worker"] = rng.choice((1, 2))
+
+
+def draw_lasting_job(rng: random.Random) -> SubmittedJob:
+    """Return a job of one step that lasts, with a limit of its tasks on one worker."""
+    step = {
+        "ms": 1_000,
+        "cpu": rng.choice((200, 600)),
+        "memory_mb": 200,
+        "fails": False,
+        "crash_after_ms": None,
+        "lasts": True,
+        "count": rng.randrange(2, 6),
+        "after": [],
+        "max_per_worker": rng.choice((1, 2)),
+        "max_unavailable": rng.choice((1, 2)),
+    }
+    if rng.random() < LABEL_RATIO:
+        step["required_label"] = rng.choice(KINDS)
+    job_id = f"{rng.getrandbits(64):016x}"
+    return SubmittedJob(job_id, rng.choice(POOLS), [step], fails=False)
+
+
 def _accepts_connections(port: int) -> bool:
     with socket.socket() as probe:
         probe.settimeout(0.2)
--- a/src/jayshunt_soak/checks.py
+++ b/src/jayshunt_soak/checks.py
@@ -28,6 +28,7 @@
     run_number: int
     worker: str
     started_s: float
+    born: int = 0
     ended_s: float = float("inf")
     outcome: str = ""
     acknowledged_s: float | None = None
@@ -37,10 +38,11 @@
     """Return the runs that workers recorded.
 
     A killed process records no ends, so its runs count as ended when it was killed.
+    A worker may start again under its id; `born` tells its incarnations apart.
     """
-    runs: dict[tuple[str, str, int], RunInterval] = {}
+    runs: dict[tuple[str, int, str, int], RunInterval] = {}
     process_of: dict[str, str] = {}
-    lease_lapses: dict[str, list[float]] = defaultdict(list)
+    lease_lapses: dict[tuple[str, int], list[float]] = defaultdict(list)
     for row in sorted(events, key=lambda row: row["at_s"]):
         if row["event"] == "killed":
             for key, run in runs.items():
@@ -50,14 +52,17 @@
         if row["event"] == "life":
             process_of[row["worker"]] = row["process"]
             continue
-        if row["event"] in ("capacity", "crash"):
+        if row["event"] in ("capacity", "crash", "stopping"):
             continue
+        born = row.get("born", 0)
         if row["event"] == "lapse":
-            lease_lapses[row["worker"]].append(row["at_s"])
+            lease_lapses[row["worker"], born].append(row["at_s"])
             continue
-        key = (row["worker"], row["task"], row["run"])
+        key = (row["worker"], born, row["task"], row["run"])
         if row["event"] == "start":
-            runs[key] = RunInterval(row["task"], row["run"], row["worker"], row["at_s"])
+            runs[key] = RunInterval(
+                row["task"], row["run"], row["worker"], row["at_s"], born
+            )
         elif row["event"] == "end":
             runs[key].ended_s, runs[key].outcome = row["at_s"], row["how"]
         elif row["event"] == "noted":
@@ -66,7 +71,8 @@
             # and the acknowledgment: the entries took the worker for lost in the
             # meantime, so its tasks may run again elsewhere.
             if not any(
-                run.ended_s <= at <= row["at_s"] for at in lease_lapses[run.worker]
+                run.ended_s <= at <= row["at_s"]
+                for at in lease_lapses[run.worker, born]
             ):
                 run.acknowledged_s = row["at_s"]
     return list(runs.values())
@@ -88,14 +94,19 @@
     for run in runs:
         by_task[run.task].append(run)
     jobs = {job.job_id: job for job in submitted}
-    broken = [line for rows in by_task.values() for line in _check_task(rows)]
+    lasting = {job.job_id for job in submitted if job.lasts}
+    broken = [
+        line
+        for task, rows in by_task.items()
+        for line in _check_task(rows, task.partition(".")[0] in lasting)
+    ]
     broken += _check_jobs(jobs, by_task)
     broken += _check_capacity(runs, jobs, events)
     broken += _check_deadly(runs, events, impairments)
     return sorted(broken)
 
 
-def _check_task(rows: list[RunInterval]) -> list[str]:
+def _check_task(rows: list[RunInterval], lasts: bool) -> list[str]:
     broken: list[str] = []
     rows = sorted(rows, key=lambda run: run.started_s)
     for number, run in enumerate(rows):
@@ -115,7 +126,7 @@
     failed = sum(
         run.outcome == "failed" and run.acknowledged_s is not None for run in rows
     )
-    if failed > MAX_FAILURES:
+    if failed > MAX_FAILURES and not lasts:
         broken.append(f"failures: {rows[0].task} failed {failed} times")
     return broken
 
@@ -237,22 +248,24 @@
     For SHRINK_GRACE_S after a worker has shrunk, its former capacity counts.
     """
     broken: list[str] = []
-    by_worker: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    changes_of: dict[tuple[str, int], list[tuple[float, int]]] = defaultdict(list)
     for run in runs:
         job = jobs.get(run.task.partition(".")[0])
         if job is not None:
             cpu = job.steps[0]["cpu"]
-            by_worker[run.worker] += [(run.started_s, cpu), (run.ended_s, -cpu)]
-    sizes: dict[str, list[tuple[float, int]]] = defaultdict(list)
+            changes = changes_of[run.worker, run.born]
+            changes += [(run.started_s, cpu), (run.ended_s, -cpu)]
+    sizes: dict[tuple[str, int], list[tuple[float, int]]] = defaultdict(list)
     for row in events:
         if row["event"] == "capacity":
-            sizes[row["worker"]].append((row["at_s"], row["cpu"]))
-    for worker, changes in by_worker.items():
+            size = (row["at_s"], row["cpu"])
+            sizes[row["worker"], row.get("born", 0)].append(size)
+    for incarnation, changes in changes_of.items():
         used = 0
         for at_s, change in sorted(changes):
             used += change
-            if change > 0 and used > _allowed_millicores(sizes[worker], at_s):
-                broken.append(f"room: {worker} ran {used} millicores")
+            if change > 0 and used > _allowed_millicores(sizes[incarnation], at_s):
+                broken.append(f"room: {incarnation[0]} ran {used} millicores")
                 break
     return broken
 
--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -5,6 +5,8 @@
 # The workers of this pool start whatever they are told to, beyond their capacity too.
 UNGUARDED_POOL = "yard"
 SPARE = "spare"
+# Kinds of VMs, which are labels of their workers. Each pool starts with both.
+KINDS = ("a", "b")
 # The queue of this pool needs no key; entries must ignore keys sent there.
 PUBLIC_POOL = "yard"
 WORKSPACES = ("river", "mountain")
@@ -34,8 +36,9 @@
 SHRINK_GRACE_S = CONTACT_S + HEARTBEAT_S
 # Duration of the move of a VM to another pool.
 MOVE_S = 0.6
-# Setting `stopMs` of the entries.
+# Setting `stopMs` of the entries, and how long a worker takes to stop a run.
 STOP_MS = 200
+STOP_TAKES_S = 0.18
 # Longest lease of a worker.
 HOLD_MAX_MS = 10_000
 # Settings `configApplyMs` and `revokeMs` of the entries.
--- a/src/jayshunt_soak/platform/formats.py
+++ b/src/jayshunt_soak/platform/formats.py
@@ -21,6 +21,13 @@
 )
 
 CONFIG_KEY = "op/config"
+OPTIONAL_STEP_FIELDS = {
+    "after": "after",
+    "required_label": "requires",
+    "max_per_worker": "antiAffinity",
+    "lasts": "longRunning",
+    "max_unavailable": "mayMiss",
+}
 # Every key starts with this, so that a check finds keys in logs and records.
 KEY_MARK = "soak-key-"
 
@@ -48,14 +55,17 @@
     return {**row, "weight": 1_000}
 
 
-def config(version: int) -> bytes:
-    """Return the operator's configuration: one queue for each pool, and workspaces."""
+def config(version: int, queue_pools: dict[str, str]) -> bytes:
+    """Return the operator's configuration: one queue for each pool, and workspaces.
+
+    `queue_pools` gives the pool to which each queue is sent.
+    """
     routes = [
         {
             "name": f"q-{pool}",
             "host": QUEUE_HOST,
             "prefix": queue_path(pool),
-            "service": pool,
+            "service": queue_pools[pool],
             "priority": number,
             "attempts": 3,
             "stretch": 2.0,
@@ -76,10 +86,11 @@
 def submission(steps: list[dict]) -> bytes:
     """Return the body that submits a job.
 
-    Each step has the keys count, ms, cpu, memory_mb, fails, crash_after_ms and after.
+    Each step has the keys count, ms, cpu, memory_mb, fails, crash_after_ms, lasts and
+    after. It may have required_label, max_per_worker and max_unavailable.
     """
     work = max(steps, key=lambda step: step["ms"])
-    keys = ("ms", "cpu", "memory_mb", "fails", "crash_after_ms")
+    keys = ("ms", "cpu", "memory_mb", "fails", "crash_after_ms", "lasts")
     payload = {key: work[key] for key in keys}
     rows = [
         {
@@ -87,7 +98,11 @@
             "cpu": work["cpu"],
             "memMb": work["memory_mb"],
             "estimateMs": work["ms"],
-            **({"after": step["after"]} if step["after"] else {}),
+            **{
+                name: step[key]
+                for key, name in OPTIONAL_STEP_FIELDS.items()
+                if step.get(key)
+            },
         }
         for step in steps
     ]
--- a/src/jayshunt_soak/platform/machines.py
+++ b/src/jayshunt_soak/platform/machines.py
@@ -24,6 +24,7 @@
     vm_id: str
     rack: str
     pool: str
+    kind: str
     address: str
     busy_until_s: float = 0.0
     worker: str = ""
@@ -71,7 +72,10 @@
     def _row(self, vm: ListedVm) -> dict:
         is_busy = time.monotonic() < vm.busy_until_s
         row = {"machine": vm.vm_id, "pool": vm.pool, "zone": vm.rack}
-        row |= {"state": "moving" if is_busy else "up", "labels": ["a", f"r-{vm.rack}"]}
+        row |= {
+            "state": "moving" if is_busy else "up",
+            "labels": [vm.kind, f"r-{vm.rack}"],
+        }
         row["capacity"] = {"cpu": MILLICORES_PER_VM, "memMb": MEMORY_MB_PER_VM}
         if vm.worker and not is_busy:
             row["id"] = vm.worker
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -1,6 +1,6 @@
 """Run the workers of one rack as a process of its own.
 
-The first argument is the plan as JSON: the rack, its VMs with their pools, ports
+The first argument is the plan as JSON: the rack, its VMs with their pools, kinds, ports
 and advertised addresses (`shown`), the address of the platform, the log file and the
 seed.
 """
@@ -25,28 +25,27 @@
     SPARE,
     UNGUARDED_POOL,
 )
-from jayshunt_soak.platform.worker import WorkerIncarnation
+from jayshunt_soak.platform.worker import WorkerIdentity, WorkerIncarnation
 from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
 
 
 class VmStandIn(StandInServer):
     """Serve the successive worker incarnations of one VM at one address."""
 
-    def __init__(
-        self, vm: str, rack: str, pool: str, advertised: str, plan: dict
-    ) -> None:
+    def __init__(self, vm: str, plan: dict) -> None:
         """Start the first incarnation unless the VM is in the spare pool.
 
-        Heartbeats carry `advertised` as the address: that of the relay to this VM.
+        Heartbeats carry the address of the relay to this VM.
         """
         super().__init__(plan["ports"][vm])
-        self.vm, self.rack, self.pool, self.advertised = vm, rack, pool, advertised
+        self.vm, self.rack, self.pool = vm, plan["rack"], plan["vms"][vm]
+        self.kind, self.advertised = plan["kinds"][vm], plan["shown"][vm]
         self._platform = plan["platform"]
         self._log = Path(plan["log"]).open("a", buffering=1)
         self._rng = random.Random(f"{plan['seed']}-{vm}")
         self.incarnation: WorkerIncarnation | None = None
         self._is_crashed = False
-        if pool != SPARE:
+        if self.pool != SPARE:
             self._start_incarnation()
 
     def answer(self, call: Call) -> Reply:
@@ -67,7 +66,10 @@
             raise DropConnection
         if incarnation is None:
             return Reply(503, {})
-        if call.headers.get("X-Expect-Instance") not in (None, incarnation.worker):
+        if call.headers.get("X-Expect-Instance") not in (
+            None,
+            incarnation.identity.worker,
+        ):
             return Reply(421, {})
         reply = _carry_out(incarnation, call)
         if incarnation.is_ended:
@@ -80,15 +82,15 @@
             incarnation = self.incarnation
             if incarnation is not None and not incarnation.is_ended:
                 registration = {
-                    "worker": incarnation.worker,
+                    "worker": incarnation.identity.worker,
                     "entry": {
-                        "service": self.pool,
+                        "service": incarnation.identity.pool,
                         "address": self.advertised,
                         "zone": self.rack,
                         "state": "ready",
                         "born": incarnation.started_ms,
                         "machine": self.vm,
-                        "labels": ["a", f"r-{self.rack}"],
+                        "labels": incarnation.identity.labels,
                         "capacity": {
                             "cpu": incarnation.millicores,
                             "memMb": MEMORY_MB_PER_VM,
@@ -110,23 +112,22 @@
         except JayshuntError as error:
             print(f"heartbeat failed: {error}", file=sys.stderr)
 
-    def _start_incarnation(self) -> None:
-        worker = f"i-{uuid.uuid4().hex[:10]}"
-
-        def record(event: dict) -> None:
-            at_s = event.pop("at_s", time.monotonic())
-            row = {"at_s": at_s, "worker": worker, "vm": self.vm, **event}
-            self._log.write(json.dumps(row) + "\n")
-
-        self.incarnation = WorkerIncarnation(
-            worker,
+    def _start_incarnation(self, worker: str | None = None) -> None:
+        """Start an incarnation under an id; None gives it a new one."""
+        worker = worker or f"i-{uuid.uuid4().hex[:10]}"
+        labels = (self.kind, f"r-{self.rack}")
+        incarnation = WorkerIncarnation(
+            WorkerIdentity(worker, self.pool, labels),
             self._rng.uniform(MIN_CLOCK_RATE, 1.0),
-            record,
+            self._write_event,
             guards_capacity=self.pool != UNGUARDED_POOL,
             on_crash=self._crash,
         )
-        self._is_crashed = False
-        record({"event": "life", "pool": self.pool})
+        incarnation.record_life()
+        self.incarnation, self._is_crashed = incarnation, False
+
+    def _write_event(self, event: dict) -> None:
+        self._log.write(json.dumps({"vm": self.vm, **event}) + "\n")
 
     def _crash(self) -> None:
         """Be down for a while, then start another incarnation."""
@@ -165,8 +166,8 @@
 def main() -> None:
     """Serve all VMs of the rack until the process is killed."""
     plan = json.loads(sys.argv[1])
-    for vm, pool in plan["vms"].items():
-        server = VmStandIn(vm, plan["rack"], pool, plan["shown"][vm], plan)
+    for vm in plan["vms"]:
+        server = VmStandIn(vm, plan)
         server.start()
         threading.Thread(target=server.send_heartbeats, daemon=True).start()
     print("ready", flush=True)
--- a/src/jayshunt_soak/platform/worker.py
+++ b/src/jayshunt_soak/platform/worker.py
@@ -1,6 +1,8 @@
 """Simulate one incarnation of a worker: its runs, its lease and its run ends."""
 
 import json
+import math
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -11,22 +13,40 @@
     MEMORY_MB_PER_VM,
     MILLICORES_PER_VM,
     MIN_CLOCK_RATE,
+    STOP_TAKES_S,
 )
 
 MAX_ENDS_LISTED = 500
+# Share of the runs of lasting tasks that fail, and when they do.
+LASTING_FAILURE_RATIO = 0.3
+LASTING_FAILURE_S = (0.2, 3.0)
 # The first task of the first step of a deadly job crashes its worker.
 DEADLY_TASK = ".0.0.0"
 
 
 @dataclass
 class Run:
-    """Describe one run; `done_s`, the end of its work, is in monotonic seconds."""
+    """Describe one run; times are monotonic seconds.
+
+    `done_s` is the end of its work, and `stopped_s` the time at which it is gone after
+    an order to stop it.
+    """
 
     number: int
     done_s: float
     fails: bool
     cpu: int
     memory_mb: int
+    stopped_s: float = math.inf
+
+
+@dataclass(frozen=True)
+class WorkerIdentity:
+    """Describe who a worker is during one incarnation."""
+
+    worker: str
+    pool: str
+    labels: tuple[str, ...]
 
 
 class WorkerIncarnation:
@@ -38,7 +58,7 @@
 
     def __init__(
         self,
-        worker: str,
+        identity: WorkerIdentity,
         clock_rate: float,
         record: Callable[[dict], None],
         guards_capacity: bool = True,
@@ -49,14 +69,14 @@
         `record` writes an event to the log. `on_crash` is called once a task crashes
         the worker.
         """
-        self.worker = worker
+        self.identity = identity
         self.millicores = MILLICORES_PER_VM
         self._guards_capacity = guards_capacity
         self._on_crash = on_crash
         self.started_ms = int(time.time() * 1000)
         self._started_s = time.monotonic()
         self._clock_rate = max(MIN_CLOCK_RATE, clock_rate)
-        self._record = record
+        self._write = record
         self._changed = threading.Condition()
         self._fencing_token = 0
         self._lease_end_ms = 0
@@ -80,14 +100,16 @@
             if task in self._runs:
                 return self._answer(200)
             work = json.loads(body["spec"])
-            self._runs[task] = Run(
-                run_number,
-                time.monotonic() + work["ms"] / 1000,
-                work["fails"],
-                work["cpu"],
-                work["memory_mb"],
+            self._runs[task] = _begin_run(task, run_number, work)
+            self._record(
+                {
+                    "event": "start",
+                    "task": task,
+                    "run": run_number,
+                    "pool": self.identity.pool,
+                    "labels": self.identity.labels,
+                }
             )
-            self._record({"event": "start", "task": task, "run": run_number})
             if work["crash_after_ms"] is not None and task.endswith(DEADLY_TASK):
                 self._crash_later(task, run_number, work["crash_after_ms"] / 1000)
             return self._answer(200)
@@ -141,7 +163,8 @@
             task, run_number = body["task"], body["run"]
             run = self._runs.get(task)
             if run is not None and run.number == run_number:
-                self._end(task, "stopped", time.monotonic())
+                run.stopped_s = min(run.stopped_s, time.monotonic() + STOP_TAKES_S)
+                self._record({"event": "stopping", "task": task, "run": run_number})
             self._max_ended_run[task] = max(
                 run_number, self._max_ended_run.get(task, 0)
             )
@@ -188,12 +211,20 @@
         with self._changed:
             self._advance()
 
+    def record_life(self) -> None:
+        """Record that the incarnation has begun."""
+        self._record({"event": "life", "pool": self.identity.pool})
+
     def resize(self, millicores: int) -> None:
         """Change the capacity; what runs goes on."""
         with self._changed:
             self.millicores = millicores
             self._record({"event": "capacity", "cpu": millicores})
 
+    def _record(self, event: dict) -> None:
+        who = {"worker": self.identity.worker, "born": self.started_ms}
+        self._write({"at_s": time.monotonic(), **who, **event})
+
     def _end_all(self) -> None:
         self.is_ended = True
         for task in list(self._runs):
@@ -201,7 +232,7 @@
         self._changed.notify_all()
 
     def _advance(self) -> None:
-        """End the runs whose work is done, and all runs once the lease has lapsed.
+        """End the runs that are done or stopped, and all once the lease has lapsed.
 
         If the process was paused beyond the lease, the runs end as of the lapse, not
         as of now.
@@ -209,8 +240,10 @@
         now_s = time.monotonic()
         lease_end_s = self._started_s + self._lease_end_ms / 1000 / self._clock_rate
         for task, run in list(self._runs.items()):
-            if run.done_s <= min(now_s, lease_end_s):
+            if run.done_s <= min(now_s, lease_end_s, run.stopped_s):
                 self._end(task, "failed" if run.fails else "done", run.done_s)
+            elif run.stopped_s <= min(now_s, lease_end_s):
+                self._end(task, "stopped", run.stopped_s)
             elif lease_end_s <= now_s:
                 self._end(task, "lapsed", lease_end_s)
         if lease_end_s <= now_s and self._recorded_lapse_ms != self._lease_end_ms:
@@ -244,3 +277,14 @@
     def _answer(self, status: int, **fields) -> tuple[int, dict]:
         answer = {"clockMs": self._clock_ms(), "born": self.started_ms, **fields}
         return status, answer
+
+
+def _begin_run(task: str, number: int, work: dict) -> Run:
+    """Return a run that starts now; one that lasts ends only if it fails."""
+    duration_s, fails = work["ms"] / 1000, work["fails"]
+    if work["lasts"]:
+        rng = random.Random(f"{task}.{number}")
+        fails = rng.random() < LASTING_FAILURE_RATIO
+        duration_s = rng.uniform(*LASTING_FAILURE_S) if fails else math.inf
+    done_s = time.monotonic() + duration_s
+    return Run(number, done_s, fails, work["cpu"], work["memory_mb"])
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -16,6 +16,7 @@
 from jayshunt_soak.const import (
     ENTRIES,
     HOST,
+    KINDS,
     MILLICORES_PER_VM,
     POOLS,
     RACKS,
@@ -27,6 +28,7 @@
 from jayshunt_soak.platform import formats
 from jayshunt_soak.platform.machines import ListedVm, MachinesStandIn
 from jayshunt_soak.platform.store import PlatformStoreStandIn
+from jayshunt_soak.queues import StoredQueues
 from jayshunt_standins.relay import Relay
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -90,7 +92,13 @@
         self.store = PlatformStoreStandIn(seed)
         pools = (*POOLS, SPARE)
         self._listed = [
-            ListedVm(vm, vm[2], pools[n % len(pools)], f"{HOST}:{self.vm_ports[vm]}")
+            ListedVm(
+                vm,
+                vm[2],
+                pools[n % len(pools)],
+                KINDS[n // len(pools) % len(KINDS)],
+                f"{HOST}:{self.vm_ports[vm]}",
+            )
             for n, vm in enumerate(vms)
         ]
         self.machines = MachinesStandIn(self._listed, self.store)
@@ -103,6 +111,8 @@
         self._stopping = threading.Event()
         self._config_lock = threading.Lock()
         self.config_times_s: list[float] = []
+        self.queue_pools = {pool: pool for pool in POOLS}
+        self.stored_queues: list[StoredQueues] = []
         self._lock = threading.Lock()
 
     def start(self) -> None:
@@ -121,9 +131,17 @@
         """
         with self._config_lock:
             version = len(self.config_times_s) + 1
-            self.store.put(formats.CONFIG_KEY, formats.config(version))
+            queues = StoredQueues(time.monotonic(), dict(self.queue_pools))
+            self.stored_queues.append(queues)
+            value = formats.config(version, queues.pools)
+            self.store.put(formats.CONFIG_KEY, value)
             self.config_times_s.append(time.monotonic())
 
+    def send_queue_to(self, queue: str, pool: str) -> None:
+        """Store a configuration that sends a queue to another pool."""
+        self.queue_pools = {**self.queue_pools, queue: pool}
+        self.store_next_config()
+
     def stop(self) -> None:
         """Kill every process that this testbed started, and stop the stand-ins."""
         self._stopping.set()
@@ -237,10 +255,12 @@
 
     def _build_rack(self, rack: str, seed: int) -> Program:
         name = f"rack-{rack}"
-        vms = {vm.vm_id: vm.pool for vm in self._listed if vm.rack == rack}
+        listed = [vm for vm in self._listed if vm.rack == rack]
+        vms = {vm.vm_id: vm.pool for vm in listed}
         plan = {
             "rack": rack,
             "vms": vms,
+            "kinds": {vm.vm_id: vm.kind for vm in listed},
             "ports": {vm: self.vm_ports[vm] for vm in vms},
             "shown": {vm: self.vm_relays[vm].address for vm in vms},
             "platform": self.machines.address,
