Let workers of the soak return as another kind, address or pool

New faults, drawn apart from the others so that seeds keep theirs: a worker starts again under its id, with open connections silent or closed, also as another kind; the addresses of two workers of different pools are swapped; orders get no answer and are carried out up to 5 s late; and in one seed of three the public queue is sent to the other pool and back.

An order that is late is carried out only by the incarnation that received it, as its connection ends with that one.

--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -27,6 +27,14 @@
 MAX_MISSED_HEARTBEATS = 3
 # How long a worker that crashed under a task is down.
 CRASH_DOWN_S = 1.2
+# How long a worker that starts again under its id is down.
+RESTART_DOWN_S = (0.05, 0.6)
+# How late a worker carries out an order that it left unanswered, and the share of such
+# orders.
+LATE_ORDER_S = (0.3, 5.0)
+LATE_ORDER_RATIO = 0.5
+# How long a call on a connection to a former incarnation stays unanswered.
+SILENT_CONNECTION_S = 10.0
 # Capacities of shrunk workers relative to their full size.
 SHRUNK_SHARES = (0.3, 0.05, 0.6)
 # `contactMs` of the users' sites.
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from jayshunt_soak.const import ENTRIES, MILLICORES_PER_VM, RACKS, SHRUNK_SHARES
+from jayshunt_soak.const import (
+    ENTRIES,
+    MILLICORES_PER_VM,
+    POOLS,
+    PUBLIC_POOL,
+    RACKS,
+    SHRUNK_SHARES,
+)
 from jayshunt_soak.odd_entries import draw_entries
 from jayshunt_soak.platform.store import StoreFaults
 from jayshunt_soak.testbed import Testbed
@@ -41,11 +48,25 @@
     CONFIG = "configuration changed"
     VM_SHRINK = "VM shrunk"
     ODD_ENTRIES = "odd entries in the store"
+    WORKER_RESTART = "worker started again under its id"
+    WORKER_OTHER_KIND = "worker started again under its id as another kind"
+    ADDRESS_SWAP = "addresses of two workers swapped"
+    ORDERS_LATE = "orders of a worker carried out late"
+    QUEUE_MOVE = "queue sent to another pool"
 
 
 # Drawn apart from the others, so that a seed draws the same others as before.
 SHRINKS = frozenset({FaultKind.VM_SHRINK})
-DRAWN_APART = frozenset({*SHRINKS, FaultKind.ODD_ENTRIES})
+LIVES = (
+    FaultKind.WORKER_RESTART,
+    FaultKind.WORKER_OTHER_KIND,
+    FaultKind.ADDRESS_SWAP,
+    FaultKind.ORDERS_LATE,
+)
+DRAWN_APART = frozenset({*SHRINKS, FaultKind.ODD_ENTRIES, *LIVES, FaultKind.QUEUE_MOVE})
+# A queue that moves may run in both pools from then on, which hides starts in a wrong
+# one. Therefore only one queue moves, and only in one seed of this many.
+SEEDS_PER_QUEUE_MOVE = 3
 
 
 @dataclass(frozen=True)
@@ -72,6 +93,7 @@
         faults.append(Fault(kind, at_s, rng.uniform(0.5, 6.0), rng.randrange(1_000)))
         at_s += rng.choice((0.05, 0.4, 1.5, 3.0))
     faults += _draw_shrinks(seed, seconds) + _draw_odd_entries(seed, seconds)
+    faults += _draw_lives(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -85,6 +107,21 @@
     return faults
 
 
+def _draw_lives(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults that give an id, an address or a queue to another worker."""
+    rng = random.Random(f"{seed}-lives")
+    faults: list[Fault] = []
+    at_s = rng.uniform(0.5, 1.5)
+    while at_s < seconds:
+        kind, for_s = rng.choice(LIVES), rng.uniform(0.5, 4.0)
+        faults.append(Fault(kind, at_s, for_s, rng.randrange(1_000)))
+        at_s += rng.choice((0.05, 0.3, 1.0))
+    if seed % SEEDS_PER_QUEUE_MOVE == 0:
+        at_s, for_s = rng.uniform(0.3, 0.6) * seconds, rng.uniform(1.0, 4.0)
+        faults.append(Fault(FaultKind.QUEUE_MOVE, at_s, for_s, 0))
+    return faults
+
+
 def _draw_shrinks(seed: int, seconds: float) -> list[Fault]:
     rng = random.Random(f"{seed}-shrink")
     faults: list[Fault] = []
@@ -137,6 +174,8 @@
         rack = testbed.racks[fault.target % RACKS]
         relays = list(testbed.vm_relays.values())
         vm = relays[fault.target % len(relays)]
+        vm_name = list(testbed.vm_ports)[fault.target % len(relays)]
+        is_silent = fault.target // len(relays) % 2 == 0
         store_path = testbed.store_relays[fault.target % ENTRIES]
         match fault.kind:
             case FaultKind.ENTRY_KILL:
@@ -178,10 +217,21 @@
                 store_path.silence()
                 return store_path.restore
             case FaultKind.VM_SHRINK:
-                name = list(testbed.vm_ports)[fault.target % len(relays)]
                 share = SHRUNK_SHARES[fault.target // len(relays) % len(SHRUNK_SHARES)]
-                testbed.resize(name, int(MILLICORES_PER_VM * share))
-                return lambda: testbed.resize(name, MILLICORES_PER_VM)
+                testbed.resize(vm_name, int(MILLICORES_PER_VM * share))
+                return lambda: testbed.resize(vm_name, MILLICORES_PER_VM)
+            case FaultKind.WORKER_RESTART:
+                return testbed.restart_worker(vm_name, {"is_silent": is_silent})
+            case FaultKind.WORKER_OTHER_KIND:
+                testbed.change_kind(vm_name, is_silent)
+                return lambda: testbed.restore_kind(vm_name, is_silent)
+            case FaultKind.ADDRESS_SWAP:
+                return testbed.swap_addresses(vm_name, fault.target // len(relays))
+            case FaultKind.ORDERS_LATE:
+                return testbed.delay_orders(vm_name, fault.for_s)
+            case FaultKind.QUEUE_MOVE:
+                testbed.send_queue_to(PUBLIC_POOL, POOLS[0])
+                return lambda: testbed.send_queue_to(PUBLIC_POOL, PUBLIC_POOL)
             case FaultKind.STORE_FORGETS:
                 return testbed.store.discard_history()
             case FaultKind.CONFIG:
--- a/src/jayshunt_soak/platform/machines.py
+++ b/src/jayshunt_soak/platform/machines.py
@@ -66,6 +66,7 @@
             # A move whose order got no answer may have been carried out late, so the
             # pool in the heartbeat replaces the recorded one.
             vm.pool, vm.worker = pool, body["worker"]
+            vm.kind = body["entry"]["labels"][0]
         self._store.record_heartbeat(body["worker"], json.dumps(body["entry"]).encode())
         return Reply(200, {})
 
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -7,6 +7,7 @@
 
 import json
 import random
+import socket
 import sys
 import threading
 import time
@@ -19,9 +20,13 @@
     CALL_TIMEOUT_S,
     CRASH_DOWN_S,
     HEARTBEAT_S,
+    LATE_ORDER_RATIO,
+    LATE_ORDER_S,
     MEMORY_MB_PER_VM,
     MIN_CLOCK_RATE,
     MOVE_S,
+    RESTART_DOWN_S,
+    SILENT_CONNECTION_S,
     SPARE,
     UNGUARDED_POOL,
 )
@@ -45,23 +50,21 @@
         self._rng = random.Random(f"{plan['seed']}-{vm}")
         self.incarnation: WorkerIncarnation | None = None
         self._is_crashed = False
+        self._next_worker: str | None = None
+        self._late_until_s = 0.0
+        # Connections that a restart ended, and whether they stay silent.
+        self._former_connections: dict[socket.socket, bool] = {}
         if self.pool != SPARE:
             self._start_incarnation()
 
     def answer(self, call: Call) -> Reply:
         """Return the answer to an order for the worker or for the VM."""
         incarnation = self.incarnation
-        if call.path == "/standin/move":
-            self._move(call.json()["pool"])
-            return Reply(200, {})
-        if call.path == "/standin/resize":
-            if incarnation is not None:
-                incarnation.resize(call.json()["cpu"])
-            return Reply(200, {})
-        if call.path == "/standin/record":
-            if incarnation is not None:
-                incarnation.record_due_ends()
+        if call.path.startswith("/standin/"):
+            self._control(call.path.removeprefix("/standin/"), call.json())
             return Reply(200, {})
+        if call.connection in self._former_connections:
+            self._fail_former(call)
         if self._is_crashed:
             raise DropConnection
         if incarnation is None:
@@ -71,11 +74,47 @@
             incarnation.identity.worker,
         ):
             return Reply(421, {})
+        if self._leaves_unanswered(call):
+            delay_s = self._rng.uniform(*LATE_ORDER_S)
+            threading.Timer(delay_s, _carry_out, (incarnation, call)).start()
+            raise DropConnection
         reply = _carry_out(incarnation, call)
+        if call.connection in self._former_connections:
+            self._fail_former(call)
         if incarnation.is_ended:
             raise DropConnection
         return reply
 
+    def _control(self, name: str, order: dict) -> None:
+        """Carry out an order of the soak."""
+        match name, self.incarnation:
+            case "move", _:
+                self._move(order["pool"])
+            case "restart", _:
+                self._restart_worker(order)
+            case "late", _:
+                self._late_until_s = time.monotonic() + order["for_s"]
+            case "address", _:
+                self.advertised = order["shown"]
+            case "resize", WorkerIncarnation() as incarnation:
+                incarnation.resize(order["cpu"])
+            case "record", WorkerIncarnation() as incarnation:
+                incarnation.record_due_ends()
+
+    def _leaves_unanswered(self, call: Call) -> bool:
+        """Return whether an order gets no answer and is carried out late."""
+        return (
+            call.path in ("/run-start", "/run-stop")
+            and time.monotonic() < self._late_until_s
+            and self._rng.random() < LATE_ORDER_RATIO
+        )
+
+    def _fail_former(self, call: Call) -> None:
+        """Leave a call on a connection to a former incarnation unanswered."""
+        if self._former_connections[call.connection]:
+            time.sleep(SILENT_CONNECTION_S)
+        raise DropConnection
+
     def send_heartbeats(self) -> None:
         """Send a heartbeat to the platform every `HEARTBEAT_S`, forever."""
         while True:
@@ -129,21 +168,36 @@
     def _write_event(self, event: dict) -> None:
         self._log.write(json.dumps({"vm": self.vm, **event}) + "\n")
 
-    def _crash(self) -> None:
+    def _crash(self, down_s: float = CRASH_DOWN_S) -> None:
         """Be down for a while, then start another incarnation."""
         self._is_crashed = True
-        threading.Timer(CRASH_DOWN_S, self._restart).start()
+        threading.Timer(down_s, self._restart).start()
 
     def _restart(self) -> None:
         if self._is_crashed and self.pool != SPARE:
-            self._start_incarnation()
+            self._start_incarnation(self._next_worker)
+            self._next_worker = None
+
+    def _restart_worker(self, order: dict) -> None:
+        """Crash the worker, and start it again soon; see `Testbed.restart_worker`."""
+        self.kind = order.get("kind", self.kind)
+        self.advertised = order.get("shown", self.advertised)
+        incarnation = self.incarnation
+        if incarnation is None:
+            return
+        connections = self.connections.current()
+        self._former_connections |= dict.fromkeys(connections, order["is_silent"])
+        if not order.get("is_new"):
+            self._next_worker = incarnation.identity.worker
+        incarnation.end()
+        self._crash(self._rng.uniform(*RESTART_DOWN_S))
 
     def _move(self, pool: str) -> None:
         incarnation, self.incarnation = self.incarnation, None
         if incarnation is not None:
             incarnation.end()
         self.pool = pool
-        self._is_crashed = False
+        self._is_crashed, self._next_worker = False, None
         if pool != SPARE:
             threading.Timer(MOVE_S, self._start_incarnation).start()
 
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -101,13 +101,15 @@
             )
             for n, vm in enumerate(vms)
         ]
+        self._kinds = {vm.vm_id: vm.kind for vm in self._listed}
+        self._seed = seed
         self.machines = MachinesStandIn(self._listed, self.store)
         self.vm_relays = {vm: Relay(f"{HOST}:{p}") for vm, p in self.vm_ports.items()}
         self.store_relays = [Relay(self.store.address) for _ in range(ENTRIES)]
         entry_ports = ports[len(vms) :]
         self.entry_ports = [entry_ports[3 * n : 3 * n + 3] for n in range(ENTRIES)]
         self.entries = [self._build_entry(n) for n in range(ENTRIES)]
-        self.racks = [self._build_rack(str(r), seed) for r in range(RACKS)]
+        self.racks = [self._build_rack(str(r)) for r in range(RACKS)]
         self._stopping = threading.Event()
         self._config_lock = threading.Lock()
         self.config_times_s: list[float] = []
@@ -165,6 +167,50 @@
             program.send_signal(signal.SIGCONT)
         for vm in self.vm_ports:
             self.resize(vm, MILLICORES_PER_VM)
+            shown = {"shown": self.vm_relays[vm].address}
+            self._call_vm(vm, "address", shown, CONTROL_TIMEOUT_S)
+
+    def restart_worker(self, vm: str, order: dict) -> None:
+        """Crash the worker on a VM and start it again at once.
+
+        `order` has `is_silent`, whether open connections stay silent or are closed. It
+        may have `is_new`, whether the worker gets another id; `kind`; and `shown`, the
+        address that it announces from then on.
+        """
+        self._call_vm(vm, "restart", order, CONTROL_TIMEOUT_S)
+
+    def change_kind(self, vm: str, is_silent: bool) -> None:
+        """Start the worker on a VM again under its id as another kind."""
+        (kind,) = (kind for kind in KINDS if kind != self._kinds[vm])
+        self.restart_worker(vm, {"is_silent": is_silent, "kind": kind})
+
+    def restore_kind(self, vm: str, is_silent: bool) -> None:
+        """Start the worker on a VM again under its id as the kind that it had first."""
+        order = {"is_silent": is_silent, "kind": self._kinds[vm]}
+        self.restart_worker(vm, order)
+
+    def swap_addresses(self, vm: str, choice: int) -> None:
+        """Start a worker and one of another pool under other ids, addresses swapped."""
+        pools = self.machines.pools()
+        others = [
+            other for other in pools if len({SPARE, pools[vm], pools[other]}) == 3
+        ]
+        if not others:
+            return
+        other = others[choice % len(others)]
+        first, second = self.vm_relays[vm], self.vm_relays[other]
+        first.exchange_targets(second)
+        self.vm_relays |= {vm: second, other: first}
+        for rack, program in enumerate(self.racks):
+            program.command = self._rack_command(str(rack))
+        for name in (vm, other):
+            order = {"is_silent": False, "is_new": True}
+            order["shown"] = self.vm_relays[name].address
+            self.restart_worker(name, order)
+
+    def delay_orders(self, vm: str, for_s: float) -> None:
+        """Let a VM's worker leave orders unanswered and carry them out late."""
+        self._call_vm(vm, "late", {"for_s": for_s}, CONTROL_TIMEOUT_S)
 
     def resize(self, vm: str, millicores: int) -> None:
         """Change the capacity of the worker on a VM; one that is down keeps none."""
@@ -253,8 +299,13 @@
         environment = {"JAYSHUNT_CONFIG": str(settings)}
         return Program(name, command, environment, self.folder / f"{name}.log")
 
-    def _build_rack(self, rack: str, seed: int) -> Program:
+    def _build_rack(self, rack: str) -> Program:
         name = f"rack-{rack}"
+        environment = {"PYTHONPATH": str(ROOT / "src")}
+        log = self.folder / f"{name}.log"
+        return Program(name, self._rack_command(rack), environment, log)
+
+    def _rack_command(self, rack: str) -> list[str]:
         listed = [vm for vm in self._listed if vm.rack == rack]
         vms = {vm.vm_id: vm.pool for vm in listed}
         plan = {
@@ -264,10 +315,8 @@
             "ports": {vm: self.vm_ports[vm] for vm in vms},
             "shown": {vm: self.vm_relays[vm].address for vm in vms},
             "platform": self.machines.address,
-            "log": str(self.folder / f"{name}.events"),
-            "seed": seed,
+            "log": str(self.folder / f"rack-{rack}.events"),
+            "seed": self._seed,
         }
-        command = [sys.executable, "-m", "jayshunt_soak.platform.rack"]
-        command.append(json.dumps(plan))
-        environment = {"PYTHONPATH": str(ROOT / "src")}
-        return Program(name, command, environment, self.folder / f"{name}.log")
+        module = "jayshunt_soak.platform.rack"
+        return [sys.executable, "-m", module, json.dumps(plan)]
--- a/src/jayshunt_standins/relay.py
+++ b/src/jayshunt_standins/relay.py
@@ -71,6 +71,12 @@
         self.is_one_way = False
         self._passing.set()
 
+    def exchange_targets(self, other: "Relay") -> None:
+        """Forward new connections to the target of another relay, and vice versa."""
+        self._target, other._target = other._target, self._target
+        self._close_open()
+        other._close_open()
+
     def _accept(self) -> None:
         while not self._stopped:
             try:
