List starts that were wrong by the entries' own logs

The line "dispatch: placed" names what a choice relied on, but finding the choices that break a rule by themselves meant reading every line.

`jayshunt audit-starts LOG...` reads the logs of all entries and lists the starts beyond the limit per worker, without the required label, in another pool than the other starts of the queue under the same version, and on a life of a worker that an earlier line shows replaced.

--- a/src/jayshunt/cli/main.py
+++ b/src/jayshunt/cli/main.py
@@ -71,18 +71,37 @@
     """Explain what happened to a job, from the logs of all entries."""
     from jayshunt.dispatch.explain import explain as explain_job
 
-    lines: list[str] = []
-    for path in logs or ():
-        lines += path.read_text(errors="replace").splitlines()
-    if not logs:
-        lines = sys.stdin.read().splitlines()
-    events = explain_job(job, lines)
+    events = explain_job(job, _read_log_lines(logs))
     if not events:
         typer.echo(f"no line of these logs names the job {job}", err=True)
         raise typer.Exit(ExitCode.FAILED)
     typer.echo("\n".join(events))
 
 
+@app.command("audit-starts")
+def audit_starts(
+    logs: Annotated[
+        list[Path] | None, typer.Argument(help="Log files; standard input if none.")
+    ] = None,
+) -> None:
+    """List starts on a worker that may not run them, from the logs of all entries."""
+    from jayshunt.dispatch.start_audit import audit_starts as find_wrong_starts
+
+    found = find_wrong_starts(_read_log_lines(logs))
+    if found:
+        typer.echo("\n".join(found))
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def _read_log_lines(logs: list[Path] | None) -> list[str]:
+    """Return the lines of log files, or of standard input without files."""
+    if not logs:
+        return sys.stdin.read().splitlines()
+    return [
+        line for path in logs for line in path.read_text(errors="replace").splitlines()
+    ]
+
+
 @app.command()
 def entry(
     settings: Annotated[Path, typer.Option(help="TOML file with the settings.")],
