Name the life of a worker in the lines on its first answer and its end

"a worker answered" and "a worker is over" named the worker but not which of its lives under the same id, so that `jayshunt audit-starts` could not tell which life an entry had seen last. Both lines carry `born` now, as "dispatch: placed" does.

--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -238,6 +238,7 @@
                 "worker": view.worker.worker,
                 "vm": view.worker.vm,
                 "pool": view.worker.pool,
+                "born": view.worker.started_ms,
                 "reason": f"{end.value}: {detail}" if detail else end.value,
                 "tasks": len(lost),
             },
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -133,6 +133,7 @@
                     "worker": view.worker.worker,
                     "vm": view.worker.vm,
                     "pool": view.worker.pool,
+                    "born": view.worker.started_ms,
                     "running": len(answer.running),
                     "ended": len(answer.ended),
                 },
