Return racks of the soak with the kinds that they had first

The plan now has the pools and kinds of the beginning.

A worker that closes its connections at a restart now closes idle ones too, as the kernel does for a process that crashes. Before, callers found out with their next call, so that no order reached the next incarnation over a new connection at once.

--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -101,7 +101,9 @@
             )
             for n, vm in enumerate(vms)
         ]
+        # The list changes with the VMs; a rack that is killed starts again as at first.
         self._kinds = {vm.vm_id: vm.kind for vm in self._listed}
+        self._pools = {vm.vm_id: vm.pool for vm in self._listed}
         self._seed = seed
         self.machines = MachinesStandIn(self._listed, self.store)
         self.vm_relays = {vm: Relay(f"{HOST}:{p}") for vm, p in self.vm_ports.items()}
@@ -178,6 +180,10 @@
         address that it announces from then on.
         """
         self._call_vm(vm, "restart", order, CONTROL_TIMEOUT_S)
+        if not order["is_silent"]:
+            # A process that crashes closes its connections at once. Callers that see
+            # it reach the next incarnation over new ones.
+            self.vm_relays[vm].reset()
 
     def change_kind(self, vm: str, is_silent: bool) -> None:
         """Start the worker on a VM again under its id as another kind."""
@@ -306,12 +312,13 @@
         return Program(name, self._rack_command(rack), environment, log)
 
     def _rack_command(self, rack: str) -> list[str]:
-        listed = [vm for vm in self._listed if vm.rack == rack]
-        vms = {vm.vm_id: vm.pool for vm in listed}
+        vms = {
+            vm.vm_id: self._pools[vm.vm_id] for vm in self._listed if vm.rack == rack
+        }
         plan = {
             "rack": rack,
             "vms": vms,
-            "kinds": {vm.vm_id: vm.kind for vm in listed},
+            "kinds": {vm: self._kinds[vm] for vm in vms},
             "ports": {vm: self.vm_ports[vm] for vm in vms},
             "shown": {vm: self.vm_relays[vm].address for vm in vms},
             "platform": self.machines.address,
--- a/src/jayshunt_standins/relay.py
+++ b/src/jayshunt_standins/relay.py
@@ -71,6 +71,10 @@
         self.is_one_way = False
         self._passing.set()
 
+    def reset(self) -> None:
+        """Close open connections; new ones are treated as before."""
+        self._close_open()
+
     def exchange_targets(self, other: "Relay") -> None:
         """Forward new connections to the target of another relay, and vice versa."""
         self._target, other._target = other._target, self._target
