--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -19,9 +19,11 @@
 START_TIMEOUT_S = 20.0
 
 
-def run_seed(seed: int, seconds: float, folder: Path) -> tuple[list[str], str]:
+def run_seed(
+    seed: int, seconds: float, folder: Path, with_lives: bool = True
+) -> tuple[list[str], str]:
     """Run one seed; return the violated guarantees and a line of counts."""
-    faults = draw_faults(seed, seconds)
+    faults = draw_faults(seed, seconds, with_lives)
     testbed = Testbed(folder, seed)
     load = Load(testbed, seed)
     prober = KeyProber(testbed, load, seed)
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -82,8 +82,11 @@
     target: int
 
 
-def draw_faults(seed: int, seconds: float) -> list[Fault]:
-    """Return the faults of a run; they come in bursts and overlap."""
+def draw_faults(seed: int, seconds: float, with_lives: bool = True) -> list[Fault]:
+    """Return the faults of a run; they come in bursts and overlap.
+
+    Without `with_lives`, ids, addresses and queues stay with their workers.
+    """
     rng = random.Random(seed)
     faults: list[Fault] = []
     kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
@@ -93,7 +96,8 @@
         faults.append(Fault(kind, at_s, rng.uniform(0.5, 6.0), rng.randrange(1_000)))
         at_s += rng.choice((0.05, 0.4, 1.5, 3.0))
     faults += _draw_shrinks(seed, seconds) + _draw_odd_entries(seed, seconds)
-    faults += _draw_lives(seed, seconds)
+    if with_lives:
+        faults += _draw_lives(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
