Swap addresses in the soak only once both workers are gone

An address now changes hands after both workers have ended, and not at all if one of them cannot be reached.

--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -225,7 +225,8 @@
                 testbed.resize(vm_name, int(MILLICORES_PER_VM * share))
                 return lambda: testbed.resize(vm_name, MILLICORES_PER_VM)
             case FaultKind.WORKER_RESTART:
-                return testbed.restart_worker(vm_name, {"is_silent": is_silent})
+                testbed.restart_worker(vm_name, {"is_silent": is_silent})
+                return None
             case FaultKind.WORKER_OTHER_KIND:
                 testbed.change_kind(vm_name, is_silent)
                 return lambda: testbed.restore_kind(vm_name, is_silent)
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -181,7 +181,6 @@
     def _restart_worker(self, order: dict) -> None:
         """Crash the worker, and start it again soon; see `Testbed.restart_worker`."""
         self.kind = order.get("kind", self.kind)
-        self.advertised = order.get("shown", self.advertised)
         incarnation = self.incarnation
         if incarnation is None:
             return
@@ -190,7 +189,7 @@
         if not order.get("is_new"):
             self._next_worker = incarnation.identity.worker
         incarnation.end()
-        self._crash(self._rng.uniform(*RESTART_DOWN_S))
+        self._crash(order.get("down_s") or self._rng.uniform(*RESTART_DOWN_S))
 
     def _move(self, pool: str) -> None:
         incarnation, self.incarnation = self.incarnation, None
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -34,6 +34,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 SUPERVISE_INTERVAL_S = 0.05
 CONTROL_TIMEOUT_S = 0.2
+# How long two workers are down whose addresses are swapped.
+SWAP_DOWN_S = 0.6
 RECORD_TIMEOUT_S = 2.0
 
 
@@ -169,21 +171,25 @@
             program.send_signal(signal.SIGCONT)
         for vm in self.vm_ports:
             self.resize(vm, MILLICORES_PER_VM)
-            shown = {"shown": self.vm_relays[vm].address}
-            self._call_vm(vm, "address", shown, CONTROL_TIMEOUT_S)
+            self._show_address(vm)
 
-    def restart_worker(self, vm: str, order: dict) -> None:
-        """Crash the worker on a VM and start it again at once.
+    def _show_address(self, vm: str) -> None:
+        """Let a VM's worker announce the address of the relay to it."""
+        shown = {"shown": self.vm_relays[vm].address}
+        self._call_vm(vm, "address", shown, CONTROL_TIMEOUT_S)
+
+    def restart_worker(self, vm: str, order: dict) -> bool:
+        """Crash the worker on a VM and start it again soon; return whether it is done.
 
         `order` has `is_silent`, whether open connections stay silent or are closed. It
-        may have `is_new`, whether the worker gets another id; `kind`; and `shown`, the
-        address that it announces from then on.
+        may have `is_new`, whether the worker gets another id; `kind`; and `down_s`.
         """
-        self._call_vm(vm, "restart", order, CONTROL_TIMEOUT_S)
+        is_done = self._call_vm(vm, "restart", order, CONTROL_TIMEOUT_S)
         if not order["is_silent"]:
             # A process that crashes closes its connections at once. Callers that see
             # it reach the next incarnation over new ones.
             self.vm_relays[vm].reset()
+        return is_done
 
     def change_kind(self, vm: str, is_silent: bool) -> None:
         """Start the worker on a VM again under its id as another kind."""
@@ -204,15 +210,17 @@
         if not others:
             return
         other = others[choice % len(others)]
+        order = {"is_silent": False, "is_new": True, "down_s": SWAP_DOWN_S}
+        # An address belongs to another worker only once the worker there is gone.
+        if not all(self.restart_worker(name, order) for name in (vm, other)):
+            return
         first, second = self.vm_relays[vm], self.vm_relays[other]
         first.exchange_targets(second)
         self.vm_relays |= {vm: second, other: first}
         for rack, program in enumerate(self.racks):
             program.command = self._rack_command(str(rack))
         for name in (vm, other):
-            order = {"is_silent": False, "is_new": True}
-            order["shown"] = self.vm_relays[name].address
-            self.restart_worker(name, order)
+            self._show_address(name)
 
     def delay_orders(self, vm: str, for_s: float) -> None:
         """Let a VM's worker leave orders unanswered and carry them out late."""
@@ -230,7 +238,8 @@
         for vm in self.vm_ports:
             self._call_vm(vm, "record", {}, RECORD_TIMEOUT_S)
 
-    def _call_vm(self, vm: str, path: str, body: dict, timeout_s: float) -> None:
+    def _call_vm(self, vm: str, path: str, body: dict, timeout_s: float) -> bool:
+        """Give an order of the soak to a VM; return whether it answered."""
         try:
             http_client.request(
                 "POST",
@@ -241,6 +250,8 @@
             )
         except JayshuntError as error:
             print(f"{path} of {vm} failed: {error}", file=sys.stderr)
+            return False
+        return True
 
     def terminate(self, program: Program) -> None:
         """Send SIGTERM to a process, and kill it if it runs after `STOP_GRACE_S`."""
