Let starts in the soak reach the next life of a worker

A rack's workers now also start again as another kind while all entries are paused for 0.6 s, so that these act on what they knew before, and new connections to a worker that starts again may take 0.25 s.

--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -29,6 +29,12 @@
 CRASH_DOWN_S = 1.2
 # How long a worker that starts again under its id is down.
 RESTART_DOWN_S = (0.05, 0.6)
+# How long new connections to a worker that starts again take from then on. Orders that
+# wait for one reach the next incarnation.
+CONNECT_DELAYS_S = (0.0, 0.25)
+# How long entries are paused while workers start again, and how long these are down.
+UNSEEN_PAUSE_S = 0.6
+UNSEEN_DOWN_S = 0.1
 # How late a worker carries out an order that it left unanswered, and the share of such
 # orders.
 LATE_ORDER_S = (0.3, 5.0)
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -4,16 +4,21 @@
 import signal
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 from jayshunt_soak.const import (
+    CONNECT_DELAYS_S,
     ENTRIES,
     MILLICORES_PER_VM,
     POOLS,
     PUBLIC_POOL,
     RACKS,
     SHRUNK_SHARES,
+    UNSEEN_DOWN_S,
+    UNSEEN_PAUSE_S,
+    VMS_PER_RACK,
 )
 from jayshunt_soak.odd_entries import draw_entries
 from jayshunt_soak.platform.store import StoreFaults
@@ -52,6 +57,7 @@
     WORKER_OTHER_KIND = "worker started again under its id as another kind"
     ADDRESS_SWAP = "addresses of two workers swapped"
     ORDERS_LATE = "orders of a worker carried out late"
+    RESTARTS_UNSEEN = "workers started again as another kind while entries are paused"
     QUEUE_MOVE = "queue sent to another pool"
 
 
@@ -62,8 +68,10 @@
     FaultKind.WORKER_OTHER_KIND,
     FaultKind.ADDRESS_SWAP,
     FaultKind.ORDERS_LATE,
+    FaultKind.RESTARTS_UNSEEN,
 )
 DRAWN_APART = frozenset({*SHRINKS, FaultKind.ODD_ENTRIES, *LIVES, FaultKind.QUEUE_MOVE})
+PAUSES = frozenset({FaultKind.RESTARTS_UNSEEN})
 # A queue that moves may run in both pools from then on, which hides starts in a wrong
 # one. Therefore only one queue moves, and only in one seed of this many.
 SEEDS_PER_QUEUE_MOVE = 3
@@ -151,7 +159,7 @@
             load_started_s + fault.at_s + max(fault.for_s, RESTARTED_S),
         )
         for fault in faults
-        if fault.kind not in (*DRAWN_APART, FaultKind.CONFIG)
+        if fault.kind not in (DRAWN_APART - PAUSES) | {FaultKind.CONFIG}
     ]
 
 
@@ -180,6 +188,9 @@
         vm = relays[fault.target % len(relays)]
         vm_name = list(testbed.vm_ports)[fault.target % len(relays)]
         is_silent = fault.target // len(relays) % 2 == 0
+        connect_delay_s = CONNECT_DELAYS_S[
+            fault.target // (2 * len(relays)) % len(CONNECT_DELAYS_S)
+        ]
         store_path = testbed.store_relays[fault.target % ENTRIES]
         match fault.kind:
             case FaultKind.ENTRY_KILL:
@@ -225,11 +236,15 @@
                 testbed.resize(vm_name, int(MILLICORES_PER_VM * share))
                 return lambda: testbed.resize(vm_name, MILLICORES_PER_VM)
             case FaultKind.WORKER_RESTART:
+                vm.connect_delay_s = connect_delay_s
                 testbed.restart_worker(vm_name, {"is_silent": is_silent})
                 return None
             case FaultKind.WORKER_OTHER_KIND:
-                testbed.change_kind(vm_name, is_silent)
-                return lambda: testbed.restore_kind(vm_name, is_silent)
+                vm.connect_delay_s = connect_delay_s
+                testbed.change_kind(vm_name, {"is_silent": is_silent})
+                return lambda: testbed.restore_kind(vm_name, {"is_silent": is_silent})
+            case FaultKind.RESTARTS_UNSEEN:
+                return _restart_unseen(testbed, fault.target % RACKS)
             case FaultKind.ADDRESS_SWAP:
                 return testbed.swap_addresses(vm_name, fault.target // len(relays))
             case FaultKind.ORDERS_LATE:
@@ -251,6 +266,28 @@
                 return lambda: setattr(testbed.store, "faults", StoreFaults())
 
 
+def _restart_unseen(testbed: Testbed, rack: int) -> Callable[[], None]:
+    """Restart the workers of a rack as another kind while all entries are paused.
+
+    The entries then send what they had decided before. Return what restores the kinds.
+    """
+    first = rack * VMS_PER_RACK
+    names = list(testbed.vm_ports)[first : first + VMS_PER_RACK]
+    for program in testbed.entries:
+        program.send_signal(signal.SIGSTOP)
+    for name in names:
+        testbed.change_kind(name, {"is_silent": False, "down_s": UNSEEN_DOWN_S})
+    time.sleep(UNSEEN_PAUSE_S)
+    for program in testbed.entries:
+        program.send_signal(signal.SIGCONT)
+
+    def restore() -> None:
+        for name in names:
+            testbed.restore_kind(name, {"is_silent": False})
+
+    return restore
+
+
 def store_faults(kind: FaultKind) -> StoreFaults:
     """Return how the store fails under a fault of this kind."""
     match kind:
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -191,15 +191,14 @@
             self.vm_relays[vm].reset()
         return is_done
 
-    def change_kind(self, vm: str, is_silent: bool) -> None:
+    def change_kind(self, vm: str, order: dict) -> None:
         """Start the worker on a VM again under its id as another kind."""
         (kind,) = (kind for kind in KINDS if kind != self._kinds[vm])
-        self.restart_worker(vm, {"is_silent": is_silent, "kind": kind})
+        self.restart_worker(vm, {**order, "kind": kind})
 
-    def restore_kind(self, vm: str, is_silent: bool) -> None:
+    def restore_kind(self, vm: str, order: dict) -> None:
         """Start the worker on a VM again under its id as the kind that it had first."""
-        order = {"is_silent": is_silent, "kind": self._kinds[vm]}
-        self.restart_worker(vm, order)
+        self.restart_worker(vm, {**order, "kind": self._kinds[vm]})
 
     def swap_addresses(self, vm: str, choice: int) -> None:
         """Start a worker and one of another pool under other ids, addresses swapped."""
--- a/src/jayshunt_standins/relay.py
+++ b/src/jayshunt_standins/relay.py
@@ -16,13 +16,14 @@
     `cut` closes open connections and new ones at once, as a network that rejects
     packets does. `silence` keeps connections open and forwards nothing, as a network
     that drops packets does; new connections are accepted and stay silent too.
-    `delay_s` delays each chunk that is received, `is_one_way` drops the bytes that the
-    target sends.
+    `delay_s` delays each chunk that is received, `connect_delay_s` each new connection
+    to the target, and `is_one_way` drops the bytes that the target sends.
     """
 
     def __init__(self, target: str) -> None:
         """Listen on a free loopback port; `target` is IP:PORT."""
         self.delay_s = 0.0
+        self.connect_delay_s = 0.0
         self.is_one_way = False
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
@@ -67,7 +68,7 @@
         """
         self._close_open()
         self._refusing = False
-        self.delay_s = 0.0
+        self.delay_s = self.connect_delay_s = 0.0
         self.is_one_way = False
         self._passing.set()
 
@@ -93,6 +94,7 @@
             threading.Thread(target=self._connect, args=(client,), daemon=True).start()
 
     def _connect(self, client: socket.socket) -> None:
+        time.sleep(self.connect_delay_s)
         try:
             server = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
         except OSError:
