--- a/src/jayshunt/dispatch/start_audit.py
+++ b/src/jayshunt/dispatch/start_audit.py
@@ -13,20 +13,22 @@
 
 
 def audit_starts(lines: Iterable[str]) -> list[str]:
-    """Return the starts that were wrong by what the dispatcher itself believed.
+    """Return the starts that were wrong by what the processes knew, then or later.
 
     Each is preceded by the reason: `limit`, more tasks of the step on the worker than
     it allows; `label`, the worker lacks the one that is required; `pool`, other starts
     of the queue under the same version of the configuration went to another pool;
     `life`, an earlier line of any process shows a later life of the worker, or that
-    this one is over. Lines without the fields of a check pass it.
+    this one is over; `stale`, a later line shows that another life of the worker had
+    begun when the start was placed, by the clocks of both. Lines without the fields of
+    a check pass it.
 
     Example: `limit  08:00:00.258  dispatch: placed  task=a1.0.0.1 run=7 worker=w1
     of_step=2 max_per_worker=1`.
     """
     records = [record for record in map(parse, lines) if record is not None]
     records.sort(key=lambda record: record.time)
-    pools = _pools(records)
+    pools, begins_ms = _pools(records), _begins_ms(records)
     lives = _Lives()
     found: list[str] = []
     for record in records:
@@ -34,6 +36,8 @@
             reasons = _mistakes(record.fields, pools)
             if lives.is_over(record.fields):
                 reasons.append("life")
+            elif _is_stale(record, begins_ms):
+                reasons.append("stale")
             found += [f"{reason}  {record.text}" for reason in reasons]
         lives.learn(record)
     return found
@@ -48,6 +52,22 @@
     return {queue: count.most_common(1)[0][0] for queue, count in counts.items()}
 
 
+def _begins_ms(records: list[LogRecord]) -> dict[str, set[int]]:
+    """Return when the lives of each worker began that any line shows."""
+    begins_ms: dict[str, set[int]] = defaultdict(set)
+    for record in records:
+        if record.fields.get("worker") and record.fields.get("born"):
+            begins_ms[record.fields["worker"]].add(record.fields["born"])
+    return begins_ms
+
+
+def _is_stale(record: LogRecord, begins_ms: dict[str, set[int]]) -> bool:
+    """Return whether a life after the one of a start had begun before the start."""
+    born, placed_ms = record.fields.get("born"), record.time.timestamp() * 1000
+    later = begins_ms.get(record.fields.get("worker"), ())
+    return bool(born) and any(born < begun <= placed_ms for begun in later)
+
+
 def _queue(fields: dict) -> tuple:
     return fields.get("config"), fields.get("queue")
 
--- a/src/jayshunt/dispatch/tests/test_start_audit.py
+++ b/src/jayshunt/dispatch/tests/test_start_audit.py
@@ -5,6 +5,9 @@
 
 from jayshunt.dispatch.start_audit import audit_starts
 
+# A worker's first life, and its second one, which begins at second 2.
+FIRST_MS, SECOND_MS = 1772866495000, 1772866502000
+
 
 def line(at_s: float, message: str, **fields) -> str:
     """Return a log line; `at_s` is the second of the minute."""
@@ -14,7 +17,7 @@
 
 def placed(at_s: float, **fields) -> str:
     """Return the line of a start on a worker's first life."""
-    choice = {"config": 3, "queue": "q1", "pool": "desk", "born": 100}
+    choice = {"config": 3, "queue": "q1", "pool": "desk", "born": FIRST_MS}
     task = {"task": "b1.0.0.1", "run": 7}
     return line(at_s, "dispatch: placed", **{**task, **choice, **fields})
 
@@ -58,16 +61,26 @@
 
     def test_start_on_a_life_before_the_latest(self) -> None:
         """A second process that still starts on a worker's former life is shown."""
-        answered = line(2.0, "dispatch: a worker answered", born=200)
+        answered = line(2.0, "dispatch: a worker answered", born=SECOND_MS)
         self.assertEqual(["life"], self.reasons(answered, placed(2.5)))
-        self.assertEqual(["life"], self.reasons(placed(2.0, born=200), placed(2.5)))
+        self.assertEqual(
+            ["life"], self.reasons(placed(2.0, born=SECOND_MS), placed(2.5))
+        )
+
+    def test_start_on_a_life_that_had_ended_unseen(self) -> None:
+        """A start that the worker's next life took was right by all earlier lines."""
+        seen = line(3.0, "dispatch: a worker answered", born=SECOND_MS)
+        self.assertEqual(["stale"], self.reasons(placed(2.1), seen))
+        self.assertEqual([], self.reasons(placed(1.9), seen))
 
     def test_start_on_a_life_that_is_over(self) -> None:
         """A life that another one replaced must not be used; one in silence may."""
         end = over(2.0, "another life answered: 2 kept")
         self.assertEqual(["life"], self.reasons(placed(1.0), end, placed(2.5)))
-        self.assertEqual([], self.reasons(placed(1.0), end, placed(2.5, born=200)))
-        silent = over(2.0, "its lease", born=100)
+        self.assertEqual(
+            [], self.reasons(placed(1.0), end, placed(2.5, born=SECOND_MS))
+        )
+        silent = over(2.0, "its lease", born=FIRST_MS)
         self.assertEqual([], self.reasons(placed(1.0), silent, placed(2.5)))
 
 
