--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -1,12 +1,13 @@
 """Run the workers of one rack as a process of its own.
 
-The first argument is the plan as JSON: the rack, its VMs with their pools, ports
+The first argument is the plan as JSON: the rack, its VMs with their pools, kinds, ports
 and advertised addresses (`shown`), the address of the platform, the log file and the
 seed.
 """
 
 import json
 import random
+import socket
 import sys
 import threading
 import time
@@ -19,76 +20,116 @@
     CALL_TIMEOUT_S,
     CRASH_DOWN_S,
     HEARTBEAT_S,
+    LATE_ORDER_RATIO,
+    LATE_ORDER_S,
     MEMORY_MB_PER_VM,
     MIN_CLOCK_RATE,
     MOVE_S,
+    RESTART_DOWN_S,
+    SILENT_CONNECTION_S,
     SPARE,
     UNGUARDED_POOL,
 )
-from jayshunt_soak.platform.worker import WorkerIncarnation
+from jayshunt_soak.platform.worker import WorkerIdentity, WorkerIncarnation
 from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
 
 
 class VmStandIn(StandInServer):
     """Serve the successive worker incarnations of one VM at one address."""
 
-    def __init__(
-        self, vm: str, rack: str, pool: str, advertised: str, plan: dict
-    ) -> None:
+    def __init__(self, vm: str, plan: dict) -> None:
         """Start the first incarnation unless the VM is in the spare pool.
 
-        Heartbeats carry `advertised` as the address: that of the relay to this VM.
+        Heartbeats carry the address of the relay to this VM.
         """
         super().__init__(plan["ports"][vm])
-        self.vm, self.rack, self.pool, self.advertised = vm, rack, pool, advertised
+        self.vm, self.rack, self.pool = vm, plan["rack"], plan["vms"][vm]
+        self.kind, self.advertised = plan["kinds"][vm], plan["shown"][vm]
         self._platform = plan["platform"]
         self._log = Path(plan["log"]).open("a", buffering=1)
         self._rng = random.Random(f"{plan['seed']}-{vm}")
         self.incarnation: WorkerIncarnation | None = None
         self._is_crashed = False
-        if pool != SPARE:
+        self._next_worker: str | None = None
+        self._late_until_s = 0.0
+        # Connections that a restart ended, and whether they stay silent.
+        self._former_connections: dict[socket.socket, bool] = {}
+        if self.pool != SPARE:
             self._start_incarnation()
 
     def answer(self, call: Call) -> Reply:
         """Return the answer to an order for the worker or for the VM."""
         incarnation = self.incarnation
-        if call.path == "/standin/move":
-            self._move(call.json()["pool"])
-            return Reply(200, {})
-        if call.path == "/standin/resize":
-            if incarnation is not None:
-                incarnation.resize(call.json()["cpu"])
-            return Reply(200, {})
-        if call.path == "/standin/record":
-            if incarnation is not None:
-                incarnation.record_due_ends()
+        if call.path.startswith("/standin/"):
+            self._control(call.path.removeprefix("/standin/"), call.json())
             return Reply(200, {})
+        if call.connection in self._former_connections:
+            self._fail_former(call)
         if self._is_crashed:
             raise DropConnection
         if incarnation is None:
             return Reply(503, {})
-        if call.headers.get("X-Expect-Instance") not in (None, incarnation.worker):
+        if call.headers.get("X-Expect-Instance") not in (
+            None,
+            incarnation.identity.worker,
+        ):
             return Reply(421, {})
+        if self._leaves_unanswered(call):
+            delay_s = self._rng.uniform(*LATE_ORDER_S)
+            threading.Timer(delay_s, _carry_out, (incarnation, call)).start()
+            raise DropConnection
         reply = _carry_out(incarnation, call)
+        if call.connection in self._former_connections:
+            self._fail_former(call)
         if incarnation.is_ended:
             raise DropConnection
         return reply
 
+    def _control(self, name: str, order: dict) -> None:
+        """Carry out an order of the soak."""
+        match name, self.incarnation:
+            case "move", _:
+                self._move(order["pool"])
+            case "restart", _:
+                self._restart_worker(order)
+            case "late", _:
+                self._late_until_s = time.monotonic() + order["for_s"]
+            case "address", _:
+                self.advertised = order["shown"]
+            case "resize", WorkerIncarnation() as incarnation:
+                incarnation.resize(order["cpu"])
+            case "record", WorkerIncarnation() as incarnation:
+                incarnation.record_due_ends()
+
+    def _leaves_unanswered(self, call: Call) -> bool:
+        """Return whether an order gets no answer and is carried out late."""
+        return (
+            call.path in ("/run-start", "/run-stop")
+            and time.monotonic() < self._late_until_s
+            and self._rng.random() < LATE_ORDER_RATIO
+        )
+
+    def _fail_former(self, call: Call) -> None:
+        """Leave a call on a connection to a former incarnation unanswered."""
+        if self._former_connections[call.connection]:
+            time.sleep(SILENT_CONNECTION_S)
+        raise DropConnection
+
     def send_heartbeats(self) -> None:
         """Send a heartbeat to the platform every `HEARTBEAT_S`, forever."""
         while True:
             incarnation = self.incarnation
             if incarnation is not None and not incarnation.is_ended:
                 registration = {
-                    "worker": incarnation.worker,
+                    "worker": incarnation.identity.worker,
                     "entry": {
-                        "service": self.pool,
+                        "service": incarnation.identity.pool,
                         "address": self.advertised,
                         "zone": self.rack,
                         "state": "ready",
                         "born": incarnation.started_ms,
                         "machine": self.vm,
-                        "labels": ["a", f"r-{self.rack}"],
+                        "labels": incarnation.identity.labels,
                         "capacity": {
                             "cpu": incarnation.millicores,
                             "memMb": MEMORY_MB_PER_VM,
@@ -110,39 +151,52 @@
         except JayshuntError as error:
             print(f"heartbeat failed: {error}", file=sys.stderr)
 
-    def _start_incarnation(self) -> None:
-        worker = f"i-{uuid.uuid4().hex[:10]}"
-
-        def record(event: dict) -> None:
-            at_s = event.pop("at_s", time.monotonic())
-            row = {"at_s": at_s, "worker": worker, "vm": self.vm, **event}
-            self._log.write(json.dumps(row) + "\n")
-
-        self.incarnation = WorkerIncarnation(
-            worker,
+    def _start_incarnation(self, worker: str | None = None) -> None:
+        """Start an incarnation under an id; None gives it a new one."""
+        worker = worker or f"i-{uuid.uuid4().hex[:10]}"
+        labels = (self.kind, f"r-{self.rack}")
+        incarnation = WorkerIncarnation(
+            WorkerIdentity(worker, self.pool, labels),
             self._rng.uniform(MIN_CLOCK_RATE, 1.0),
-            record,
+            self._write_event,
             guards_capacity=self.pool != UNGUARDED_POOL,
             on_crash=self._crash,
         )
-        self._is_crashed = False
-        record({"event": "life", "pool": self.pool})
+        incarnation.record_life()
+        self.incarnation, self._is_crashed = incarnation, False
 
-    def _crash(self) -> None:
+    def _write_event(self, event: dict) -> None:
+        self._log.write(json.dumps({"vm": self.vm, **event}) + "\n")
+
+    def _crash(self, down_s: float = CRASH_DOWN_S) -> None:
         """Be down for a while, then start another incarnation."""
         self._is_crashed = True
-        threading.Timer(CRASH_DOWN_S, self._restart).start()
+        threading.Timer(down_s, self._restart).start()
 
     def _restart(self) -> None:
         if self._is_crashed and self.pool != SPARE:
-            self._start_incarnation()
+            self._start_incarnation(self._next_worker)
+            self._next_worker = None
+
+    def _restart_worker(self, order: dict) -> None:
+        """Crash the worker, and start it again soon; see `Testbed.restart_worker`."""
+        self.kind = order.get("kind", self.kind)
+        incarnation = self.incarnation
+        if incarnation is None:
+            return
+        connections = self.connections.current()
+        self._former_connections |= dict.fromkeys(connections, order["is_silent"])
+        if not order.get("is_new"):
+            self._next_worker = incarnation.identity.worker
+        incarnation.end()
+        self._crash(order.get("down_s") or self._rng.uniform(*RESTART_DOWN_S))
 
     def _move(self, pool: str) -> None:
         incarnation, self.incarnation = self.incarnation, None
         if incarnation is not None:
             incarnation.end()
         self.pool = pool
-        self._is_crashed = False
+        self._is_crashed, self._next_worker = False, None
         if pool != SPARE:
             threading.Timer(MOVE_S, self._start_incarnation).start()
 
@@ -165,8 +219,8 @@
 def main() -> None:
     """Serve all VMs of the rack until the process is killed."""
     plan = json.loads(sys.argv[1])
-    for vm, pool in plan["vms"].items():
-        server = VmStandIn(vm, plan["rack"], pool, plan["shown"][vm], plan)
+    for vm in plan["vms"]:
+        server = VmStandIn(vm, plan)
         server.start()
         threading.Thread(target=server.send_heartbeats, daemon=True).start()
     print("ready", flush=True)
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -16,6 +16,7 @@
 from jayshunt_soak.const import (
     ENTRIES,
     HOST,
+    KINDS,
     MILLICORES_PER_VM,
     POOLS,
     RACKS,
@@ -27,11 +28,14 @@
 from jayshunt_soak.platform import formats
 from jayshunt_soak.platform.machines import ListedVm, MachinesStandIn
 from jayshunt_soak.platform.store import PlatformStoreStandIn
+from jayshunt_soak.queues import StoredQueues
 from jayshunt_standins.relay import Relay
 
 ROOT = Path(__file__).resolve().parents[2]
 SUPERVISE_INTERVAL_S = 0.05
 CONTROL_TIMEOUT_S = 0.2
+# How long two workers are down whose addresses are swapped.
+SWAP_DOWN_S = 0.6
 RECORD_TIMEOUT_S = 2.0
 
 
@@ -90,19 +94,31 @@
         self.store = PlatformStoreStandIn(seed)
         pools = (*POOLS, SPARE)
         self._listed = [
-            ListedVm(vm, vm[2], pools[n % len(pools)], f"{HOST}:{self.vm_ports[vm]}")
+            ListedVm(
+                vm,
+                vm[2],
+                pools[n % len(pools)],
+                KINDS[n // len(pools) % len(KINDS)],
+                f"{HOST}:{self.vm_ports[vm]}",
+            )
             for n, vm in enumerate(vms)
         ]
+        # The list changes with the VMs; a rack that is killed starts again as at first.
+        self._kinds = {vm.vm_id: vm.kind for vm in self._listed}
+        self._pools = {vm.vm_id: vm.pool for vm in self._listed}
+        self._seed = seed
         self.machines = MachinesStandIn(self._listed, self.store)
         self.vm_relays = {vm: Relay(f"{HOST}:{p}") for vm, p in self.vm_ports.items()}
         self.store_relays = [Relay(self.store.address) for _ in range(ENTRIES)]
         entry_ports = ports[len(vms) :]
         self.entry_ports = [entry_ports[3 * n : 3 * n + 3] for n in range(ENTRIES)]
         self.entries = [self._build_entry(n) for n in range(ENTRIES)]
-        self.racks = [self._build_rack(str(r), seed) for r in range(RACKS)]
+        self.racks = [self._build_rack(str(r)) for r in range(RACKS)]
         self._stopping = threading.Event()
         self._config_lock = threading.Lock()
         self.config_times_s: list[float] = []
+        self.queue_pools = {pool: pool for pool in POOLS}
+        self.stored_queues: list[StoredQueues] = []
         self._lock = threading.Lock()
 
     def start(self) -> None:
@@ -121,9 +137,17 @@
         """
         with self._config_lock:
             version = len(self.config_times_s) + 1
-            self.store.put(formats.CONFIG_KEY, formats.config(version))
+            queues = StoredQueues(time.monotonic(), dict(self.queue_pools))
+            self.stored_queues.append(queues)
+            value = formats.config(version, queues.pools)
+            self.store.put(formats.CONFIG_KEY, value)
             self.config_times_s.append(time.monotonic())
 
+    def send_queue_to(self, queue: str, pool: str) -> None:
+        """Store a configuration that sends a queue to another pool."""
+        self.queue_pools = {**self.queue_pools, queue: pool}
+        self.store_next_config()
+
     def stop(self) -> None:
         """Kill every process that this testbed started, and stop the stand-ins."""
         self._stopping.set()
@@ -147,6 +171,59 @@
             program.send_signal(signal.SIGCONT)
         for vm in self.vm_ports:
             self.resize(vm, MILLICORES_PER_VM)
+            self._show_address(vm)
+
+    def _show_address(self, vm: str) -> None:
+        """Let a VM's worker announce the address of the relay to it."""
+        shown = {"shown": self.vm_relays[vm].address}
+        self._call_vm(vm, "address", shown, CONTROL_TIMEOUT_S)
+
+    def restart_worker(self, vm: str, order: dict) -> bool:
+        """Crash the worker on a VM and start it again soon; return whether it is done.
+
+        `order` has `is_silent`, whether open connections stay silent or are closed. It
+        may have `is_new`, whether the worker gets another id; `kind`; and `down_s`.
+        """
+        is_done = self._call_vm(vm, "restart", order, CONTROL_TIMEOUT_S)
+        if not order["is_silent"]:
+            # A process that crashes closes its connections at once. Callers that see
+            # it reach the next incarnation over new ones.
+            self.vm_relays[vm].reset()
+        return is_done
+
+    def change_kind(self, vm: str, order: dict) -> None:
+        """Start the worker on a VM again under its id as another kind."""
+        (kind,) = (kind for kind in KINDS if kind != self._kinds[vm])
+        self.restart_worker(vm, {**order, "kind": kind})
+
+    def restore_kind(self, vm: str, order: dict) -> None:
+        """Start the worker on a VM again under its id as the kind that it had first."""
+        self.restart_worker(vm, {**order, "kind": self._kinds[vm]})
+
+    def swap_addresses(self, vm: str, choice: int) -> None:
+        """Start a worker and one of another pool under other ids, addresses swapped."""
+        pools = self.machines.pools()
+        others = [
+            other for other in pools if len({SPARE, pools[vm], pools[other]}) == 3
+        ]
+        if not others:
+            return
+        other = others[choice % len(others)]
+        order = {"is_silent": False, "is_new": True, "down_s": SWAP_DOWN_S}
+        # An address belongs to another worker only once the worker there is gone.
+        if not all(self.restart_worker(name, order) for name in (vm, other)):
+            return
+        first, second = self.vm_relays[vm], self.vm_relays[other]
+        first.exchange_targets(second)
+        self.vm_relays |= {vm: second, other: first}
+        for rack, program in enumerate(self.racks):
+            program.command = self._rack_command(str(rack))
+        for name in (vm, other):
+            self._show_address(name)
+
+    def delay_orders(self, vm: str, for_s: float) -> None:
+        """Let a VM's worker leave orders unanswered and carry them out late."""
+        self._call_vm(vm, "late", {"for_s": for_s}, CONTROL_TIMEOUT_S)
 
     def resize(self, vm: str, millicores: int) -> None:
         """Change the capacity of the worker on a VM; one that is down keeps none."""
@@ -160,7 +237,8 @@
         for vm in self.vm_ports:
             self._call_vm(vm, "record", {}, RECORD_TIMEOUT_S)
 
-    def _call_vm(self, vm: str, path: str, body: dict, timeout_s: float) -> None:
+    def _call_vm(self, vm: str, path: str, body: dict, timeout_s: float) -> bool:
+        """Give an order of the soak to a VM; return whether it answered."""
         try:
             http_client.request(
                 "POST",
@@ -171,6 +249,8 @@
             )
         except JayshuntError as error:
             print(f"{path} of {vm} failed: {error}", file=sys.stderr)
+            return False
+        return True
 
     def terminate(self, program: Program) -> None:
         """Send SIGTERM to a process, and kill it if it runs after `STOP_GRACE_S`."""
@@ -235,19 +315,25 @@
         environment = {"JAYSHUNT_CONFIG": str(settings)}
         return Program(name, command, environment, self.folder / f"{name}.log")
 
-    def _build_rack(self, rack: str, seed: int) -> Program:
+    def _build_rack(self, rack: str) -> Program:
         name = f"rack-{rack}"
-        vms = {vm.vm_id: vm.pool for vm in self._listed if vm.rack == rack}
+        environment = {"PYTHONPATH": str(ROOT / "src")}
+        log = self.folder / f"{name}.log"
+        return Program(name, self._rack_command(rack), environment, log)
+
+    def _rack_command(self, rack: str) -> list[str]:
+        vms = {
+            vm.vm_id: self._pools[vm.vm_id] for vm in self._listed if vm.rack == rack
+        }
         plan = {
             "rack": rack,
             "vms": vms,
+            "kinds": {vm: self._kinds[vm] for vm in vms},
             "ports": {vm: self.vm_ports[vm] for vm in vms},
             "shown": {vm: self.vm_relays[vm].address for vm in vms},
             "platform": self.machines.address,
-            "log": str(self.folder / f"{name}.events"),
-            "seed": seed,
+            "log": str(self.folder / f"rack-{rack}.events"),
+            "seed": self._seed,
         }
-        command = [sys.executable, "-m", "jayshunt_soak.platform.rack"]
-        command.append(json.dumps(plan))
-        environment = {"PYTHONPATH": str(ROOT / "src")}
-        return Program(name, command, environment, self.folder / f"{name}.log")
+        module = "jayshunt_soak.platform.rack"
+        return [sys.executable, "-m", module, json.dumps(plan)]
