Leave the runs alone that an earlier term may be stopping

Suspected cause: a worker lists a run as running and warmed up until its stop is carried out, up to stopMs later. A new dispatcher does not know which runs the one before it was stopping, so that it counted them as at work, and stopped another task of the step for the same VM.

Change: a run that this term did not start counts as at work for the budget only in a report that came stopMs and 0.3 s after the worker's first answer in the term. From that answer on the worker refuses orders of earlier terms.

Evidence: the new test of BudgetTest fails with the former evacuation.py.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -95,7 +95,9 @@
         self._connect_worker = connect_worker
         self.lock = threading.RLock()
         self.tracker = RunTracker(
-            own.term.token, max_lease_s=node.bounds.max_lease_ms / 1000
+            own.term.token,
+            max_lease_s=node.bounds.max_lease_ms / 1000,
+            stop_s=node.bounds.stop_ms / 1000,
         )
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._group = TaskGroup("dispatch")
--- a/src/jayshunt/dispatch/evacuation.py
+++ b/src/jayshunt/dispatch/evacuation.py
@@ -12,6 +12,8 @@
 MAX_FINISH_WAIT_S = 4.0
 # A worker with tasks answers once a second; one without a recent answer may be lost.
 ANSWER_VALID_S = 1.4
+# How long before its arrival a report may have been made.
+REPORT_DELAY_S = 0.3
 
 
 @dataclass(frozen=True)
@@ -79,7 +81,8 @@
     """Return whether a task may be stopped within the budget of its step.
 
     A step without a budget has no limit. The other tasks of the step count as
-    unavailable if they are not running and warmed up or if their worker is silent.
+    unavailable if they are not running and warmed up, if their worker is silent, or if
+    an earlier term may be stopping them.
     """
     budget = task.spec.max_unavailable
     if budget <= 0:
@@ -97,4 +100,19 @@
     view = tracker.workers.get(task.worker) if task.worker else None
     if view is None or view.last_answer_s is None:
         return False
+    if _may_be_stopped_by_earlier_term(task, view, tracker.stop_s):
+        return False
     return task.is_warm and now_s - view.last_answer_s <= ANSWER_VALID_S
+
+
+def _may_be_stopped_by_earlier_term(
+    task: Task, view: WorkerView, stop_s: float
+) -> bool:
+    """Return whether a reported run may be ending by an order of an earlier term.
+
+    It is listed as running until then. The worker took such an order before its first
+    answer in this term, and carries it out within `stop_s`.
+    """
+    if task.sent_s is not None or view.first_answer_s is None:
+        return False
+    return view.last_answer_s < view.first_answer_s + stop_s + REPORT_DELAY_S
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -82,7 +82,8 @@
 
     `tasks` are the placed tasks by key and `load` the sum of what they reserve.
     `suspects` are the placed tasks that are suspected of crashes. `last_heard_s` is
-    the time of the last answer of any kind.
+    the time of the last answer of any kind, `first_answer_s` that of the first report
+    in this term: orders of earlier terms are refused from then on.
     `strays` are the stray runs by task key and run number, `pending` the reported
     ends that are not yet acknowledged. `clock_ms` is the worker's clock in its last
     answer, which was received at `clock_received_s`. `failed_jobs` are the jobs with
@@ -110,6 +111,7 @@
     clock_ms: int | None = None
     clock_received_s: float = 0.0
     lease_end_s: float = 0.0
+    first_answer_s: float | None = None
     last_answer_s: float | None = None
     last_heard_s: float | None = None
     is_failing: bool = False
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -47,7 +47,8 @@
     with their worker (lost) and ended workers by cause (worker_ and the name of a
     `WorkerEnd`). `on_task_done` is called with the job, the task and the time before a
     task that was running is marked as done. `usage` sums the runs on all workers by
-    workspace. `max_lease_s` is the longest lease that a worker accepts.
+    workspace. `max_lease_s` is the longest lease that a worker accepts, `stop_s` how
+    long stopping a run takes.
     `on_worker_end` is called with the id of a worker of which an incarnation ended.
     """
 
@@ -63,6 +64,7 @@
     on_task_done: Callable[[Job, Task, float], None] | None = None
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
     max_lease_s: float = Bounds().max_lease_ms / 1000
+    stop_s: float = Bounds().stop_ms / 1000
     on_worker_end: Callable[[WorkerId], None] = lambda worker: None
     crashes: CrashTracker = field(init=False)
     _departed_until_s: dict[tuple[WorkerId, int], float] = field(default_factory=dict)
@@ -290,6 +292,7 @@
         A VM runs one worker at a time, so the runs of its earlier lives have ended. The
         one that answers has not, whatever was concluded before.
         """
+        view.first_answer_s = now_s
         self.ended_incarnations.discard((view.worker.worker, view.worker.started_ms))
         for other in list(self.workers.values()):
             if (
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -93,6 +93,18 @@
             may_stop_within_budget(self.job, self.tasks[0], self.tracker, 3.2)
         )
 
+    def test_task_that_an_earlier_term_may_be_stopping_counts_as_away(self) -> None:
+        """A new dispatcher stopped a second task of a step beside it."""
+        self.tracker.stop_s = 0.4
+        for view, task in zip(self.views, self.tasks):
+            task.sent_s = view.last_answer_s = None
+            self.tracker.apply_run_report(view, build_report(task), 1.0, 1.0)
+        first, *_ = self.tasks
+        self.assertFalse(may_stop_within_budget(self.job, first, self.tracker, 1.3))
+        for view, task in zip(self.views, self.tasks):
+            self.tracker.apply_run_report(view, build_report(task), 1.4, 1.8)
+        self.assertTrue(may_stop_within_budget(self.job, first, self.tracker, 1.9))
+
     def test_task_that_warms_up_counts_as_away(self) -> None:
         """A task that is warming up does not serve its users yet."""
         self.tasks[1].percent = 40
