--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -100,6 +100,7 @@
             own.term.token,
             max_lease_s=node.bounds.max_lease_ms / 1000,
             memory=JobMemory(divide_memory(node.memory_mb).jobs_bytes),
+            stop_s=node.bounds.stop_ms / 1000,
         )
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._group = TaskGroup("dispatch")
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -160,9 +160,10 @@
         now_s = self._clock.monotonic_s()
         has_progress = progress is not None and progress.value is not None
         age_s = 0.0 if is_new else min(60.0, max(0.0, time.time() - accepted_at_s))
+        accepted = decode_queue(value)
         job = Job(
             spec,
-            self._queue_config(spec.queue, value),
+            accepted,
             accepted_s=now_s - age_s,
             created=Revision(created),
             is_inherited=created < self._dispatcher.token,
@@ -177,6 +178,7 @@
         with lock:
             added = tracker.add_job(job)
             if added:
+                tracker.apply_config(job, self._queue_config(accepted))
                 self._dispatcher.planner.workspaces.record_added(job)
         if added and not job.state.is_final:
             self._dispatcher.planner.predict_work(job)
@@ -229,11 +231,12 @@
                 self._apply_cancel(cancelled)
             self._dispatcher.notify_changed()
 
-    def _queue_config(self, queue: QueueName, value: bytes) -> QueueConfig:
+    def _queue_config(self, accepted: QueueConfig) -> QueueConfig:
+        """Return the configuration of a queue, as of acceptance if it was removed."""
         for found in self._config().queues:
-            if found.queue == queue:
+            if found.queue == accepted.queue:
                 return found
-        return decode_queue(value)
+        return accepted
 
     def _read_all(self) -> None:
         """Read all jobs, then their progress, so that progress is never older.
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -318,8 +318,9 @@
         )
         self.observe_wait(job.config.pool, now_s - task.waiting_since_s)
         ticket = self.tickets.ticket(task, view.worker)
-        is_stored_first = task.run_at_risk is not None
-        version = tracker.versions[job.spec.job] if is_stored_first else 0
+        version = job.pools_version
+        if task.run_at_risk is not None:
+            version = tracker.versions[job.spec.job]
         return self._dispatcher.sessions[worker], StartTask(
             task, run, job.spec.payload, version, ticket
         )
@@ -329,7 +330,7 @@
 
         `born` is the start time of the worker's incarnation. `list_age_ms` is the age
         of the worker list, which tells pool and labels. `of_step` is how many
-        tasks of the step are known to be on the worker with this one, for a step with
+        runs of the step are known to be on the worker with this one, for a step with
         a limit per worker.
         """
         worker, list_age_s = view.worker, self._dispatcher.worker_list_age_s()
@@ -344,7 +345,7 @@
             fields["required_label"] = task.spec.required_label
             fields["labels"] = sorted(worker.labels)
         if task.spec.max_per_worker:
-            fields["of_step"] = view.load.tasks_per_step[step_key(task)]
+            fields["of_step"] = view.load.runs_per_step[step_key(task)]
             fields["max_per_worker"] = task.spec.max_per_worker
         return fields
 
@@ -355,7 +356,8 @@
         self._applied_config = config
         queues: dict[QueueName, QueueConfig] = {q.queue: q for q in config.queues}
         for job in self.active_jobs():
-            job.config = queues.get(job.spec.queue, job.config)
+            queue = queues.get(job.spec.queue, job.config)
+            self._dispatcher.tracker.apply_config(job, queue)
 
     def _candidates(
         self, pools: set[PoolName], now_s: float
@@ -436,12 +438,12 @@
 
         If the last dispatcher ended its term gracefully, its handoff record lists the
         tasks of each worker and its jobs with ends not yet stored. Without one, every
-        inherited job of the worker's pool is held back.
+        inherited job that may have runs in the worker's pool is held back.
         """
         handoff = self._dispatcher.handoff
         if handoff is None:
             pools = {view.worker.pool for view in silent}
-            return lambda job: not job.is_inherited or job.config.pool not in pools
+            return lambda job: not job.is_inherited or pools.isdisjoint(job.pools)
         blocked_jobs = {
             name.partition(".")[0]
             for view in silent
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -24,7 +24,14 @@
     JobMemory,
     estimate_job_bytes,
 )
-from jayshunt.dispatch.models import Bounds, JobState, RunReport, TaskKey, Worker
+from jayshunt.dispatch.models import (
+    Bounds,
+    JobState,
+    QueueConfig,
+    RunReport,
+    TaskKey,
+    Worker,
+)
 from jayshunt.dispatch.run_reports import RunReports, StopOrder
 from jayshunt.dispatch.tasks import EndedJob, Job, Task, TaskPhase
 from jayshunt.ids import JobId, Revision, WorkerId
@@ -59,7 +66,8 @@
     with their worker (lost) and ended workers by cause (worker_ and the name of a
     `WorkerEnd`). `on_task_done` is called with the job, the task and the time before a
     task that was running is marked as done. `usage` sums the runs on all workers by
-    workspace. `max_lease_s` is the longest lease that a worker accepts.
+    workspace. `max_lease_s` is the longest lease that a worker accepts, `stop_s` how
+    long stopping a run takes.
     `on_worker_end` is called with the id of a worker of which an incarnation ended.
     """
 
@@ -77,6 +85,7 @@
     on_task_done: Callable[[Job, Task, float], None] | None = None
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
     max_lease_s: float = Bounds().max_lease_ms / 1000
+    stop_s: float = Bounds().stop_ms / 1000
     on_worker_end: Callable[[WorkerId], None] = lambda worker: None
     crashes: CrashTracker = field(init=False)
     _departed_until_s: dict[tuple[WorkerId, int], float] = field(default_factory=dict)
@@ -149,6 +158,14 @@
             self.versions.pop(job_id, None)
             self.stored_versions.pop(job_id, None)
 
+    def apply_config(self, job: Job, config: QueueConfig) -> None:
+        """Apply the configuration of a job's queue, and store a pool that is new."""
+        job.config = config
+        if config.pool not in job.pools and not job.state.is_final:
+            job.pools.add(config.pool)
+            self.mark_dirty(job)
+            job.pools_version = self.versions[job.spec.job]
+
     def cancel(self, job_id: JobId) -> list[StopOrder]:
         """Cancel a job and return the runs to stop."""
         job = self.jobs.get(job_id)
@@ -297,6 +314,7 @@
                 "worker": view.worker.worker,
                 "vm": view.worker.vm,
                 "pool": view.worker.pool,
+                "born": view.worker.started_ms,
                 "reason": f"{end.value}: {detail}" if detail else end.value,
                 "tasks": len(lost),
             },
@@ -349,6 +367,7 @@
         A VM runs one worker at a time, so the runs of its earlier lives have ended. The
         one that answers has not, whatever was concluded before.
         """
+        view.first_answer_s = now_s
         self.ended_incarnations.discard((view.worker.worker, view.worker.started_ms))
         for other in list(self.workers.values()):
             if (
--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -5,6 +5,8 @@
 # The workers of this pool start whatever they are told to, beyond their capacity too.
 UNGUARDED_POOL = "yard"
 SPARE = "spare"
+# Kinds of VMs, which are labels of their workers. Each pool starts with both.
+KINDS = ("a", "b")
 # The queue of this pool needs no key; entries must ignore keys sent there.
 PUBLIC_POOL = "yard"
 WORKSPACES = ("river", "mountain")
@@ -25,6 +27,20 @@
 MAX_MISSED_HEARTBEATS = 3
 # How long a worker that crashed under a task is down.
 CRASH_DOWN_S = 1.2
+# How long a worker that starts again under its id is down.
+RESTART_DOWN_S = (0.05, 0.6)
+# How long new connections to a worker that starts again take from then on. Orders that
+# wait for one reach the next incarnation.
+CONNECT_DELAYS_S = (0.0, 0.25)
+# How long entries are paused while workers start again, and how long these are down.
+UNSEEN_PAUSE_S = 0.6
+UNSEEN_DOWN_S = 0.1
+# How late a worker carries out an order that it left unanswered, and the share of such
+# orders.
+LATE_ORDER_S = (0.3, 5.0)
+LATE_ORDER_RATIO = 0.5
+# How long a call on a connection to a former incarnation stays unanswered.
+SILENT_CONNECTION_S = 10.0
 # Capacities of shrunk workers relative to their full size.
 SHRUNK_SHARES = (0.3, 0.05, 0.6)
 # `contactMs` of the users' sites.
@@ -34,8 +50,9 @@
 SHRINK_GRACE_S = CONTACT_S + HEARTBEAT_S
 # Duration of the move of a VM to another pool.
 MOVE_S = 0.6
-# Setting `stopMs` of the entries.
+# Setting `stopMs` of the entries, and how long a worker takes to stop a run.
 STOP_MS = 200
+STOP_TAKES_S = 0.18
 # Longest lease of a worker.
 HOLD_MAX_MS = 10_000
 # Settings `configApplyMs` and `revokeMs` of the entries.
