Start the rest of a gang in the pool where it was placed

Members of a gang that were sent before would wait alone for the others. A gang now starts in any pool to which a configuration sent its queue; a new placement follows the newest one.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -1,5 +1,6 @@
 """Track the dispatcher's state of each worker: lease, runs and failures."""
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -305,17 +306,17 @@
             return Obstacle.PAUSED
         return Obstacle.SET_ASIDE if now_s < self.set_aside_until_s else None
 
-    def exclusion(self, task: Task, pool: PoolName) -> Obstacle | None:
+    def exclusion(self, task: Task, pools: Set[PoolName]) -> Obstacle | None:
         """Return why a task that was placed here must not start, None if it may.
 
-        `pool` is that of the task's queue now. The worker's entry, its runs or the
-        configuration may have changed since the task was placed. Pool and labels of a
-        worker are known only while it is listed.
+        `pools` are those in which the task may start now. The worker's entry, its runs
+        or the configuration may have changed since the task was placed. Pool and labels
+        of a worker are known only while it is listed.
         """
         step = task.spec
         if not self.is_listed:
             return Obstacle.NOT_LISTED
-        if self.worker.pool != pool:
+        if self.worker.pool not in pools:
             return Obstacle.OTHER_POOL
         if lacks_label(step, self.worker):
             return Obstacle.NO_LABEL
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -221,7 +221,9 @@
         if not self._context.knows_capacity(self._view.worker.pool):
             return "the worker's capacity may be outdated"
         job = self._context.tracker.jobs[item.task.key.job]
-        exclusion = self._view.exclusion(item.task, job.config.pool)
+        # The members of a gang that were started already would wait for the others.
+        pools = job.pools if item.task.spec.is_gang else {job.config.pool}
+        exclusion = self._view.exclusion(item.task, pools)
         if exclusion is not None:
             return exclusion.value
         if not self._is_stored(item):
--- a/src/jayshunt/dispatch/tests/test_excluded_workers.py
+++ b/src/jayshunt/dispatch/tests/test_excluded_workers.py
@@ -111,6 +111,12 @@
         self.job.config = build_queue(pool=SPARE)
         self.assertFalse(self.is_sent())
 
+    def test_gang_starts_as_a_whole_in_the_former_pool_of_its_queue(self) -> None:
+        """Members that were started before the new configuration waited in vain."""
+        self.task.spec = replace(self.task.spec, is_gang=True)
+        self.tracker.apply_config(self.job, build_queue(pool=SPARE))
+        self.assertTrue(self.is_sent())
+
     def test_worker_listed_without_the_label_is_not_started_on(self) -> None:
         """A task ran on a worker of another kind than it requires."""
         self.view.worker = replace(self.view.worker, labels=frozenset({"x86"}))
