--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -1,5 +1,6 @@
 """Track the dispatcher's state of each worker: lease, runs and failures."""
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -107,7 +108,8 @@
     by the first report. Until `former_lease_end_s`, runs may go on under a lease that
     was meant for the incarnation before. `ordered_away_s` is when the platform accepted
     an order for the worker's VM, which ends the worker unless the platform had carried
-    it out before.
+    it out before. `late_starts` are runs whose start got no answer before this
+    incarnation was known, and whose stop it has not accepted yet.
     """
 
     worker: Worker
@@ -136,6 +138,7 @@
     unconfirmed: dict = field(default_factory=dict)
     former_lease_end_s: float = 0.0
     ordered_away_s: float | None = None
+    late_starts: set[tuple[TaskKey, int]] = field(default_factory=set)
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
     pool: PoolName = field(init=False)
 
@@ -303,17 +306,17 @@
             return Obstacle.PAUSED
         return Obstacle.SET_ASIDE if now_s < self.set_aside_until_s else None
 
-    def exclusion(self, task: Task, pool: PoolName) -> Obstacle | None:
+    def exclusion(self, task: Task, pools: Set[PoolName]) -> Obstacle | None:
         """Return why a task that was placed here must not start, None if it may.
 
-        `pool` is that of the task's queue now. The worker's entry, its runs or the
-        configuration may have changed since the task was placed. Pool and labels of a
-        worker are known only while it is listed.
+        `pools` are those in which the task may start now. The worker's entry, its runs
+        or the configuration may have changed since the task was placed. Pool and labels
+        of a worker are known only while it is listed.
         """
         step = task.spec
         if not self.is_listed:
             return Obstacle.NOT_LISTED
-        if self.worker.pool != pool:
+        if self.worker.pool not in pools:
             return Obstacle.OTHER_POOL
         if lacks_label(step, self.worker):
             return Obstacle.NO_LABEL
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -221,7 +221,9 @@
         if not self._context.knows_capacity(self._view.worker.pool):
             return "the worker's capacity may be outdated"
         job = self._context.tracker.jobs[item.task.key.job]
-        exclusion = self._view.exclusion(item.task, job.config.pool)
+        # The members of a gang that were started already would wait for the others.
+        pools = job.pools if item.task.spec.is_gang else {job.config.pool}
+        exclusion = self._view.exclusion(item.task, pools)
         if exclusion is not None:
             return exclusion.value
         if not self._is_stored(item):
@@ -299,10 +301,14 @@
             context.tracker.counts["start_unanswered"] += 1
             if error.outcome is Outcome.NOT_RUN:
                 context.tracker.record_not_started(task, item.run, now_s)
-            elif task.run == item.run and task.phase is TaskPhase.ORDERED:
+            else:
                 # The run may exist or the order may still arrive. Stopping the run also
                 # makes the worker refuse a start order that arrives later.
-                stop = context.tracker.stop(task)
+                context.tracker.late_starts.record(
+                    view.worker.worker, task.key, item.run, now_s
+                )
+                if task.run == item.run and task.phase is TaskPhase.ORDERED:
+                    stop = context.tracker.stop(task)
         _LOGGER.info(
             "dispatch: a start got no answer",
             extra={
