Press an entry with bytes sent ahead of requests that wait

While a connection's request waits for the store, nothing more is read from it. What follows waits in its buffer, up to 64 KB that no limit counts, and in the socket.

The test lets 500 members send submissions ahead while each store call takes 0.5 s.

--- a/src/jayshunt_soak/tests/test_crowds.py
+++ b/src/jayshunt_soak/tests/test_crowds.py
@@ -375,6 +375,15 @@
         request = request_head("GET", QUEUE_PATH)
         self.press(Crowd(SentBytes(request * 500, repeats=4), 64))
 
+    def test_bytes_behind_requests_that_wait(self) -> None:
+        """Bytes that were sent ahead waited unread, without a limit on their sum."""
+        entry = self.start_entry()
+        self.testbed.store.faults.delay_s = SLOW_STORE_S
+        body = ordinary_job()
+        head = request_head("POST", job_path(1), Content_Length=len(body))
+        crowd = Crowd(SentBytes((head + body) * 3_000), 500)
+        self.check_entry(entry, press_in_turn(entry, [crowd]))
+
     def test_unread_answers_to_callers(self) -> None:
         """Answers that nobody reads piled up."""
         request = request_head("GET", job_path(1))
