--- a/src/jayshunt_soak/platform/formats.py
+++ b/src/jayshunt_soak/platform/formats.py
@@ -55,11 +55,12 @@
     return {**row, "weight": 1_000}
 
 
-def config(version: int, queue_pools: dict[str, str]) -> bytes:
+def config(version: int, queue_pools: dict[str, str] | None = None) -> bytes:
     """Return the operator's configuration: one queue for each pool, and workspaces.
 
-    `queue_pools` gives the pool to which each queue is sent.
+    `queue_pools` gives the pool to which each queue is sent, by default its own.
     """
+    queue_pools = queue_pools or {pool: pool for pool in POOLS}
     routes = [
         {
             "name": f"q-{pool}",
--- a/src/jayshunt_soak/tests/test_crowds.py
+++ b/src/jayshunt_soak/tests/test_crowds.py
@@ -14,6 +14,7 @@
 import time
 import unittest
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from pathlib import Path
 
 from jayshunt.dispatch.models import Address
@@ -562,8 +563,7 @@
 
     def test_stored_jobs_with_long_texts(self) -> None:
         """A new dispatcher read all records at once."""
-        step = {**small_step(), "image": "t" * 240_000}
-        self.take_over(stored_job([step]), 250)
+        self.take_over(stored_job([small_step()], image="t" * 240_000), 250)
 
     def test_stored_jobs_with_long_specs(self) -> None:
         """A new dispatcher read all records of ordinary jobs at once."""
@@ -605,7 +605,7 @@
 
     def test_states_of_a_large_job_without_a_dispatcher(self) -> None:
         """Each question for a job's state made a notice that held its whole record."""
-        record = stored_job([{**small_step(), "image": "t" * 240_000}])
+        record = stored_job([small_step()], image="t" * 240_000)
         self.testbed.store.put(accepted_key(JobId(f"{1:016x}")), record)
         entry = self.start_without_dispatcher()
         request = request_head("GET", job_path(1))
@@ -639,12 +639,16 @@
     return [{**small_step(), "count": 10_000}] * 5
 
 
-def stored_job(steps: list[dict], spec: str = "x") -> bytes:
-    """Return the record of an accepted job of the public queue."""
+def stored_job(steps: list[dict], spec: str = "x", image: str = "") -> bytes:
+    """Return the record of an accepted job of the public queue.
+
+    With `image`, an entry without a limit on texts accepted the job.
+    """
     config = decode_config(formats.config(1))
     (queue,) = (queue for queue in config.queues if queue.is_public)
     body = submission(steps, spec)
     job = decode_submission(JobId(f"{0:016x}"), queue.queue, body)
+    job = replace(job, steps=tuple(replace(step, image=image) for step in job.steps))
     return encode_job(job, queue, time.time())
 
 
