Take a last sample of an entry before its usage is judged

Beside heavy load the sampling thread could run once only in a short test, so that its figures of threads and descriptors were those of the start. The peak of the resident memory comes from the kernel and was right. The check now takes a sample itself.

--- a/src/jayshunt_soak/crowd_testbed.py
+++ b/src/jayshunt_soak/crowd_testbed.py
@@ -106,7 +106,7 @@
         self._memory_bytes = limits.memory_mb * MB
         self._stopping = threading.Event()
         self.exceeded = threading.Event()
-        self.current = Usage()
+        self._lock = threading.Lock()
         self.peak = Usage()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -116,18 +116,21 @@
         self._stopping.set()
         self._thread.join()
 
+    def update(self) -> None:
+        """Take a sample; a process that has ended keeps its last ones."""
+        # The files of a process that has ended are gone.
+        with self._lock, contextlib.suppress(OSError, KeyError):
+            usage, peak_bytes = self._sample()
+            peak = self.peak.merge(usage)
+            self.peak = replace(
+                peak,
+                resident_bytes=max(peak.resident_bytes, peak_bytes),
+                held_bytes=max(peak.held_bytes, peak_bytes),
+            )
+
     def _run(self) -> None:
         while not self._stopping.wait(SAMPLE_INTERVAL_S):
-            # The process may have ended; its files are gone then.
-            with contextlib.suppress(OSError, KeyError):
-                usage, peak_bytes = self._sample()
-                self.current = usage
-                peak = self.peak.merge(usage)
-                self.peak = replace(
-                    peak,
-                    resident_bytes=max(peak.resident_bytes, peak_bytes),
-                    held_bytes=max(peak.held_bytes, peak_bytes),
-                )
+            self.update()
             if self.peak.held_bytes > STOP_FACTOR * self._memory_bytes:
                 self.exceeded.set()
             if self.peak.held_bytes > KILL_FACTOR * self._memory_bytes:
--- a/src/jayshunt_soak/tests/test_crowds.py
+++ b/src/jayshunt_soak/tests/test_crowds.py
@@ -160,6 +160,7 @@
             status = entry.call_until({200}, method, path, body, port)
             if status != 200:
                 faults.append(f"{method} {port.name} was answered {status} afterwards")
+    entry.monitor.update()
     peak = entry.monitor.peak
     if not entry.is_running:
         faults.append(f"the process ended with {entry.process.returncode}")
