--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -19,7 +19,10 @@
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.intake_reader import IntakeReader
 from jayshunt.dispatch.job_memory import JobMemory, JobRoom
-from jayshunt.dispatch.memory_budget import divide_memory
+from jayshunt.dispatch.memory_budget import (
+    divide_memory,
+    max_idle_worker_connections,
+)
 from jayshunt.dispatch.messages import SessionContext, WorkerApi
 from jayshunt.dispatch.models import EntryNode, FleetConfig, JobState, Worker
 from jayshunt.dispatch.order_sender import OrderSender
@@ -104,7 +107,9 @@
         )
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self._group = TaskGroup("dispatch")
-        self._worker_loop = TaskLoop("workers")
+        self._worker_loop = TaskLoop(
+            "workers", max_idle_worker_connections(node.max_fds)
+        )
         self._waiting_for_store: set[WorkerSession | OrderSender] = set()
         self.ready = threading.Event()
         self.lease_s = min(
