Place a job in a new pool once that is stored

Starts in a pool to which a new configuration sent the queue wait for the store, on the worker's order queue: while the store is down, each round placed the job again, its start was withheld after 0.6 s, and the worker's other orders waited behind it. Two members of a gang could be decided differently.

The planner now holds such a job back until its pools are stored; the check before sending stays. The progress is written at once when a configuration adds a pool. test_job_is_not_placed_before_its_new_pool_is_stored.

--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -358,6 +358,7 @@
         for job in self.active_jobs():
             queue = queues.get(job.spec.queue, job.config)
             self._dispatcher.tracker.apply_config(job, queue)
+        self._dispatcher.notify_changed()
 
     def _candidates(
         self, pools: set[PoolName], now_s: float
@@ -387,6 +388,7 @@
     def _startable(self, now_s: float) -> Callable[[Job], bool]:
         """Return a filter for the jobs that may start now."""
         may_start = self._hold_back_new_jobs(self._may_start(now_s), now_s)
+        may_start = self._hold_back_in_new_pools(may_start)
         return self._hold_back_while_store_fails(may_start)
 
     def _may_start(self, now_s: float) -> Callable[[Job], bool]:
@@ -420,6 +422,18 @@
             job.added_s, confirmed_s, now_s
         )
 
+    def _hold_back_in_new_pools(
+        self, may_start: Callable[[Job], bool]
+    ) -> Callable[[Job], bool]:
+        """Return a filter that also holds back jobs whose new pool is not stored yet.
+
+        On a worker, their orders would delay those of other jobs.
+        """
+        stored_versions = self._dispatcher.tracker.stored_versions
+        return lambda job: (
+            may_start(job) and stored_versions[job.spec.job] >= job.pools_version
+        )
+
     def _hold_back_while_store_fails(
         self, may_start: Callable[[Job], bool]
     ) -> Callable[[Job], bool]:
--- a/src/jayshunt/dispatch/tests/test_changed_pools.py
+++ b/src/jayshunt/dispatch/tests/test_changed_pools.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from jayshunt.dispatch.models import JobState
 from jayshunt.dispatch.records import apply_progress, encode_progress
 from jayshunt.dispatch.tests.builders import (
     POOL,
@@ -41,6 +42,15 @@
         self.assertEqual(self.version, self.job.pools_version)
         self.assertLess(0, self.job.pools_version)
 
+    def test_job_is_not_placed_before_its_new_pool_is_stored(self) -> None:
+        """Its starts delayed the other orders of workers while the store was down."""
+        dispatcher = FakeFleet(0).build_dispatcher()
+        dispatcher.tracker = self.tracker
+        may_start = dispatcher.planner._hold_back_in_new_pools(lambda job: True)
+        self.assertFalse(may_start(self.job))
+        self.tracker.record_stored(self.job, self.version, JobState.QUEUED, 0.0)
+        self.assertTrue(may_start(self.job))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -129,6 +129,7 @@
             inherited_runs_end_s=self.blocked_until_s,
             term_confirmed_s=lambda: self.now_s,
             worker_list_age_s=lambda: 0.0,
+            notify_changed=lambda: None,
             knows_capacity=lambda pool: True,
             is_store_failing=lambda: False,
             send_stops=self.send_stops,
