Apply the answer to a stop only to the life that gave it

Callers would see a task run twice: a worker accepts the stop of a start that got no answer and starts again; the report of its next life arrives before the answer to the stop. The answer was applied to the next life, by the worker's id, so that the stop there was not repeated, and the late start was carried out.

An acceptance that arrives after the life is over is dropped; the stop is repeated to the next life. test_answer_of_the_former_life_to_a_stop_does_not_count fails with the former condition.

--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -341,7 +341,8 @@
             return
         with context.lock:
             now_s = context.clock.monotonic_s()
-            if answer.refusal is None:
+            # The next life of a worker does not know what the former one accepted.
+            if answer.refusal is None and not self._view.is_ended:
                 context.tracker.record_stop_accepted(order, now_s)
 
     def _send_pace(self, item: PaceTask) -> Steps:
--- a/src/jayshunt/dispatch/tests/test_worker_restarts.py
+++ b/src/jayshunt/dispatch/tests/test_worker_restarts.py
@@ -101,6 +101,16 @@
         self.assertEqual([], self.report(sent_s=2.6))
         self.assertEqual({}, view.strays)
 
+    def test_answer_of_the_former_life_to_a_stop_does_not_count(self) -> None:
+        """It arrived after the next life's report, whose stop was then not repeated."""
+        worker_api, run = FakeWorkerApi(), self.unanswered.run
+        context = build_session_context(self.tracker, ManualClock(2.3))
+        orders = OrderSender(self.view, worker_api, context)
+        stop = self.tracker.stop(self.unanswered)
+        self.assertEqual([stop], self.report())
+        run_steps(orders._send_stop(stop))
+        self.assertEqual([("w1", run)], [(s.worker, s.run) for s in self.report()])
+
     def test_listed_life_is_asked_which_runs_it_has(self) -> None:
         """An entry of the list tells of a next life, but not what it runs."""
         worker = build_worker(started_ms=NEXT_MS)
