Stop a start in flight once its task is done elsewhere

Rule ROUTE, limit per worker: a task's earlier run is reported as done while a start of its next run is on its way to another worker. That start was kept as a stray run, which the next report dropped if its poll was sent before the start; no stop was sent, and another task of the step was placed beside it.

Such a start is stopped and counted like one without an answer, until the stop is accepted or the run is listed. An entry ends after LATE_START_S also if no stop is ever accepted, and a worker with such starts is polled ten times a second, so that its room is not counted for longer than necessary.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -108,8 +108,9 @@
     by the first report. Until `former_lease_end_s`, runs may go on under a lease that
     was meant for the incarnation before. `ordered_away_s` is when the platform accepted
     an order for the worker's VM, which ends the worker unless the platform had carried
-    it out before. `late_starts` are runs whose start got no answer before this
-    incarnation was known, and whose stop it has not accepted yet.
+    it out before. `late_starts` are runs that may still be started although
+    they are no longer wanted, and whose stop the worker has not accepted yet, with the
+    time until which that is possible.
     """
 
     worker: Worker
@@ -138,7 +139,7 @@
     unconfirmed: dict = field(default_factory=dict)
     former_lease_end_s: float = 0.0
     ordered_away_s: float | None = None
-    late_starts: set[tuple[TaskKey, int]] = field(default_factory=set)
+    late_starts: dict[tuple[TaskKey, int], float] = field(default_factory=dict)
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
     pool: PoolName = field(init=False)
 
--- a/src/jayshunt/dispatch/late_starts.py
+++ b/src/jayshunt/dispatch/late_starts.py
@@ -16,7 +16,7 @@
 
 @dataclass
 class LateStarts:
-    """Keep the starts that got no answer within LATE_START_S, oldest first."""
+    """Keep each start without an answer for LATE_START_S, oldest first."""
 
     _starts: deque[tuple[float, WorkerId, TaskKey, int]] = field(default_factory=deque)
 
@@ -25,10 +25,16 @@
         self._remove_old(now_s)
         self._starts.append((now_s, worker, task, run))
 
-    def on(self, worker: WorkerId, now_s: float) -> list[tuple[TaskKey, int]]:
-        """Return the tasks and runs that a worker may still start."""
+    def for_worker(
+        self, worker: WorkerId, now_s: float
+    ) -> dict[tuple[TaskKey, int], float]:
+        """Return the tasks and runs that a worker may still start, and until when."""
         self._remove_old(now_s)
-        return [(task, run) for _, name, task, run in self._starts if name == worker]
+        return {
+            (task, run): sent_s + LATE_START_S
+            for sent_s, name, task, run in self._starts
+            if name == worker
+        }
 
     def _remove_old(self, now_s: float) -> None:
         while self._starts and now_s - self._starts[0][0] >= LATE_START_S:
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -14,6 +14,7 @@
     WorkerView,
     is_other_incarnation,
 )
+from jayshunt.dispatch.late_starts import LATE_START_S
 from jayshunt.dispatch.models import (
     EndedRun,
     RunEnd,
@@ -88,20 +89,29 @@
         stops += self._resolve_missing(view, reported, sent_s, now_s)
         if is_first:
             view.late_starts.update(
-                self._tracker.late_starts.on(view.worker.worker, now_s)
+                self._tracker.late_starts.for_worker(view.worker.worker, now_s)
             )
-        stops += self._stop_late_starts(view, listed)
+        stops += self._stop_late_starts(view, listed, now_s)
         return stops
 
     def _stop_late_starts(
-        self, view: WorkerView, listed: set[tuple[TaskKey, int]]
+        self,
+        view: WorkerView,
+        listed: set[tuple[TaskKey, int]],
+        now_s: float,
     ) -> list[StopOrder]:
-        """Stop the starts without an answer that the worker may carry out late.
+        """Stop the starts that the worker may carry out late, and that nobody wants.
 
-        Each counts as a run until the worker accepted the stop. `listed` are the runs
-        that are or were there.
+        Each counts as a run until the worker accepted the stop, or can no longer start
+        it. `listed` are the runs that are or were there.
         """
-        view.late_starts -= listed
+        if not view.late_starts:
+            return []
+        view.late_starts = {
+            start: until_s
+            for start, until_s in view.late_starts.items()
+            if start not in listed and now_s < until_s
+        }
         stops: list[StopOrder] = []
         for key, run in sorted(view.late_starts):
             task = self._tracker.find_task(key)
@@ -232,21 +242,27 @@
         if task.spec.is_gang:
             members = job.steps[task.key.occurrence, task.key.step]
         for member in members:
-            self._release_done(view, member, run)
+            self._release_done(view, member, run, now_s)
             self._finish(job, member, now_s)
 
-    def _release_done(self, view: WorkerView, task: Task, run: int) -> None:
+    def _release_done(
+        self, view: WorkerView, task: Task, run: int, now_s: float
+    ) -> None:
         """Release a task of which a worker reported that run `run` is done.
 
         Another run of it, or of a member of its gang elsewhere, takes its room until
-        the report of its own worker shows that it is gone.
+        the report of its own worker shows that it is gone. A start that no report has
+        shown yet may still be carried out.
         """
         other = self._tracker.workers.get(task.worker) if task.worker else None
         if other is None:
             return
         other.release(task)
-        if other is not view or task.run != run:
-            other.add_stray(task.key, StrayRun.of_task(task, task.run))
+        if other is view and task.run == run:
+            return
+        other.add_stray(task.key, StrayRun.of_task(task, task.run))
+        if task.may_be_started and task.running_s is None:
+            other.late_starts[task.key, task.run] = now_s + LATE_START_S
 
     def _finish(self, job: Job, task: Task, now_s: float) -> None:
         if self._tracker.on_task_done is not None and task.running_s is not None:
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -230,7 +230,7 @@
         """
         view = self.workers.get(order.worker)
         if view is not None:
-            view.late_starts.discard((order.task, order.run))
+            view.late_starts.pop((order.task, order.run), None)
         task = self.find_task(order.task)
         if task is None or task.run != order.run or task.worker != order.worker:
             return
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -185,6 +185,7 @@
         if (
             until_ms is None
             or self.view.ordered_away_s is not None
+            or self.view.late_starts
             or any(t.phase is TaskPhase.STOPPING for t in self.view.tasks.values())
         ):
             return 0.1 if until_ms is not None else 0.0
--- a/src/jayshunt/dispatch/tests/test_excluded_workers.py
+++ b/src/jayshunt/dispatch/tests/test_excluded_workers.py
@@ -6,7 +6,7 @@
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.messages import StartTask
-from jayshunt.dispatch.models import OrderAnswer
+from jayshunt.dispatch.models import OrderAnswer, RunEnd
 from jayshunt.dispatch.order_sender import OrderSender
 from jayshunt.dispatch.placing import plan_placements
 from jayshunt.dispatch.tasks import Task, TaskPhase
@@ -14,6 +14,7 @@
     POOL,
     SPARE,
     add_worker_view,
+    build_end,
     build_job,
     build_queue,
     build_report,
@@ -56,6 +57,23 @@
         self.tracker.apply_run_report(self.views[0], build_report(), 1.8, 1.8)
         self.assertEqual([other], self.choose(self.views[0]))
 
+    def test_start_in_flight_counts_once_its_task_is_done_elsewhere(self) -> None:
+        """Another task started beside it, and nothing stopped it."""
+        late, other = self.job.tasks()
+        place(self.tracker, self.job, 0, self.views[0])
+        old_run = late.run
+        self.tracker.unplace(late, 0.5)
+        self.tracker.record_order(late, self.views[1], old_run + 1, 1.0)
+        self.tracker.record_sent(late, 1.0)
+        end = build_end(1, late, RunEnd.DONE, old_run)
+        self.tracker.apply_run_report(self.views[0], build_report(ends=[end]), 1.1, 1.1)
+        stops = self.tracker.apply_run_report(self.views[1], build_report(), 0.9, 1.2)
+        self.assertEqual([late.key], [stop.task for stop in stops])
+        self.assertEqual([], self.choose(self.views[1]))
+        self.tracker.record_stop_accepted(stops[0], 1.4)
+        self.tracker.apply_run_report(self.views[1], build_report(), 1.5, 1.6)
+        self.assertEqual([other], self.choose(self.views[1]))
+
     def test_limit_counts_starts_that_the_next_life_of_a_worker_may_take(self) -> None:
         """Such a start counted as lost, and another task of the step started there."""
         sent, other = self.job.tasks()
