Add a waiting job whose runs a worker reports

A successor may leave a job in the store for which it has no memory, although the term before had started it. Its runs were stopped as those of an unknown job, and its ends acknowledged and lost: a task that was done would run again (TWICE).

A worker's report that names such a job has it added next, whatever it takes. Until then its runs go on and count as a full worker, and neither its ends nor later ones are applied or acknowledged. A large job at the head of the waiting ones no longer keeps small ones behind it.

test_job_with_a_reported_run_is_added_whatever_it_takes.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -368,7 +368,7 @@
         """
         with self.lock:
             room = self.tracker.memory.room()
-            if self._intake.deferred:
+            if self.tracker.deferred:
                 return room.model_copy(update={"large_bytes": 0})
             return room
 
@@ -447,4 +447,4 @@
                 and not job.has_started
                 and not job.spec.times
                 and not job.state.is_final
-            ) + sum(job.queue == queue for job in self._intake.deferred.values())
+            ) + sum(job.queue == queue for job in self.tracker.deferred.values())
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -4,7 +4,6 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from jayshunt.checked import describe_invalid
 from jayshunt.clock import Clock
@@ -13,7 +12,7 @@
     RETENTION_CHECK_S,
     RETENTION_MARGIN_S,
 )
-from jayshunt.dispatch.job_memory import estimate_job_bytes
+from jayshunt.dispatch.job_memory import DeferredJob, estimate_job_bytes
 from jayshunt.dispatch.malformed import MalformedEntries
 from jayshunt.dispatch.models import (
     FleetConfig,
@@ -42,7 +41,7 @@
 from jayshunt.dispatch.suspicion import decode_suspicion
 from jayshunt.dispatch.tasks import EndedJob, Job
 from jayshunt.errors import DECODE_ERRORS
-from jayshunt.ids import JobId, QueueName, Revision, WorkerId
+from jayshunt.ids import JobId, Revision, WorkerId
 from jayshunt.platform.formats import is_job_id
 from jayshunt.platform.store import HistoryGone, PlatformStore
 from jayshunt.store.errors import StoreOutcomeUnknown, StoreUnavailable
@@ -71,17 +70,6 @@
     return ":".join([text, *(f"{k}={v}" for k, v in options.items() if v)])
 
 
-@dataclass(frozen=True, slots=True)
-class DeferredJob:
-    """Represent an accepted job that waits in the store for memory.
-
-    The queue is not known, and the size 0, for a job that was not decoded.
-    """
-
-    queue: QueueName | None = None
-    job_bytes: int = 0
-
-
 class IntakeReader:
     """Add every accepted job in the store to the tracker.
 
@@ -96,11 +84,7 @@
         clock: Clock,
         config: Callable[[], FleetConfig | None],
     ) -> None:
-        """Initialize the reader; the first run reads everything.
-
-        `deferred` are accepted jobs that stay in the store until there is memory for
-        them, the oldest first.
-        """
+        """Initialize the reader; the first run reads everything."""
         self._dispatcher = dispatcher
         self._store = store
         self._clock = clock
@@ -108,7 +92,6 @@
         self._revision: Revision | None = None
         self._suspicion_revision: Revision | None = None
         self._malformed = MalformedEntries()
-        self.deferred: dict[JobId, DeferredJob] = {}
         self._next_removal_s = clock.monotonic_s() + RETENTION_CHECK_S
 
     def run(self, stop: threading.Event) -> None:
@@ -151,11 +134,11 @@
         Otherwise its age is taken from the stored time, up to a minute.
         """
         tracker, lock = self._dispatcher.tracker, self._dispatcher.lock
-        if tracker.knows(job_id) or job_id in self.deferred:
+        if tracker.knows(job_id) or job_id in tracker.deferred:
             return
         spec, accepted_at_s = decode_job(job_id, value)
         has_ended = progress is not None and stored_state(progress.value).is_final
-        if not has_ended and self._is_deferred(spec):
+        if not has_ended and self._defer(spec):
             return
         now_s = self._clock.monotonic_s()
         has_progress = progress is not None and progress.value is not None
@@ -194,37 +177,40 @@
                 },
             )
 
-    def _is_deferred(self, spec: JobSpec) -> bool:
-        """Return whether a job stays in the store, as there is no memory for it."""
+    def _defer(self, spec: JobSpec) -> bool:
+        """Leave a job in the store if there is no memory for it; return whether so.
+
+        One of which a worker reported a run is always added.
+        """
+        tracker, job_bytes = self._dispatcher.tracker, estimate_job_bytes(spec)
         with self._dispatcher.lock:
-            memory, job_bytes = self._dispatcher.tracker.memory, estimate_job_bytes(
-                spec
-            )
-            if memory.may_hold(job_bytes):
+            if spec.job in tracker.needed or tracker.memory.may_hold(job_bytes):
+                tracker.needed.discard(spec.job)
                 return False
-            self.deferred[spec.job] = DeferredJob(spec.queue, job_bytes)
+            tracker.deferred[spec.job] = DeferredJob(spec.queue, job_bytes)
         _LOGGER.warning(
             "dispatch: a job waits in the store for memory",
             extra={
                 "job": spec.job,
                 "job_bytes": job_bytes,
-                "held_bytes": memory.held_bytes,
-                "limit_bytes": memory.limit_bytes,
-                "waiting": len(self.deferred),
+                "held_bytes": tracker.memory.held_bytes,
+                "limit_bytes": tracker.memory.limit_bytes,
+                "waiting": len(tracker.deferred),
             },
         )
         return True
 
     def _add_deferred(self) -> None:
         """Add the jobs that waited in the store, as far as there is memory."""
-        memory = self._dispatcher.tracker.memory
-        for job_id, waiting in list(self.deferred.items()):
-            if not memory.may_hold(waiting.job_bytes):
-                return
+        tracker = self._dispatcher.tracker
+        for job_id, waiting in list(tracker.deferred.items()):
+            is_needed = job_id in tracker.needed
+            if not is_needed and not tracker.memory.may_hold(waiting.job_bytes):
+                continue
             accepted = self._store.get(accepted_key(job_id))
             progress = self._store.get(progress_key(job_id))
             cancelled = self._store.get(cancelled_key(job_id))
-            self.deferred.pop(job_id, None)
+            tracker.deferred.pop(job_id, None)
             if accepted is not None:
                 self._add_item(accepted, progress)
             if cancelled is not None:
@@ -277,7 +263,7 @@
             extra={
                 "jobs": len(self._dispatcher.tracker.jobs),
                 "active": len(self._dispatcher.tracker.active),
-                "waiting_for_memory": len(self.deferred),
+                "waiting_for_memory": len(self._dispatcher.tracker.deferred),
                 "revision": first,
             },
         )
@@ -303,7 +289,7 @@
                 ended = EndedJob(state, None, self._clock.monotonic_s())
                 self._dispatcher.tracker.add_ended(job_id, ended)
             else:
-                self.deferred[job_id] = DeferredJob()
+                self._dispatcher.tracker.deferred[job_id] = DeferredJob()
 
     def _read_handoff(self) -> None:
         """Read the handoff of the last term and delete it before any order is given.
--- a/src/jayshunt/dispatch/job_memory.py
+++ b/src/jayshunt/dispatch/job_memory.py
@@ -5,6 +5,7 @@
 
 from jayshunt.checked import MAX_WHOLE, CheckedModel, Whole
 from jayshunt.dispatch.models import JobSpec
+from jayshunt.ids import QueueName
 
 # Measured with tracemalloc on CPython 3.11, rounded up for the times, numbers and lists
 # that a task gets while it runs.
@@ -39,6 +40,17 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class DeferredJob:
+    """Represent an accepted job that waits in the store for memory.
+
+    The queue is not known, and the size 0, for a job that was not decoded.
+    """
+
+    queue: QueueName | None = None
+    job_bytes: int = 0
+
+
 class JobRoom(CheckedModel):
     """Represent how many bytes a new job may take: a small one, and a large one.
 
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -73,9 +73,12 @@
                 extra={"worker": view.worker.worker, "vm": view.worker.vm},
             )
         for end in sorted(answer.ended, key=lambda e: e.number):
-            if end.number > view.applied_upto:
-                view.applied_upto = end.number
-                self._apply_end(view, end, now_s)
+            if end.number <= view.applied_upto:
+                continue
+            if self._tracker.is_deferred(end.task.job):
+                break
+            view.applied_upto = end.number
+            self._apply_end(view, end, now_s)
         stops: list[StopOrder] = []
         reported: set[tuple[TaskKey, int]] = set()
         view.clear_strays()
@@ -153,6 +156,8 @@
             # Its size is unknown, so the worker has no room until it is stopped.
             capacity = view.worker.capacity
             view.add_stray(row.task, StrayRun(row.run, capacity, capacity, None))
+            if self._tracker.is_deferred(row.task.job):
+                return None
             self._tracker.counts["unknown_run"] += 1
             return StopOrder(worker, row.task, row.run)
         job.has_started = True
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -21,6 +21,7 @@
 from jayshunt.dispatch.job_memory import (
     ENDED_JOB_BYTES,
     UNLIMITED,
+    DeferredJob,
     JobMemory,
     estimate_job_bytes,
 )
@@ -60,15 +61,17 @@
     and stored; `dirty` are the jobs with changes to store. `active` are the jobs
     whose final state is not stored. `ended` are jobs that ended a while ago, of which
     only the end is kept; the others are in `jobs`. `memory` counts the bytes of all of
-    them. `ended_incarnations` are the workers, with their
-    start times, whose runs have certainly ended. `counts` counts start orders by their
-    answer (started, start_refused, start_unanswered) and those that were not sent
-    (start_withheld), reports of runs of unknown tasks (unknown_run), runs that ended
-    with their worker (lost) and ended workers by cause (worker_ and the name of a
-    `WorkerEnd`). `on_task_done` is called with the job, the task and the time before a
-    task that was running is marked as done. `usage` sums the runs on all workers by
-    workspace. `max_lease_s` is the longest lease that a worker accepts, `stop_s` how
-    long stopping a run takes.
+    them. `deferred` are accepted jobs that stay in the store until there is memory for
+    them, the oldest first, and `needed` those of them of which a worker reported a run.
+    `ended_incarnations` are the workers, with their start times, whose runs have
+    certainly ended. `counts` counts start orders by their answer (started,
+    start_refused, start_unanswered) and those that were not sent (start_withheld),
+    reports of runs of unknown tasks (unknown_run), runs that ended with their worker
+    (lost) and ended workers by cause (worker_ and the name of a `WorkerEnd`).
+    `on_task_done` is called with the job, the task and the time before a task that was
+    running is marked as done. `usage` sums the runs on all workers by workspace.
+    `max_lease_s` is the longest lease that a worker accepts, `stop_s` how long stopping
+    a run takes.
     `on_worker_end` is called with the id of a worker of which an incarnation ended.
     `late_starts` are starts that got no answer.
     """
@@ -79,6 +82,8 @@
     active: set[JobId] = field(default_factory=set)
     ended: dict[JobId, EndedJob] = field(default_factory=dict)
     memory: JobMemory = field(default_factory=lambda: JobMemory(UNLIMITED))
+    deferred: dict[JobId, DeferredJob] = field(default_factory=dict)
+    needed: set[JobId] = field(default_factory=set)
     versions: Counter = field(default_factory=Counter)
     stored_versions: Counter = field(default_factory=Counter)
     dirty: set[JobId] = field(default_factory=set)
@@ -106,6 +111,17 @@
 
     # --- jobs ---
 
+    def is_deferred(self, job_id: JobId) -> bool:
+        """Return whether a job of which a worker reports a run is still in the store.
+
+        Such a job is added next, as it was started before, and its ends are lost once
+        they are acknowledged.
+        """
+        if job_id not in self.deferred:
+            return False
+        self.needed.add(job_id)
+        return True
+
     def knows(self, job_id: JobId) -> bool:
         """Return whether a job is known, ended or not."""
         return job_id in self.jobs or job_id in self.ended
--- a/src/jayshunt/dispatch/tests/test_job_memory.py
+++ b/src/jayshunt/dispatch/tests/test_job_memory.py
@@ -5,7 +5,14 @@
 
 from jayshunt.dispatch.job_memory import JobMemory, estimate_job_bytes
 from jayshunt.dispatch.memory_budget import divide_memory
-from jayshunt.dispatch.models import JobState, RunEnd
+from jayshunt.dispatch.models import (
+    EndedRun,
+    JobState,
+    RunEnd,
+    RunningRun,
+    RunReport,
+    TaskKey,
+)
 from jayshunt.dispatch.records import accepted_key, cancelled_key, progress_key
 from jayshunt.dispatch.run_tracker import ENDED_DETAILS_S
 from jayshunt.dispatch.store_models import Put
@@ -153,7 +160,7 @@
     def test_jobs_beyond_the_memory_wait_in_the_store(self) -> None:
         """A successor that read all accepted jobs at once ran out of memory."""
         self.assertEqual(2, len(self.tracker.jobs))
-        self.assertEqual(1, len(self.intake.deferred))
+        self.assertEqual(1, len(self.tracker.deferred))
         self.assertFalse(self.dispatcher.job_room().has_room(self.job_bytes))
         self.assertTrue(self.dispatcher.job_room().has_room(self.job_bytes // 100))
         self.assertEqual(3, self.dispatcher.count_waiting(QUEUE))
@@ -170,16 +177,34 @@
         dispatcher._intake._read_all()
         self.assertEqual({}, dispatcher.tracker.jobs)
         self.assertEqual([ended], list(dispatcher.tracker.ended))
-        self.assertEqual(2, len(dispatcher._intake.deferred))
+        self.assertEqual(2, len(dispatcher.tracker.deferred))
         self.assertIsNone(dispatcher.job_state(ended, WorkspaceName("")))
         dispatcher.tracker.memory.limit_bytes = 2 * self.job_bytes
         dispatcher._intake._add_deferred()
         self.assertEqual(1, len(dispatcher.tracker.jobs))
-        self.assertEqual(1, len(dispatcher._intake.deferred))
+        self.assertEqual(1, len(dispatcher.tracker.deferred))
+
+    def test_job_with_a_reported_run_is_added_whatever_it_takes(self) -> None:
+        """Its ends were acknowledged and lost, and its other runs were stopped."""
+        (waiting,) = self.tracker.deferred
+        view = add_worker_view(self.tracker, last_answer_s=None)
+        running, done = (TaskKey(waiting, 0, 0, index) for index in (0, 1))
+        report = RunReport(
+            1_000,
+            1,
+            (RunningRun(running, 1, "", 100),),
+            (EndedRun(1, done, 1, RunEnd.DONE),),
+        )
+        self.assertEqual([], self.tracker.apply_run_report(view, report, 0.5, 0.5))
+        self.assertEqual((0, []), (view.applied_upto, view.pending))
+        self.intake._add_deferred()
+        self.tracker.apply_run_report(view, report, 1.5, 1.5)
+        self.assertEqual([running], list(view.tasks))
+        self.assertEqual(1, view.applied_upto)
 
     def test_notice_does_not_load_a_waiting_job(self) -> None:
         """Without the progress of earlier terms, its done tasks would run again."""
-        (waiting,) = self.intake.deferred
+        (waiting,) = self.tracker.deferred
         self.tracker.memory.limit_bytes *= 10
         item = self.fleet.store.get(accepted_key(waiting))
         self.dispatcher.notify_accepted(waiting, item.value, item.created)
@@ -187,7 +212,7 @@
 
     def test_waiting_job_is_added_once_there_is_memory(self) -> None:
         """An accepted job must run in the end, unless it was cancelled meanwhile."""
-        (waiting,) = self.intake.deferred
+        (waiting,) = self.tracker.deferred
         key = cancelled_key(waiting)
         self.fleet.store.transact({}, (Put(key, b"{}"),))
         self.intake._add_deferred()
@@ -197,7 +222,7 @@
         self.tracker.record_stored(ended, 1, JobState.CANCELLED, 0.0)
         self.tracker.forget_details(FORGOTTEN_S)
         self.intake._add_deferred()
-        self.assertEqual({}, self.intake.deferred)
+        self.assertEqual({}, self.tracker.deferred)
         self.assertEqual(JobState.CANCELLED, self.tracker.jobs[waiting].state)
 
 
