--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -514,15 +514,11 @@
             for worker in workers:
                 if not worker.is_down:
                     worker.beat()
-            self._forget_silent(workers)
+            self._forget_silent()
 
-    def _forget_silent(self, workers):
+    def _forget_silent(self):
         """Remove the entries of workers that sent nothing for three heartbeats."""
         now_s = time.monotonic()
-        for worker in workers:
-            self.heard_s[worker.id] = max(
-                self.heard_s.get(worker.id, 0.0), worker.beat_s
-            )
         for worker, heard_s in list(self.heard_s.items()):
             if now_s - heard_s > 3 * HEARTBEAT_S:
                 del self.heard_s[worker]
@@ -537,7 +533,7 @@
         self.id = f"w-{uuid.uuid4().hex[:10]}"
         self.is_cut = False
         self.on_start = None
-        self.beat_s, self._said = 0.0, None
+        self._said = None
         self._begin_life()
         self._server = Server(self._answer, port)
         self.address = self._server.address
@@ -573,7 +569,7 @@
 
     def beat(self):
         self.seq += 1
-        self.beat_s = time.monotonic()
+        self.fleet.heard_s[self.id] = time.monotonic()
         row = self.fleet.machines[self.machine]
         entry = {
             "service": self.service,
