Order the cases of the review anew and add one from the entries

Cause: an earlier case (review/1) shows the fault of case 6, ends beyond the 500 that a worker lists.

Case 6 is now the former 7 (ends behind a deferred job), 7 the former 10 (a wave), 8 a cancelled job that runs, known from the earlier review, 9 as before, and 10 lasting tasks that are set aside.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,41 +8,63 @@
 
 from bed import Bed, main, twice  # noqa: E402
 
-TASKS = 2400
-DOWN_S = 4.2
+FIRST, LATER = "00000000000000f1", "f0000000000000f2"
+LARGE = [f"5{n:015x}" for n in range(6)]
+TASKS = 100
 
 
 def case(is_troubled):
+    """Kill the entry that dispatches after some large jobs were cancelled."""
     with Bed(Path(__file__).parent, ["desk"]) as bed:
         for rack in range(2):
             bed.fleet.add("desk", rack)
         if not bed.wait_ready():
             return None
-        job = "00000000000000a1"
-        steps = [{"count": TASKS, "cpu": 500, "ms": 100}]
-        if not bed.submit("desk", job, steps):
+        for number, job in enumerate(LARGE):
+            if number == 3:
+                # What the first ones took is free again.
+                time.sleep(12.0)
+            step = {"count": 10000, "cpu": 32000, "ms": 5}
+            if not bed.submit("desk", job, [step, step]):
+                return None
+            if bed.entries[0].call("DELETE", f"/desk/{job}")[0] != 200:
+                return None
+        time.sleep(1.0)
+        one = {"count": 1, "cpu": 300, "ms": 100}
+        many = {"count": TASKS, "cpu": 300, "ms": 2000}
+        if not bed.submit("desk", FIRST, [one, {**many, "after": [0]}]):
+            return None
+        if not bed.submit("desk", LATER, [{**many, "ms": 1500}]):
+            return None
+        end_s = time.monotonic() + 10
+        while started(bed) < 2 * TASKS + 1 and time.monotonic() < end_s:
+            time.sleep(0.02)
+        if started(bed) < 2 * TASKS + 1:
             return None
-        while sum(e[1] == "start" for e in bed.fleet.events) < 100:
-            time.sleep(0.01)
+        time.sleep(0.3)
         if is_troubled:
-            bed.record.say(f"the store is down for {DOWN_S} s")
-            bed.store.down = "silent"
-        time.sleep(DOWN_S)
-        bed.store.down = None
-        bed.record.say(
-            f"unacknowledged ends: {[len(w.ends) for w in bed.fleet.workers.values()]}"
-        )
-        state = bed.wait_state("desk", job, ("completed", "failed"), 50)
-        time.sleep(1.0)
+            holder = bed.holder()
+            bed.record.say(f"{holder.name}, which dispatches, is killed")
+            holder.kill()
+        state = [
+            bed.wait_state("desk", job, ("completed", "failed"), 30)
+            for job in (FIRST, LATER)
+        ]
+        time.sleep(2.0)
         with bed.fleet.lock:
             events = list(bed.fleet.events)
         found = twice(events)
-        starts = sum(e[1] == "start" for e in events)
-        bed.record.say(f"state {state}, {TASKS} tasks, {starts} starts")
+        bed.record.say(
+            f"states {state}, {started(bed)} starts of {2 * TASKS + 1} tasks"
+        )
         for at_s, task, run, why in found[:10]:
             bed.record.say(f"TWICE: {task} run {run} started {why}")
         bed.record.say(f"{len(found)} starts break the rule")
         return bool(found)
 
 
+def started(bed):
+    return sum(event[1] == "start" for event in list(bed.fleet.events))
+
+
 main(case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,70 +1,100 @@
 """See claim.txt."""
 
+import json
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-2"))
 
-from bed import Bed, main, twice  # noqa: E402
+from bed import Bed, main  # noqa: E402
 
-FIRST, LATER = "00000000000000f1", "f0000000000000f2"
-LARGE = [f"5{n:015x}" for n in range(6)]
-TASKS = 100
+WORKERS = 8
+LASTING, OTHER = "00000000000000e0", "00000000000000ef"
+JOBS = [f"00000000000000e{n}" for n in range(1, 5)]
+# Beyond the `finish_s` of the rule, and beyond the deadline of the wave.
+FINISH_S = 26.0
 
 
 def case(is_troubled):
-    """Kill the entry that dispatches after some large jobs were cancelled."""
-    with Bed(Path(__file__).parent, ["desk"]) as bed:
-        for rack in range(2):
-            bed.fleet.add("desk", rack)
+    """Declare a wave beside a lasting job that has one task more than machines."""
+    bed = Bed(Path(__file__).parent, ["desk", "yard"])
+    for number in range(WORKERS):
+        bed.fleet.add("desk", number // 4)
+        bed.fleet.add("yard", 2 + number // 4)
+        bed.fleet.add_spare("misc", 4 + number // 4)
+    with bed:
         if not bed.wait_ready():
             return None
-        for number, job in enumerate(LARGE):
-            if number == 3:
-                # What the first ones took is free again.
-                time.sleep(12.0)
-            step = {"count": 10000, "cpu": 32000, "ms": 5}
-            if not bed.submit("desk", job, [step, step]):
-                return None
-            if bed.entries[0].call("DELETE", f"/desk/{job}")[0] != 200:
-                return None
-        time.sleep(1.0)
-        one = {"count": 1, "cpu": 300, "ms": 100}
-        many = {"count": TASKS, "cpu": 300, "ms": 2000}
-        if not bed.submit("desk", FIRST, [one, {**many, "after": [0]}]):
+        lasting = {
+            "cpu": 1000,
+            "ms": 1000,
+            "longRunning": True,
+            "antiAffinity": 1,
+            "mayMiss": 1,
+        }
+        if not bed.submit("yard", OTHER, [{**lasting, "count": 2 * WORKERS}]):
             return None
-        if not bed.submit("desk", LATER, [{**many, "ms": 1500}]):
+        if not wait_running(bed, OTHER, 2 * WORKERS):
             return None
-        end_s = time.monotonic() + 10
-        while started(bed) < 2 * TASKS + 1 and time.monotonic() < end_s:
-            time.sleep(0.02)
-        if started(bed) < 2 * TASKS + 1:
+        if not bed.submit("desk", LASTING, [{**lasting, "count": WORKERS + 1}]):
             return None
-        time.sleep(0.3)
+        if not wait_running(bed, LASTING, WORKERS):
+            return None
+        time.sleep(6.0)
         if is_troubled:
-            holder = bed.holder()
-            bed.record.say(f"{holder.name}, which dispatches, is killed")
-            holder.kill()
-        state = [
-            bed.wait_state("desk", job, ("completed", "failed"), 30)
-            for job in (FIRST, LATER)
+            machines = [
+                machine
+                for machine, row in bed.fleet.machines.items()
+                if row["pool"] == "desk"
+            ]
+            if len(machines) != WORKERS:
+                return None
+            wave = {"wave": 1, "machines": machines, "deadlineS": 24, "maxCount": 8}
+            bed.record.say(f"a wave of {len(machines)} machines, 8 at once, in 24 s")
+            bed.store.put("op/wave/1", json.dumps(wave).encode())
+        time.sleep(4.0)
+        step = {"count": 2, "cpu": 1000, "ms": 800}
+        for job in JOBS:
+            if not bed.submit("desk", job, [step]):
+                return None
+        time.sleep(FINISH_S)
+        states = {}
+        idle = set(JOBS)
+        for _ in range(30):
+            with bed.fleet.lock:
+                running = {
+                    run.task.partition(".")[0]
+                    for worker in bed.fleet.workers.values()
+                    for run in worker.runs.values()
+                }
+            idle -= running
+            time.sleep(0.1)
+        for job in JOBS:
+            states[job] = bed.state("desk", job)
+        for worker in bed.fleet.workers.values():
+            if worker.service == "desk":
+                used = sum(run.step["cpu"] for run in worker.runs.values())
+                bed.record.say(f"{worker.machine} {worker.id}: {used} of 64000 in use")
+        bed.record.say(f"states {states}")
+        lost = [
+            job for job in JOBS if job in idle and states[job] in ("queued", "running")
         ]
-        time.sleep(2.0)
-        with bed.fleet.lock:
-            events = list(bed.fleet.events)
-        found = twice(events)
-        bed.record.say(
-            f"states {state}, {started(bed)} starts of {2 * TASKS + 1} tasks"
-        )
-        for at_s, task, run, why in found[:10]:
-            bed.record.say(f"TWICE: {task} run {run} started {why}")
-        bed.record.say(f"{len(found)} starts break the rule")
-        return bool(found)
+        for job in lost:
+            bed.record.say(f"LOST: {job} has nothing running for 3 s")
+        return bool(lost)
 
 
-def started(bed):
-    return sum(event[1] == "start" for event in list(bed.fleet.events))
+def wait_running(bed, job, count):
+    """Return whether so many tasks of a job run at the same time within 20 s."""
+    end_s = time.monotonic() + 20
+    while time.monotonic() < end_s:
+        with bed.fleet.lock:
+            runs = [r for w in bed.fleet.workers.values() for r in w.runs.values()]
+        if sum(run.task.startswith(job) for run in runs) >= count:
+            return True
+        time.sleep(0.1)
+    return False
 
 
 main(case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,52 +1,74 @@
 """See claim.txt."""
 
+import signal
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-2"))
 
-from bed import Bed, main  # noqa: E402
+from bed import Bed, job_body, main  # noqa: E402
 
-WORKERS = 10
-JOB = "00000000000000f8"
-GAP_S = 1.4
-FLAP_S = 6.5
-TASK_S = 6.0
+JOBS = [f"00000000000000a{n}" for n in range(6)]
+FREEZE_S = 4.0
+GIVE_UP_S = 0.4
+CANCEL_S = 3.0
+WATCH_S = 12.0
 
 
 def case(is_troubled):
-    """Let one of ten workers go down and up while a job has a task on each."""
+    """Freeze an entry while jobs are handed in there, and cancel them at another."""
     with Bed(Path(__file__).parent, ["desk"]) as bed:
-        workers = [bed.fleet.add("desk", number // 4) for number in range(WORKERS)]
+        for number in range(4):
+            bed.fleet.add("desk", number // 2)
         if not bed.wait_ready():
             return None
-        step = {"count": WORKERS, "cpu": 1000, "ms": TASK_S * 1000, "antiAffinity": 1}
-        if not bed.submit("desk", JOB, [step]):
-            return None
-        time.sleep(1.0)
+        # Any entry but the one that dispatches.
+        frozen, other = [e for e in bed.entries if e is not bed.holder()]
         if is_troubled:
-            flapping = workers[2]
-            bed.record.say(
-                f"{flapping.id} goes down and up, {GAP_S} s, {FLAP_S} s long"
-            )
-            end_s = time.monotonic() + FLAP_S
-            while time.monotonic() < end_s:
-                flapping.crash()
-                time.sleep(GAP_S / 2)
-                flapping.restart()
-                time.sleep(GAP_S / 2)
-        state = bed.wait_state("desk", JOB, ("completed", "failed"), 30)
+            bed.record.say(f"{frozen.name} is frozen for {FREEZE_S} s")
+            frozen.kill(signal.SIGSTOP)
+            threading.Timer(FREEZE_S, frozen.kill, (signal.SIGCONT,)).start()
+        told = {}
+        callers = [
+            threading.Thread(target=submit_and_cancel, args=(frozen, other, job, told))
+            for job in JOBS
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        time.sleep(WATCH_S)
         with bed.fleet.lock:
             events = list(bed.fleet.events)
-        for _, kind, task, run, worker, _ in events:
-            if kind in ("gone", "failed"):
-                bed.record.say(f"{kind} {task} run {run} on {worker}")
-        failed = sum(event[1] == "failed" for event in events)
-        bed.record.say(f"state {state}; {failed} runs ended failed")
-        if state not in ("completed", "failed"):
+        found = [
+            (task, at_s - told[task.partition(".")[0]])
+            for at_s, kind, task, *_ in events
+            if kind == "start" and task.partition(".")[0] in told
+        ]
+        found = [(task, late_s) for task, late_s in found if late_s > CANCEL_S]
+        bed.record.say(f"{len(told)} cancels of {len(JOBS)} were acknowledged")
+        for task, late_s in found:
+            bed.record.say(f"UNASKED: {task} starts {late_s:.2f} s after that")
+        if len(told) < len(JOBS):
             return None
-        return state == "failed" and not failed
+        return bool(found)
+
+
+def submit_and_cancel(frozen, other, job, told):
+    """Hand a job in, give up after a short time, and cancel it until that is told.
+
+    `told` gets the time of the answer, 2xx or 410.
+    """
+    step = {"count": 2, "cpu": 1000, "ms": 5000}
+    body = job_body([step])
+    frozen.call("POST", f"/desk/{job}", body, timeout_s=GIVE_UP_S)
+    for _ in range(5):
+        answer = other.call("DELETE", f"/desk/{job}")
+        if answer is not None and answer[0] in (200, 410):
+            told[job] = time.monotonic()
+            return
 
 
 main(case)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,6 @@
 # standard library alone. The entries come from the build of the deploy file.
 set -e
 cd "$(dirname "$0")"
-python3 -m py_compile standins-2/bed.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py
+for file in standins-2/bed.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py; do
+  python3 -c "import sys; compile(open(sys.argv[1]).read(), sys.argv[1], \"exec\")" "$file"
+done
--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -67,7 +67,7 @@
 
 
 class Record:
-    """Write what was sent, answered and run to record.txt, with the time since start."""
+    """Write what was sent, answered and run to record.txt, with the time."""
 
     def __init__(self, path):
         self._file = open(path, "w", buffering=1)
@@ -728,6 +728,23 @@
         self.fleet.note(how, run.task, run.number, self.id)
 
 
+def job_body(steps, **fields):
+    """Return the body that submits a job; the stand-ins read its `spec`."""
+    body = {"spec": json.dumps({"steps": steps}), "steps": [], **fields}
+    for step in steps:
+        row = {"count": step["count"], "cpu": step["cpu"], "memMb": 64}
+        row["estimateMs"] = step["ms"]
+        if step.get("gang"):
+            row["gang"] = True
+        if step.get("saves"):
+            row["checkpoint"] = True
+        for name in ("after", "longRunning", "antiAffinity", "requires", "mayMiss"):
+            if step.get(name):
+                row[name] = step[name]
+        body["steps"].append(row)
+    return body
+
+
 class Entry:
     """One process of the project, with the command of the deploy file."""
 
@@ -966,18 +983,7 @@
 
     def submit(self, service, job, steps, entry=None, tries=10, **fields):
         """Submit a job until it is accepted; return whether it was."""
-        body = {"spec": json.dumps({"steps": steps}), "steps": [], **fields}
-        for step in steps:
-            row = {"count": step["count"], "cpu": step["cpu"], "memMb": 64}
-            row["estimateMs"] = step["ms"]
-            if step.get("gang"):
-                row["gang"] = True
-            if step.get("saves"):
-                row["checkpoint"] = True
-            for name in ("after", "longRunning", "antiAffinity", "requires", "mayMiss"):
-                if step.get(name):
-                    row[name] = step[name]
-            body["steps"].append(row)
+        body = job_body(steps, **fields)
         for number in range(tries):
             target = entry or self.entries[number % len(self.entries)]
             answer = target.call("POST", f"/{service}/{job}", body)
