Apply the ends that a worker lists behind one of a job that waits for memory

Cause: an end whose job was still in the store could not be acknowledged, and held back the use of all ends behind it. The worker counted as one that had answered, so its tasks seemed to be neither running nor done. In the same way the ends and runs of the job that waits were heard, but not known when it was read and placed.

Change: such an end is held back by itself, and what is behind it is applied. Ends and runs of a job that waits are applied in the step that adds the job, under the lock that a placement round takes. It leaves the jobs that wait in that step, too, and one that was cancelled is not placed in between.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -15,6 +15,7 @@
 )
 from jayshunt.dispatch.models import (
     Resources,
+    RunningRun,
     RunReport,
     TaskKey,
     Worker,
@@ -86,22 +87,23 @@
     `is_failing` means that the last call to extend the lease failed. `lease_end_s` is
     the monotonic time by which every lease that this term sent or the worker
     reported has expired, so that nothing can run under it any more. `noted_upto` is
-    the highest number of an end that the worker may forget, `applied_upto` that of
-    an end that the dispatcher has applied. No new runs are placed before
-    `placement_paused_until_s` and `set_aside_until_s`, nor while the worker's VM is
-    being emptied for `evacuation_reason`.
+    the highest number of an end that the worker may forget, `heard_upto` that of
+    an end that the dispatcher has applied or holds back (`RunTracker.held_ends`). No
+    new runs are placed before `placement_paused_until_s` and `set_aside_until_s`, nor
+    while the worker's VM is being emptied for `evacuation_reason`.
 
     `tasks` are the placed tasks by key and `load` the sum of what they reserve, with
     the stray runs in its `runs_per_step`.
     `suspects` are the placed tasks that are suspected of crashes. `last_heard_s` is
     the time of the last answer of any kind, `first_answer_s` that of the first report
     in this term: orders of earlier terms are refused from then on.
-    `strays` are the stray runs by task key and run number, `pending` the reported
-    ends that are not yet acknowledged. `clock_ms` is the worker's clock in its last
-    answer, which was received at `clock_received_s`. `failed_jobs` are the jobs with
-    a failed run since the last successful one. `is_listed` is False once the worker
-    left the platform's worker list. `usage` is that of the tracker to which the worker
-    was added, in which its runs count for `pool`.
+    `strays` are the stray runs by task key and run number, `held_runs` those of them
+    whose job is still in the store, `pending` the reported ends that are not yet
+    acknowledged. `clock_ms` is the worker's clock in its last answer, which was
+    received at `clock_received_s`. `failed_jobs` are the jobs with a failed run since
+    the last successful one. `is_listed` is False once the worker left the platform's
+    worker list. `usage` is that of the tracker to which the worker was added, in which
+    its runs count for `pool`.
 
     `unconfirmed` are the tasks that were started on this incarnation or on the one
     before, by key, with what a crash of the one before makes of them. They are settled
@@ -119,8 +121,9 @@
     load: Load = field(default_factory=Load)
     suspects: dict = field(default_factory=dict)
     strays: dict = field(default_factory=dict)
+    held_runs: list[RunningRun] = field(default_factory=list)
     noted_upto: int = 0
-    applied_upto: int = 0
+    heard_upto: int = 0
     pending: list[PendingEnd] = field(default_factory=list)
     clock_ms: int | None = None
     clock_received_s: float = 0.0
@@ -197,6 +200,7 @@
         for task in list(self.tasks.values()):
             self.release(task)
         self.clear_strays()
+        self.held_runs.clear()
         self.usage = WorkspaceUsage()
 
     def add_stray(self, key: TaskKey, stray: StrayRun) -> None:
@@ -208,6 +212,12 @@
         self.load.count_run(stray.limited_step, 1)
         self.usage.add(self.pool, stray.workspace, stray.resources, stray.reserved)
 
+    def remove_stray(self, key: TaskKey, run: int) -> None:
+        """Remove a stray run if it is known."""
+        stray = self.strays.pop((key, run), None)
+        if stray is not None:
+            self._forget_stray(stray)
+
     def clear_strays(self) -> None:
         """Remove all stray runs, of which a report shows those that are still there."""
         for stray in self.strays.values():
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -133,8 +133,19 @@
         If `is_new`, as in a notice from an entry, the job counts as accepted now.
         Otherwise its age is taken from the stored time, up to a minute.
         """
+        if job_id not in self._dispatcher.tracker.deferred:
+            self._add_job(job_id, value, created, is_new, progress)
+
+    def _add_job(
+        self,
+        job_id: JobId,
+        value: bytes,
+        created: int,
+        is_new: bool,
+        progress: Item | None,
+    ) -> None:
         tracker, lock = self._dispatcher.tracker, self._dispatcher.lock
-        if tracker.knows(job_id) or job_id in tracker.deferred:
+        if tracker.knows(job_id):
             return
         spec, accepted_at_s = decode_job(job_id, value)
         has_ended = progress is not None and stored_state(progress.value).is_final
@@ -163,6 +174,8 @@
             if added:
                 tracker.apply_config(job, self._queue_config(accepted))
                 self._dispatcher.planner.workspaces.record_added(job)
+            stops = tracker.end_deferral(job_id, now_s)
+        self._dispatcher.send_stops(stops)
         if added and not job.state.is_final:
             self._dispatcher.planner.predict_work(job)
             _LOGGER.info(
@@ -210,11 +223,12 @@
             accepted = self._store.get(accepted_key(job_id))
             progress = self._store.get(progress_key(job_id))
             cancelled = self._store.get(cancelled_key(job_id))
-            tracker.deferred.pop(job_id, None)
-            if accepted is not None:
-                self._add_item(accepted, progress)
-            if cancelled is not None:
-                self._apply_cancel(cancelled)
+            # No task of a cancelled job may be placed in between.
+            with self._dispatcher.lock:
+                if accepted is None or not self._add_item(accepted, progress, True):
+                    tracker.end_deferral(job_id, self._clock.monotonic_s())
+                if cancelled is not None:
+                    self._apply_cancel(cancelled)
             self._dispatcher.notify_changed()
 
     def _queue_config(self, accepted: QueueConfig) -> QueueConfig:
@@ -363,14 +377,20 @@
             self._dispatcher.notify_changed()
         self._revision = max(self._revision, answer.revision)
 
-    def _add_item(self, item: Item, progress: Item | None) -> None:
+    def _add_item(
+        self, item: Item, progress: Item | None, is_deferred: bool = False
+    ) -> bool:
+        """Add a job that was read, also a deferred one; return whether it is valid."""
         job_id = JobId(item.key.removeprefix(ACCEPTED_PREFIX))
         try:
             if not is_job_id(job_id):
                 raise ValueError("the key is no id of a job")
-            self.add_job(job_id, item.value, item.created, False, progress)
+            add = self._add_job if is_deferred else self.add_job
+            add(job_id, item.value, item.created, False, progress)
         except DECODE_ERRORS as error:
             self._malformed.log(item.key, item.revision, describe_invalid(error))
+            return False
+        return True
 
     def _apply_cancel(self, item: Item) -> None:
         if not item.key.startswith(CANCELLED_PREFIX) or item.value is None:
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import sys
 from dataclasses import dataclass, replace
 
 from jayshunt.dispatch.fleet import (
@@ -23,10 +24,13 @@
     TaskKey,
 )
 from jayshunt.dispatch.tasks import Job, Task, TaskPhase
-from jayshunt.ids import WorkerId
+from jayshunt.ids import JobId, WorkerId
 
 _LOGGER = logging.getLogger(__name__)
 
+# No stored version of a job is as high, so an end that waits for it is kept.
+UNREAD_VERSION = sys.maxsize
+
 
 @dataclass(frozen=True, slots=True)
 class StopOrder:
@@ -73,15 +77,15 @@
                 extra={"worker": view.worker.worker, "vm": view.worker.vm},
             )
         for end in sorted(answer.ended, key=lambda e: e.number):
-            if end.number <= view.applied_upto:
+            if end.number <= view.heard_upto:
                 continue
-            if self._tracker.is_deferred(end.task.job):
-                break
-            view.applied_upto = end.number
-            self._apply_end(view, end, now_s)
+            view.heard_upto = end.number
+            if not self._hold_back(view, end):
+                self._apply_end(view, end, now_s)
         stops: list[StopOrder] = []
         reported: set[tuple[TaskKey, int]] = set()
         view.clear_strays()
+        view.held_runs.clear()
         for row in answer.running:
             reported.add((row.task, row.run))
             stop = self._apply_running(view, row, now_s)
@@ -97,6 +101,39 @@
         stops += self._stop_late_starts(view, listed, now_s)
         return stops
 
+    def apply_held(self, job_id: JobId, now_s: float) -> list[StopOrder]:
+        """Apply what workers reported of a job before it was read from the store.
+
+        Return the runs to stop. Without the job in the tracker, its ends are let go and
+        its runs go on as stray ones.
+        """
+        for view, end in self._tracker.held_ends.pop(job_id, ()):
+            view.pending = [kept for kept in view.pending if kept.number != end.number]
+            self._apply_end(view, end, now_s)
+        stops: list[StopOrder] = []
+        for view in list(self._tracker.workers.values()):
+            rows = [row for row in view.held_runs if row.task.job == job_id]
+            for row in rows:
+                view.held_runs.remove(row)
+                view.remove_stray(row.task, row.run)
+                stop = self._apply_running(view, row, now_s)
+                if stop is not None:
+                    stops.append(stop)
+        return stops
+
+    def _hold_back(self, view: WorkerView, end: EndedRun) -> bool:
+        """Keep the end of a run whose job is still in the store; return whether so.
+
+        It is not acknowledged before the job was read and the end is stored. The ends
+        behind it are applied.
+        """
+        job_id = end.task.job
+        if not self._tracker.is_deferred(job_id):
+            return False
+        self._tracker.held_ends.setdefault(job_id, []).append((view, end))
+        view.pending.append(PendingEnd(end.number, job_id, UNREAD_VERSION))
+        return True
+
     def _stop_late_starts(
         self,
         view: WorkerView,
@@ -157,6 +194,7 @@
             capacity = view.worker.capacity
             view.add_stray(row.task, StrayRun(row.run, capacity, capacity, None))
             if self._tracker.is_deferred(row.task.job):
+                view.held_runs.append(row)
                 return None
             self._tracker.counts["unknown_run"] += 1
             return StopOrder(worker, row.task, row.run)
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -28,6 +28,7 @@
 from jayshunt.dispatch.late_starts import LateStarts
 from jayshunt.dispatch.models import (
     Bounds,
+    EndedRun,
     JobState,
     QueueConfig,
     RunReport,
@@ -63,6 +64,8 @@
     only the end is kept; the others are in `jobs`. `memory` counts the bytes of all of
     them. `deferred` are accepted jobs that stay in the store until there is memory for
     them, the oldest first, and `needed` those of them of which a worker reported a run.
+    `held_ends` are reported ends of their runs, in the order of the reports, with the
+    incarnation that reported each.
     `ended_incarnations` are the workers, with their start times, whose runs have
     certainly ended. `counts` counts start orders by their answer (started,
     start_refused, start_unanswered) and those that were not sent (start_withheld),
@@ -84,6 +87,9 @@
     memory: JobMemory = field(default_factory=lambda: JobMemory(UNLIMITED))
     deferred: dict[JobId, DeferredJob] = field(default_factory=dict)
     needed: set[JobId] = field(default_factory=set)
+    held_ends: dict[JobId, list[tuple[WorkerView, EndedRun]]] = field(
+        default_factory=dict
+    )
     versions: Counter = field(default_factory=Counter)
     stored_versions: Counter = field(default_factory=Counter)
     dirty: set[JobId] = field(default_factory=set)
@@ -122,6 +128,16 @@
         self.needed.add(job_id)
         return True
 
+    def end_deferral(self, job_id: JobId, now_s: float) -> list[StopOrder]:
+        """Apply what was reported of a job that was read, or is not in the store.
+
+        Return the runs to stop. Call this before any of its tasks may be placed.
+        """
+        if self.deferred.pop(job_id, None) is None:
+            return []
+        self.needed.discard(job_id)
+        return self._reports.apply_held(job_id, now_s)
+
     def knows(self, job_id: JobId) -> bool:
         """Return whether a job is known, ended or not."""
         return job_id in self.jobs or job_id in self.ended
--- a/src/jayshunt/dispatch/tests/test_job_memory.py
+++ b/src/jayshunt/dispatch/tests/test_job_memory.py
@@ -196,11 +196,11 @@
             (EndedRun(1, done, 1, RunEnd.DONE),),
         )
         self.assertEqual([], self.tracker.apply_run_report(view, report, 0.5, 0.5))
-        self.assertEqual((0, []), (view.applied_upto, view.pending))
+        self.assertEqual(0, view.acknowledge_stored_ends(lambda job: 9))
         self.intake._add_deferred()
-        self.tracker.apply_run_report(view, report, 1.5, 1.5)
         self.assertEqual([running], list(view.tasks))
-        self.assertEqual(1, view.applied_upto)
+        self.assertEqual({}, view.strays)
+        self.assertEqual(1, view.acknowledge_stored_ends(lambda job: 9))
 
     def test_notice_does_not_load_a_waiting_job(self) -> None:
         """Without the progress of earlier terms, its done tasks would run again."""
