Take no run for gone while a worker may list more ends

Cause: a worker lists 500 ends at most, those with the lowest numbers. A run that it neither lists as running nor as ended counted as one that is gone, also if the list of ends was full. A successor took such a task for one that never ran.

Change: a report with a full list of ends says so. Until a shorter one, no run is taken for gone by it, and a successor holds inherited jobs back as for a worker that has not answered.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -105,6 +105,7 @@
     worker list. `usage` is that of the tracker to which the worker was added, in which
     its runs count for `pool`.
 
+    `may_lack_ends` means that the last report may not have listed all ends.
     `unconfirmed` are the tasks that were started on this incarnation or on the one
     before, by key, with what a crash of the one before makes of them. They are settled
     by the first report. Until `former_lease_end_s`, runs may go on under a lease that
@@ -131,6 +132,7 @@
     first_answer_s: float | None = None
     last_answer_s: float | None = None
     last_heard_s: float | None = None
+    may_lack_ends: bool = False
     is_failing: bool = False
     is_listed: bool = True
     is_ended: bool = False
--- a/src/jayshunt/dispatch/models.py
+++ b/src/jayshunt/dispatch/models.py
@@ -438,9 +438,13 @@
 
 @dataclass(frozen=True)
 class RunReport:
-    """List the runs on a worker and the ended runs not yet acknowledged to it."""
+    """List the runs on a worker and the ended runs not yet acknowledged to it.
+
+    If `may_lack_ends`, further runs may have ended: the list has the first ones only.
+    """
 
     clock_ms: int
     started_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    may_lack_ends: bool = False
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -396,14 +396,15 @@
 
         Inherited jobs are held back while a worker that has not answered in this
         term may still run one of their tasks, at most until the dispatcher's
-        `inherited_runs_end_s`.
+        `inherited_runs_end_s`, and while one has not listed all ends of their tasks.
         """
         dispatcher = self._dispatcher
         silent: list[WorkerView] | None = None
         if not self.knows_all_runs:
             silent = self._silent_workers()
-            is_over = dispatcher.term_confirmed_s() >= dispatcher.inherited_runs_end_s
-            self.knows_all_runs = is_over or (silent is not None and not silent)
+            if dispatcher.term_confirmed_s() >= dispatcher.inherited_runs_end_s:
+                silent = [view for view in silent or () if view.may_lack_ends]
+            self.knows_all_runs = silent is not None and not silent
             if self.knows_all_runs:
                 _LOGGER.info("dispatch: all runs of earlier terms are known")
         self._silent = [] if self.knows_all_runs else silent
@@ -466,7 +467,10 @@
         return lambda job: not job.is_inherited or job.spec.job not in blocked_jobs
 
     def _silent_workers(self) -> list[WorkerView] | None:
-        """Return the workers without an answer this term, None if not all are known."""
+        """Return the workers of which not all runs and ends are known in this term.
+
+        Return None if not all workers are known.
+        """
         dispatcher = self._dispatcher
         views = dispatcher.tracker.workers
         if not dispatcher.worker_list_read:
@@ -476,7 +480,8 @@
         return [
             view
             for view in views.values()
-            if view.last_answer_s is None and dispatcher.fleet.may_have_runs(view)
+            if (view.last_answer_s is None or view.may_lack_ends)
+            and dispatcher.fleet.may_have_runs(view)
         ]
 
     def _moves(self, now_s: float) -> list[StopOrder]:
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -70,6 +70,7 @@
         view.record_clock(answer.clock_ms, now_s)
         view.last_answer_s = view.last_heard_s = now_s
         view.is_failing = False
+        view.may_lack_ends = answer.may_lack_ends
         if view.outlived_order(sent_s):
             view.ordered_away_s = None
             _LOGGER.info(
@@ -92,7 +93,8 @@
             if stop is not None:
                 stops.append(stop)
         listed = reported | {(end.task, end.run) for end in answer.ended}
-        self._settle_unconfirmed(view, listed, sent_s, now_s)
+        if not answer.may_lack_ends:
+            self._settle_unconfirmed(view, listed, sent_s, now_s)
         stops += self._resolve_missing(view, reported, sent_s, now_s)
         if is_first:
             view.late_starts.update(
@@ -238,14 +240,16 @@
 
         A run whose start or stop was acknowledged before the call was sent has ended.
         If its start got no answer, the order may still arrive later. The run is then
-        stopped first, because a worker refuses to start a run after its stop order.
+        stopped first, because a worker refuses to start a run after its stop order. The
+        end of a run that is in neither list may be listed once others are acknowledged.
         """
         stops: list[StopOrder] = []
         for task in list(view.tasks.values()):
             if (task.key, task.run) in reported:
                 continue
             if task.acked_s is not None and task.acked_s < sent_s:
-                self._tracker.unplace(task, now_s)
+                if not view.may_lack_ends:
+                    self._tracker.unplace(task, now_s)
             elif task.phase is TaskPhase.STOPPING and task.acked_s is None:
                 stops.append(StopOrder(view.worker.worker, task.key, task.run))
         return stops
--- a/src/jayshunt/dispatch/tests/builders.py
+++ b/src/jayshunt/dispatch/tests/builders.py
@@ -183,11 +183,15 @@
 
 
 def build_report(
-    *tasks, ends=(), clock_ms: int = 1_000, started_ms: int = 1
+    *tasks,
+    ends=(),
+    clock_ms: int = 1_000,
+    started_ms: int = 1,
+    may_lack_ends: bool = False,
 ) -> RunReport:
     """Return a report with the tasks running at full speed and the given ends."""
     running = tuple(RunningRun(t.key, t.run, t.checkpoint, 100) for t in tasks)
-    return RunReport(clock_ms, started_ms, running, tuple(ends))
+    return RunReport(clock_ms, started_ms, running, tuple(ends), may_lack_ends)
 
 
 def build_end(number: int, task, end: RunEnd, run: int | None = None) -> EndedRun:
--- a/src/jayshunt/dispatch/tests/test_heard_reports.py
+++ b/src/jayshunt/dispatch/tests/test_heard_reports.py
@@ -14,11 +14,17 @@
 )
 from jayshunt.dispatch.records import accepted_key, cancelled_key, encode_job
 from jayshunt.dispatch.store_models import Put
+from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     add_worker_view,
+    build_end,
+    build_job,
     build_queue,
+    build_report,
     build_spec,
     build_step,
+    build_tracker,
+    place,
 )
 from jayshunt.dispatch.tests.fleet_builders import FakeFleet
 from jayshunt.ids import JobId
@@ -107,6 +113,51 @@
         self.assertEqual([task(WAITING, 0)], [order.task for order in stops])
 
 
+class CutListTest(unittest.TestCase):
+    """Report more ends than a list has, as while the store acknowledges none."""
+
+    def setUp(self) -> None:
+        """Run three tasks of which two have ended; the list has the first end only."""
+        self.job = build_job(build_step(task_count=3))
+        self.tracker = build_tracker(self.job)
+        self.view = add_worker_view(self.tracker)
+        self.tasks = [place(self.tracker, self.job, n, self.view) for n in range(3)]
+        self.ends = [
+            build_end(number, self.tasks[number - 1], RunEnd.DONE) for number in (1, 2)
+        ]
+        self.cut = build_report(self.tasks[2], ends=self.ends[:1], may_lack_ends=True)
+
+    def test_run_in_neither_list_is_not_started_again(self) -> None:
+        """Tasks that were done ran again while the store was down (review case 1)."""
+        self.tracker.apply_run_report(self.view, self.cut, 0.5, 0.5)
+        self.assertEqual([], self.job.ready_tasks())
+        report = build_report(self.tasks[2], ends=self.ends[1:])
+        self.tracker.apply_run_report(self.view, report, 1.5, 1.5)
+        self.assertEqual(TaskPhase.DONE, self.tasks[1].phase)
+
+    def test_run_that_a_whole_list_lacks_is_lost(self) -> None:
+        """Its task would never run again."""
+        self.tracker.apply_run_report(self.view, self.cut, 0.5, 0.5)
+        report = build_report(self.tasks[2], ends=self.ends[:1])
+        self.tracker.apply_run_report(self.view, report, 1.5, 1.5)
+        self.assertEqual([self.tasks[1]], self.job.ready_tasks())
+
+    def test_successor_waits_until_all_ends_are_listed(self) -> None:
+        """It started tasks again whose ends it had not been told yet."""
+        fleet = FakeFleet(0)
+        dispatcher = fleet.build_dispatcher()
+        self.addCleanup(dispatcher.stop, False)
+        dispatcher.tracker.add_job(self.job)
+        self.job.is_inherited = True
+        dispatcher.worker_list_read = True
+        dispatcher._started_s = -100.0
+        view = add_worker_view(dispatcher.tracker)
+        dispatcher.tracker.apply_run_report(view, self.cut, 0.5, 0.5)
+        self.assertFalse(dispatcher.planner._may_start(1.0)(self.job))
+        dispatcher.tracker.apply_run_report(view, build_report(), 1.5, 1.5)
+        self.assertTrue(dispatcher.planner._may_start(1.0)(self.job))
+
+
 def task(job: JobId, index: int) -> TaskKey:
     """Return a task of the only step of a job."""
     return TaskKey(job, 0, 0, index)
--- a/src/jayshunt/platform/const.py
+++ b/src/jayshunt/platform/const.py
@@ -12,5 +12,7 @@
 HOLDER_HEADER = "X-Duty-Holder"
 FENCING_TOKEN_HEADER = "X-Fencing-Token"
 
+# A worker lists at most this many ends in an answer, those with the lowest numbers.
+MAX_ENDS_LISTED = 500
 # Longest long-poll wait for the end of a run that a `/hold` call may request.
 MAX_HOLD_WAIT_MS = 2_000
--- a/src/jayshunt/platform/tests/test_worker_calls.py
+++ b/src/jayshunt/platform/tests/test_worker_calls.py
@@ -44,6 +44,14 @@
         )
         self.assertEqual("i-1", headers["X-Expect-Instance"])
 
+    def test_full_list_of_ends_may_lack_some(self) -> None:
+        """A run whose end is not listed yet would count as one that never was."""
+        for count, may_lack_ends in ((499, False), (500, True)):
+            ended = [[n, f"a.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)]
+            self.server.answers = [(200, {"clockMs": 9, "ended": ended})]
+            answer = run_in_loop(self.calls.poll_runs(0, None, 0, 1.0))
+            self.assertEqual(may_lack_ends, answer.may_lack_ends, f"{count} ends")
+
     def test_refusals_are_told_apart(self) -> None:
         """Each refusal needs its own reason, as the dispatcher reacts differently."""
         self.server.answers = [
--- a/src/jayshunt/platform/worker_calls.py
+++ b/src/jayshunt/platform/worker_calls.py
@@ -21,7 +21,11 @@
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.http_client import HttpAnswer, HttpCall
 from jayshunt.ids import WorkerId
-from jayshunt.platform.const import INSTANCE_HEADER, MAX_HOLD_WAIT_MS
+from jayshunt.platform.const import (
+    INSTANCE_HEADER,
+    MAX_ENDS_LISTED,
+    MAX_HOLD_WAIT_MS,
+)
 from jayshunt.platform.documents import AdvicePage, TicketRow
 
 # Values of `reason` in a refusal. `late`: the lease of the order has expired. `old`:
@@ -175,11 +179,13 @@
 
 
 def _decode_report(fields: dict) -> RunReport:
+    ended = tuple(_decode_ended(row) for row in fields.get("ended", ()))
     return RunReport(
         clock_ms=_whole(fields["clockMs"]),
         started_ms=_whole(fields.get("born", 0)),
         running=tuple(_decode_running(row) for row in fields.get("running", ())),
-        ended=tuple(_decode_ended(row) for row in fields.get("ended", ())),
+        ended=ended,
+        may_lack_ends=len(ended) >= MAX_ENDS_LISTED,
     )
 
 
