Empty no VM for a wave whose runs may not be stopped, and half of a pool at most

Cause: a wave chose its VMs whether or not the budgets of their lasting tasks allow to stop these. Nothing is started on a VM that is being emptied, and none was given back.

Change: a VM is chosen only if the budgets allow it beside the VMs that are being emptied, and while at most half of the pool's serving VMs are. One that can't be emptied any more takes starts again after 2 s.

With waves.py, fleet_duty.py and vm_departures.py of the code before, three tests fail by what they assert (a wave leaves such a VM in use, one that is blocked is used again, half of a pool stays in use), and two of PlannedStopsTest as choose_next knows no planned stops.

--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -7,7 +7,7 @@
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
 from jayshunt.dispatch.errors import TermEnded
-from jayshunt.dispatch.evacuation import EvacuationReason
+from jayshunt.dispatch.evacuation import EvacuationReason, PlannedStops
 from jayshunt.dispatch.fleet import WorkerView
 from jayshunt.dispatch.models import Bounds, FleetConfig
 from jayshunt.dispatch.order_budget import DEFAULT_PER_S
@@ -168,15 +168,21 @@
 
     def _plan_wave(self, state: WaveState, now_s: float) -> None:
         with self._dispatcher.lock:
-            views = self.inventory.views_by_vm(self._dispatcher.tracker.workers)
+            tracker = self._dispatcher.tracker
+            views = self.inventory.views_by_vm(tracker.workers)
+            being_emptied = self.departures.being_emptied()
+            stops = PlannedStops(tracker, now_s)
+            for vm in being_emptied & views.keys():
+                stops.add(views[vm])
             chosen = choose_next(
                 state.wave,
                 state.done,
                 self.inventory.vms,
                 views,
-                self.departures.being_emptied(),
+                being_emptied,
                 self.inventory.spare_pools(),
                 self.departures.not_to_choose(now_s),
+                stops,
             )
             for vm in chosen:
                 reason = EvacuationReason.upkeep(state.wave.number)
--- a/src/jayshunt/dispatch/tests/test_duties.py
+++ b/src/jayshunt/dispatch/tests/test_duties.py
@@ -5,7 +5,12 @@
 from jayshunt.dispatch.backlog import refusals
 from jayshunt.dispatch.errors import TermEnded
 from jayshunt.dispatch.estimates import RunTimes
-from jayshunt.dispatch.evacuation import may_stop_within_budget
+from jayshunt.dispatch.evacuation import (
+    Evacuation,
+    EvacuationReason,
+    PlannedStops,
+    may_stop_within_budget,
+)
 from jayshunt.dispatch.handover import (
     EntryReport,
     has_lost_most_workers,
@@ -113,6 +118,55 @@
         )
 
 
+class PlannedStopsTest(unittest.TestCase):
+    """Choose VMs of a wave that hold the tasks of a step with a budget of one."""
+
+    def setUp(self) -> None:
+        """Run a task on each of four VMs, which are all due."""
+        step = build_step(task_count=5, is_long_running=True, max_unavailable=1)
+        self.job = build_job(step)
+        self.tracker = build_tracker(self.job)
+        names = [f"w{n}" for n in range(4)]
+        self.views = {
+            VmId(f"vm-{name}"): add_worker_view(self.tracker, name) for name in names
+        }
+        for index, view in enumerate(self.views.values()):
+            self.run_task(index, view)
+        self.vms = {vm: build_vm(vm[3:]) for vm in self.views}
+
+    def run_task(self, index: int, view) -> None:
+        """Let a worker run a task."""
+        place(self.tracker, self.job, index, view)
+        report = build_report(*view.tasks.values())
+        self.tracker.apply_run_report(view, report, 1.0, 1.0)
+
+    def choose(self) -> list[VmId]:
+        """Return the VMs that a wave of all of them empties first."""
+        wave = Wave(1, tuple(self.vms), 20.0, max_down=4)
+        stops = PlannedStops(self.tracker, 1.2)
+        return choose_next(
+            wave, set(), self.vms, self.views, set(), set(), frozenset(), stops
+        )
+
+    def test_vm_whose_runs_may_not_be_stopped_stays_in_use(self) -> None:
+        """No VM of a service took starts, and none became empty (review case 7)."""
+        self.assertEqual([], self.choose())
+
+    def test_as_many_vms_as_the_budget_allows_are_emptied(self) -> None:
+        """The others would take no starts until the first one's run is back."""
+        self.run_task(4, self.views[VmId("vm-w3")])
+        self.assertEqual(1, len(self.choose()))
+
+    def test_blocked_vm_is_used_again(self) -> None:
+        """A task elsewhere failed after the VM was chosen, and it took no starts."""
+        vm = VmId("vm-w0")
+        evacuation = Evacuation(vm, EvacuationReason.upkeep(1), 1.0)
+        for now_s, is_blocked in ((1.1, False), (3.0, False), (3.2, True)):
+            stops = evacuation.next_stops(self.views[vm], self.tracker, now_s)
+            self.assertEqual([], stops)
+            self.assertEqual(is_blocked, evacuation.is_blocked(now_s), now_s)
+
+
 class WaveTest(unittest.TestCase):
     """Test the choice of the next VMs of a maintenance wave."""
 
@@ -124,6 +178,26 @@
         chosen = choose_next(wave, set(), vms, {}, {VmId("vm-w1")}, set())
         self.assertEqual(1, len(chosen))
 
+    def test_half_of_a_pool_stays_in_use(self) -> None:
+        """Jobs had to wait while all VMs of their pool were being emptied."""
+        tracker = build_tracker()
+        views = {VmId(f"vm-w{n}"): add_worker_view(tracker, f"w{n}") for n in range(6)}
+        vms = {vm: build_vm(vm[3:]) for vm in views}
+        wave = Wave(1, tuple(vms), 20.0, max_down=8)
+        chosen = choose_next(wave, set(), vms, views, {VmId("vm-w0")}, set())
+        self.assertEqual(2, len(chosen))
+        self.assertEqual(
+            [], choose_next(wave, set(), vms, views, {"vm-w0", *chosen}, set())
+        )
+
+    def test_only_vm_of_a_pool_is_emptied(self) -> None:
+        """Its wave would never end."""
+        view = add_worker_view(build_tracker(), "w0")
+        vms = {VmId("vm-w0"): build_vm("w0")}
+        wave = Wave(1, tuple(vms), 20.0)
+        views = {VmId("vm-w0"): view}
+        self.assertEqual(["vm-w0"], choose_next(wave, set(), vms, views, set(), set()))
+
     def test_empty_vms_go_first(self) -> None:
         """Draining a VM with long-running tasks takes time and availability budget."""
         job = build_job(build_step(is_long_running=True))
--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -6,7 +6,7 @@
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.errors import TermEnded
-from jayshunt.dispatch.evacuation import EvacuationReason
+from jayshunt.dispatch.evacuation import BLOCKED_S, EvacuationReason
 from jayshunt.dispatch.fleet import PendingEnd, WorkerEnd
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.models import Bounds
@@ -17,6 +17,8 @@
     add_worker_view,
     build_config,
     build_job,
+    build_report,
+    build_step,
     build_tracker,
     build_vm,
     place,
@@ -103,6 +105,36 @@
             self.clock.advance(0.1)
         self.assertIn(("vm-w4", 1), self.machines.orders)
 
+    def run_step_with_budget(self) -> None:
+        """Run one of two tasks, of which one may be unavailable, on the worker."""
+        step = build_step(task_count=2, is_long_running=True, max_unavailable=1)
+        job = build_job(step, number=2)
+        self.tracker.add_job(job)
+        task = place(self.tracker, job, 0, self.view)
+        self.tracker.apply_run_report(self.view, build_report(task), 0.5, 0.5)
+
+    def test_wave_leaves_a_vm_whose_runs_may_not_be_stopped_in_use(self) -> None:
+        """A service of such VMs started nothing past the deadline (review case 7)."""
+        self.run_step_with_budget()
+        duty = self.duty(build_vm("w1"))
+        wave = {"wave": 1, "machines": ["vm-w1"], "deadlineS": 30, "maxCount": 1}
+        self.store.transact({}, (Put("op/wave/1", json.dumps(wave).encode()),))
+        duty._round()
+        self.assertIsNone(self.view.evacuation_reason)
+
+    def test_vm_whose_runs_may_no_longer_be_stopped_is_used_again(self) -> None:
+        """It was neither emptied nor used until a task elsewhere was back."""
+        self.run_step_with_budget()
+        duty = self.duty(build_vm("w1"))
+        duty._read(0.0)
+        move = EvacuationReason.move(PoolName("other"))
+        duty.departures.begin(VmId("vm-w1"), move, self.view, 0.0)
+        duty.departures.advance(1.0)
+        self.assertEqual(move, self.view.evacuation_reason)
+        duty.departures.advance(1.0 + BLOCKED_S)
+        self.assertIsNone(self.view.evacuation_reason)
+        self.assertEqual(set(), duty.departures.being_emptied())
+
     def test_orders_for_many_vms_go_out_together(self) -> None:
         """Sent one by one, the orders for a fleet take up most of a burst."""
         vms = [build_vm(f"w{n}") for n in range(1, 9)]
--- a/src/jayshunt/dispatch/vm_departures.py
+++ b/src/jayshunt/dispatch/vm_departures.py
@@ -155,8 +155,30 @@
                         continue
                     down[wave] += 1
                 leaving.append((evacuation, view))
+            self._use_blocked_again(views, now_s)
         return leaving, stops
 
+    def _use_blocked_again(self, views: dict[VmId, WorkerView], now_s: float) -> None:
+        """Use the VMs again on which no run may be stopped.
+
+        They take new starts meanwhile, and may be chosen once more later.
+        """
+        for vm, evacuation in list(self._evacuations.items()):
+            if not evacuation.is_blocked(now_s):
+                continue
+            del self._evacuations[vm]
+            if vm in views:
+                views[vm].evacuation_reason = None
+            _LOGGER.info(
+                "dispatch: a VM is used again, its runs may not be stopped",
+                extra={
+                    "vm": vm,
+                    "reason": str(evacuation.reason),
+                    "pool": self._inventory.vms[vm].pool,
+                    "after_ms": round((now_s - evacuation.begun_s) * 1000),
+                },
+            )
+
     def _count_down(self) -> Counter[int]:
         """Return how many VMs of each wave that empties some are in upkeep."""
         waves: Set[int] = {
