Set at most half of a pool's workers aside because runs fail there

Cause: a worker was set aside once runs of three jobs had failed there, whatever was left of its pool. Tasks that last never end done, so that each worker of a service may come to three.

Change: a worker is set aside only while half of the workers in use are left. Failures on more of them have a cause that the runs share; such a worker still comes after the trusted ones.

Result: test_half_of_a_pool_is_never_set_aside fails on the code before: no worker was usable.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -367,20 +367,21 @@
         self.failed_jobs.clear()
         self.set_aside_until_s = 0.0
 
-    def record_failure(self, job: JobId, now_s: float) -> bool:
-        """Record a failed run; return whether the worker is now set aside.
+    def record_failure(self, job: JobId) -> bool:
+        """Record a failed run; return whether the worker seems to be at fault.
 
         Failures are counted once per job, because repeated failures of a single job
-        point to the job rather than to the worker. A worker that is set aside gets
-        no new runs for `SET_ASIDE_S`.
+        point to the job rather than to the worker.
         """
         if job not in self.failed_jobs:
             self.failed_jobs.append(job)
-        if len(self.failed_jobs) < FAILURES_SET_ASIDE:
-            return False
+            del self.failed_jobs[:-FAILURES_SET_ASIDE]
+        return len(self.failed_jobs) == FAILURES_SET_ASIDE
+
+    def set_aside(self, now_s: float) -> None:
+        """Place no new runs on the worker for `SET_ASIDE_S`."""
         self.failed_jobs.clear()
         self.set_aside_until_s = now_s + SET_ASIDE_S
-        return True
 
     def acknowledge_stored_ends(self, stored_version) -> int:
         """Remove the stored ends from `pending` and return `noted_upto`.
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import sys
 from dataclasses import dataclass, replace
 
@@ -23,6 +24,7 @@
     RunReport,
     TaskKey,
 )
+from jayshunt.dispatch.obstacles import Obstacle
 from jayshunt.dispatch.tasks import Job, Task, TaskPhase
 from jayshunt.ids import JobId, WorkerId
 
@@ -326,12 +328,28 @@
             return
         if job.mark_failed(task, end.run, view.worker.worker):
             self._tracker.mark_dirty(job)
-        if view.record_failure(job.spec.job, now_s):
+        is_at_fault = view.record_failure(job.spec.job)
+        if is_at_fault and self._may_set_aside(view, now_s):
+            view.set_aside(now_s)
             _LOGGER.warning(
                 "dispatch: a worker is set aside",
                 extra={"worker": view.worker.worker, "reason": "its runs fail"},
             )
 
+    def _may_set_aside(self, view: WorkerView, now_s: float) -> bool:
+        """Return whether half of a pool's workers stay in use without this one.
+
+        Failures on more of them have a cause that the runs share.
+        """
+        serving = [
+            other
+            for other in self._tracker.workers.values()
+            if other.worker.pool == view.worker.pool
+            and other.obstacle(now_s, math.inf) in (None, Obstacle.SET_ASIDE)
+        ]
+        set_aside = sum(now_s < other.set_aside_until_s for other in serving)
+        return set_aside + 1 <= len(serving) / 2
+
     def _apply_unsuccessful_end(
         self, view: WorkerView, job: Job, task: Task, end: EndedRun, now_s: float
     ) -> None:
--- a/src/jayshunt/dispatch/tests/test_run_tracker.py
+++ b/src/jayshunt/dispatch/tests/test_run_tracker.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from jayshunt.dispatch.const import FAILURES_SET_ASIDE
 from jayshunt.dispatch.models import JobState, Resources, RunEnd
+from jayshunt.dispatch.planner import SILENT_S
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     VM_SIZE,
@@ -240,6 +242,21 @@
             self.assertEqual([task], job.ready_tasks(), end)
         self.assertEqual(JobState.QUEUED, job.state)
 
+    def test_half_of_a_pool_is_never_set_aside(self) -> None:
+        """No worker of a service took starts for 12 s (review case 10)."""
+        jobs = [
+            build_job(build_step(task_count=4, is_long_running=True), number=number)
+            for number in range(FAILURES_SET_ASIDE)
+        ]
+        tracker = build_tracker(*jobs)
+        views = [add_worker_view(tracker, f"w{n}") for n in range(4)]
+        for index, view in enumerate(views):
+            tasks = [place(tracker, job, index, view) for job in jobs]
+            ends = [build_end(n, t, RunEnd.FAILED) for n, t in enumerate(tasks, 1)]
+            tracker.apply_run_report(view, build_report(ends=ends), 1.0, 1.0)
+        usable = [view.is_usable(1.5, SILENT_S) for view in views]
+        self.assertEqual([False, False, True, True], usable)
+
 
 if __name__ == "__main__":
     unittest.main()
