Blame no worker for a lasting run that was at work and failed

Cause: tasks that last may fail at any time, and none ends done, so that their failures added up on a worker without a limit.

Change: a run that lasts and was at work when it failed counts against its task only. Runs that fail before they are at work still count against the worker.

Result: test_lasting_runs_that_were_at_work_set_no_worker_aside fails on the code before.

--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -270,7 +270,8 @@
         elif end.run not in task.ended_runs:
             # A worker that was unreachable may report known ends again.
             task.ended_runs |= {end.run}
-            self._count_failure(view, job, task, end, now_s)
+            was_at_work = is_present and task.is_warm
+            self._count_failure(view, job, task, end, was_at_work, now_s)
             if is_present or is_inherited:
                 task.run = max(task.run, end.run)
                 self._apply_unsuccessful_end(view, job, task, end, now_s)
@@ -322,12 +323,25 @@
                 job.start_wait_of_dependents(task.key.occurrence, task.key.step, now_s)
 
     def _count_failure(
-        self, view: WorkerView, job: Job, task: Task, end: EndedRun, now_s: float
+        self,
+        view: WorkerView,
+        job: Job,
+        task: Task,
+        end: EndedRun,
+        was_at_work: bool,
+        now_s: float,
     ) -> None:
+        """Count a failed run against its task, and against its worker.
+
+        Tasks that last may fail at any time. One that was at work does not show that
+        the worker is at fault, and none ends done there, which would clear it.
+        """
         if end.end is not RunEnd.FAILED:
             return
         if job.mark_failed(task, end.run, view.worker.worker):
             self._tracker.mark_dirty(job)
+        if task.spec.is_long_running and was_at_work:
+            return
         is_at_fault = view.record_failure(job.spec.job)
         if is_at_fault and self._may_set_aside(view, now_s):
             view.set_aside(now_s)
--- a/src/jayshunt/dispatch/tests/test_run_tracker.py
+++ b/src/jayshunt/dispatch/tests/test_run_tracker.py
@@ -242,6 +242,20 @@
             self.assertEqual([task], job.ready_tasks(), end)
         self.assertEqual(JobState.QUEUED, job.state)
 
+    def test_lasting_runs_that_were_at_work_set_no_worker_aside(self) -> None:
+        """Their tasks had no run for 12 s after they failed together (review case 10)."""
+        jobs = [
+            build_job(build_step(is_long_running=True), number=number)
+            for number in range(FAILURES_SET_ASIDE)
+        ]
+        tracker = build_tracker(*jobs)
+        view, _ = (add_worker_view(tracker, name) for name in ("w1", "w2"))
+        tasks = [place(tracker, job, 0, view) for job in jobs]
+        tracker.apply_run_report(view, build_report(*tasks), 0.5, 0.5)
+        ends = [build_end(n, t, RunEnd.FAILED) for n, t in enumerate(tasks, 1)]
+        tracker.apply_run_report(view, build_report(ends=ends), 1.0, 1.0)
+        self.assertTrue(view.is_usable(1.5, SILENT_S))
+
     def test_half_of_a_pool_is_never_set_aside(self) -> None:
         """No worker of a service took starts for 12 s (review case 10)."""
         jobs = [
