--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -14,7 +14,7 @@
     TERM_LEASE_S,
     WORKER_LEASE_S,
 )
-from jayshunt.dispatch.errors import TermEnded
+from jayshunt.dispatch.errors import JobWithdrawn, TermEnded
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView, is_capacity_known
 from jayshunt.dispatch.fleet_duty import FleetDuty
 from jayshunt.dispatch.intake_reader import IntakeReader
@@ -41,6 +41,7 @@
 from jayshunt.dispatch.store_models import Put
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.where import answer_where
+from jayshunt.dispatch.withdrawals import Withdrawals
 from jayshunt.dispatch.worker_list import WorkerList
 from jayshunt.forecast.forecaster import DemandForecaster
 from jayshunt.ids import (
@@ -98,6 +99,7 @@
         self._config = config
         self._on_deposed = on_deposed
         self._connect_worker = connect_worker
+        self._withdrawals = Withdrawals(store, clock)
         self.lock = threading.RLock()
         self.tracker = RunTracker(
             own.term.token,
@@ -405,22 +407,26 @@
     def submit(self, key: str, value: bytes) -> dict:
         """Store a job for an entry that cannot reach the store.
 
-        `is_new` in the answer is False if the job's id was already stored, and
-        `is_taken` True if another submitter stored it. Raise StoreUnavailable or
+        `is_new` in the answer is False if the job's id was already stored, `is_taken`
+        True if another submitter stored it, and `is_withdrawn` if the job was cancelled
+        before. Raise StoreUnavailable or
         StoreOutcomeUnknown as the store does, and StoreUnavailable at once while calls
         fail: the entry would not wait for their timeout, and could not tell its caller
         that the job does not run.
         """
         if self.is_store_failing():
             raise StoreUnavailable("store.txn", self._node.entry, "calls are failing")
-        result = self._store.transact({key: Revision(0)}, (Put(key, value),))
+        job_id, caller = JobId(key.rpartition("/")[2]), stored_workspace(value)
+        try:
+            result = self._withdrawals.store_job(job_id, value, caller)
+        except JobWithdrawn:
+            return {"is_new": False, "is_withdrawn": True}
         created = result.revision
         if created is None:
             owners = [stored_workspace(item.value) for item in result.conflicts]
-            caller = stored_workspace(value)
             is_taken = not all(is_same_submitter(owner, caller) for owner in owners)
             return {"is_new": False, "is_taken": is_taken}
-        self.notify_accepted(JobId(key.rpartition("/")[2]), value, created)
+        self.notify_accepted(job_id, value, created)
         return {"is_new": True}
 
     def cancel_stored(self, job_id: JobId, caller: WorkspaceName) -> bool:
@@ -430,6 +436,8 @@
         StoreUnavailable or StoreOutcomeUnknown as the store does.
         """
         item = self._store.get(accepted_key(job_id))
+        if item is None and not self._withdrawals.withdraw(job_id, caller):
+            item = self._store.get(accepted_key(job_id))
         if item is None or not may_access(stored_workspace(item.value), caller):
             return False
         key = cancelled_key(job_id)
--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -15,7 +15,7 @@
     DEFAULT_RETRY_AFTER_S,
     ISOLATED_AFTER_S,
 )
-from jayshunt.dispatch.errors import AcceptUnknown, JobIdTaken, JobRefused
+from jayshunt.dispatch.errors import AcceptUnknown, JobIdTaken, JobRefused, JobWithdrawn
 from jayshunt.dispatch.job_memory import estimate_job_bytes
 from jayshunt.dispatch.link import DispatcherLink
 from jayshunt.dispatch.models import JobSpec, JobState, QueueConfig, Resources
@@ -28,6 +28,7 @@
     stored_workspace,
 )
 from jayshunt.dispatch.store_models import Item, Put
+from jayshunt.dispatch.withdrawals import Withdrawals
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
 from jayshunt.ids import JobId, QueueName, Revision, WorkspaceName
 from jayshunt.overload.admission import refuse
@@ -86,6 +87,7 @@
         self._store = store
         self._link = link
         self._clock = clock
+        self._withdrawals = Withdrawals(store, clock)
         self._refusals = refusals or RefusalLog(clock, lambda reason: None)
         self._unknown: OrderedDict[JobId, None] = OrderedDict()
         self._unknown_lock = threading.Lock()
@@ -131,7 +133,6 @@
                 spec, "workspace_rate", rate_retry_s, "the workspace exceeds its rate"
             )
         value = encode_job(spec, queue, time.time())
-        key = accepted_key(spec.job)
         end_s = self._clock.monotonic_s() + min(timeout_s, ACCEPT_TIMEOUT_S)
         is_unknown = False
         # While this entry can't reach the store, it submits through the dispatcher.
@@ -139,10 +140,10 @@
         while True:
             try:
                 if use_dispatcher:
-                    return self._submit_by_dispatcher(spec, key, value)
-                result = self._store.transact({key: Revision(0)}, (Put(key, value),))
+                    return self._submit_by_dispatcher(spec, value)
+                result = self._withdrawals.store_job(spec.job, value, spec.workspace)
                 break
-            except JobIdTaken:
+            except (JobIdTaken, JobWithdrawn):
                 raise
             except JayshuntError as error:
                 is_unknown = is_unknown or error.outcome is not Outcome.NOT_RUN
@@ -191,7 +192,8 @@
     def cancel(self, job: JobId, caller: WorkspaceName, timeout_s: float) -> bool:
         """Cancel a job; return False if it does not exist for the caller.
 
-        Retry until `timeout_s` has passed, then raise the last JayshuntError.
+        A submission that is still under way is not accepted after that. Retry until
+        `timeout_s` has passed, then raise the last JayshuntError.
         """
         end_s = self._clock.monotonic_s() + timeout_s
         key = cancelled_key(job)
@@ -201,6 +203,8 @@
                     return self._link.cancel(job, caller, 0.0)
                 item = self._store.get(accepted_key(job))
                 if item is None:
+                    if not self._withdrawals.withdraw(job, caller):
+                        continue
                     _LOGGER.info("entry: no such job to cancel", extra={"job": job})
                     return False
                 if not self._may_access(job, item, caller):
@@ -219,8 +223,10 @@
         """Return the dispatcher's count of a queue's jobs that have not started."""
         return self._link.waiting(queue, timeout_s)
 
-    def _submit_by_dispatcher(self, spec: JobSpec, key: str, value: bytes) -> Accepted:
-        answer = self._link.submit(key, value, 0.0)
+    def _submit_by_dispatcher(self, spec: JobSpec, value: bytes) -> Accepted:
+        answer = self._link.submit(accepted_key(spec.job), value, 0.0)
+        if answer.get("is_withdrawn"):
+            raise JobWithdrawn
         is_new = answer["is_new"]
         if answer.get("is_taken"):
             self._refuse_taken(spec)
--- a/src/jayshunt/dispatch/errors.py
+++ b/src/jayshunt/dispatch/errors.py
@@ -31,6 +31,14 @@
         )
 
 
+class JobWithdrawn(JobRefused):
+    """Report that a job was cancelled before it was accepted, so that it never runs."""
+
+    def __init__(self) -> None:
+        """Set the time after which the id may be used again."""
+        super().__init__("job_withdrawn", 60.0, "the job was cancelled before")
+
+
 class JobIdTaken(JayshuntError):
     """Report that another submitter's job has the id; the submitted job never runs."""
 
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -42,6 +42,7 @@
 INTAKE_PREFIX = "jayshunt/in/"
 ACCEPTED_PREFIX = INTAKE_PREFIX + "job/"
 CANCELLED_PREFIX = INTAKE_PREFIX + "cancel/"
+WITHDRAWN_PREFIX = "jayshunt/withdrawn/"
 PROGRESS_PREFIX = "jayshunt/progress/"
 WAVE_PREFIX = "jayshunt/wave/"
 HANDOFF_KEY = "jayshunt/handoff"
@@ -64,6 +65,11 @@
     return CANCELLED_PREFIX + job
 
 
+def withdrawn_key(job: JobId) -> str:
+    """Return the key of the cancellation of a job that was not stored."""
+    return WITHDRAWN_PREFIX + job
+
+
 def progress_key(job: JobId) -> str:
     """Return the key of a job's progress record."""
     return PROGRESS_PREFIX + job
@@ -119,6 +125,16 @@
     return WorkspaceName(StoredOwner.model_validate_json(value).workspace)
 
 
+def encode_withdrawal(caller: WorkspaceName) -> bytes:
+    """Encode the cancellation of a job that was not stored, by a caller."""
+    return json.dumps({"workspace": caller}).encode()
+
+
+def decode_withdrawal(value: bytes) -> WorkspaceName:
+    """Decode which workspace cancelled a job that was not stored."""
+    return WorkspaceName(StoredOwner.model_validate_json(value).workspace)
+
+
 def decode_queue(value: bytes) -> QueueConfig:
     """Decode the settings of an accepted job's queue at the time of acceptance."""
     fields = StoredJob.model_validate_json(value)
--- a/src/jayshunt/dispatch/tests/test_dispatcher.py
+++ b/src/jayshunt/dispatch/tests/test_dispatcher.py
@@ -4,9 +4,17 @@
 import unittest
 
 from jayshunt.dispatch.const import WORKER_LEASE_S
-from jayshunt.dispatch.tests.builders import build_job, build_step
+from jayshunt.dispatch.records import accepted_key, encode_job
+from jayshunt.dispatch.tests.builders import (
+    JOB,
+    build_job,
+    build_queue,
+    build_spec,
+    build_step,
+)
 from jayshunt.dispatch.tests.fleet_builders import TASKS_PER_JOB, FakeFleet
 from jayshunt.store.errors import StoreUnavailable
+from jayshunt.workspaces.const import NO_WORKSPACE
 
 WORKERS = 1_600
 JOBS = 20
@@ -110,6 +118,17 @@
             dispatcher.submit("jayshunt/in/job/00000000000000a1", b"{}")
         self.assertEqual([], calls)
 
+    def test_job_cancelled_before_an_entry_hands_it_in_is_not_stored(self) -> None:
+        """A call of an entry that waited in a paused dispatcher was carried out."""
+        fleet = FakeFleet(0)
+        dispatcher = fleet.build_dispatcher()
+        self.addCleanup(dispatcher.stop, False)
+        job, value = JOB, encode_job(build_spec(), build_queue(), 0.0)
+        self.assertFalse(dispatcher.cancel_stored(job, NO_WORKSPACE))
+        answer = dispatcher.submit(accepted_key(job), value)
+        self.assertEqual({"is_new": False, "is_withdrawn": True}, answer)
+        self.assertIsNone(fleet.store.get(accepted_key(job)))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/dispatch/tests/test_run_tracker.py
+++ b/src/jayshunt/dispatch/tests/test_run_tracker.py
@@ -243,7 +243,7 @@
         self.assertEqual(JobState.QUEUED, job.state)
 
     def test_lasting_runs_that_were_at_work_set_no_worker_aside(self) -> None:
-        """Their tasks had no run for 12 s after they failed together (review case 10)."""
+        """Their tasks had no run for 12 s after they failed (review case 10)."""
         jobs = [
             build_job(build_step(is_long_running=True), number=number)
             for number in range(FAILURES_SET_ASIDE)
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import unittest
+from dataclasses import replace
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.commits import ProgressWriter
@@ -13,6 +14,7 @@
     TERM_KEY,
     accepted_key,
     apply_progress,
+    cancelled_key,
     decode_job,
     encode_job,
     encode_progress,
@@ -39,7 +41,7 @@
     place,
 )
 from jayshunt.dispatch.tests.fakes import FakeStore
-from jayshunt.ids import EntryId, Revision
+from jayshunt.ids import EntryId, JobId, Revision, WorkspaceName
 from jayshunt.overload.models import QueueOutlook
 from jayshunt.workspaces.const import NO_WORKSPACE
 
@@ -292,6 +294,9 @@
         """Record a notice about an accepted job."""
         self.notified.append(job)
 
+    def notify_cancelled(self, job) -> None:
+        """Ignore the notice."""
+
     def submit(self, key, value, wait_s) -> dict:
         """Accept a job for the entry, or raise."""
         if self.submit_error is not None:
@@ -333,6 +338,51 @@
             self.submit()
         self.assertEqual({}, self.store.items)
 
+    def test_job_cancelled_before_it_is_stored_is_never_accepted(self) -> None:
+        """A paused entry stored it after its cancelling was told (review case 8)."""
+        self.assertFalse(self.entry.cancel(self.spec.job, NO_WORKSPACE, 0.1))
+        with self.assertRaises(JobRefused):
+            self.submit()
+        self.assertNotIn(accepted_key(self.spec.job), self.store.items)
+
+    def test_late_write_of_a_cancelled_job_has_no_effect(self) -> None:
+        """The store carries a write out seconds later, without the entry."""
+        self.store.fault = lambda step: "late" if step == "txn" else ""
+        with self.assertRaises(AcceptUnknown):
+            self.submit()
+        self.store.fault = lambda step: ""
+        self.assertFalse(self.entry.cancel(self.spec.job, NO_WORKSPACE, 0.1))
+        self.store.run_late()
+        self.assertNotIn(accepted_key(self.spec.job), self.store.items)
+
+    def test_job_stored_while_it_is_cancelled_is_cancelled(self) -> None:
+        """The caller was told that it does not exist, and it ran."""
+        get = self.store.get
+
+        def submit_meanwhile(key: str) -> None:
+            self.store.get = get
+            self.submit()
+
+        self.store.get = submit_meanwhile
+        self.assertTrue(self.entry.cancel(self.spec.job, NO_WORKSPACE, 0.1))
+        self.assertIn(cancelled_key(self.spec.job), self.store.items)
+
+    def test_other_workspace_cannot_withdraw_a_job(self) -> None:
+        """It would keep the owner of the id from submitting its job."""
+        self.entry.cancel(self.spec.job, WorkspaceName("other"), 0.1)
+        self.spec = replace(self.spec, workspace=WorkspaceName("own"))
+        self.assertTrue(self.submit().is_new)
+
+    def test_withdrawals_do_not_stay_in_the_store(self) -> None:
+        """Callers that cancel unknown ids would fill it."""
+        for job in ("00000000000000c1", "00000000000000c2"):
+            self.entry.cancel(JobId(job), NO_WORKSPACE, 0.1)
+        leases = {item.lease for item in self.store.items.values()}
+        self.assertEqual(1, len(leases))
+        self.store.end_lease(*leases)
+        self.assertEqual({}, self.store.items)
+        self.assertFalse(self.entry.cancel(self.spec.job, NO_WORKSPACE, 0.5))
+
     def test_lost_answer_is_not_called_a_refusal(self) -> None:
         """The store may have applied the write, or may still apply it."""
         self.store.fault = lambda step: "late"
