Wait for the longest lease of a worker that a successor does not reach

Cause: the next life of a worker takes calls that were meant for the life before. The end of the lease in them is a time on a clock that starts anew, so that the next life holds the longest lease of all, 10 s, for everything that it runs. A successor waited for the lease that a dispatcher asks for, 5.5 s, and took the first answer of a worker as a bound of that length.

Change: a successor holds inherited jobs back for the longest lease, and bounds the leases of earlier terms by it after a worker's first answer.

Result: reproduced in simulated time with workers that take such calls.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -7,7 +7,6 @@
 from jayshunt.clock import Clock
 from jayshunt.dispatch.commits import ProgressWriter
 from jayshunt.dispatch.const import (
-    CLOCK_SKEW,
     LEASE_MARGIN_S,
     MAX_LEASE_FRACTION,
     PREDECESSOR_IN_FLIGHT_S,
@@ -294,9 +293,10 @@
 
         The previous dispatcher may have granted worker leases until its term ended.
         Its term can outlast the start of this one only if other entries ended it on
-        suspicion.
+        suspicion. A worker that started again under its id holds the longest lease of
+        all by a call that was meant for its former incarnation.
         """
-        lease_s = self.lease_s / (1 - CLOCK_SKEW) + LEASE_MARGIN_S
+        lease_s = self.tracker.longest_lease_s + LEASE_MARGIN_S
         overlap_s = (
             TERM_LEASE_S if self.was_predecessor_suspected else PREDECESSOR_IN_FLIGHT_S
         )
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -327,13 +327,18 @@
         self.extend_lease_of_other(next_view, now_s)
         return next_view
 
+    @property
+    def longest_lease_s(self) -> float:
+        """Return how long a lease may last by this process's clock."""
+        return self.max_lease_s / (1 - CLOCK_SKEW)
+
     def extend_lease_of_other(self, view: WorkerView, now_s: float) -> None:
         """Record that a worker may hold a lease meant for another incarnation.
 
         The end of a lease is a time on the worker's clock, which starts anew with each
         incarnation, so that only the longest lease of all limits it.
         """
-        view.extend_former_lease(now_s + self.max_lease_s / (1 - CLOCK_SKEW))
+        view.extend_former_lease(now_s + self.longest_lease_s)
 
     def _end_incarnation(
         self,
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -4,7 +4,6 @@
 from collections.abc import Generator
 
 from jayshunt.dispatch.const import (
-    CLOCK_SKEW,
     LEASE_MARGIN_S,
     POLL_RETRY_S,
     POLL_TIMEOUT_SLACK_S,
@@ -164,10 +163,10 @@
     def _bound_inherited_lease(self, now_s: float) -> None:
         """Lower the limit on leases of earlier terms after the first answer.
 
-        From now on the worker refuses orders of earlier terms, so no lease can end
-        later than one granted now.
+        From now on the worker refuses orders of earlier terms. It may hold the longest
+        lease of all by one that was meant for an incarnation before.
         """
-        left_s = self._context.lease_s / (1 - CLOCK_SKEW) + LEASE_MARGIN_S
+        left_s = self._context.tracker.longest_lease_s + LEASE_MARGIN_S
         self.view.limit_lease(now_s + left_s)
 
     def _lease_until_ms(self, now_s: float) -> int | None:
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fake workers, their clients and the platform's store for tests of job dispatch."""
 
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -36,7 +37,8 @@
 class FakeWorker:
     """Simulate a worker of the platform: fencing, run numbers, and a lease.
 
-    Clock and lease are in milliseconds. `on_start` is called for each started run.
+    Clock and lease are in milliseconds, and a lease is at most `max_lease_ms` long.
+    `on_start` is called for each started run.
     """
 
     name: str
@@ -48,6 +50,7 @@
     ends: list[EndedRun] = field(default_factory=list)
     last_end: int = 0
     is_up: bool = True
+    max_lease_ms: float = math.inf
     on_start: Callable[[str, TaskKey, int], None] = lambda *_: None
 
     def start(self, order: StartOrder, token: int) -> OrderAnswer:
@@ -57,7 +60,7 @@
         self.token = token
         if order.lease_until_ms <= self.clock_ms:
             return OrderAnswer(OrderRefusal.LEASE_EXPIRED, self.clock_ms)
-        self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
+        self._extend(order.lease_until_ms)
         if self.runs.get(order.task) == order.run:
             return OrderAnswer(None, self.clock_ms)
         if order.run <= self.highest.get(order.task, 0):
@@ -82,11 +85,15 @@
             return OrderAnswer(OrderRefusal.FENCED, self.clock_ms)
         self.token = token
         if until_ms is not None:
-            self.lease_until_ms = max(self.lease_until_ms, until_ms)
+            self._extend(until_ms)
         self.ends = [end for end in self.ends if end.number > noted_upto]
         running = tuple(RunningRun(t, r, "", 100) for t, r in self.runs.items())
         return RunReport(self.clock_ms, 1, running, tuple(self.ends))
 
+    def _extend(self, until_ms: int) -> None:
+        until_ms = min(until_ms, self.clock_ms + self.max_lease_ms)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
     def end(self, task: TaskKey, end: RunEnd) -> None:
         """End a run and add its end to the report."""
         run = self.runs.pop(task)
--- a/src/jayshunt/dispatch/tests/start_simulation.py
+++ b/src/jayshunt/dispatch/tests/start_simulation.py
@@ -74,11 +74,18 @@
 
 
 class SimulatedVm:
-    """Run the lives of the workers on one VM, at one address."""
+    """Run the lives of the workers on one VM, at one address.
+
+    While it does not hear, no call arrives, and while it is not heard, no answer does.
+    `waiting` are calls that arrived while there was no life, which the next one takes,
+    with the times at which they were sent.
+    """
 
     def __init__(self, sim: "StartSimulation", number: int) -> None:
         """Start the first life."""
         self.sim = sim
+        self.hears = self.is_heard = True
+        self.waiting: list[tuple[float, Callable[[], None]]] = []
         self.address = Address("127.0.0.1", 1_000 + number)
         self.number = number
         self.lives = 0
@@ -97,8 +104,12 @@
             vm=f"vm-{self.number}",
             started_ms=int(self.sim.now_s() * 1000) + 1,
         )
-        self.life = Life(described, FakeWorker(name))
-        self._beat(self.life)
+        life = self.life = Life(described, self.sim.new_worker(name))
+        self.sim.register(lambda: self._beat(life))
+        waiting, self.waiting = self.waiting, []
+        for sent_s, call in waiting:
+            if self.sim.now_s() - sent_s < self.sim.keeps_calls_s:
+                call()
 
     def end(self) -> Life:
         """End the life; nothing answers until the next one."""
@@ -110,7 +121,8 @@
         if self.life is not life:
             return
         sim = self.sim
-        sim.listed[life.worker.worker] = (life.worker, sim.now_s())
+        if self.is_heard:
+            sim.listed[life.worker.worker] = (life.worker, sim.now_s())
         sim.after(HEARTBEAT_S, lambda: self._beat(life))
 
     def advance(self, seconds: float) -> None:
@@ -162,7 +174,7 @@
             return extended
         life = self._vm.life
         yield Sleep(self._sim.rng.uniform(0, wait_ms / 1000))
-        if life is None or self._vm.life is not life:
+        if life is None or self._vm.life is not life or not self._vm.is_heard:
             raise no_answer(Outcome.UNKNOWN)
         report = life.server.poll_runs(noted_upto, None, self._token)
         yield Sleep(self._sim.delay_s())
@@ -179,7 +191,10 @@
 
         def arrive() -> None:
             life = self._vm.life
+            if not self._vm.hears:
+                return
             if life is None:
+                self._vm.waiting.append((begun_s, arrive))
                 return
             if life.worker.worker != self._worker.worker:
                 refused = OrderAnswer(OrderRefusal.OTHER_INCARNATION)
@@ -190,7 +205,8 @@
         sim.after(there_s, arrive)
         yield Sleep(min(timeout_s, there_s + sim.delay_s()))
         is_over = sim.now_s() - begun_s >= timeout_s
-        if not answers or is_over or sim.rng.random() < sim.loss:
+        is_heard = answers and not is_over and self._vm.is_heard
+        if not is_heard or sim.rng.random() < sim.loss:
             yield Sleep(max(0.0, begun_s + timeout_s - sim.now_s()))
             raise no_answer(Outcome.UNKNOWN)
         return answers[0]
@@ -223,12 +239,16 @@
     `problems` are the starts that break a part of the rule: a pool to which no
     configuration sent the queue, a missing label, or too many tasks of a step; and
     those of a task that another worker runs.
+    A call to a worker that is down reaches its next life within `keeps_calls_s`.
     `taken_over` are those that no sender could exclude, as an order names a worker's
     id and not its life: another life than the sender knew took it. For the limit per
     worker that holds only if a stop of the run was accepted before, because a start
     without one still counts.
     """
 
+    keeps_calls_s = 0.0
+    drawn_steps = STEPS
+
     def __init__(self, seed: int, loss: float = 0.05, changes: float = 1.0) -> None:
         """Start the workers, store the jobs and begin the first term."""
         self.rng = random.Random(seed)
@@ -261,6 +281,14 @@
         ):
             self._repeat(action, mean_s / self.changes)
 
+    def new_worker(self, name: WorkerId) -> FakeWorker:
+        """Return what a new life of a worker is, without a limit of its lease."""
+        return FakeWorker(name)
+
+    def register(self, beat: Callable[[], None]) -> None:
+        """Let a new life write its entry for the first time, at once."""
+        beat()
+
     # --- time ---
 
     def now_s(self) -> float:
@@ -381,7 +409,7 @@
     def add_job(self) -> None:
         """Accept a job, of which the dispatcher hears by a notice."""
         job_id = JobId(f"{len(self.steps) + 1:016x}")
-        step = self.rng.choice(STEPS)
+        step = self.rng.choice(self.drawn_steps)
         self.steps[job_id] = step
         queue = self.config.queues[0]
         # The age of a job is read from the wall clock, up to a limit, which 0 exceeds.
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -96,13 +96,15 @@
     def test_first_answer_bounds_the_leases_of_earlier_terms(self) -> None:
         """The first answer limits how long leases of earlier terms can last.
 
-        Otherwise the tasks of a worker lost after a takeover wait twice as long.
+        Otherwise the tasks of a worker lost after a takeover wait twice as long. It may
+        hold the longest lease of all, by a call that was meant for its former life.
         """
         self.view.last_answer_s = None
         self.view.lease_end_s = 100.0
         self.worker_api.poll_answers = [build_report()]
         run_steps(self.session._poll_once())
-        self.assertLess(self.view.lease_end_s, LEASE_S * 1.1)
+        self.assertGreater(self.view.lease_end_s, self.tracker.max_lease_s)
+        self.assertLess(self.view.lease_end_s, self.tracker.max_lease_s * 1.1)
 
     def test_stored_progress_ends_the_wait_of_just_its_sessions(self) -> None:
         """A session waits for stored ends on its event instead of polling.
