Keep a start without an answer placed while the next life may run it

Cause: a worker started again and took the start; before its first answer and its entry in the list it was cut off.

Change: a start or a poll without an answer is recorded as one that the next life may have taken. Once the lease of the known life is over, the runs that it had reported end as before; a task of which no report has shown a run stays placed until the longest lease of a next life is over.

The runs that a crash of unknown time may have ended are those that are lost with it, no longer the open starts as well.

--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -115,7 +115,8 @@
                         others.append(lost)
             case WorkerEnd.LEASE_EXPIRED if vm is not None:
                 for lost in examine_crash(view):
-                    self._add_unsettled(view, lost)
+                    if lost.task.key in keys:
+                        self._add_unsettled(view, lost)
             case WorkerEnd.VM_ORDERED if vm is not None:
                 self.record_vm_ordered(vm)
         return others
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -109,7 +109,9 @@
     `unconfirmed` are the tasks that were started on this incarnation or on the one
     before, by key, with what a crash of the one before makes of them. They are settled
     by the first report. Until `former_lease_end_s`, runs may go on under a lease that
-    was meant for the incarnation before. `ordered_away_s` is when the platform accepted
+    was meant for the incarnation before. Until `next_lease_end_s`, the next incarnation
+    may have runs and a lease by calls to this one that got no answer.
+    `ordered_away_s` is when the platform accepted
     an order for the worker's VM, which ends the worker unless the platform had carried
     it out before. `late_starts` are runs that may still be started although
     they are no longer wanted, and whose stop the worker has not accepted yet, with the
@@ -143,6 +145,7 @@
     evacuation_reason: object | None = None
     unconfirmed: dict = field(default_factory=dict)
     former_lease_end_s: float = 0.0
+    next_lease_end_s: float = 0.0
     ordered_away_s: float | None = None
     late_starts: dict[tuple[TaskKey, int], float] = field(default_factory=dict)
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage, repr=False)
@@ -157,6 +160,10 @@
         """Return whether the worker reported that it is draining."""
         return self.worker.state is WorkerState.DRAINING
 
+    def has_open_starts(self) -> bool:
+        """Return whether the next incarnation may have taken the start of a task."""
+        return any(task.is_open for task in self.tasks.values())
+
     def reserved(self) -> Resources:
         """Return the resources of all runs, including those being stopped."""
         total = self.load.reserved
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -307,6 +307,7 @@
                 context.tracker.late_starts.record(
                     view.worker.worker, task.key, item.run, now_s
                 )
+                context.tracker.record_unanswered(view, now_s)
                 if task.run == item.run and task.phase is TaskPhase.ORDERED:
                     stop = context.tracker.stop(task)
         _LOGGER.info(
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -310,12 +310,39 @@
         first report of the next incarnation. What was learned of the worker's ends,
         clock, leases and failures is not carried over.
         """
-        kept: list[Task] = []
-        lost: list[Task] = []
-        for task in view.tasks.values():
-            is_open = task.may_be_started and task.running_s is None
-            (kept if is_open else lost).append(task)
-        runs = self._end_incarnation(view, lost, now_s, end, f"{len(kept)} kept")
+        next_view = self._next_view(view, worker, end, "", now_s)
+        self.extend_lease_of_other(next_view, now_s)
+        return next_view
+
+    def end_lapsed_runs(
+        self, view: WorkerView, now_s: float, detail: str
+    ) -> WorkerView:
+        """End the runs of a silent worker whose lease is over, but for open starts.
+
+        Its next incarnation may have taken these, with the longest lease of all.
+        """
+        next_view = self._next_view(
+            view, view.worker, WorkerEnd.LEASE_EXPIRED, detail, now_s
+        )
+        # The worker may be alive behind a network partition and come back.
+        self.ended_incarnations.discard((view.worker.worker, view.worker.started_ms))
+        next_view.is_failing = True
+        next_view.is_listed = view.is_listed
+        return next_view
+
+    def _next_view(
+        self,
+        view: WorkerView,
+        worker: Worker,
+        end: WorkerEnd,
+        detail: str,
+        now_s: float,
+    ) -> WorkerView:
+        """End an incarnation, and place its open starts on the next one."""
+        kept = [task for task in view.tasks.values() if task.is_open]
+        lost = [task for task in view.tasks.values() if not task.is_open]
+        reason = ", ".join(filter(None, (detail, f"{len(kept)} kept")))
+        runs = self._end_incarnation(view, lost, now_s, end, reason)
         next_view = WorkerView(worker, now_s, last_heard_s=view.last_heard_s)
         next_view.unconfirmed = {run.task.key: run for run in runs}
         self.add_view(next_view)
@@ -324,9 +351,20 @@
                 # The incarnation that accepted the stop may not be the one that is up.
                 task.acked_s = None
             next_view.place(task)
-        self.extend_lease_of_other(next_view, now_s)
+        next_view.extend_former_lease(view.next_lease_end_s)
         return next_view
 
+    def record_unanswered(self, view: WorkerView, now_s: float) -> None:
+        """Record that a call which may extend the worker's lease got no answer.
+
+        The next incarnation may have taken it, also if that is known by now.
+        """
+        end_s = now_s + self.longest_lease_s
+        view.next_lease_end_s = max(view.next_lease_end_s, end_s)
+        current = self.workers.get(view.worker.worker)
+        if current is not None and current is not view:
+            current.extend_former_lease(end_s)
+
     @property
     def longest_lease_s(self) -> float:
         """Return how long a lease may last by this process's clock."""
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -109,6 +109,9 @@
                 and MIN_WAIT_S <= waited_s < wait_s + self._answer_slack_s
             )
             self._answer_slack_s = min(MAX_ANSWER_SLACK_S, 2 * self._answer_slack_s)
+            if until_ms is not None and error.outcome is Outcome.UNKNOWN:
+                with context.lock:
+                    context.tracker.record_unanswered(view, context.clock.monotonic_s())
             self._handle_no_answer(str(error), sent_s, was_waiting)
             return False
         self._learn_answer_time(context.clock.monotonic_s() - sent_s - wait_s)
@@ -218,7 +221,11 @@
             if context.term_confirmed_s() < view.lease_end_s:
                 # A successor may have renewed the lease, so the runs may go on.
                 return
-            if view.tasks or view.strays or not view.is_listed:
+            is_next_over = now_s >= view.next_lease_end_s + LEASE_MARGIN_S
+            if view.has_open_starts() and not is_next_over:
+                context.tracker.end_lapsed_runs(view, now_s, reason)
+                self._follow_next_incarnation()
+            elif view.tasks or view.strays or not view.is_listed:
                 context.tracker.remove_worker(
                     view, now_s, WorkerEnd.LEASE_EXPIRED, reason
                 )
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -110,6 +110,11 @@
         """Return whether the worker may have received the order to start the run."""
         return self.sent_s is not None or self.started_s is not None
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether it is not known which incarnation took the start, if any."""
+        return self.may_be_started and self.running_s is None
+
     @property
     def is_placed(self) -> bool:
         """Return whether a run exists or may exist on a worker."""
--- a/src/jayshunt/dispatch/tests/test_recuts.py
+++ b/src/jayshunt/dispatch/tests/test_recuts.py
@@ -53,6 +53,10 @@
             with self.subTest(back_s=back_s, ways=ways, seed=seed):
                 self.recut(seed, back_s, ways, act)
 
+    def test_same_dispatcher_starts_no_task_twice(self) -> None:
+        """It did not know which life took a start without an answer."""
+        self.check(lambda simulation: None)
+
     def test_successor_starts_no_task_twice(self) -> None:
         """It waited for the leases that a dispatcher asks for, not for the longest."""
         self.check(lambda simulation: simulation.new_term())
