Let the soak cut workers off that took calls meant for their former life

Cause: no stand-in of the soak took such a call, the clock of each life began at 0, and a worker that started again was not cut off.

Change: with WORKER_RECUT a worker goes down, calls wait for its next life, also on open connections, and 0.1 to 3 s after its return it is cut off from entries and list, one way or both, for shorter and longer than the longest lease. Two of three times an entry is stopped or killed as the cut begins. Clocks begin anywhere.

--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -35,6 +35,14 @@
 # How long entries are paused while workers start again, and how long these are down.
 UNSEEN_PAUSE_S = 0.6
 UNSEEN_DOWN_S = 0.1
+# How long a worker is back before it is cut off, and for how long: also beyond the
+# longest lease.
+RECUT_BACK_S = (0.1, 3.0)
+RECUT_CUT_S = (3.0, 12.0)
+# How long calls to a worker that is down wait for its next incarnation.
+KEPT_CALL_S = 2.0
+# The clock of an incarnation begins anywhere below this.
+MAX_CLOCK_MS = 9_000_000
 # How late a worker carries out an order that it left unanswered, and the share of such
 # orders.
 LATE_ORDER_S = (0.3, 5.0)
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -15,6 +15,9 @@
     POOLS,
     PUBLIC_POOL,
     RACKS,
+    RECUT_BACK_S,
+    RECUT_CUT_S,
+    RESTART_DOWN_S,
     SHRUNK_SHARES,
     UNSEEN_DOWN_S,
     UNSEEN_PAUSE_S,
@@ -22,7 +25,7 @@
 )
 from jayshunt_soak.odd_entries import draw_entries
 from jayshunt_soak.platform.store import StoreFaults
-from jayshunt_soak.testbed import Testbed
+from jayshunt_soak.testbed import Program, Testbed
 
 # Four entries are stopped 1.2 s apart, and each is back two seconds later.
 RESTARTED_S = 6.0
@@ -58,6 +61,7 @@
     ADDRESS_SWAP = "addresses of two workers swapped"
     ORDERS_LATE = "orders of a worker carried out late"
     RESTARTS_UNSEEN = "workers started again as another kind while entries are paused"
+    WORKER_RECUT = "worker started again under its id and cut off soon after"
     QUEUE_MOVE = "queue sent to another pool"
 
 
@@ -70,8 +74,17 @@
     FaultKind.ORDERS_LATE,
     FaultKind.RESTARTS_UNSEEN,
 )
-DRAWN_APART = frozenset({*SHRINKS, FaultKind.ODD_ENTRIES, *LIVES, FaultKind.QUEUE_MOVE})
-PAUSES = frozenset({FaultKind.RESTARTS_UNSEEN})
+DRAWN_APART = frozenset(
+    {
+        *SHRINKS,
+        FaultKind.ODD_ENTRIES,
+        *LIVES,
+        FaultKind.QUEUE_MOVE,
+        FaultKind.WORKER_RECUT,
+    }
+)
+# Faults that are drawn apart and disturb entries or paths.
+DISTURBING = frozenset({FaultKind.RESTARTS_UNSEEN, FaultKind.WORKER_RECUT})
 # A queue that moves may run in both pools from then on, which hides starts in a wrong
 # one. Therefore only one queue moves, and only in one seed of this many.
 SEEDS_PER_QUEUE_MOVE = 3
@@ -105,7 +118,7 @@
         at_s += rng.choice((0.05, 0.4, 1.5, 3.0))
     faults += _draw_shrinks(seed, seconds) + _draw_odd_entries(seed, seconds)
     if with_lives:
-        faults += _draw_lives(seed, seconds)
+        faults += _draw_lives(seed, seconds) + _draw_recuts(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -134,6 +147,18 @@
     return faults
 
 
+def _draw_recuts(seed: int, seconds: float) -> list[Fault]:
+    rng = random.Random(f"{seed}-recut")
+    faults: list[Fault] = []
+    longest_s = RESTART_DOWN_S[1] + RECUT_BACK_S[1]
+    at_s = rng.uniform(0.5, 2.0)
+    while at_s < seconds:
+        kind, for_s = FaultKind.WORKER_RECUT, longest_s + rng.uniform(*RECUT_CUT_S)
+        faults.append(Fault(kind, at_s, for_s, rng.randrange(100_000)))
+        at_s += rng.uniform(1.0, 4.0)
+    return faults
+
+
 def _draw_shrinks(seed: int, seconds: float) -> list[Fault]:
     rng = random.Random(f"{seed}-shrink")
     faults: list[Fault] = []
@@ -159,7 +184,7 @@
             load_started_s + fault.at_s + max(fault.for_s, RESTARTED_S),
         )
         for fault in faults
-        if fault.kind not in (DRAWN_APART - PAUSES) | {FaultKind.CONFIG}
+        if fault.kind not in (DRAWN_APART - DISTURBING) | {FaultKind.CONFIG}
     ]
 
 
@@ -245,6 +270,8 @@
                 return lambda: testbed.restore_kind(vm_name, {"is_silent": is_silent})
             case FaultKind.RESTARTS_UNSEEN:
                 return _restart_unseen(testbed, fault.target % RACKS)
+            case FaultKind.WORKER_RECUT:
+                return _recut(testbed, vm_name, entry, fault)
             case FaultKind.ADDRESS_SWAP:
                 return testbed.swap_addresses(vm_name, fault.target // len(relays))
             case FaultKind.ORDERS_LATE:
@@ -288,6 +315,38 @@
     return restore
 
 
+def _recut(
+    testbed: Testbed, vm: str, entry: Program, fault: Fault
+) -> Callable[[], None]:
+    """Let a worker take calls meant for its former life, and cut it off soon after.
+
+    Two times of three an entry is stopped as the cut begins, which may dispatch. Return
+    what ends the cut.
+    """
+    rng = random.Random(fault.target)
+    down_s, back_s = rng.uniform(*RESTART_DOWN_S), rng.uniform(*RECUT_BACK_S)
+    is_one_way, change = rng.random() < 0.4, rng.choice(("", "term", "kill"))
+    order = {"is_silent": False, "keeps_calls": True, "down_s": down_s}
+    testbed.restart_worker(vm, order)
+
+    def cut() -> None:
+        testbed.cut_off(vm, is_one_way, fault.for_s - down_s - back_s)
+        match change:
+            case "term":
+                testbed.terminate(entry)
+            case "kill":
+                entry.send_signal(signal.SIGKILL)
+
+    cut_timer = threading.Timer(down_s + back_s, cut)
+    cut_timer.start()
+
+    def end() -> None:
+        cut_timer.cancel()
+        testbed.vm_relays[vm].restore()
+
+    return end
+
+
 def store_faults(kind: FaultKind) -> StoreFaults:
     """Return how the store fails under a fault of this kind."""
     match kind:
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -20,8 +20,10 @@
     CALL_TIMEOUT_S,
     CRASH_DOWN_S,
     HEARTBEAT_S,
+    KEPT_CALL_S,
     LATE_ORDER_RATIO,
     LATE_ORDER_S,
+    MAX_CLOCK_MS,
     MEMORY_MB_PER_VM,
     MIN_CLOCK_RATE,
     MOVE_S,
@@ -52,6 +54,9 @@
         self._is_crashed = False
         self._next_worker: str | None = None
         self._late_until_s = 0.0
+        self._quiet_until_s = 0.0
+        self._keeps_calls = False
+        self._is_back = threading.Event()
         # Connections that a restart ended, and whether they stay silent.
         self._former_connections: dict[socket.socket, bool] = {}
         if self.pool != SPARE:
@@ -66,7 +71,10 @@
         if call.connection in self._former_connections:
             self._fail_former(call)
         if self._is_crashed:
-            raise DropConnection
+            if not self._keeps_calls or not self._is_back.wait(KEPT_CALL_S):
+                raise DropConnection
+            # The call was meant for the incarnation before.
+            incarnation = self.incarnation
         if incarnation is None:
             return Reply(503, {})
         if call.headers.get("X-Expect-Instance") not in (
@@ -94,6 +102,8 @@
                 self._restart_worker(order)
             case "late", _:
                 self._late_until_s = time.monotonic() + order["for_s"]
+            case "quiet", _:
+                self._quiet_until_s = time.monotonic() + order["for_s"]
             case "address", _:
                 self.advertised = order["shown"]
             case "resize", WorkerIncarnation() as incarnation:
@@ -119,7 +129,8 @@
         """Send a heartbeat to the platform every `HEARTBEAT_S`, forever."""
         while True:
             incarnation = self.incarnation
-            if incarnation is not None and not incarnation.is_ended:
+            is_quiet = time.monotonic() < self._quiet_until_s
+            if incarnation is not None and not incarnation.is_ended and not is_quiet:
                 registration = {
                     "worker": incarnation.identity.worker,
                     "entry": {
@@ -161,9 +172,11 @@
             self._write_event,
             guards_capacity=self.pool != UNGUARDED_POOL,
             on_crash=self._crash,
+            clock_start_ms=self._rng.randrange(MAX_CLOCK_MS),
         )
         incarnation.record_life()
         self.incarnation, self._is_crashed = incarnation, False
+        self._is_back.set()
 
     def _write_event(self, event: dict) -> None:
         self._log.write(json.dumps({"vm": self.vm, **event}) + "\n")
@@ -184,8 +197,11 @@
         incarnation = self.incarnation
         if incarnation is None:
             return
-        connections = self.connections.current()
-        self._former_connections |= dict.fromkeys(connections, order["is_silent"])
+        self._keeps_calls = order.get("keeps_calls", False)
+        self._is_back.clear()
+        if not self._keeps_calls:
+            connections = self.connections.current()
+            self._former_connections |= dict.fromkeys(connections, order["is_silent"])
         if not order.get("is_new"):
             self._next_worker = incarnation.identity.worker
         incarnation.end()
--- a/src/jayshunt_soak/platform/worker.py
+++ b/src/jayshunt_soak/platform/worker.py
@@ -63,11 +63,12 @@
         record: Callable[[dict], None],
         guards_capacity: bool = True,
         on_crash: Callable[[], None] = lambda: None,
+        clock_start_ms: int = 0,
     ) -> None:
         """Start without runs; `clock_rate` is the speed of the worker's own clock.
 
-        `record` writes an event to the log. `on_crash` is called once a task crashes
-        the worker.
+        It begins at `clock_start_ms`. `record` writes an event to the log. `on_crash`
+        is called once a task crashes the worker.
         """
         self.identity = identity
         self.millicores = MILLICORES_PER_VM
@@ -79,8 +80,8 @@
         self._write = record
         self._changed = threading.Condition()
         self._fencing_token = 0
-        self._lease_end_ms = 0
-        self._recorded_lapse_ms = 0
+        self._clock_start_ms = clock_start_ms
+        self._lease_end_ms = self._recorded_lapse_ms = clock_start_ms
         self._runs: dict[str, Run] = {}
         self._max_ended_run: dict[str, int] = {}
         self._ends: list[list] = []
@@ -238,7 +239,8 @@
         as of now.
         """
         now_s = time.monotonic()
-        lease_end_s = self._started_s + self._lease_end_ms / 1000 / self._clock_rate
+        lease_s = (self._lease_end_ms - self._clock_start_ms) / 1000 / self._clock_rate
+        lease_end_s = self._started_s + lease_s
         for task, run in list(self._runs.items()):
             if run.done_s <= min(now_s, lease_end_s, run.stopped_s):
                 self._end(task, "failed" if run.fails else "done", run.done_s)
@@ -272,7 +274,8 @@
         self._lease_end_ms = max(self._lease_end_ms, min(until_ms, max_until_ms))
 
     def _clock_ms(self) -> int:
-        return int((time.monotonic() - self._started_s) * 1000 * self._clock_rate)
+        passed_s = time.monotonic() - self._started_s
+        return self._clock_start_ms + int(passed_s * 1000 * self._clock_rate)
 
     def _answer(self, status: int, **fields) -> tuple[int, dict]:
         answer = {"clockMs": self._clock_ms(), "born": self.started_ms, **fields}
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -182,10 +182,12 @@
         """Crash the worker on a VM and start it again soon; return whether it is done.
 
         `order` has `is_silent`, whether open connections stay silent or are closed. It
-        may have `is_new`, whether the worker gets another id; `kind`; and `down_s`.
+        may have `is_new`, whether the worker gets another id; `kind`; `down_s`; and
+        `keeps_calls`, whether the next incarnation takes calls that wait for it, also
+        on open connections.
         """
         is_done = self._call_vm(vm, "restart", order, CONTROL_TIMEOUT_S)
-        if not order["is_silent"]:
+        if not order["is_silent"] and not order.get("keeps_calls"):
             # A process that crashes closes its connections at once. Callers that see
             # it reach the next incarnation over new ones.
             self.vm_relays[vm].reset()
@@ -221,6 +223,18 @@
         for name in (vm, other):
             self._show_address(name)
 
+    def cut_off(self, vm: str, is_one_way: bool, for_s: float) -> None:
+        """Cut a VM's worker off from the entries and the list of workers.
+
+        One way, calls still reach the worker, but no answer leaves it. The path is open
+        again with `restore` of its relay.
+        """
+        self._call_vm(vm, "quiet", {"for_s": for_s}, CONTROL_TIMEOUT_S)
+        if is_one_way:
+            self.vm_relays[vm].is_one_way = True
+        else:
+            self.vm_relays[vm].silence()
+
     def delay_orders(self, vm: str, for_s: float) -> None:
         """Let a VM's worker leave orders unanswered and carry them out late."""
         self._call_vm(vm, "late", {"for_s": for_s}, CONTROL_TIMEOUT_S)
--- a/src/jayshunt_soak/tests/test_soak.py
+++ b/src/jayshunt_soak/tests/test_soak.py
@@ -40,6 +40,10 @@
         """A task must not start where a worker's id or address belonged to another."""
         self.check_seed(1359, SHORT_S, with_lives=True)
 
+    def test_workers_that_are_cut_off_after_a_restart_run_no_task_twice(self) -> None:
+        """Their next life holds the longest lease, by a call meant for the former."""
+        self.check_seed(47, SHORT_S, with_lives=True)
+
     def test_seed_2003_keeps_every_guarantee(self) -> None:
         """Crashes were lost with dispatchers, and a shrunk worker was overfilled.
 
