See by its clock that another life of a worker took a start

Cause: an answer showed another life only if its clock was below the last known time of the former one, which may be seconds old. A life whose clock began in between was taken for the former one, with the lease of that.

Change: the clock is compared with what it shows at least by now.

Result: test_clock_that_is_behind_shows_another_life fails on the code before.

--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -269,6 +269,16 @@
             recent_starts=self.count_recent_starts(now_s) if has_suspects else 0,
         )
 
+    def least_clock_ms(self, now_s: float) -> int | None:
+        """Return what the worker's clock shows at least, None before its first answer.
+
+        Its last time was read before it was received, and the clock may be slow.
+        """
+        if self.clock_ms is None:
+            return None
+        passed_s = (now_s - self.clock_received_s) * (1 - CLOCK_SKEW)
+        return self.clock_ms + int(passed_s * 1000)
+
     def lease_until_ms(self, now_s: float, lease_s: float) -> int | None:
         """Return a lease's end on the worker's clock, None before its first answer."""
         if self.clock_ms is None:
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -124,7 +124,7 @@
             self._context.notify_changed()
             return
         context, task = self._context, item.task
-        known_clock_ms = self._view.clock_ms
+        least_clock_ms = self._view.least_clock_ms(context.clock.monotonic_s())
         try:
             answer = yield from self._worker_api.start(order, ORDER_TIMEOUT_S)
         except JayshuntError as error:
@@ -132,7 +132,7 @@
             return
         with context.lock:
             now_s = context.clock.monotonic_s()
-            self._check_clock(answer.clock_ms, known_clock_ms, now_s)
+            self._check_clock(answer.clock_ms, least_clock_ms, now_s)
             if answer.refusal is None:
                 context.tracker.counts["started"] += 1
                 context.tracker.record_start_accepted(task, item.run, now_s)
@@ -255,21 +255,23 @@
         self._context.tracker.record_not_started(task, item.run, now_s)
 
     def _check_clock(
-        self, clock_ms: int | None, known_clock_ms: int | None, now_s: float
+        self, clock_ms: int | None, least_clock_ms: int | None, now_s: float
     ) -> None:
         """Extend the worker's lease if another incarnation of it took the start.
 
-        `known_clock_ms` is a time of the worker's clock before the start was sent.
+        `least_clock_ms` is what the worker's clock showed at least when the start was
+        sent.
         """
-        if clock_ms is None or known_clock_ms is None or clock_ms >= known_clock_ms:
+        if clock_ms is None or least_clock_ms is None or clock_ms >= least_clock_ms:
             return
         self._context.tracker.extend_lease_of_other(self._view, now_s)
         _LOGGER.info(
             "dispatch: the clock of a worker went back, another life took a start",
             extra={
                 "worker": self._view.worker.worker,
+                "born": self._view.worker.started_ms,
                 "clock_ms": clock_ms,
-                "known_clock_ms": known_clock_ms,
+                "least_clock_ms": least_clock_ms,
             },
         )
 
--- a/src/jayshunt/dispatch/tests/test_worker_restarts.py
+++ b/src/jayshunt/dispatch/tests/test_worker_restarts.py
@@ -187,6 +187,18 @@
             run_steps(self.session._poll_once())
         self.assertEqual([57, 0, 0], noted)
 
+    def test_clock_that_is_behind_shows_another_life(self) -> None:
+        """One whose clock began a little below the former one's was not seen."""
+        self.view.record_clock(60_000, 0.0)
+        self.clock.advance(3.0)
+        task = self.job.steps[0, 0][0]
+        for run, clock_ms, is_other in ((16, 62_950, False), (17, 61_000, True)):
+            self.tracker.record_order(task, self.view, run, 3.0)
+            self.worker_api.start_answers = [OrderAnswer(None, clock_ms=clock_ms)]
+            run_steps(self.session.orders._send_start(StartTask(task, run, "")))
+            is_longest = self.view.lease_end_s > self.tracker.max_lease_s
+            self.assertEqual(is_other, is_longest, clock_ms)
+
     def test_lease_of_another_life_is_not_taken_for_short(self) -> None:
         """The end of a lease on the former life's clock is far off on a new one."""
         self.view.record_clock(60_000, 0.0)
