Log what decides how long the runs of a silent worker may go on

Cause: the logs did not tell which life answered by its clock, when a worker fell silent and with how many starts of which no report has shown a run, nor whether a successor had heard all workers or had waited for their leases.

Change: `a worker answered` has `clock_ms`, `all runs of earlier terms are known` has `unheard_workers` and `token`, and `a worker does not answer` is new: one line as a worker falls silent, with what is left of both leases.

Result: no decision changes; the tests of the dispatcher pass.

--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -402,11 +402,15 @@
         silent: list[WorkerView] | None = None
         if not self.knows_all_runs:
             silent = self._silent_workers()
+            unheard = len(silent or ())
             if dispatcher.term_confirmed_s() >= dispatcher.inherited_runs_end_s:
                 silent = [view for view in silent or () if view.may_lack_ends]
             self.knows_all_runs = silent is not None and not silent
             if self.knows_all_runs:
-                _LOGGER.info("dispatch: all runs of earlier terms are known")
+                _LOGGER.info(
+                    "dispatch: all runs of earlier terms are known",
+                    extra={"unheard_workers": unheard, "token": dispatcher.token},
+                )
         self._silent = [] if self.knows_all_runs else silent
         if self.knows_all_runs:
             return lambda job: True
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -136,6 +136,7 @@
                     "vm": view.worker.vm,
                     "pool": view.worker.pool,
                     "born": view.worker.started_ms,
+                    "clock_ms": answer.clock_ms,
                     "running": len(answer.running),
                     "ended": len(answer.ended),
                 },
@@ -212,6 +213,7 @@
                 if was_waiting and view.last_heard_s is not None:
                     view.last_heard_s = now_s
                 context.tracker.crashes.record_failing(view)
+                self._log_silence(reason, now_s)
             view.is_failing = True
             if view.is_ordered_away(sent_s) and not view.tasks and not view.strays:
                 context.tracker.remove_ordered_away(view, now_s, reason)
@@ -235,6 +237,26 @@
                 )
         context.notify_changed()
 
+    def _log_silence(self, reason: str, now_s: float) -> None:
+        """Log until when runs may go on a worker that just stopped answering.
+
+        `open_starts` are the tasks of which no report has shown a run. They may go on
+        until the end of the longest lease that the next incarnation may hold.
+        """
+        view = self.view
+        _LOGGER.info(
+            "dispatch: a worker does not answer",
+            extra={
+                "worker": view.worker.worker,
+                "born": view.worker.started_ms,
+                "tasks": len(view.tasks),
+                "open_starts": sum(task.is_open for task in view.tasks.values()),
+                "lease_left_ms": round((view.lease_end_s - now_s) * 1000),
+                "next_lease_left_ms": round((view.next_lease_end_s - now_s) * 1000),
+                "reason": reason,
+            },
+        )
+
     def _handle_poll_refusal(self, answer: OrderAnswer, sent_s: float) -> bool:
         context, view = self._context, self.view
         match answer.refusal:
