Acknowledge ends to a worker only right after it answered

The next poll then acknowledged ends of its former life by number, and the next life forgot ends that nobody had read, so that done tasks run again.

Change: a poll acknowledges ends only within 0.25 s of the last answer. Later, it acknowledges none; a worker with ends answers it at once, and the next poll acknowledges them. A slow store costs one short poll more.

Result: test_ends_are_acknowledged_only_right_after_an_answer fails on the code before.

--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -22,6 +22,8 @@
 IDLE_POLL_WAIT_S = 2.0
 # How long the next poll is delayed so that reported ends can be stored first.
 STORE_WAIT_S = 0.6
+# Ends are acknowledged only to a worker that answered this short a time ago.
+ACKNOWLEDGE_WITHIN_S = 0.25
 # A worker that answers slowly keeps its lease: its polls time out up to this late.
 MAX_ANSWER_SLACK_S = 2.0
 # The timeout follows the lateness of the last answer, and falls again by answers.
@@ -94,8 +96,7 @@
             noted = view.acknowledge_stored_ends(
                 context.tracker.stored_versions.__getitem__
             )
-            if view.is_failing:
-                # Another incarnation may answer, whose ends are numbered anew.
+            if not self._may_acknowledge(sent_s):
                 noted = 0
             wait_s = self._poll_wait_s(until_ms)
         try:
@@ -146,6 +147,17 @@
         context.notify_changed()
         return True
 
+    def _may_acknowledge(self, now_s: float) -> bool:
+        """Return whether the next poll may acknowledge ends by their numbers.
+
+        Another incarnation, whose ends are numbered anew, would forget ends that nobody
+        has read. A worker with ends answers at once, and is told of them next.
+        """
+        last_answer_s = self.view.last_answer_s
+        if self.view.is_failing or last_answer_s is None:
+            return False
+        return now_s - last_answer_s <= ACKNOWLEDGE_WITHIN_S
+
     def _follow_next_incarnation(self) -> WorkerView:
         """Go on with the incarnation that answered in place of the known one.
 
--- a/src/jayshunt/dispatch/tests/test_worker_restarts.py
+++ b/src/jayshunt/dispatch/tests/test_worker_restarts.py
@@ -8,7 +8,7 @@
 from jayshunt.dispatch.models import OrderAnswer, RunEnd
 from jayshunt.dispatch.order_sender import OrderSender
 from jayshunt.dispatch.run_reports import StopOrder
-from jayshunt.dispatch.sessions import WorkerSession
+from jayshunt.dispatch.sessions import STORE_WAIT_S, WorkerSession
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     add_worker_view,
@@ -187,6 +187,23 @@
             run_steps(self.session._poll_once())
         self.assertEqual([57, 0, 0], noted)
 
+    def test_ends_are_acknowledged_only_right_after_an_answer(self) -> None:
+        """A worker that started again while the store was slow forgot unread ends."""
+        noted: list[int] = []
+        poll = self.worker_api.poll_runs
+
+        def record_noted(noted_upto, *args):
+            noted.append(noted_upto)
+            return poll(noted_upto, *args)
+
+        self.worker_api.poll_runs = record_noted
+        self.view.noted_upto = 57
+        self.worker_api.poll_answers = [build_report()] * 3
+        for passed_s in (0.1, STORE_WAIT_S, 0.1):
+            self.clock.advance(passed_s)
+            run_steps(self.session._poll_once())
+        self.assertEqual([57, 0, 57], noted)
+
     def test_clock_that_is_behind_shows_another_life(self) -> None:
         """One whose clock began a little below the former one's was not seen."""
         self.view.record_clock(60_000, 0.0)
