Count a start without an answer as one crash only

Cause: a start that got no answer stays placed on the next life of its worker until it is stopped. By its first report it was counted as lost by the crash. The crash of that next life counted it again, and so did a later term, as the record of the job held both the count and the run at risk.

Change: the run is no longer at risk once it is counted, and is left out of what a further crash counts.

Result: test_one_start_without_an_answer_counts_as_one_crash fails on the code before.

--- a/src/jayshunt/dispatch/crash_blame.py
+++ b/src/jayshunt/dispatch/crash_blame.py
@@ -60,11 +60,16 @@
 def examine_crash(view: WorkerView) -> list[LostRun]:
     """Return the runs that a crash of a worker ends.
 
-    Tasks whose start orders were not sent are left out. Of the tasks just started,
+    Tasks whose start orders were not sent are left out, and those whose start was
+    counted already, by the crash of an incarnation before. Of the tasks just started,
     those suspected before come first, then those that were started last. A start
     without an answer is always suspected.
     """
-    placed = [task for task in view.tasks.values() if task.may_be_started]
+    placed = [
+        task
+        for task in view.tasks.values()
+        if task.may_be_started and task.blamed_run != task.run
+    ]
     fresh = [t for t in placed if not has_survived_start(t, view.last_heard_s)]
     fresh.sort(key=lambda t: t.sent_s if t.started_s is None else t.started_s)
     known = [task for task in fresh if task.is_suspect]
--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -127,9 +127,15 @@
             self._forget(task, run)
 
     def record_lost(self, view: WorkerView, lost: LostRun, now_s: float) -> None:
-        """Blame a task that was lost with the worker's incarnation before `view`."""
+        """Blame a task that was lost with the worker's incarnation before `view`.
+
+        Its start stays placed until it is stopped. It is not counted once more if
+        another crash or a later term follows.
+        """
+        task = lost.task
         self._counts["lost"] += 1
-        _log_lost(view, lost.task, WorkerEnd.RESTARTED, now_s)
+        _log_lost(view, task, WorkerEnd.RESTARTED, now_s)
+        task.blamed_run, task.run_at_risk = task.run, None
         self._count(lost, view.worker.worker)
 
     def record_first_answer(self, view: WorkerView) -> None:
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -52,7 +52,8 @@
     from other tasks. `run_at_risk` is stored with the job's progress, so that a later
     term learns of the current run; it is None for a run that cannot have crashed its
     worker. `unsettled_runs` are earlier runs, also of earlier terms, of which it is not
-    known yet whether their workers crashed. `has_survived_start` tells that a worker
+    known yet whether their workers crashed. `blamed_run` is the last run that a crash
+    counted against while its start was open. `has_survived_start` tells that a worker
     reported some run of the task in this term a while after its start. `vm` is that of
     `worker`, and `workspace` owns the job.
     """
@@ -79,6 +80,7 @@
     is_suspect: bool = False
     run_at_risk: RunAtRisk | None = None
     unsettled_runs: tuple[RunAtRisk, ...] = ()
+    blamed_run: int = 0
     has_survived_start: bool = False
     vm: VmId | None = None
     workspace: WorkspaceName = WorkspaceName("")
--- a/src/jayshunt/dispatch/tests/test_worker_restarts.py
+++ b/src/jayshunt/dispatch/tests/test_worker_restarts.py
@@ -3,10 +3,12 @@
 import unittest
 
 from jayshunt.clock import ManualClock
+from jayshunt.dispatch.crash_models import RunAtRisk
 from jayshunt.dispatch.fleet import WorkerEnd
 from jayshunt.dispatch.messages import StartTask
 from jayshunt.dispatch.models import OrderAnswer, RunEnd
 from jayshunt.dispatch.order_sender import OrderSender
+from jayshunt.dispatch.records import apply_progress, encode_progress
 from jayshunt.dispatch.run_reports import StopOrder
 from jayshunt.dispatch.sessions import STORE_WAIT_S, WorkerSession
 from jayshunt.dispatch.tasks import TaskPhase
@@ -127,6 +129,22 @@
         self.assertFalse(self.accepted.is_suspect)
         self.assertEqual(1, self.unanswered.crashes.uncertain)
 
+    def test_one_start_without_an_answer_counts_as_one_crash(self) -> None:
+        """A job was failed after two crashes of its worker and one open start."""
+        self.tracker.stop(self.unanswered)
+        view = self.tracker.workers["w1"]
+        self.unanswered.run_at_risk = RunAtRisk("w1", 1, view.worker.vm, True, False)
+        self.report()
+        self.assertEqual(1, self.unanswered.crashes.total)
+        progress = encode_progress(self.job)
+        view = self.tracker.workers["w1"]
+        report = build_report(started_ms=NEXT_MS + 1)
+        self.tracker.apply_run_report(view, report, 3.0, 3.1)
+        self.assertEqual(1, self.unanswered.crashes.total)
+        successor = build_job(build_step(task_count=3), is_inherited=True)
+        apply_progress(successor, progress)
+        self.assertEqual((), successor.steps[0, 0][2].unsettled_runs)
+
     def test_life_that_answers_has_not_ended(self) -> None:
         """An odd entry of the list ended a live worker, which was never used again."""
         odd = build_worker(started_ms=9)
