Let the soak's VM list show a VM that is off after its rack started again

Cause: a VM that was moved, and whose rack was killed, comes back in the pool that it had at first. If that is the spare pool, its worker is off and sends no heartbeat, and the VM list went on with the last pool and a worker that does not exist.

Change: a VM that is off reports so, as the platform's list shows it.

No check was changed.

--- a/src/jayshunt_soak/platform/machines.py
+++ b/src/jayshunt_soak/platform/machines.py
@@ -7,7 +7,7 @@
 
 from jayshunt import http_client
 from jayshunt.errors import JayshuntError
-from jayshunt_soak.const import MEMORY_MB_PER_VM, MILLICORES_PER_VM, MOVE_S
+from jayshunt_soak.const import MEMORY_MB_PER_VM, MILLICORES_PER_VM, MOVE_S, SPARE
 from jayshunt_soak.platform.store import PlatformStoreStandIn
 from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
 
@@ -57,6 +57,12 @@
         return {vm.vm_id: vm.pool for vm in self._vms.values()}
 
     def _receive_heartbeat(self, body: dict) -> Reply:
+        if "vm_off" in body:
+            vm = self._vms[body["vm_off"]]
+            with self._lock:
+                if time.monotonic() >= vm.busy_until_s:
+                    vm.pool, vm.worker = SPARE, ""
+            return Reply(200, {})
         vm = self._vms[body["entry"]["machine"]]
         pool = body["entry"]["service"]
         with self._lock:
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -130,7 +130,10 @@
         while True:
             incarnation = self.incarnation
             is_quiet = time.monotonic() < self._quiet_until_s
-            if incarnation is not None and not incarnation.is_ended and not is_quiet:
+            if incarnation is None and self.pool == SPARE:
+                # Its rack may have started again, and the VM list has its last pool.
+                self._register({"vm_off": self.vm})
+            elif incarnation is not None and not incarnation.is_ended and not is_quiet:
                 registration = {
                     "worker": incarnation.identity.worker,
                     "entry": {
