--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -409,10 +409,9 @@
 
         `is_new` in the answer is False if the job's id was already stored, `is_taken`
         True if another submitter stored it, and `is_withdrawn` if the job was cancelled
-        before. Raise StoreUnavailable or
-        StoreOutcomeUnknown as the store does, and StoreUnavailable at once while calls
-        fail: the entry would not wait for their timeout, and could not tell its caller
-        that the job does not run.
+        before. Raise StoreUnavailable or StoreOutcomeUnknown as the store does, and
+        StoreUnavailable at once while calls fail: the entry would not wait for their
+        timeout, and could not tell its caller that the job does not run.
         """
         if self.is_store_failing():
             raise StoreUnavailable("store.txn", self._node.entry, "calls are failing")
--- a/src/jayshunt/dispatch/tests/test_worker_restarts.py
+++ b/src/jayshunt/dispatch/tests/test_worker_restarts.py
@@ -177,6 +177,19 @@
         self.context = build_session_context(self.tracker, self.clock)
         self.session = WorkerSession(self.view, self.worker_api, self.context)
 
+    def record_noted(self) -> list[int]:
+        """Return up to which end each poll from now on acknowledges; 57 are stored."""
+        noted: list[int] = []
+        poll = self.worker_api.poll_runs
+
+        def poll_and_record(noted_upto, *args):
+            noted.append(noted_upto)
+            return poll(noted_upto, *args)
+
+        self.worker_api.poll_runs = poll_and_record
+        self.view.noted_upto = 57
+        return noted
+
     def test_session_goes_on_with_the_next_life(self) -> None:
         """It was polled again only once the list showed it, up to a heartbeat later."""
         self.worker_api.poll_answers = [build_report(started_ms=NEXT_MS)]
@@ -187,15 +200,7 @@
 
     def test_ends_of_the_next_life_are_not_acknowledged_by_number(self) -> None:
         """Ends are numbered anew in each life, so that it forgot ends nobody saw."""
-        noted: list[int] = []
-        poll = self.worker_api.poll_runs
-
-        def record_noted(noted_upto, *args):
-            noted.append(noted_upto)
-            return poll(noted_upto, *args)
-
-        self.worker_api.poll_runs = record_noted
-        self.view.noted_upto = 57
+        noted = self.record_noted()
         self.worker_api.poll_answers = [
             no_answer(Outcome.UNKNOWN),
             build_report(started_ms=NEXT_MS),
@@ -207,15 +212,7 @@
 
     def test_ends_are_acknowledged_only_right_after_an_answer(self) -> None:
         """A worker that started again while the store was slow forgot unread ends."""
-        noted: list[int] = []
-        poll = self.worker_api.poll_runs
-
-        def record_noted(noted_upto, *args):
-            noted.append(noted_upto)
-            return poll(noted_upto, *args)
-
-        self.worker_api.poll_runs = record_noted
-        self.view.noted_upto = 57
+        noted = self.record_noted()
         self.worker_api.poll_answers = [build_report()] * 3
         for passed_s in (0.1, STORE_WAIT_S, 0.1):
             self.clock.advance(passed_s)
