--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -409,7 +409,10 @@
             if self.knows_all_runs:
                 _LOGGER.info(
                     "dispatch: all runs of earlier terms are known",
-                    extra={"unheard_workers": unheard, "token": dispatcher.token},
+                    extra={
+                        "unheard_workers": unheard,
+                        "token": dispatcher.tracker.token,
+                    },
                 )
         self._silent = [] if self.knows_all_runs else silent
         if self.knows_all_runs:
