Log which worker jobs of earlier terms wait for, and how the list of VMs changes

A worker that holds jobs back is named after one second, with its VM, what it waits for and the longest time left. A VM that leaves the list or changes its state is logged with the worker that was up there. `explain` shows both; its new test fails without the change.

--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -20,6 +20,10 @@
 # its last calls may still arrive within this time.
 PREDECESSOR_IN_FLIGHT_S = 1.0
 
+# A wait for a worker of an earlier term is logged after this time. Workers that can be
+# reached answer sooner.
+LOGGED_WAIT_S = 1.0
+
 # A worker's lease outlasts a takeover on suspicion after a dispatcher is lost without
 # notice (see suspicion.py), but not one that waits for the term's lease to expire.
 WORKER_LEASE_S = 5.5
--- a/src/jayshunt/dispatch/explain.py
+++ b/src/jayshunt/dispatch/explain.py
@@ -12,6 +12,8 @@
     "dispatch: took over",
     "dispatch: gave up the term",
     "dispatch: hands over",
+    "dispatch: jobs of earlier terms wait for a worker",
+    "dispatch: a VM changed its state",
     "dispatch: all runs of earlier terms are known",
     "dispatch: progress was not stored",
     "dispatch: the term was",
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -10,6 +10,7 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.backlog import expected_waits_s, refusals
+from jayshunt.dispatch.const import LOGGED_WAIT_S
 from jayshunt.dispatch.estimates import RunTimes
 from jayshunt.dispatch.features import Features
 from jayshunt.dispatch.fleet import WorkerView
@@ -24,7 +25,7 @@
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
-from jayshunt.ids import PoolName, QueueName, WorkspaceName
+from jayshunt.ids import PoolName, QueueName, WorkerId, WorkspaceName
 from jayshunt.interference.control import InterferenceControl
 from jayshunt.overload.diagnostics import OrderLog, rooms_of
 from jayshunt.overload.duty import AdmissionDuty
@@ -94,6 +95,7 @@
             dispatcher, config, bounds, features.workspace_shares
         )
         self._silent: list[WorkerView] | None = None
+        self._logged_unheard: set[WorkerId] = set()
         self.service_order = ServiceOrder() if features.overload_order else None
         self._order_log = OrderLog()
         self.admission = (
@@ -417,10 +419,32 @@
         self._silent = [] if self.knows_all_runs else silent
         if self.knows_all_runs:
             return lambda job: True
+        self._log_unheard(silent or [], now_s)
         if silent is None:
             return lambda job: not job.is_inherited
         return self._hold_back_jobs_on(silent)
 
+    def _log_unheard(self, silent: list[WorkerView], now_s: float) -> None:
+        """Log once each worker for which jobs of earlier terms wait."""
+        left_s = self._dispatcher.inherited_runs_end_s - now_s
+        for view in silent:
+            worker = view.worker
+            is_new = now_s - view.first_seen_s < LOGGED_WAIT_S
+            if is_new or worker.worker in self._logged_unheard:
+                continue
+            self._logged_unheard.add(worker.worker)
+            _LOGGER.info(
+                "dispatch: jobs of earlier terms wait for a worker",
+                extra={
+                    "unheard_worker": worker.worker,
+                    "vm": worker.vm,
+                    "pool": worker.pool,
+                    "born": worker.started_ms,
+                    "reason": "ends are missing" if view.may_lack_ends else "silent",
+                    "lease_left_ms": round(left_s * 1000),
+                },
+            )
+
     def _hold_back_new_jobs(
         self, may_start: Callable[[Job], bool], now_s: float
     ) -> Callable[[Job], bool]:
--- a/src/jayshunt/dispatch/tests/test_explain.py
+++ b/src/jayshunt/dispatch/tests/test_explain.py
@@ -16,6 +16,13 @@
     ("27.770", "entry: not accepted", {"job": "c1", "outcome": "not_run"}),
     ("30.592", "entry: not accepted", {"job": "c1", "outcome": "not_run"}),
     ("28.786", "dispatch: the term was not renewed", {"valid": True}),
+    ("31.000", "dispatch: job added", {"job": "e1"}),
+    (
+        "32.000",
+        "dispatch: jobs of earlier terms wait for a worker",
+        {"unheard_worker": "w7", "reason": "silent"},
+    ),
+    ("33.000", "dispatch: placed", {"task": "e1.0.0.0", "worker": "w8"}),
     ("40.000", "dispatch: the term was not renewed", {"valid": False}),
 ]
 
@@ -54,6 +61,11 @@
         self.assertEqual(3, len(history))
         self.assertIn("the term was not renewed", history[1])
 
+    def test_job_held_back_for_a_worker_that_it_never_named(self) -> None:
+        """A wait of twelve seconds after a takeover showed no cause."""
+        history = explain("e1", lines())
+        self.assertIn("unheard_worker=w7 reason=silent", history[1])
+
     def test_unknown_job(self) -> None:
         """An unknown job id must not look like a job without problems."""
         self.assertEqual([], explain("d1", lines()))
--- a/src/jayshunt/dispatch/vm_inventory.py
+++ b/src/jayshunt/dispatch/vm_inventory.py
@@ -1,5 +1,6 @@
 """Keep the platform's list of VMs, with what was ordered since it was read."""
 
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -9,6 +10,8 @@
 from jayshunt.dispatch.vms import Vm, VmState
 from jayshunt.ids import PoolName, VmId, WorkerId
 
+_LOGGER = logging.getLogger(__name__)
+
 Views = dict[WorkerId, WorkerView]
 
 
@@ -22,13 +25,32 @@
         self.listed_s: float | None = None
 
     def apply_list(self, vms: Iterable[Vm], now_s: float) -> None:
-        """Replace the VMs by those of a list that was read at `now_s`.
+        """Replace the VMs by those of a list that was requested at `now_s`.
 
         A VM keeps the largest size that it had, as its worker may shrink for a while.
         """
-        self.vms = {vm.vm: self._at_full_size(vm) for vm in vms}
+        before, self.vms = self.vms, {vm.vm: self._at_full_size(vm) for vm in vms}
+        if self.listed_s is not None:
+            self._log_changes(before)
         self.listed_s = now_s
 
+    def _log_changes(self, before: dict[VmId, Vm]) -> None:
+        """Log the VMs that were lost, left or came back since the list before."""
+        for name in before.keys() | self.vms.keys():
+            old, new = before.get(name), self.vms.get(name)
+            if old is None or (new is not None and new.state is old.state):
+                continue
+            _LOGGER.info(
+                "dispatch: a VM changed its state",
+                extra={
+                    "vm": name,
+                    "pool": old.pool,
+                    "worker": old.worker,
+                    "before": old.state.value,
+                    "state": "gone" if new is None else new.state.value,
+                },
+            )
+
     def _at_full_size(self, vm: Vm) -> Vm:
         known = self.vms.get(vm.vm)
         if known is None or vm.capacity.can_fit(known.capacity):
