End the runs of a silent worker once the list of VMs shows that it is gone

Cause: a bound by time where a fact was at hand. A worker that has left answers nothing, and since its runs counted as going on for the longest lease of all: after a change of the dispatcher, one that was still listed held all inherited jobs of its pool back for 11.5 s (17.5 s after a suspicion), and one that had answered the successor and left then kept its tasks for 10.5 s. The platform's list of VMs, which names the worker of each VM that is up, showed all the while that it was gone, but only orders of the dispatcher's own made it look there.

Change: a worker that does not answer, and that a list of VMs shows on no VM that is up, is over. The list must be recent enough: requested 3 s after the last start that the worker's next life may still take, and for a worker never heard in this term also after its predecessor may have acted for the last time. Rows that can't be read prove nothing. The list is read once a second while a worker is silent. Leases and their bounds stay as they are.

The tests of test_gone_workers.py use what this change adds and can't run before it. test_recuts.py passes unchanged.

--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -23,6 +23,10 @@
 # A wait for a worker of an earlier term is logged after this time. Workers that can be
 # reached answer sooner.
 LOGGED_WAIT_S = 1.0
+# A call that finds its worker down may reach the worker's next life this late.
+LATE_CALL_S = 2.0
+# The VM list may show the state of this long before it was read.
+VM_LIST_LAG_S = 1.0
 
 # A worker's lease outlasts a takeover on suspicion after a dispatcher is lost without
 # notice (see suspicion.py), but not one that waits for the term's lease to expire.
@@ -48,7 +52,8 @@
 WORKER_LIST_REFRESH_S = 4.0
 CONFIG_WATCH_S = 1.5
 TERM_WATCH_S = 1.5
-# How often the VM list is read while VMs are emptied or moving, and otherwise.
+# How often the VM list is read while VMs are emptied or moving or workers are silent,
+# and otherwise.
 MACHINES_POLL_S = 1.0
 MACHINES_IDLE_POLL_S = 3.0
 
--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -113,7 +113,7 @@
                         self._count(lost, view.worker.worker)
                     else:
                         others.append(lost)
-            case WorkerEnd.LEASE_EXPIRED if vm is not None:
+            case WorkerEnd.LEASE_EXPIRED | WorkerEnd.VM_GONE if vm is not None:
                 for lost in examine_crash(view):
                     if lost.task.key in keys:
                         self._add_unsettled(view, lost)
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -291,16 +291,24 @@
     def inherited_runs_end_s(self) -> float:
         """Return until when an unreachable worker may run tasks of earlier terms.
 
-        The previous dispatcher may have granted worker leases until its term ended.
-        Its term can outlast the start of this one only if other entries ended it on
-        suspicion. A worker that started again under its id holds the longest lease of
-        all by a call that was meant for its former incarnation.
+        The previous dispatcher may have granted worker leases until its term ended. A
+        worker that started again under its id holds the longest lease of all by a call
+        that was meant for its former incarnation.
         """
         lease_s = self.tracker.longest_lease_s + LEASE_MARGIN_S
-        overlap_s = (
-            TERM_LEASE_S if self.was_predecessor_suspected else PREDECESSOR_IN_FLIGHT_S
-        )
-        return self._started_s + overlap_s + lease_s
+        in_flight_s = 0.0 if self.was_predecessor_suspected else PREDECESSOR_IN_FLIGHT_S
+        return self.predecessor_end_s + in_flight_s + lease_s
+
+    @property
+    def predecessor_end_s(self) -> float:
+        """Return until when the previous dispatcher may have sent calls to workers.
+
+        Its term can outlast the start of this one only if other entries ended it on
+        suspicion.
+        """
+        if self.was_predecessor_suspected:
+            return self._started_s + TERM_LEASE_S
+        return self._started_s
 
     def add_worker(self, worker: Worker) -> None:
         """Open a session with a worker that is not yet known."""
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -44,6 +44,7 @@
     REPLACED = "the list shows another life"
     LEASE_EXPIRED = "its lease is over"
     VM_ORDERED = "its VM left"
+    VM_GONE = "the VM list shows that it is gone"
 
 
 @dataclass(slots=True)
@@ -160,9 +161,14 @@
         """Return whether the worker reported that it is draining."""
         return self.worker.state is WorkerState.DRAINING
 
-    def has_open_starts(self) -> bool:
-        """Return whether the next incarnation may have taken the start of a task."""
-        return any(task.is_open for task in self.tasks.values())
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the worker has not answered yet, or not the last call."""
+        return self.is_failing or self.last_answer_s is None
+
+    def open_starts(self) -> list[Task]:
+        """Return the tasks whose starts the next incarnation may have taken."""
+        return [task for task in self.tasks.values() if task.is_open]
 
     def reserved(self) -> Resources:
         """Return the resources of all runs, including those being stopped."""
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 
 from jayshunt.clock import Clock
-from jayshunt.dispatch.const import MACHINES_IDLE_POLL_S, MACHINES_POLL_S
+from jayshunt.dispatch.const import (
+    LATE_CALL_S,
+    MACHINES_IDLE_POLL_S,
+    MACHINES_POLL_S,
+    VM_LIST_LAG_S,
+)
 from jayshunt.dispatch.errors import TermEnded
 from jayshunt.dispatch.evacuation import EvacuationReason, PlannedStops
 from jayshunt.dispatch.fleet import WorkerView
@@ -15,7 +20,6 @@
 from jayshunt.dispatch.sizing import PoolSizer
 from jayshunt.dispatch.vm_departures import VmDepartures
 from jayshunt.dispatch.vm_inventory import Views, VmInventory
-from jayshunt.dispatch.vms import VmState
 from jayshunt.dispatch.wave_book import WaveBook, WaveState
 from jayshunt.dispatch.waves import choose_next
 from jayshunt.errors import JayshuntError
@@ -111,9 +115,45 @@
         if orders is None or not orders.ends_worker(view.worker.worker):
             return True
         known = self.inventory.vms.get(view.worker.vm) if view.worker.vm else None
-        if known is None:
+        return known is None or known.runs(view.worker.worker)
+
+    def _is_vm_list_due(self, now_s: float) -> bool:
+        """Return whether to read the VM list, more often while something changes."""
+        listed_s = self.inventory.listed_s
+        if listed_s is None:
             return True
-        return known.state is VmState.UP and known.worker == view.worker.worker
+        with self._dispatcher.lock:
+            is_busy = (
+                bool(self.departures.being_emptied())
+                or self.inventory.is_changing()
+                or bool(self._dispatcher.tracker.silent_workers())
+            )
+        return now_s - listed_s >= (
+            MACHINES_POLL_S if is_busy else MACHINES_IDLE_POLL_S
+        )
+
+    def _end_gone_workers(self, now_s: float) -> None:
+        """End the silent workers that the VM list of `now_s` shows to be gone."""
+        tracker = self._dispatcher.tracker
+        for view in tracker.silent_workers():
+            worker = view.worker
+            is_recent = now_s >= self._vm_list_counts_from_s(view)
+            if is_recent and self.inventory.shows_gone(worker.worker, worker.vm):
+                tracker.remove_gone(view, self._clock.monotonic_s())
+
+    def _vm_list_counts_from_s(self, view: WorkerView) -> float:
+        """Return from when on a VM list tells the end of a worker and of all its runs.
+
+        An earlier list may be older than the worker, and a call that was sent before
+        the worker ended may still reach its next life.
+        """
+        calls_end_s = max(
+            (task.sent_s or task.ordered_s for task in view.open_starts()),
+            default=view.first_seen_s - LATE_CALL_S,
+        )
+        if view.last_answer_s is None:
+            calls_end_s = max(calls_end_s, self._dispatcher.predecessor_end_s)
+        return calls_end_s + LATE_CALL_S + VM_LIST_LAG_S
 
     def run(self, stop: threading.Event) -> None:
         """Carry out waves and adapt pools to demand until stopped."""
@@ -154,13 +194,12 @@
             departures.recent_orders = RecentOrders.read(
                 self._store, now_s, self._order_block_s
             )
-        is_busy = bool(departures.being_emptied()) or inventory.is_changing()
-        interval_s = MACHINES_POLL_S if is_busy else MACHINES_IDLE_POLL_S
-        if inventory.listed_s is None or now_s - inventory.listed_s >= interval_s:
+        if self._is_vm_list_due(now_s):
             vms = self._machines.list()
             with self._dispatcher.lock:
-                inventory.apply_list(vms, now_s)
+                inventory.apply_list(vms, now_s, self._machines.is_complete)
                 departures.drop_gone_vms()
+                self._end_gone_workers(now_s)
             self._dispatcher.planner.wake()
         if self._waves_read_s is None or now_s - self._waves_read_s >= WAVES_POLL_S:
             self.waves.read(self._store)
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -115,6 +115,10 @@
         view.usage = self.usage
         self.workers[view.worker.worker] = view
 
+    def silent_workers(self) -> list[WorkerView]:
+        """Return the workers that have not answered yet, or not the last call."""
+        return [view for view in self.workers.values() if view.is_silent]
+
     # --- jobs ---
 
     def is_deferred(self, job_id: JobId) -> bool:
@@ -427,7 +431,19 @@
         It may stay listed for a while, and is not used again within DEPARTED_S. As it
         may also be out of reach, it is then used if it is still listed.
         """
-        self.remove_worker(view, now_s, WorkerEnd.VM_ORDERED, reason)
+        self._remove_departed(view, now_s, WorkerEnd.VM_ORDERED, reason)
+
+    def remove_gone(self, view: WorkerView, now_s: float) -> None:
+        """Remove a worker that the VM list shows to be gone; see `remove_ordered_away`.
+
+        The list may lack a worker by mistake.
+        """
+        self._remove_departed(view, now_s, WorkerEnd.VM_GONE)
+
+    def _remove_departed(
+        self, view: WorkerView, now_s: float, end: WorkerEnd, detail: str = ""
+    ) -> None:
+        self.remove_worker(view, now_s, end, detail)
         incarnation = (view.worker.worker, view.worker.started_ms)
         self.ended_incarnations.discard(incarnation)
         for known, until_s in list(self._departed_until_s.items()):
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -236,7 +236,7 @@
                 # A successor may have renewed the lease, so the runs may go on.
                 return
             is_next_over = now_s >= view.next_lease_end_s + LEASE_MARGIN_S
-            if view.has_open_starts() and not is_next_over:
+            if view.open_starts() and not is_next_over:
                 context.tracker.end_lapsed_runs(view, now_s, reason)
                 self._follow_next_incarnation()
             elif view.tasks or view.strays or not view.is_listed:
@@ -262,7 +262,7 @@
                 "worker": view.worker.worker,
                 "born": view.worker.started_ms,
                 "tasks": len(view.tasks),
-                "open_starts": sum(task.is_open for task in view.tasks.values()),
+                "open_starts": len(view.open_starts()),
                 "lease_left_ms": round((view.lease_end_s - now_s) * 1000),
                 "next_lease_left_ms": round((view.next_lease_end_s - now_s) * 1000),
                 "reason": reason,
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -306,6 +306,7 @@
     def __init__(self, *vms) -> None:
         """Start with the VMs."""
         self.vms = vms
+        self.is_complete = True
         self.orders: list = []
         self.refused: set[VmId] = set()
         self.together: threading.Barrier | None = None
@@ -343,6 +344,7 @@
         term_valid=lambda: True,
         term_condition={},
         token=1,
+        predecessor_end_s=0.0,
         worker_list_read=True,
         send_stops=lambda stops: None,
         report_deposed=lambda reason: None,
--- /dev/null
+++ b/src/jayshunt/dispatch/tests/test_gone_workers.py
@@ -0,0 +1,121 @@
+"""Test that what the VM list shows of a silent worker ends the wait for its runs."""
+
+import unittest
+from dataclasses import replace
+
+from jayshunt.clock import ManualClock
+from jayshunt.dispatch.const import LATE_CALL_S, VM_LIST_LAG_S
+from jayshunt.dispatch.fleet_duty import FleetDuty
+from jayshunt.dispatch.models import Bounds
+from jayshunt.dispatch.tests.builders import (
+    add_worker_view,
+    build_config,
+    build_job,
+    build_report,
+    build_step,
+    build_tracker,
+    build_vm,
+    place,
+)
+from jayshunt.dispatch.tests.fakes import (
+    FakeMachines,
+    FakeStore,
+    build_fleet_dispatcher,
+)
+from jayshunt.dispatch.vms import VmState
+from jayshunt.ids import WorkerId
+
+LEASE_END_S = 100.0
+COUNTS_FROM_S = LATE_CALL_S + VM_LIST_LAG_S
+OTHER = build_vm("w2")
+
+
+class GoneWorkerTest(unittest.TestCase):
+    """Let a worker with a lasting task fall silent while its lease goes on."""
+
+    def setUp(self) -> None:
+        """Start a task on a worker, which reports it once and answers no more."""
+        self.job = build_job(build_step(is_long_running=True))
+        self.tracker = build_tracker(self.job)
+        self.view = add_worker_view(self.tracker)
+        self.view.lease_end_s = LEASE_END_S
+        self.task = place(self.tracker, self.job, 0, self.view)
+        report = build_report(self.task)
+        self.tracker.apply_run_report(self.view, report, 0.1, 0.1)
+        self.view.is_failing = True
+        self.clock = ManualClock(COUNTS_FROM_S)
+
+    def is_free_after(self, *vms, is_complete: bool = True) -> bool:
+        """Return whether the task may run elsewhere after a list of these VMs."""
+        machines = FakeMachines(*vms)
+        machines.is_complete = is_complete
+        dispatcher = build_fleet_dispatcher(self.tracker)
+        duty = FleetDuty(
+            dispatcher, FakeStore(), machines, self.clock, build_config, Bounds()
+        )
+        duty._round()
+        return self.task in self.job.ready_tasks()
+
+    def test_tasks_of_a_worker_whose_vm_left_start_elsewhere(self) -> None:
+        """They waited for the longest lease after a takeover (lost-tmsh-sched)."""
+        self.assertTrue(self.is_free_after(OTHER))
+        self.assertTrue(self.tracker.is_over(self.view.worker, COUNTS_FROM_S))
+
+    def test_worker_that_never_answered_a_successor_is_not_waited_for(self) -> None:
+        """It held all jobs of its pool back for 11.5 s (lost-kuppi-jono)."""
+        self.view.last_answer_s = None
+        self.assertTrue(self.is_free_after(OTHER))
+        self.assertEqual([], self.tracker.silent_workers())
+
+    def test_vm_that_is_not_up_with_the_worker_ends_its_runs(self) -> None:
+        """Crashed, moving and reused VMs stay in the list."""
+        for changes in (
+            {"state": VmState.DOWN, "worker": None},
+            {"state": VmState.MOVING, "worker": None},
+            {"worker": WorkerId("w9")},
+        ):
+            with self.subTest(changes):
+                self.setUp()
+                self.assertTrue(self.is_free_after(build_vm("w1", **changes)))
+
+    def test_cut_off_worker_keeps_its_tasks(self) -> None:
+        """It runs on, and its tasks would run twice."""
+        self.assertFalse(self.is_free_after(build_vm("w1"), OTHER))
+
+    def test_worker_that_answers_keeps_its_tasks(self) -> None:
+        """The list may be older than a worker that came back."""
+        self.view.is_failing = False
+        self.assertFalse(self.is_free_after(OTHER))
+
+    def test_list_that_cannot_be_read_in_full_ends_no_worker(self) -> None:
+        """The row that can't be read may be that of the worker's VM."""
+        unreadable = replace(build_vm("w1"), state=VmState.DOWN, is_readable=False)
+        self.assertFalse(self.is_free_after(unreadable, OTHER))
+        stranger = replace(build_vm("w7"), is_readable=False)
+        self.assertFalse(self.is_free_after(stranger, OTHER))
+        self.assertFalse(self.is_free_after(OTHER, is_complete=False))
+        self.assertFalse(self.is_free_after())
+
+    def test_start_that_the_next_life_may_take_stays_placed(self) -> None:
+        """A call that finds its worker down reaches the next life a moment later."""
+        self.task.running_s = None
+        self.tracker.record_sent(self.task, 1.0)
+        self.assertFalse(self.is_free_after(OTHER))
+        self.clock.advance(1.0)
+        self.assertTrue(self.is_free_after(OTHER))
+
+    def test_suspected_dispatcher_may_still_start_tasks(self) -> None:
+        """It may reach the worker's next life until its own lease is over."""
+        self.view.last_answer_s = None
+        dispatcher = build_fleet_dispatcher(self.tracker)
+        dispatcher.predecessor_end_s = 1.0
+        machines = FakeMachines(OTHER)
+        duty = FleetDuty(
+            dispatcher, FakeStore(), machines, self.clock, build_config, Bounds()
+        )
+        duty._round()
+        self.assertNotIn(self.task, self.job.ready_tasks())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/src/jayshunt/dispatch/vm_inventory.py
+++ b/src/jayshunt/dispatch/vm_inventory.py
@@ -23,16 +23,34 @@
         self._config = config
         self.vms: dict[VmId, Vm] = {}
         self.listed_s: float | None = None
+        self.is_complete = False
 
-    def apply_list(self, vms: Iterable[Vm], now_s: float) -> None:
+    def apply_list(
+        self, vms: Iterable[Vm], now_s: float, is_complete: bool = True
+    ) -> None:
         """Replace the VMs by those of a list that was requested at `now_s`.
 
         A VM keeps the largest size that it had, as its worker may shrink for a while.
+        `is_complete` is False if the list may have further VMs.
         """
         before, self.vms = self.vms, {vm.vm: self._at_full_size(vm) for vm in vms}
         if self.listed_s is not None:
             self._log_changes(before)
         self.listed_s = now_s
+        self.is_complete = is_complete
+
+    def shows_gone(self, worker: WorkerId, vm: VmId | None) -> bool:
+        """Return whether the list shows that a worker had ended when it was made.
+
+        `vm` is where the worker ran, None if it is unknown. The platform names the
+        worker of each VM that is up.
+        """
+        known = None if vm is None else self.vms.get(vm)
+        if known is not None:
+            return known.is_readable and not known.runs(worker)
+        is_named = any(other.worker == worker for other in self.vms.values())
+        is_readable = all(other.is_readable for other in self.vms.values())
+        return bool(self.vms) and self.is_complete and is_readable and not is_named
 
     def _log_changes(self, before: dict[VmId, Vm]) -> None:
         """Log the VMs that were lost, left or came back since the list before."""
--- a/src/jayshunt/dispatch/vms.py
+++ b/src/jayshunt/dispatch/vms.py
@@ -21,7 +21,11 @@
 
 @dataclass(frozen=True)
 class Vm:
-    """Represent a VM of the platform's VM list."""
+    """Represent a VM of the platform's VM list.
+
+    If its row can't be read, `is_readable` is False and the rest is as in the last list
+    that could be read.
+    """
 
     vm: VmId
     pool: PoolName
@@ -31,6 +35,11 @@
     labels: frozenset[str]
     capacity: Resources
     worker: WorkerId | None = None
+    is_readable: bool = True
+
+    def runs(self, worker: WorkerId) -> bool:
+        """Return whether the VM is up with this worker."""
+        return self.state is VmState.UP and self.worker == worker
 
 
 class DutyRefusal(Enum):
--- a/src/jayshunt/platform/machine_calls.py
+++ b/src/jayshunt/platform/machine_calls.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from dataclasses import replace
 from urllib.parse import quote
 
 from jayshunt import http_client
@@ -33,6 +34,7 @@
     An order carries the name of this entry and the fencing token of its term as the
     dispatcher, so that the service refuses orders of a former dispatcher. The answer
     to an order is a DutyAnswer; DutyRefusal gives the reason of a refusal.
+    `is_complete` is False if a row of the last list told not even its VM.
     """
 
     def __init__(self, address: Address, entry: EntryId) -> None:
@@ -40,6 +42,7 @@
         self._base = f"http://{address}"
         self._entry = entry
         self.calls = 0
+        self.is_complete = True
         self._known: dict[VmId, Vm] = {}
         self._malformed: set[str] = set()
 
@@ -47,6 +50,7 @@
         """Return every VM with its pool, state and current worker, from all pages."""
         vms: list[Vm] = []
         malformed: set[str] = set()
+        is_complete = True
         path = "/machines"
         for _ in range(MAX_PAGES):
             answer = self._call("GET", path, None, {})
@@ -58,8 +62,10 @@
                 vm = self._decode_row(row, malformed)
                 if vm is not None:
                     vms.append(vm)
+                is_complete &= vm is not None
             if not page.nextToken:
                 self._malformed = malformed
+                self.is_complete = is_complete
                 return tuple(vms)
             path = f"/machines?pageToken={quote(page.nextToken, errors='replace')}"
         raise _unreadable(f"more than {MAX_PAGES} pages")
@@ -90,7 +96,7 @@
             named = MachineRow(machine=name, pool="unknown")
         except DECODE_ERRORS:
             return None
-        return self._known.get(VmId(name)) or _vm(named)
+        return replace(self._known.get(VmId(name)) or _vm(named), is_readable=False)
 
     def move(self, vm: VmId, pool: PoolName, token: int) -> DutyAnswer:
         """Move a VM to a pool; the platform ends all its runs immediately."""
