Store the starts of lasting tasks, so that a successor waits for their workers only

Cause: a successor of a dispatcher that was killed, or ended on suspicion, knew no run of an earlier term. Any worker that it had not heard might run any inherited job of its pool, also one that could not have it, and a suspected dispatcher might start more for 7 s.

Change: the start of a task of a job that lasts is stored with the progress of its job before the order is sent, on condition of the term. A successor knows that such a task runs on the stored worker or nowhere. A dispatcher that was replaced can store no start, and so can start none of them.

Such starts now wait for the store, also while it is away; before, those of a new job and of a task that had survived a start did not. The test test_jobs_whose_starts_must_be_stored_are_held_back asserted that a lasting job may start then; it asserts now that it is held back, since its starts must be stored.

--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -7,15 +7,18 @@
 from jayshunt.clock import Clock
 from jayshunt.dispatch.commits import ProgressWriter
 from jayshunt.dispatch.const import (
+    LATE_CALL_S,
     LEASE_MARGIN_S,
     MAX_LEASE_FRACTION,
     PREDECESSOR_IN_FLIGHT_S,
     TERM_LEASE_S,
+    VM_LIST_LAG_S,
     WORKER_LEASE_S,
 )
 from jayshunt.dispatch.errors import JobWithdrawn, TermEnded
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView, is_capacity_known
 from jayshunt.dispatch.fleet_duty import FleetDuty
+from jayshunt.dispatch.inherited_starts import InheritedStarts
 from jayshunt.dispatch.intake_reader import IntakeReader
 from jayshunt.dispatch.job_memory import JobMemory, JobRoom
 from jayshunt.dispatch.memory_budget import (
@@ -147,6 +150,7 @@
             node.vm_orders_per_s,
             DemandForecaster() if node.features.demand_forecast else None,
         )
+        self.inherited_starts = InheritedStarts(self, self._started_s)
         self.tracker.on_task_done = self.planner.learn_run
         self.tracker.on_worker_end = self.planner.speeds.forget
 
@@ -310,6 +314,15 @@
             return self._started_s + TERM_LEASE_S
         return self._started_s
 
+    @property
+    def vm_list_counts_from_s(self) -> float:
+        """Return from when on a VM list tells the end of runs that a term stored.
+
+        Only a term in force stores a start, so that the last calls were sent before
+        this term began. They may reach the next life of their worker a moment later.
+        """
+        return self._started_s + LATE_CALL_S + VM_LIST_LAG_S
+
     def add_worker(self, worker: Worker) -> None:
         """Open a session with a worker that is not yet known."""
         now_s = self._clock.monotonic_s()
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -191,6 +191,7 @@
     def place(self, task: Task) -> None:
         """Assign a task to the worker."""
         task.worker, task.vm = self.worker.worker, self.worker.vm
+        task.inherited_start = None
         if task.key not in self.tasks:
             self.load.add(task)
             spec = task.spec
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -118,10 +118,15 @@
         return known is None or known.runs(view.worker.worker)
 
     def _is_vm_list_due(self, now_s: float) -> bool:
-        """Return whether to read the VM list, more often while something changes."""
+        """Return whether to read the VM list, more often while something changes.
+
+        It is also read as soon as it tells the end of runs that the last term stored.
+        """
         listed_s = self.inventory.listed_s
         if listed_s is None:
             return True
+        if listed_s < self._dispatcher.vm_list_counts_from_s <= now_s:
+            return True
         with self._dispatcher.lock:
             is_busy = (
                 bool(self.departures.being_emptied())
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -172,6 +172,7 @@
         with lock:
             added = tracker.add_job(job)
             if added:
+                self._dispatcher.inherited_starts.add_job(job)
                 tracker.apply_config(job, self._queue_config(accepted))
                 self._dispatcher.planner.workspaces.record_added(job)
             stops = tracker.end_deferral(job_id, now_s)
--- a/src/jayshunt/dispatch/placing.py
+++ b/src/jayshunt/dispatch/placing.py
@@ -98,6 +98,8 @@
     skipped_steps: set[StepKey] = set()
     for task in job.ready_tasks():
         key = step_key(task)
+        if task.inherited_start is not None:
+            continue
         if key in skipped_steps or only_step not in (None, key):
             continue
         if task.spec.is_gang:
@@ -176,7 +178,10 @@
 ) -> list[Placement]:
     """Place all tasks of a gang or none, on a single rack if possible."""
     tasks = job.steps[first.key.occurrence, first.key.step]
-    if any(task.phase is not TaskPhase.WAITING for task in tasks):
+    if any(
+        task.phase is not TaskPhase.WAITING or task.inherited_start is not None
+        for task in tasks
+    ):
         return []
     if not policy.gate.may_start(job, tasks):
         return []
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -209,6 +209,7 @@
             self._apply_config()
             jobs = self.active_jobs()
             self._create_due_tasks(jobs)
+            dispatcher.inherited_starts.settle(now_s)
             may_start = self._startable(now_s)
             tracker = dispatcher.tracker
             tracker.crashes.start_wait_of_inherited(may_start, now_s)
@@ -321,7 +322,7 @@
         self.observe_wait(job.config.pool, now_s - task.waiting_since_s)
         ticket = self.tickets.ticket(task, view.worker)
         version = job.pools_version
-        if task.run_at_risk is not None:
+        if task.run_at_risk is not None or job.stores_starts:
             version = tracker.versions[job.spec.job]
         return self._dispatcher.sessions[worker], StartTask(
             task, run, job.spec.payload, version, ticket
@@ -399,6 +400,8 @@
         Inherited jobs are held back while a worker that has not answered in this
         term may still run one of their tasks, at most until the dispatcher's
         `inherited_runs_end_s`, and while one has not listed all ends of their tasks.
+        Of a job that stores its starts, only the tasks wait that were started on such a
+        worker; see `InheritedStarts`.
         """
         dispatcher = self._dispatcher
         silent: list[WorkerView] | None = None
@@ -421,7 +424,7 @@
             return lambda job: True
         self._log_unheard(silent or [], now_s)
         if silent is None:
-            return lambda job: not job.is_inherited
+            return lambda job: not job.is_inherited or job.stores_starts
         return self._hold_back_jobs_on(silent)
 
     def _log_unheard(self, silent: list[WorkerView], now_s: float) -> None:
@@ -476,7 +479,7 @@
         if not self._dispatcher.is_store_failing():
             return may_start
         return lambda job: (
-            may_start(job) and (job.spec.is_long_running or not job.is_inherited)
+            may_start(job) and not (job.stores_starts or job.is_inherited)
         )
 
     def _hold_back_jobs_on(self, silent: list[WorkerView]) -> Callable[[Job], bool]:
@@ -489,11 +492,15 @@
         handoff = self._dispatcher.handoff
         if handoff is None:
             pools = {view.worker.pool for view in silent}
-            return lambda job: not job.is_inherited or pools.isdisjoint(job.pools)
+            return lambda job: (
+                not job.is_inherited or job.stores_starts or pools.isdisjoint(job.pools)
+            )
+        inherited_starts = self._dispatcher.inherited_starts
         blocked_jobs = {
             name.partition(".")[0]
             for view in silent
             for name in handoff.get(view.worker.worker, ())
+            if not inherited_starts.is_waiting(name)
         }
         return lambda job: not job.is_inherited or job.spec.job not in blocked_jobs
 
--- a/src/jayshunt/dispatch/record_models.py
+++ b/src/jayshunt/dispatch/record_models.py
@@ -117,6 +117,19 @@
     runs: tuple[StoredRunAtRisk, ...] = ()
 
 
+class StoredStarts(CheckedModel):
+    """Represent tasks of one step that were started on a worker with one run number.
+
+    `vm` is empty if it is unknown.
+    """
+
+    worker: Name
+    vm: Text = ""
+    run: Whole
+    step: StepName
+    indices: list[Count]
+
+
 class StoredState(CheckedModel):
     """Represent only the state of a job's progress."""
 
@@ -131,6 +144,7 @@
     failures: dict[TaskName, Annotated[list[Whole], Field(min_length=1)]] = {}
     checkpoints: dict[TaskName, Checkpoint] = {}
     crashes: dict[TaskName, StoredCrashes] = {}
+    starts: list[StoredStarts] = []
 
 
 class StoredTerm(CheckedModel):
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -20,12 +20,13 @@
     StoredJob,
     StoredOwner,
     StoredProgress,
+    StoredStarts,
     StoredState,
     StoredStep,
     StoredTerm,
 )
 from jayshunt.dispatch.store_models import Term
-from jayshunt.dispatch.tasks import Job, Task, TaskPhase
+from jayshunt.dispatch.tasks import InheritedStart, Job, Task, TaskPhase
 from jayshunt.ids import (
     EntryId,
     JobId,
@@ -34,6 +35,7 @@
     QueueName,
     RackName,
     Revision,
+    VmId,
     WorkerId,
     WorkspaceName,
 )
@@ -162,9 +164,10 @@
 
     Done tasks are lists of indices by occurrence and step. Failed runs, checkpoints and
     crashes of the other tasks are keyed by occurrence, step and index. Crashes include
-    the runs of which it is not known whether they crashed their worker. Pools are left
-    out while there is only that of the job's acceptance. A job in a final state has
-    only its state.
+    the runs of which it is not known whether they crashed their worker. Starts are
+    those that may be going on, of a job that stores them. Pools are left out while
+    there is only that of the job's acceptance. A job in a final state has only its
+    state.
     """
     done: dict[str, list[int]] = {}
     failures: dict[str, tuple[int, ...]] = {}
@@ -195,6 +198,9 @@
         fields["checkpoints"] = checkpoints
     if crashes:
         fields["crashes"] = crashes
+    starts = _encode_starts(job) if job.stores_starts else []
+    if starts and not job.state.is_final:
+        fields["starts"] = starts
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -224,11 +230,38 @@
         if task is not None:
             _apply_crashes(task, row)
             job.has_started = True
+    for row in fields.starts:
+        _apply_starts(job, row)
     if fields.state.is_final:
         job.state = fields.state
     job.stored_state = fields.state
 
 
+def _encode_starts(job: Job) -> list[dict]:
+    """Return where the job's tasks may run, by worker, run number and step."""
+    rows: dict[tuple, list[int]] = {}
+    for task in job.tasks():
+        start = task.inherited_start
+        if task.worker is not None:
+            start = InheritedStart(task.worker, task.vm, task.run)
+        if start is not None:
+            step = f"{task.key.occurrence}.{task.key.step}"
+            row = (start.worker, start.vm or "", start.run, step)
+            rows.setdefault(row, []).append(task.key.index)
+    names = ("worker", "vm", "run", "step")
+    return [{**dict(zip(names, row)), "indices": ids} for row, ids in rows.items()]
+
+
+def _apply_starts(job: Job, row: StoredStarts) -> None:
+    start = InheritedStart(WorkerId(row.worker), VmId(row.vm) or None, row.run)
+    for index in row.indices:
+        task = _task(job, f"{row.step}.{index}")
+        if task is not None and task.phase is not TaskPhase.DONE:
+            task.inherited_start = start
+            task.run = max(task.run, row.run)
+            job.has_started = True
+
+
 def _runs_at_risk(task: Task) -> tuple[RunAtRisk, ...]:
     """Return the runs of a task that a later term has to settle, the newest last."""
     if task.run_at_risk is None:
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -216,6 +216,8 @@
             task.is_pace_known = False
             view.place(task)
             self._update_running(task, row, now_s)
+            if job.stores_starts:
+                self._tracker.mark_dirty(job)
             return None
         view.add_stray(row.task, StrayRun.of_task(task, row.run))
         return StopOrder(worker, row.task, row.run)
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -228,6 +228,9 @@
         task.sent_s = None
         view.place(task)
         self.crashes.record_ordered(task, view)
+        job = self.jobs[task.key.job]
+        if job.stores_starts:
+            self.mark_dirty(job)
 
     def record_sent(self, task: Task, now_s: float) -> None:
         """Record that the start order of a task's run is sent now."""
@@ -525,7 +528,9 @@
         job = self.jobs.get(task.key.job)
         if job is None:
             return
-        was_stored = task.is_suspect or task.run_at_risk is not None
+        was_stored = (
+            task.is_suspect or task.run_at_risk is not None or job.stores_starts
+        )
         job.requeue(task, now_s)
         if was_stored:
             self.mark_dirty(job)
--- a/src/jayshunt/dispatch/tasks.py
+++ b/src/jayshunt/dispatch/tasks.py
@@ -30,6 +30,18 @@
     DONE = "done"
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedStart:
+    """Represent a stored start of an earlier term, of which the end is not known.
+
+    `vm` is that of `worker`, None if it is unknown.
+    """
+
+    worker: WorkerId
+    vm: VmId | None
+    run: int
+
+
 @dataclass(slots=True)
 class Task:
     """Track one task.
@@ -55,7 +67,8 @@
     known yet whether their workers crashed. `blamed_run` is the last run that a crash
     counted against while its start was open. `has_survived_start` tells that a worker
     reported some run of the task in this term a while after its start. `vm` is that of
-    `worker`, and `workspace` owns the job.
+    `worker`, and `workspace` owns the job. While `inherited_start` is set, the task may
+    still run there, and is not started.
     """
 
     key: TaskKey
@@ -84,6 +97,7 @@
     has_survived_start: bool = False
     vm: VmId | None = None
     workspace: WorkspaceName = WorkspaceName("")
+    inherited_start: InheritedStart | None = None
 
     @property
     def failures(self) -> int:
@@ -149,6 +163,7 @@
         self.pace = 100
         self.is_pace_known = True
         self.run_at_risk = None
+        self.inherited_start = None
 
 
 @dataclass(slots=True)
@@ -211,6 +226,15 @@
         if not self.spec.times and not self.state.is_final:
             self.create_occurrence(0)
 
+    @property
+    def stores_starts(self) -> bool:
+        """Return whether the starts of the job's tasks are stored before they are sent.
+
+        A later term then knows on which worker each task may be. For jobs that last,
+        the wait for the store is short, and any other wait is unavailability.
+        """
+        return self.spec.is_long_running
+
     @property
     def deadline_s(self) -> float:
         """Return when the job should be complete, in monotonic seconds."""
--- a/src/jayshunt/dispatch/tests/test_dispatcher.py
+++ b/src/jayshunt/dispatch/tests/test_dispatcher.py
@@ -91,13 +91,14 @@
         fleet = FakeFleet(0)
         dispatcher = fleet.build_dispatcher()
         new, inherited = build_job(), build_job(is_inherited=True)
-        lasting = build_job(build_step(is_long_running=True), is_inherited=True)
+        lasting = build_job(build_step(is_long_running=True))
         for failing_s, expected in ((0.0, True), (0.5, False)):
             fleet.store.failing_s = failing_s
             hold_back = dispatcher.planner._hold_back_while_store_fails
             may_start = hold_back(lambda job: True)
             self.assertEqual(expected, may_start(inherited))
-            self.assertTrue(may_start(new) and may_start(lasting))
+            self.assertEqual(expected, may_start(lasting))
+            self.assertTrue(may_start(new))
 
 
 class SubmissionTest(unittest.TestCase):
