Answer requests that were received behind another one while draining

Cause: an entry that has been sent SIGTERM answered a request with Connection: close although further requests had been received on the connection. It had read them, and they got no answer. Change: the connection is closed after the answer to the last request received. The new test fails before with one answer of three.

--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -115,11 +115,12 @@
     ) -> None:
         """Prepare to read the first request.
 
-        While `is_draining` returns true, answers get `Connection: close`. For
-        `idle_stop_fd`, see CallerStream. `sizes` returns the limits of the next
-        request, those of `limits` by default. `observe_refusal` is called for each
-        request that is refused while it is read. While `is_crowded` returns true,
-        connections with pipelined requests are closed after each answer.
+        While `is_draining` returns true, the answer to the last request that was
+        received gets `Connection: close`. For `idle_stop_fd`, see CallerStream. `sizes`
+        returns the limits of the next request, those of `limits` by default.
+        `observe_refusal` is called for each request that is refused while it is read.
+        While `is_crowded` returns true, connections with pipelined requests are closed
+        after each answer.
         """
         self._connection = connection
         self._client = client
@@ -177,7 +178,9 @@
             self._current = None
             request.body = b""
             self._charge.reduce_to(0)
-        keep_alive = request.head.keep_alive and not self._is_draining()
+        # Requests that were received behind this one are answered before the close.
+        is_last = self._is_draining() and not self._stream.has_pipelined
+        keep_alive = request.head.keep_alive and not is_last
         if keep_alive and self._stream.has_pipelined and self._is_crowded():
             # Other callers would wait until all requests sent ahead are answered.
             keep_alive = False
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -49,10 +49,11 @@
     """HTTP server that runs a WSGI application for callers, operators or peers.
 
     A stop takes these steps: during the drain grace period, connections are still
-    accepted and each answer has `Connection: close`; then the connections left in
-    the accept queue are accepted, the port is closed, and idle connections are
-    closed. Requests in flight are answered within the drain timeout. `counts` holds
-    the number of connections by "accepted" or the code of the refusal.
+    accepted and each answer has `Connection: close` unless further requests have been
+    received; then the connections left in the accept queue are accepted, the port is
+    closed, and idle connections are closed. Requests in flight are answered within the
+    drain timeout. `counts` holds the number of connections by "accepted" or the code of
+    the refusal.
 
     While there are almost as many connections as allowed, each new one closes the one
     that has been without a request for longest, or that has been sending or receiving
--- a/src/jayshunt/serving/tests/test_http_server.py
+++ b/src/jayshunt/serving/tests/test_http_server.py
@@ -201,6 +201,20 @@
         self.assertIn(b"answer to splitter", received)
         self.assertIn(b"Connection: close", received)
 
+    def test_stop_answers_requests_that_were_received_behind_another(self):
+        """`Connection: close` dropped pipelined requests that had been read."""
+        router = BlockingRouter()
+        server = start_server(router)
+        with connect(server) as connection:
+            connection.sendall(b"".join(post(f"part {n}".encode()) for n in range(3)))
+            router.entered.wait(5)
+            server.begin_stop()
+            router.released.set()
+            received = read_all(connection)
+        server.stop()
+        self.assertEqual(3, received.count(b"answer to part"))
+        self.assertEqual(1, received.count(b"Connection: close"))
+
     def test_stop_takes_connections_that_wait_to_be_accepted(self):
         """A connection in the accept queue must not be reset by the stop."""
         server = start_server(FakeRouter())
