Answer a call after an unexpected error

Cause: an exception that is no JayshuntError, such as a field that is missing in an answer of the dispatcher, ended the connection of the caller without an answer. Change: it is logged and answered with 504, as part of the call may have been done. Measured: the new test fails before with an empty reply.

--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -75,10 +75,7 @@
         self._authenticator = authenticator
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
-        """Handle one request.
-
-        A JayshuntError becomes an error response; other exceptions are not caught.
-        """
+        """Handle one request; an exception becomes an error response."""
         request: IncomingRequest = environ["jayshunt.request"]
         http_method = request.head.method
         started_s = time.monotonic()
@@ -86,6 +83,10 @@
             status, body, headers = self._answer(request, environ)
         except JayshuntError as error:
             status, body, headers = _error_answer(error)
+        except Exception:
+            _LOGGER.exception("entry: unexpected error in a call")
+            # Part of the call may have been carried out.
+            status, body, headers = 504, {"error": "internal_error"}, []
         self._observe(http_method, status, time.monotonic() - started_s)
         data = b"" if body is None else json.dumps(body).encode()
         start_response(f"{status} -", [JSON_TYPE, *headers])
--- a/src/jayshunt/platform/tests/test_front_api.py
+++ b/src/jayshunt/platform/tests/test_front_api.py
@@ -121,6 +121,12 @@
         self.entry.error = AcceptUnknown("no answer of the store")
         self.assertEqual(504, self.submit().status)
 
+    def test_unexpected_error_is_answered(self) -> None:
+        """The connection was closed instead, and the request got no answer."""
+        self.entry.error = KeyError("state")
+        with self.assertLogs("jayshunt.platform.front_api", "ERROR"):
+            self.assertEqual(504, self.submit().status)
+
     def test_refusal_for_lack_of_memory_is_no_final_refusal(self) -> None:
         """An earlier submission of the job may have been accepted at another entry."""
         body = json.dumps({"steps": [{"image": "x" * 199}] * 64}).encode()
