Keep and fetch VMs with the labels that tasks require

Cause: the need of a pool was counted in processors, memory and spread alone. Change: a pool keeps the idle VMs with a label that its unfinished steps require, and fetches as many as it lacks before its other shortages are covered. Measured: both new tests fail before (1 VM kept of 2 needed by the second step's label, none fetched of two) and pass after.

--- a/src/jayshunt/dispatch/sizing.py
+++ b/src/jayshunt/dispatch/sizing.py
@@ -13,6 +13,12 @@
 from dataclasses import dataclass, field
 
 from jayshunt.dispatch.fleet import WorkerView, has_not_answered
+from jayshunt.dispatch.label_needs import (
+    PoolLabel,
+    label_needs,
+    match_labels,
+    spread_vms,
+)
 from jayshunt.dispatch.models import FleetConfig, Resources, StepSpec
 from jayshunt.dispatch.placement_policy import StartGate
 from jayshunt.dispatch.tasks import Job
@@ -110,6 +116,7 @@
         spare = {pool.pool for pool in config.pools if pool.is_spare}
         if not spare:
             return []
+        jobs = list(jobs)
         demands = self._demands(jobs, views, now_s, gate)
         present = _present(vms, views, being_emptied, now_s)
         pools = [pool.pool for pool in config.pools if not pool.is_spare]
@@ -124,7 +131,19 @@
             for pool in pools
         }
         idle = _idle_vms(vms, views, being_emptied | blocked, spare, now_s)
-        moves = self._cover_shortages(idle, spare)
+        kept, missing = match_labels(
+            label_needs(jobs, WAITING_FRACTION, lambda p: _packed_millicores(vms, p)),
+            present,
+            {vm for free in idle.values() for vm in free},
+            lambda vm, label: label in _labels(vm, views),
+        )
+        idle = {
+            pool: [vm for vm in free if vm not in kept] for pool, free in idle.items()
+        }
+        moves = self._cover_label_shortages(
+            missing, idle, spare, {vm.vm: _labels(vm, views) for vm in vms.values()}
+        )
+        moves += self._cover_shortages(idle, spare, moves)
         moves += self._return_surplus(idle, spare, {vm for vm, _ in moves}, now_s)
         return moves[:max_moves]
 
@@ -167,10 +186,10 @@
                     if not job.has_started:
                         continue
             self.count_arrival(job, now_s)
-            spread_vms = _spread_vms(job)
-            if spread_vms:
+            spread = _spread_vms(job)
+            if spread:
                 demand = demands.setdefault(job.config.pool, PoolDemand())
-                demand.spread_vms = max(demand.spread_vms, spread_vms)
+                demand.spread_vms = max(demand.spread_vms, spread)
             if due:
                 demand = demands.setdefault(job.config.pool, PoolDemand())
                 for task in due:
@@ -236,7 +255,7 @@
         busy = max(now_millicores, HEADROOM * arriving)
         cpu = demand.long_running.cpu_millicores + busy
         memory = (demand.long_running + demand.placed + demand.waiting).memory_mb
-        by_cpu = cpu / (PACKED_FRACTION * size.cpu_millicores)
+        by_cpu = cpu / _packed_millicores(vms, pool)
         by_memory = memory / (PACKED_FRACTION * size.memory_mb)
         idle_need = (
             IDLE_FREE_VMS + demand.long_running.cpu_millicores / size.cpu_millicores
@@ -253,24 +272,55 @@
             recent.popleft()
         return max(needed for _, needed in recent)
 
+    def _sources(self, spare: set[PoolName]) -> list[PoolName]:
+        """Return the pools that give VMs: those with a surplus first, then spare."""
+        surplus = [pool for pool, need in self.needs.items() if need.shortage < 0]
+        return surplus + sorted(spare)
+
+    def _cover_label_shortages(
+        self,
+        missing: dict[PoolLabel, int],
+        idle: dict[PoolName, list[VmId]],
+        spare: set[PoolName],
+        labels: dict[VmId, frozenset[str]],
+    ) -> list[tuple[VmId, PoolName]]:
+        """Fetch VMs with the labels that pools lack for their tasks."""
+        moves: list[tuple[VmId, PoolName]] = []
+        for (pool, label), count in missing.items():
+            for source in self._sources(spare):
+                taken = {vm for vm, _ in moves}
+                limit = count
+                if source in self.needs:
+                    given = sum(vm in idle.get(source, ()) for vm in taken)
+                    limit = min(limit, -self.needs[source].shortage - given)
+                free = [
+                    vm
+                    for vm in idle.get(source, ())
+                    if vm not in taken and label in labels[vm]
+                ]
+                fetched = free[: max(0, limit)] if source != pool else []
+                moves += [(vm, pool) for vm in fetched]
+                count -= len(fetched)
+        return moves
+
     def _cover_shortages(
-        self, idle: dict[PoolName, list[VmId]], spare: set[PoolName]
+        self,
+        idle: dict[PoolName, list[VmId]],
+        spare: set[PoolName],
+        begun: list[tuple[VmId, PoolName]],
     ) -> list[tuple[VmId, PoolName]]:
-        """Cover shortages with surplus VMs of other pools first, then spare VMs.
+        """Cover what the moves in `begun` leave of the shortages.
 
         The smallest shortage comes first, so that a pool with far more work than the
         fleet can do leaves the others what they need.
         """
-        moves: list[tuple[VmId, PoolName]] = []
+        moves = list(begun)
         short_pools = sorted(
             (need for need in self.needs.values() if need.shortage > 0),
             key=lambda need: need.shortage,
         )
         for need in short_pools:
-            sources = [
-                p for p, other in self.needs.items() if other.shortage < 0
-            ] + sorted(spare)
-            for source in sources:
+            for source in self._sources(spare):
                 limit = need.shortage - sum(pool == need.pool for _, pool in moves)
                 if source in self.needs:
                     given = sum(vm in idle.get(source, ()) for vm, _ in moves)
@@ -278,7 +328,7 @@
                 taken = {vm for vm, _ in moves}
                 free = [vm for vm in idle.get(source, ()) if vm not in taken]
                 moves += [(vm, need.pool) for vm in free[: max(0, limit)]]
-        return moves
+        return moves[len(begun) :]
 
     def _return_surplus(
         self,
@@ -303,10 +353,7 @@
     """Return how many VMs a long-running job needs because of `max_per_worker`."""
     if not job.spec.is_long_running:
         return 0
-    return max(
-        math.ceil(step.task_count / step.max_per_worker) if step.max_per_worker else 0
-        for step in job.spec.steps
-    )
+    return max(spread_vms(step) for step in job.spec.steps)
 
 
 def _arrival_rate(
@@ -336,6 +383,19 @@
     return Resources(max(1, size.cpu_millicores), max(1, size.memory_mb))
 
 
+def _packed_millicores(vms: dict[VmId, Vm], pool: PoolName) -> float:
+    """Return how much of one of a pool's VMs its tasks fill."""
+    return PACKED_FRACTION * _vm_size(vms, pool).cpu_millicores
+
+
+def _labels(vm: Vm, views: dict[VmId, WorkerView]) -> frozenset[str]:
+    """Return the labels of a VM; a worker that serves on it knows them best."""
+    view = views.get(vm.vm)
+    if vm.state is not VmState.UP or has_not_answered(view):
+        return vm.labels
+    return view.worker.labels
+
+
 def _present(
     vms: dict[VmId, Vm],
     views: dict[VmId, WorkerView],
--- a/src/jayshunt/dispatch/tests/test_sizing.py
+++ b/src/jayshunt/dispatch/tests/test_sizing.py
@@ -50,13 +50,13 @@
         for vm, at_s in list(self.arrival_s.items()):
             if now_s >= at_s:
                 del self.arrival_s[vm]
-                self.vms[vm] = build_vm(vm[3:], self.vms[vm].pool)
+                self.vms[vm] = replace(self.vms[vm], state=VmState.UP)
         for view in self.views.values():
             view.last_answer_s = now_s
 
     def move(self, vm: VmId, pool: PoolName, now_s: float) -> None:
         """Begin a move."""
-        self.vms[vm] = build_vm(vm[3:], pool, state=VmState.MOVING)
+        self.vms[vm] = replace(self.vms[vm], pool=pool, state=VmState.MOVING)
         self.arrival_s[vm] = now_s + MOVE_S
 
     def count(self, pool: PoolName, state: VmState = VmState.UP) -> int:
@@ -186,6 +186,38 @@
             self.decide([job], round_number * ROUND_S)
         self.assertGreaterEqual(self.fleet.count(POOLS[0]), 7)
 
+    def set_labels(self, labels: dict[str, str]) -> None:
+        """Give each VM in `labels` a label, and its worker too."""
+        for name, label in labels.items():
+            vm, found = VmId(f"vm-{name}"), frozenset({label})
+            self.fleet.vms[vm] = replace(self.fleet.vms[vm], labels=found)
+            view = self.fleet.views[vm]
+            view.worker = replace(view.worker, labels=found)
+
+    def test_vms_with_a_label_stay_until_the_step_that_requires_it(self) -> None:
+        """A pool gave its last VMs with the label away, and the job never ended."""
+        pool = POOLS[0]
+        self.set_labels({f"{pool}-{n}": "b" for n in (0, 1)})
+        later = build_step(required_label="b", after=(0,))
+        job = build_job(build_step(), later, queue=build_queue(pool=pool))
+        moved = set()
+        for round_number in range(60):
+            moved |= {vm for vm, _ in self.decide([job], round_number * ROUND_S)}
+        self.assertEqual(1, len(moved & {"vm-pool0-0", "vm-pool0-1"}))
+        self.assertLessEqual(self.fleet.count(pool), 3)
+
+    def test_vms_with_a_label_that_a_pool_lacks_are_fetched(self) -> None:
+        """A pool that had all the VMs that it needed got none with the label."""
+        pool = POOLS[0]
+        self.set_labels({f"{SPARE}-{n}": "b" for n in range(6)})
+        step = build_step(
+            task_count=4, is_long_running=True, max_per_worker=2, required_label="b"
+        )
+        job = build_job(step, queue=build_queue(pool=pool))
+        fetched = [vm for vm, to in self.decide([job], 0.0) if to == pool]
+        self.assertEqual(["vm-shared-0", "vm-shared-1"], fetched)
+        self.assertEqual([], [vm for vm, to in self.decide([job], 0.1) if to == pool])
+
     def test_burst_fetches_before_it_is_over(self) -> None:
         """A burst beyond a pool's capacity gets VMs of other pools in two seconds."""
         step = build_step(task_count=30, resources=Resources(20_000, 1))
