Ignore SIGHUP from the first moment of an entry's process

Cause: the handler was set only after the imports and the settings, and the interpreter restores the default while it ends, so that a SIGHUP ended an entry that was starting or stopping. Change: SIGHUP is ignored by the kernel from the first statements on.

--- a/deploy/platform_entry.py
+++ b/deploy/platform_entry.py
@@ -6,6 +6,10 @@
 from dataclasses import replace
 from pathlib import Path
 
+# An entry reads its settings only when it starts, so SIGHUP is ignored: from here on,
+# as one that arrives during the imports would end the process, and by the kernel, as
+# the interpreter restores handlers of its own while it ends.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 from jayshunt.allocator import limit_free_memory  # noqa: E402
@@ -26,8 +30,6 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    # An entry reads its settings only when it starts, so SIGHUP is ignored.
-    signal.signal(signal.SIGHUP, lambda *_: None)
     threading.stack_size(256 * 1024)
     process.start()
     while not stopped.wait(3600):
