Let calls of a stopping entry end before their connections are closed

Cause: a call waits for a dispatcher for up to 1.6 s, also in an entry that stops. Two calls that were received together on one connection waited for 3.2 s, and the second one was cut off at the drain timeout. Change: a request knows how long its connection stays open at most, and its calls get what is left of that less 0.3 s.

--- a/src/jayshunt/platform/front_api.py
+++ b/src/jayshunt/platform/front_api.py
@@ -34,6 +34,10 @@
 # Fraction of the caller's deadline that processing may use; the rest is left for
 # sending the response.
 DEADLINE_FRACTION = 0.85
+# The same for what a stopping server leaves to a request, so that it is answered before
+# its connection is closed.
+STOP_MARGIN_S = 0.3
+MIN_TIMEOUT_S = 0.05
 JSON_TYPE = ("Content-Type", "application/json")
 # What a job within the limits of its fields takes while it is being stored.
 MAX_KEPT_BYTES = 64 * 1024
@@ -145,7 +149,7 @@
         rest: str,
         workspace: WorkspaceName,
     ) -> Answer:
-        timeout_s = _timeout_s(environ)
+        timeout_s = _timeout_s(environ, request.time_left_s)
         if rest and not is_job_id(rest):
             return _answer_invalid_id(request.head.method)
         match request.head.method, rest:
@@ -204,7 +208,7 @@
     return 410, {"error": "no such job"}, []
 
 
-def _timeout_s(environ: dict) -> float:
+def _timeout_s(environ: dict, time_left_s: float) -> float:
     header = "HTTP_" + DEADLINE_HEADER.upper().replace("-", "_")
     try:
         deadline_s = float(environ.get(header, DEFAULT_DEADLINE_S * 1000)) / 1000
@@ -212,7 +216,8 @@
         deadline_s = DEFAULT_DEADLINE_S
     if not 0 < deadline_s <= MAX_DEADLINE_S:
         deadline_s = DEFAULT_DEADLINE_S
-    return max(0.05, deadline_s * DEADLINE_FRACTION)
+    timeout_s = min(deadline_s * DEADLINE_FRACTION, time_left_s - STOP_MARGIN_S)
+    return max(MIN_TIMEOUT_S, timeout_s)
 
 
 def _error_answer(error: JayshuntError) -> Answer:
--- a/src/jayshunt/platform/tests/test_front_api.py
+++ b/src/jayshunt/platform/tests/test_front_api.py
@@ -33,6 +33,7 @@
         self.error: Exception | None = None
         self.job_state: JobState | None = JobState.RUNNING
         self.callers: list = []
+        self.timeouts_s: list[float] = []
         self.is_unknown = False
 
     def submit(self, spec, queue, timeout_s) -> Accepted:
@@ -54,6 +55,7 @@
 
     def waiting(self, queue, timeout_s) -> int:
         """Return a fixed count."""
+        self.timeouts_s.append(timeout_s)
         return 12
 
     def is_outcome_unknown(self, job) -> bool:
@@ -127,6 +129,15 @@
         with self.assertLogs("jayshunt.platform.front_api", "ERROR"):
             self.assertEqual(504, self.submit().status)
 
+    def test_call_of_a_stopping_entry_ends_before_its_connection(self) -> None:
+        """A second call on a connection waited for a dispatcher until it was cut."""
+        self.assertEqual(200, self.call("GET", "/quotes/").status)
+        self.server.begin_stop()
+        self.assertEqual(200, self.call("GET", "/quotes/").status)
+        usual_s, stopping_s = self.entry.timeouts_s
+        self.assertGreater(usual_s, 2.0)
+        self.assertLess(stopping_s, 0.8)
+
     def test_refusal_for_lack_of_memory_is_no_final_refusal(self) -> None:
         """An earlier submission of the job may have been accepted at another entry."""
         body = json.dumps({"steps": [{"image": "x" * 199}] * 64}).encode()
--- a/src/jayshunt/serving/connection.py
+++ b/src/jayshunt/serving/connection.py
@@ -2,6 +2,7 @@
 
 import io
 import logging
+import math
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -67,7 +68,8 @@
 class IncomingRequest:
     """One fully read request; `jayshunt.request` in the WSGI environment.
 
-    `client` is the caller's IP address.
+    `client` is the caller's IP address. `time_left_s` is how long the connection stayed
+    open at most when the request was read, as the server was stopping.
     """
 
     head: RequestHead
@@ -75,6 +77,7 @@
     client: str
     cancellation: Cancellation
     charge: RequestCharge | None = None
+    time_left_s: float = math.inf
 
     def charge_decoding(self, max_values: int) -> None:
         """Charge what the body's decoded JSON may take, until `release_body`.
@@ -106,7 +109,7 @@
         limits: ServerLimits,
         memory: RequestMemory,
         clock: Clock,
-        is_draining: Callable[[], bool],
+        time_left_s: Callable[[], float],
         idle_stop_fd: int = -1,
         scheme: str = "http",
         sizes: Callable[[], SizeLimits] | None = None,
@@ -115,12 +118,12 @@
     ) -> None:
         """Prepare to read the first request.
 
-        While `is_draining` returns true, the answer to the last request that was
-        received gets `Connection: close`. For `idle_stop_fd`, see CallerStream. `sizes`
-        returns the limits of the next request, those of `limits` by default.
-        `observe_refusal` is called for each request that is refused while it is read.
-        While `is_crowded` returns true, connections with pipelined requests are closed
-        after each answer.
+        `time_left_s` returns how long connections stay open at most, infinity unless
+        the server is stopping. Then the answer to the last request that was received
+        gets `Connection: close`. For `idle_stop_fd`, see CallerStream. `sizes` returns
+        the limits of the next request, those of `limits` by default. `observe_refusal`
+        is called for each request that is refused while it is read. While `is_crowded`
+        returns true, connections with pipelined requests are closed after each answer.
         """
         self._connection = connection
         self._client = client
@@ -133,7 +136,7 @@
         self._sizes = sizes or (lambda: own_sizes)
         self._observe_refusal = observe_refusal
         self._is_crowded = is_crowded
-        self._is_draining = is_draining
+        self._time_left_s = time_left_s
         self._scheme = scheme
         self._current: Cancellation | None = None
         self.served = 0
@@ -179,7 +182,8 @@
             request.body = b""
             self._charge.reduce_to(0)
         # Requests that were received behind this one are answered before the close.
-        is_last = self._is_draining() and not self._stream.has_pipelined
+        is_draining = self._time_left_s() < math.inf
+        is_last = is_draining and not self._stream.has_pipelined
         keep_alive = request.head.keep_alive and not is_last
         if keep_alive and self._stream.has_pipelined and self._is_crowded():
             # Other callers would wait until all requests sent ahead are answered.
@@ -214,7 +218,14 @@
         sizes = self._sizes()
         head = parse_head(self._stream.read_head(timeout_s, sizes.max_head_bytes))
         body = self._stream.read_body(head, sizes.max_body_bytes, timeout_s)
-        return IncomingRequest(head, body, self._client, Cancellation(), self._charge)
+        return IncomingRequest(
+            head,
+            body,
+            self._client,
+            Cancellation(),
+            self._charge,
+            self._time_left_s(),
+        )
 
     def _run(self, request: IncomingRequest) -> tuple[int, Headers, bytes]:
         started: list = []
--- a/src/jayshunt/serving/http_server.py
+++ b/src/jayshunt/serving/http_server.py
@@ -1,6 +1,7 @@
 """Accept connections within limits and serve each on a thread."""
 
 import logging
+import math
 import os
 import socket
 import ssl
@@ -100,6 +101,7 @@
         self._watcher = DisconnectWatcher()
         self._acceptor: threading.Thread | None = None
         self._stopping = threading.Event()
+        self._drain_end_s = math.inf
         self._idle_stop_fd = os.eventfd(0)
         self.counts: Counter[str] = Counter()
 
@@ -130,9 +132,18 @@
         self._acceptor.start()
 
     def begin_stop(self) -> None:
-        """Start draining: send `Connection: close` with each answer from now on."""
+        """Start draining: send `Connection: close` with last answers from now on."""
+        if self._stopping.is_set():
+            return
+        limits = self._limits
+        drain_s = limits.drain_grace_s + limits.drain_timeout_s
+        self._drain_end_s = self._clock.monotonic_s() + drain_s
         self._stopping.set()
 
+    def time_left_s(self) -> float:
+        """Return how long connections stay open at most, infinity unless stopping."""
+        return self._drain_end_s - self._clock.monotonic_s()
+
     def stop(self) -> None:
         """Answer the requests of accepted connections, then close all of them."""
         self.begin_stop()
@@ -237,7 +248,7 @@
             self._limits,
             self._memory,
             self._clock,
-            self._stopping.is_set,
+            self.time_left_s,
             self._idle_stop_fd,
             "http" if connection is plain else "https",
             self._sizes,
