Count the crash of a worker that fell silent before it as uncertain

Cause: a worker was cut off right after a start, did the run and started again before it was heard. Change: a worker falls silent if the first poll that fails times out. Measured: both new tests fail before.

--- a/src/jayshunt/dispatch/crash_blame.py
+++ b/src/jayshunt/dispatch/crash_blame.py
@@ -82,7 +82,7 @@
             task,
             is_suspect=task.key in suspects,
             is_only_suspect=is_only_suspect and task.key in suspects,
-            is_certain=task.started_s is not None,
+            is_certain=task.started_s is not None and not view.fell_silent,
         )
         for task in placed
     ]
--- a/src/jayshunt/dispatch/fleet.py
+++ b/src/jayshunt/dispatch/fleet.py
@@ -85,7 +85,9 @@
 class WorkerView:
     """Track one incarnation of a worker: its clock, lease, runs and run ends.
 
-    `is_failing` means that the last call to extend the lease failed. `lease_end_s` is
+    `is_failing` means that the last call to extend the lease failed, and `fell_silent`
+    that the first of such calls was left unanswered, while a connection to a worker
+    that crashes breaks. `lease_end_s` is
     the monotonic time by which every lease that this term sent or the worker
     reported has expired, so that nothing can run under it any more. `noted_upto` is
     the highest number of an end that the worker may forget, `heard_upto` that of
@@ -137,6 +139,7 @@
     last_heard_s: float | None = None
     may_lack_ends: bool = False
     is_failing: bool = False
+    fell_silent: bool = False
     is_listed: bool = True
     is_ended: bool = False
     placement_paused_until_s: float = 0.0
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -71,7 +71,7 @@
             self._tracker.record_first_answer(view, now_s)
         view.record_clock(answer.clock_ms, now_s)
         view.last_answer_s = view.last_heard_s = now_s
-        view.is_failing = False
+        view.is_failing = view.fell_silent = False
         view.may_lack_ends = answer.may_lack_ends
         if view.outlived_order(sent_s):
             view.ordered_away_s = None
--- a/src/jayshunt/dispatch/sessions.py
+++ b/src/jayshunt/dispatch/sessions.py
@@ -31,6 +31,8 @@
 SLACK_DECAY = 0.9
 # A call that fails sooner may have found its connection broken.
 MIN_WAIT_S = 0.02
+# The HTTP client rounds timeouts down to milliseconds.
+TIMEOUT_TOLERANCE_S = 0.005
 
 
 class WorkerSession:
@@ -105,15 +107,18 @@
             )
         except JayshuntError as error:
             waited_s = context.clock.monotonic_s() - sent_s
+            timeout_s = wait_s + self._answer_slack_s
+            has_timed_out = waited_s >= timeout_s - TIMEOUT_TOLERANCE_S
             was_waiting = (
                 error.outcome is Outcome.UNKNOWN
-                and MIN_WAIT_S <= waited_s < wait_s + self._answer_slack_s
+                and MIN_WAIT_S <= waited_s
+                and not has_timed_out
             )
             self._answer_slack_s = min(MAX_ANSWER_SLACK_S, 2 * self._answer_slack_s)
             if until_ms is not None and error.outcome is Outcome.UNKNOWN:
                 with context.lock:
                     context.tracker.record_unanswered(view, context.clock.monotonic_s())
-            self._handle_no_answer(str(error), sent_s, was_waiting)
+            self._handle_no_answer(str(error), sent_s, was_waiting, has_timed_out)
             return False
         self._learn_answer_time(context.clock.monotonic_s() - sent_s - wait_s)
         if isinstance(answer, OrderAnswer):
@@ -207,7 +212,11 @@
         return POLL_WAIT_S if self.view.tasks else IDLE_POLL_WAIT_S
 
     def _handle_no_answer(
-        self, reason: str, sent_s: float, was_waiting: bool = False
+        self,
+        reason: str,
+        sent_s: float,
+        was_waiting: bool = False,
+        has_timed_out: bool = False,
     ) -> None:
         """Note that a poll failed, and give the worker up once its lease is over.
 
@@ -224,6 +233,7 @@
             else:
                 if was_waiting and view.last_heard_s is not None:
                     view.last_heard_s = now_s
+                view.fell_silent = has_timed_out
                 context.tracker.crashes.record_failing(view)
                 self._log_silence(reason, now_s)
             view.is_failing = True
--- a/src/jayshunt/dispatch/tests/test_deadly_tasks.py
+++ b/src/jayshunt/dispatch/tests/test_deadly_tasks.py
@@ -139,6 +139,12 @@
         self.assertEqual((1, 0, False), self.counts(self.old))
         self.assertEqual((0, 1, True), self.counts(self.fresh))
 
+    def test_crash_of_a_worker_that_fell_silent_is_uncertain(self) -> None:
+        """A done task failed its job: its worker was cut off, and started again."""
+        self.view.fell_silent = True
+        self.lose(WorkerEnd.RESTARTED)
+        self.assertEqual(CrashCounts(uncertain=1), self.fresh.crashes)
+
     def counts(self, task) -> tuple[int, int, bool]:
         """Return what counts against a task."""
         return task.crashes.later, task.crashes.at_start, task.is_suspect
--- a/src/jayshunt/dispatch/tests/test_sessions.py
+++ b/src/jayshunt/dispatch/tests/test_sessions.py
@@ -147,6 +147,20 @@
         now_ms = self.clock.monotonic_s() * 1000
         self.assertGreater(max(t for t in leases if t is not None), now_ms)
 
+    def test_worker_that_leaves_a_poll_unanswered_fell_silent(self) -> None:
+        """Its later crash counted like one that breaks the connection at once."""
+        for waited_s, fell_silent in ((0.2, False), (60.0, True)):
+            self.setUp()
+
+            def fail(noted, until_ms, wait_ms, timeout_s):
+                self.clock.advance(min(waited_s, timeout_s))
+                raise no_answer(Outcome.UNKNOWN)
+                yield
+
+            self.worker_api.poll_runs = fail
+            run_steps(self.session._poll_once())
+            self.assertEqual(fell_silent, self.view.fell_silent)
+
     def test_lease_is_extended_again_after_an_answer(self) -> None:
         """A single unanswered poll must not make a worker lose its runs."""
         task = place(self.tracker, self.job, 0, self.view)
