--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -25,8 +25,14 @@
 LOGGED_WAIT_S = 1.0
 # A call that finds its worker down may reach the worker's next life this late.
 LATE_CALL_S = 2.0
-# The VM list may show the state of this long before it was read.
+# Counted instead for a start without an answer while the worker's VM is listed, so that
+# the worker may start again under its id.
+HELD_START_S = 4.0
+# The VM list may show the state of this long before it was requested.
 VM_LIST_LAG_S = 1.0
+# A worker that no VM list of the term has named may have joined its VM this long before
+# a list shows it.
+VM_LIST_JOIN_LAG_S = 3.0
 
 # A worker's lease outlasts a takeover on suspicion after a dispatcher is lost without
 # notice (see suspicion.py), but not one that waits for the term's lease to expire.
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -318,8 +318,8 @@
     def vm_list_counts_from_s(self) -> float:
         """Return from when on a VM list tells the end of runs that a term stored.
 
-        Only a term in force stores a start, so that the last calls were sent before
-        this term began. They may reach the next life of their worker a moment later.
+        Only a term in force stores a start, so that the last one was sent about when
+        this term began. It may reach the next life of its worker a moment later.
         """
         return self._started_s + LATE_CALL_S + VM_LIST_LAG_S
 
--- a/src/jayshunt/dispatch/explain.py
+++ b/src/jayshunt/dispatch/explain.py
@@ -19,6 +19,7 @@
     "dispatch: the term was",
     "config: the store is",
     "dispatch: a worker is over",
+    "dispatch: runs of a worker are over",
     "dispatch: a worker is set aside",
 )
 
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -6,14 +6,16 @@
 
 from jayshunt.clock import Clock
 from jayshunt.dispatch.const import (
+    HELD_START_S,
     LATE_CALL_S,
     MACHINES_IDLE_POLL_S,
     MACHINES_POLL_S,
+    VM_LIST_JOIN_LAG_S,
     VM_LIST_LAG_S,
 )
 from jayshunt.dispatch.errors import TermEnded
 from jayshunt.dispatch.evacuation import EvacuationReason, PlannedStops
-from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.fleet import WorkerEnd, WorkerView
 from jayshunt.dispatch.models import Bounds, FleetConfig
 from jayshunt.dispatch.order_budget import DEFAULT_PER_S
 from jayshunt.dispatch.recent_orders import RecentOrders
@@ -137,28 +139,57 @@
             MACHINES_POLL_S if is_busy else MACHINES_IDLE_POLL_S
         )
 
-    def _end_gone_workers(self, now_s: float) -> None:
-        """End the silent workers that the VM list of `now_s` shows to be gone."""
-        tracker = self._dispatcher.tracker
-        for view in tracker.silent_workers():
-            worker = view.worker
-            is_recent = now_s >= self._vm_list_counts_from_s(view)
-            if is_recent and self.inventory.shows_gone(worker.worker, worker.vm):
-                tracker.remove_gone(view, self._clock.monotonic_s())
+    def _end_gone_workers(self) -> None:
+        """End the runs of silent workers that the VM list shows to be gone.
 
-    def _vm_list_counts_from_s(self, view: WorkerView) -> float:
-        """Return from when on a VM list tells the end of a worker and of all its runs.
+        The term must have been in force when the list was requested: a successor would
+        see the same and start their tasks elsewhere.
+        """
+        dispatcher, listed_s = self._dispatcher, self.inventory.listed_s
+        with dispatcher.lock:
+            if dispatcher.term_confirmed_s() < listed_s:
+                return
+            for view in dispatcher.tracker.silent_workers():
+                if self._is_shown_gone(view, listed_s):
+                    self._end_runs(view, listed_s)
+
+    def _is_shown_gone(self, view: WorkerView, listed_s: float) -> bool:
+        """Return whether the VM list of `listed_s` shows that a worker is gone.
 
-        An earlier list may be older than the worker, and a call that was sent before
-        the worker ended may still reach its next life.
+        The list may be older than the worker, and its runs may be those of the previous
+        dispatcher, which may have sent calls until its end.
         """
-        calls_end_s = max(
-            (task.sent_s or task.ordered_s for task in view.open_starts()),
-            default=view.first_seen_s - LATE_CALL_S,
-        )
+        worker, counts_from_s = view.worker, view.first_seen_s
+        if worker.worker not in self.inventory.named:
+            counts_from_s += VM_LIST_JOIN_LAG_S
         if view.last_answer_s is None:
-            calls_end_s = max(calls_end_s, self._dispatcher.predecessor_end_s)
-        return calls_end_s + LATE_CALL_S + VM_LIST_LAG_S
+            last_call_s = self._dispatcher.predecessor_end_s + LATE_CALL_S
+            counts_from_s = max(counts_from_s, last_call_s + VM_LIST_LAG_S)
+        is_recent = listed_s >= counts_from_s
+        return is_recent and self.inventory.shows_gone(worker.worker, worker.vm)
+
+    def _end_runs(self, view: WorkerView, listed_s: float) -> None:
+        """End the runs of a worker that is gone, but for starts that may be late.
+
+        A start that was answered ran on a worker that was up. One without an answer may
+        reach the next life of the worker later.
+        """
+        tracker, now_s = self._dispatcher.tracker, self._clock.monotonic_s()
+        may_return = self.inventory.may_return(view.worker.vm)
+        late_s = HELD_START_S if may_return else LATE_CALL_S
+        over = []
+        for task in view.tasks.values():
+            taken_s = task.acked_s
+            if taken_s is None and task.is_open:
+                taken_s = (task.sent_s or task.ordered_s) + late_s
+            if not task.is_open or listed_s >= taken_s + VM_LIST_LAG_S:
+                over.append(task)
+        if len(over) == len(view.tasks):
+            tracker.remove_gone(view, now_s)
+        elif over:
+            tracker.end_runs(view, over, WorkerEnd.VM_GONE, now_s)
+        if over or view.is_ended:
+            self._dispatcher.planner.wake()
 
     def run(self, stop: threading.Event) -> None:
         """Carry out waves and adapt pools to demand until stopped."""
@@ -204,8 +235,8 @@
             with self._dispatcher.lock:
                 inventory.apply_list(vms, now_s, self._machines.is_complete)
                 departures.drop_gone_vms()
-                self._end_gone_workers(now_s)
             self._dispatcher.planner.wake()
+        self._end_gone_workers()
         if self._waves_read_s is None or now_s - self._waves_read_s >= WAVES_POLL_S:
             self.waves.read(self._store)
             self._waves_read_s = now_s
--- a/src/jayshunt/dispatch/run_tracker.py
+++ b/src/jayshunt/dispatch/run_tracker.py
@@ -436,6 +436,29 @@
         """
         self._remove_departed(view, now_s, WorkerEnd.VM_ORDERED, reason)
 
+    def end_runs(
+        self, view: WorkerView, tasks: list[Task], end: WorkerEnd, now_s: float
+    ) -> None:
+        """End some runs of a silent worker, of which others may go on.
+
+        The tasks wait for a new run.
+        """
+        _LOGGER.info(
+            "dispatch: runs of a worker are over",
+            extra={
+                "worker": view.worker.worker,
+                "vm": view.worker.vm,
+                "pool": view.worker.pool,
+                "born": view.worker.started_ms,
+                "reason": end.value,
+                "tasks": len(tasks),
+                "kept": len(view.tasks) - len(tasks),
+            },
+        )
+        self.crashes.record_worker_end(view, tasks, end, now_s)
+        for task in tasks:
+            self.unplace(task, now_s)
+
     def remove_gone(self, view: WorkerView, now_s: float) -> None:
         """Remove a worker that the VM list shows to be gone; see `remove_ordered_away`.
 
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -345,6 +345,7 @@
         term_condition={},
         token=1,
         predecessor_end_s=0.0,
+        term_confirmed_s=lambda: math.inf,
         vm_list_counts_from_s=0.0,
         worker_list_read=True,
         send_stops=lambda stops: None,
--- a/src/jayshunt/dispatch/vm_inventory.py
+++ b/src/jayshunt/dispatch/vm_inventory.py
@@ -19,11 +19,18 @@
     """VMs by id; the caller holds the dispatcher's lock around changes."""
 
     def __init__(self, config: Callable[[], FleetConfig | None]) -> None:
-        """Start without a list; `config` tells which pools are spare."""
+        """Start without a list; `config` tells which pools are spare.
+
+        `named` are the workers that some list showed on a VM.
+        """
         self._config = config
         self.vms: dict[VmId, Vm] = {}
         self.listed_s: float | None = None
-        self.is_complete = False
+        self.named: set[WorkerId] = set()
+        self._recent_vms: set[VmId] = set()
+        self._recent_workers: set[WorkerId | None] = set()
+        self._is_whole = False
+        self._are_whole = False
 
     def apply_list(
         self, vms: Iterable[Vm], now_s: float, is_complete: bool = True
@@ -37,20 +44,39 @@
         if self.listed_s is not None:
             self._log_changes(before)
         self.listed_s = now_s
-        self.is_complete = is_complete
+        self._record_recent(before, is_complete)
 
     def shows_gone(self, worker: WorkerId, vm: VmId | None) -> bool:
-        """Return whether the list shows that a worker had ended when it was made.
+        """Return whether the last two lists show that a worker had ended.
 
         `vm` is where the worker ran, None if it is unknown. The platform names the
-        worker of each VM that is up.
+        worker of each VM that is up. One list does not suffice: a VM that leaves while
+        its pages are read may hide another one.
         """
+        if worker in self._recent_workers:
+            return False
+        known = None if vm is None else self.vms.get(vm)
+        if known is None:
+            return self._are_whole and vm not in self._recent_vms
+        is_unnamed = known.state is VmState.UP and known.worker is None
+        return known.is_readable and not (
+            is_unnamed and known.pool not in self.spare_pools()
+        )
+
+    def may_return(self, vm: VmId | None) -> bool:
+        """Return whether the last worker of a VM may start again under its id."""
         known = None if vm is None else self.vms.get(vm)
-        if known is not None:
-            return known.is_readable and not known.runs(worker)
-        is_named = any(other.worker == worker for other in self.vms.values())
-        is_readable = all(other.is_readable for other in self.vms.values())
-        return bool(self.vms) and self.is_complete and is_readable and not is_named
+        return known is not None and known.worker is None
+
+    def _record_recent(self, before: dict[VmId, Vm], is_whole: bool) -> None:
+        """Record what this list and the one before show."""
+        lists = (before, self.vms)
+        self._recent_vms = {name for vms in lists for name in vms}
+        self._recent_workers = {vm.worker for vms in lists for vm in vms.values()}
+        self.named |= {vm.worker for vm in self.vms.values() if vm.worker}
+        is_whole = bool(self.vms) and is_whole
+        is_whole &= all(vm.is_readable for vm in self.vms.values())
+        self._are_whole, self._is_whole = self._is_whole and is_whole, is_whole
 
     def _log_changes(self, before: dict[VmId, Vm]) -> None:
         """Log the VMs that were lost, left or came back since the list before."""
--- a/src/jayshunt/platform/machine_calls.py
+++ b/src/jayshunt/platform/machine_calls.py
@@ -156,6 +156,7 @@
         labels=frozenset(row.labels),
         capacity=resources_of(row.capacity),
         worker=WorkerId(row.id) if row.id else None,
+        is_readable=row.state in _STATES,
     )
 
 
