Hold no lasting job back again after its task is free

Cause: a handoff blocks the jobs of a silent worker, except for tasks that wait for a worker by themselves. A task whose wait had ended was no exception any more, so that its whole job was held back while the worker was still known as silent, for up to 2 s, or 7 s after a suspicion. Found by review; the new test fails before.

Change: a task whose start was stored stays an exception for the whole term. With it, a run that is found where its start was stored is not stored once more, which made one needless write for each lasting job at each change of the dispatcher, and the lease is compared once for all tasks of a round.

--- a/src/jayshunt/dispatch/inherited_starts.py
+++ b/src/jayshunt/dispatch/inherited_starts.py
@@ -55,6 +55,7 @@
         self._dispatcher = dispatcher
         self._started_s = started_s
         self._waiting: dict[str, tuple[Job, Task]] = {}
+        self._names: set[str] = set()
         self._logged: set[InheritedStart] = set()
 
     def add_job(self, job: Job) -> None:
@@ -64,28 +65,36 @@
             for task in job.tasks()
             if task.inherited_start is not None
         }
+        self._names |= self._waiting.keys()
 
-    def is_waiting(self, name: str) -> bool:
-        """Return whether a task, by its name, waits for a worker."""
-        return name in self._waiting
+    def has_stored_start(self, name: str) -> bool:
+        """Return whether a task, by its name, waits here or did so before."""
+        return name in self._names
 
     def settle(self, now_s: float) -> None:
         """Let the tasks wait no more whose runs are over."""
+        if not self._waiting:
+            return
+        dispatcher = self._dispatcher
+        confirmed_s = dispatcher.term_confirmed_s()
+        is_lease_over = confirmed_s >= dispatcher.inherited_runs_end_s
         for name, (job, task) in list(self._waiting.items()):
             start = task.inherited_start
             if start is None or job.state.is_final:
                 del self._waiting[name]
                 continue
-            fact = self._find_end_fact(start, job)
+            fact = self._find_end_fact(start, job, is_lease_over)
             if fact is None:
                 self._log_wait(task, start, now_s)
                 continue
             del self._waiting[name]
             task.inherited_start = None
-            self._dispatcher.tracker.mark_dirty(job)
+            dispatcher.tracker.mark_dirty(job)
             self._log_end(task, start, fact, now_s)
 
-    def _find_end_fact(self, start: InheritedStart, job: Job) -> EndFact | None:
+    def _find_end_fact(
+        self, start: InheritedStart, job: Job, is_lease_over: bool
+    ) -> EndFact | None:
         dispatcher = self._dispatcher
         inventory = dispatcher.fleet.inventory
         is_gone = (
@@ -93,7 +102,6 @@
             and inventory.listed_s >= dispatcher.vm_list_counts_from_s
             and inventory.shows_gone(start.worker, start.vm)
         )
-        is_lease_over = dispatcher.term_confirmed_s() >= dispatcher.inherited_runs_end_s
         view = dispatcher.tracker.workers.get(start.worker)
         return find_end_fact(view, job.added_s, is_gone, is_lease_over)
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -500,7 +500,7 @@
             name.partition(".")[0]
             for view in silent
             for name in handoff.get(view.worker.worker, ())
-            if not inherited_starts.is_waiting(name)
+            if not inherited_starts.has_stored_start(name)
         }
         return lambda job: not job.is_inherited or job.spec.job not in blocked_jobs
 
--- a/src/jayshunt/dispatch/run_reports.py
+++ b/src/jayshunt/dispatch/run_reports.py
@@ -25,7 +25,7 @@
     TaskKey,
 )
 from jayshunt.dispatch.obstacles import Obstacle
-from jayshunt.dispatch.tasks import Job, Task, TaskPhase
+from jayshunt.dispatch.tasks import InheritedStart, Job, Task, TaskPhase
 from jayshunt.ids import JobId, WorkerId
 
 _LOGGER = logging.getLogger(__name__)
@@ -211,12 +211,14 @@
             return StopOrder(worker, row.task, row.run)
         if is_wanted and task.worker is None and row.run >= task.run:
             # An earlier term started the run, or it was believed to have ended.
+            stored = task.inherited_start
             task.run = row.run
             task.acked_s = now_s
             task.is_pace_known = False
             view.place(task)
             self._update_running(task, row, now_s)
-            if job.stores_starts:
+            is_stored = stored == InheritedStart(worker, view.worker.vm, row.run)
+            if job.stores_starts and not is_stored:
                 self._tracker.mark_dirty(job)
             return None
         view.add_stray(row.task, StrayRun.of_task(task, row.run))
--- a/src/jayshunt/dispatch/tests/test_inherited_starts.py
+++ b/src/jayshunt/dispatch/tests/test_inherited_starts.py
@@ -5,6 +5,7 @@
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.const import LATE_CALL_S, VM_LIST_LAG_S
+from jayshunt.dispatch.inherited_starts import EndFact
 from jayshunt.dispatch.models import RunningRun, RunReport
 from jayshunt.dispatch.records import apply_progress, encode_progress
 from jayshunt.dispatch.tasks import TaskPhase
@@ -18,6 +19,7 @@
     place,
 )
 from jayshunt.dispatch.tests.fleet_builders import FakeFleet
+from jayshunt.ids import WorkerId
 
 COUNTS_FROM_S = LATE_CALL_S + VM_LIST_LAG_S
 VMS = [build_vm("w1"), build_vm("w2")]
@@ -89,7 +91,9 @@
         self.assertEqual([2], self.may_start())
         inventory.apply_list(VMS, COUNTS_FROM_S)
         self.assertEqual([2], self.may_start())
-        inventory.apply_list(VMS[1:], COUNTS_FROM_S)
+        for _ in range(2):
+            self.assertEqual([2], self.may_start())
+            inventory.apply_list(VMS[1:], COUNTS_FROM_S)
         self.assertEqual([0, 2], self.may_start())
 
     def test_longest_lease_frees_all_tasks(self) -> None:
@@ -106,6 +110,15 @@
         self.assertEqual([task.inherited_start for task in self.job.tasks()], starts)
         self.assertEqual("w1", starts[0].worker)
 
+    def test_job_whose_task_is_free_is_not_held_back_by_a_handoff(self) -> None:
+        """The handoff named the task, and its worker was still silent."""
+        names = frozenset({self.job.tasks()[0].key.name})
+        self.dispatcher.handoff = {WorkerId("w1"): names}
+        self.dispatcher.worker_list_read = True
+        self.assertEqual([2], self.may_start())
+        self.starts._find_end_fact = lambda *_: EndFact.GONE
+        self.assertEqual([0, 1, 2], self.may_start())
+
     def test_run_that_ended_is_stored_no_more(self) -> None:
         """A successor would wait for the worker of a run that is over."""
         self.tracker.apply_run_report(self.views[0], build_report(), 0.1, 0.1)
