Count only tasks that were started against a workspace while workers are silent

Cause: while a worker is silent after a change of the dispatcher, all waiting tasks of inherited jobs counted as running there against the limits of their workspaces, also lasting ones of which no start is stored. With a limit, they waited for the lease of a worker that could not have them: the same fault in another place. Found by review; the new test fails before.

Change: of an unfinished job that stores its starts, only tasks with a stored start of an earlier term count. The simulation of limits gets the part that it lacked since such starts are stored, without which two of its tests had errors.

--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 from jayshunt.dispatch.fleet import WorkerView
+from jayshunt.dispatch.inherited_starts import InheritedStarts
 from jayshunt.dispatch.models import (
     Bounds,
     FleetConfig,
@@ -118,6 +119,7 @@
             knows_all_workers=lambda views: True,
             may_have_runs=lambda view: True,
             leaves_soon=lambda view: False,
+            inventory=SimpleNamespace(listed_s=None),
         )
         self.dispatcher = SimpleNamespace(
             lock=threading.RLock(),
@@ -134,6 +136,11 @@
             is_store_failing=lambda: False,
             send_stops=self.send_stops,
         )
+        starts = self.dispatcher.inherited_starts = InheritedStarts(
+            self.dispatcher, self.now_s
+        )
+        for job in self.tracker.jobs.values():
+            starts.add_job(job)
         clock = SimpleNamespace(monotonic_s=lambda: self.now_s, now_s=lambda: 0.0)
         self.planner = Planner(
             self.dispatcher, clock, lambda: self.config, Bounds(), None
--- a/src/jayshunt/workspaces/tests/test_limits.py
+++ b/src/jayshunt/workspaces/tests/test_limits.py
@@ -8,7 +8,9 @@
 from jayshunt.dispatch.models import Resources
 from jayshunt.dispatch.placement_policy import PlacementPolicy
 from jayshunt.dispatch.placing import plan_placements, prioritize_jobs
+from jayshunt.dispatch.tasks import InheritedStart
 from jayshunt.dispatch.tests.builders import POOL, build_candidate, build_step
+from jayshunt.ids import WorkerId
 from jayshunt.workspaces.limits import WorkspaceLimits, can_ever_start
 from jayshunt.workspaces.tests.limit_builders import (
     COLD,
@@ -92,6 +94,15 @@
             placed = self.plan(job, limit=Resources(10_000), unconfirmed=unconfirmed)
             self.assertEqual(expected, len(placed))
 
+    def test_tasks_without_a_stored_start_run_on_no_silent_worker(self) -> None:
+        """A workspace with a limit waited for the lease of a worker that was gone."""
+        lasting = build_step(task_count=9, is_long_running=True)
+        inherited = build_workspace_job(lasting, is_inherited=True)
+        start = InheritedStart(WorkerId("w1"), None, 1)
+        inherited.tasks()[0].inherited_start = start
+        unconfirmed = sum_inherited([inherited], [Resources(3_000, 8_192)])
+        self.assertEqual(lasting.reserved, unconfirmed.waiting[HOT])
+
     def test_gang_wider_than_the_limit_can_never_start(self) -> None:
         """Only gangs and single tasks above the limit must be refused."""
         limit = Resources(2_000)
--- a/src/jayshunt/workspaces/usage.py
+++ b/src/jayshunt/workspaces/usage.py
@@ -101,7 +101,7 @@
     that are not known to be done or placed count, also those that wait for others: the
     end of the others may have been known to the last dispatcher without being stored.
     So do those of jobs that were cancelled or failed, as their runs may not have been
-    told to stop.
+    told to stop. Of a job that stores its starts, only those count that were started.
     """
     found = _Sum()
     for job in jobs:
@@ -112,7 +112,12 @@
             for step in job.spec.steps:
                 found.add(job.spec.workspace, step, step.task_count)
         for (_, number), tasks in job.steps.items():
-            waiting = sum(task.phase is TaskPhase.WAITING for task in tasks)
+            is_stored = job.stores_starts and not job.state.is_final
+            waiting = sum(
+                task.phase is TaskPhase.WAITING
+                and (not is_stored or task.inherited_start is not None)
+                for task in tasks
+            )
             if waiting:
                 found.add(job.spec.workspace, job.spec.steps[number], waiting)
     capacity = None if capacities is None else sum(capacities, NOTHING)
