Let VMs of the soak leave with their workers

Its lasting jobs run until they are cancelled, but no VM ever left: a worker that ended was back under the same VM within a second or two, the list of VMs named the worker of a crashed VM as if it were up, no worker reported that it drains, and no check asked whether a lasting task runs.

Change: the stand-in of a VM drains and leaves, or crashes, and comes back later with another worker. The list of VMs then lacks it or shows it as down; the list of workers may keep its entry for a while. A VM that leaves refuses to be moved. Workers record that they ended with their VM.

--- a/src/jayshunt_soak/checks.py
+++ b/src/jayshunt_soak/checks.py
@@ -52,7 +52,7 @@
         if row["event"] == "life":
             process_of[row["worker"]] = row["process"]
             continue
-        if row["event"] in ("capacity", "crash", "stopping"):
+        if row["event"] in ("capacity", "crash", "stopping", "over"):
             continue
         born = row.get("born", 0)
         if row["event"] == "lapse":
--- a/src/jayshunt_soak/platform/machines.py
+++ b/src/jayshunt_soak/platform/machines.py
@@ -18,7 +18,8 @@
 class ListedVm:
     """Describe one VM as the platform knows it.
 
-    A move lasts until `busy_until_s`, in monotonic seconds.
+    A move lasts until `busy_until_s`, in monotonic seconds. `state` is "up", "down", or
+    "gone" if the VM is not listed; `left_worker` is the worker that left with it last.
     """
 
     vm_id: str
@@ -28,6 +29,9 @@
     address: str
     busy_until_s: float = 0.0
     worker: str = ""
+    state: str = "up"
+    is_leaving: bool = False
+    left_worker: str = ""
 
 
 class MachinesStandIn(StandInServer):
@@ -44,7 +48,8 @@
         """Return the answer to one call."""
         match call.method, call.path:
             case "GET", "/machines":
-                rows = [self._row(vm) for vm in self._vms.values()]
+                listed = [vm for vm in self._vms.values() if vm.state != "gone"]
+                rows = [self._row(vm) for vm in listed]
                 return Reply(200, {"machines": rows})
             case "POST", "/machine-move":
                 return self._move(call.json())
@@ -61,7 +66,14 @@
             vm = self._vms[body["vm_off"]]
             with self._lock:
                 if time.monotonic() >= vm.busy_until_s:
-                    vm.pool, vm.worker = SPARE, ""
+                    vm.pool, vm.worker, vm.state = SPARE, "", "up"
+            return Reply(200, {})
+        if "vm_left" in body:
+            vm = self._vms[body["vm_left"]]
+            with self._lock:
+                if vm.worker == body["worker"]:
+                    vm.worker, vm.left_worker = "", body["worker"]
+                    vm.state = body["state"]
             return Reply(200, {})
         vm = self._vms[body["entry"]["machine"]]
         pool = body["entry"]["service"]
@@ -71,8 +83,10 @@
                 return Reply(200, {})
             # A move whose order got no answer may have been carried out late, so the
             # pool in the heartbeat replaces the recorded one.
-            vm.pool, vm.worker = pool, body["worker"]
-            vm.kind = body["entry"]["labels"][0]
+            if body["worker"] != vm.left_worker:
+                vm.pool, vm.worker, vm.state = pool, body["worker"], "up"
+                vm.is_leaving = body["entry"]["state"] == "draining"
+                vm.kind = body["entry"]["labels"][0]
         self._store.record_heartbeat(body["worker"], json.dumps(body["entry"]).encode())
         return Reply(200, {})
 
@@ -80,7 +94,7 @@
         is_busy = time.monotonic() < vm.busy_until_s
         row = {"machine": vm.vm_id, "pool": vm.pool, "zone": vm.rack}
         row |= {
-            "state": "moving" if is_busy else "up",
+            "state": "moving" if is_busy else vm.state,
             "labels": [vm.kind, f"r-{vm.rack}"],
         }
         row["capacity"] = {"cpu": MILLICORES_PER_VM, "memMb": MEMORY_MB_PER_VM}
@@ -95,7 +109,8 @@
         with self._lock:
             if vm.pool == body["pool"]:
                 return Reply(200, {})
-            if time.monotonic() < vm.busy_until_s:
+            is_up = vm.state == "up" and not vm.is_leaving
+            if time.monotonic() < vm.busy_until_s or not is_up:
                 return Reply(409, {"reason": "busy"})
             try:
                 http_client.request(
--- a/src/jayshunt_soak/platform/rack.py
+++ b/src/jayshunt_soak/platform/rack.py
@@ -56,6 +56,12 @@
         self._late_until_s = 0.0
         self._quiet_until_s = 0.0
         self._keeps_calls = False
+        # The worker that drains, and the entry of one that left with its VM: the list
+        # of workers keeps it until then.
+        self._draining: WorkerIncarnation | None = None
+        self._left_entry: dict = {}
+        self._left_entry_until_s = 0.0
+        self._is_silent = False
         self._is_back = threading.Event()
         # Connections that a restart ended, and whether they stay silent.
         self._former_connections: dict[socket.socket, bool] = {}
@@ -71,6 +77,8 @@
         if call.connection in self._former_connections:
             self._fail_former(call)
         if self._is_crashed:
+            if self._is_silent:
+                self._is_back.wait(SILENT_CONNECTION_S)
             if not self._keeps_calls or not self._is_back.wait(KEPT_CALL_S):
                 raise DropConnection
             # The call was meant for the incarnation before.
@@ -100,6 +108,12 @@
                 self._move(order["pool"])
             case "restart", _:
                 self._restart_worker(order)
+            case "leave", WorkerIncarnation() as incarnation:
+                leave = threading.Timer(
+                    order["drain_s"], self._leave, (incarnation, order)
+                )
+                self._draining = incarnation if order["drain_s"] else None
+                leave.start()
             case "late", _:
                 self._late_until_s = time.monotonic() + order["for_s"]
             case "quiet", _:
@@ -134,25 +148,26 @@
                 # Its rack may have started again, and the VM list has its last pool.
                 self._register({"vm_off": self.vm})
             elif incarnation is not None and not incarnation.is_ended and not is_quiet:
-                registration = {
-                    "worker": incarnation.identity.worker,
-                    "entry": {
-                        "service": incarnation.identity.pool,
-                        "address": self.advertised,
-                        "zone": self.rack,
-                        "state": "ready",
-                        "born": incarnation.started_ms,
-                        "machine": self.vm,
-                        "labels": incarnation.identity.labels,
-                        "capacity": {
-                            "cpu": incarnation.millicores,
-                            "memMb": MEMORY_MB_PER_VM,
-                        },
-                    },
-                }
-                self._register(registration)
+                self._register(self._registration(incarnation))
+            elif incarnation is None and time.monotonic() < self._left_entry_until_s:
+                self._register(self._left_entry)
             time.sleep(HEARTBEAT_S)
 
+    def _registration(self, incarnation: WorkerIncarnation) -> dict:
+        """Return the heartbeat of a worker."""
+        identity = incarnation.identity
+        entry = {
+            "service": identity.pool,
+            "address": self.advertised,
+            "zone": self.rack,
+            "state": "draining" if incarnation is self._draining else "ready",
+            "born": incarnation.started_ms,
+            "machine": self.vm,
+            "labels": identity.labels,
+            "capacity": {"cpu": incarnation.millicores, "memMb": MEMORY_MB_PER_VM},
+        }
+        return {"worker": identity.worker, "entry": entry}
+
     def _register(self, registration: dict) -> None:
         try:
             http_client.request(
@@ -179,6 +194,7 @@
         )
         incarnation.record_life()
         self.incarnation, self._is_crashed = incarnation, False
+        self._is_silent = False
         self._is_back.set()
 
     def _write_event(self, event: dict) -> None:
@@ -210,10 +226,34 @@
         incarnation.end()
         self._crash(order.get("down_s") or self._rng.uniform(*RESTART_DOWN_S))
 
+    def _leave(self, incarnation: WorkerIncarnation, order: dict) -> None:
+        """Leave with the VM unless the worker has ended; see `Testbed.take_away`."""
+        if self.incarnation is not incarnation or incarnation.is_ended:
+            return
+        self._left_entry = self._registration(incarnation)
+        self._left_entry_until_s = time.monotonic() + order["listed_s"]
+        self._keeps_calls, self._is_silent = False, order["is_silent"]
+        self._is_back.clear()
+        connections = self.connections.current()
+        self._former_connections |= dict.fromkeys(connections, order["is_silent"])
+        self.incarnation, self._next_worker = None, None
+        self._end(incarnation)
+        self._crash(order["away_s"])
+        worker = incarnation.identity.worker
+        left = {"vm_left": self.vm, "worker": worker, "state": order["state"]}
+        threading.Timer(order["lag_s"], self._register, (left,)).start()
+
+    def _end(self, incarnation: WorkerIncarnation) -> None:
+        """End an incarnation that is not started again at once, and record it."""
+        incarnation.end()
+        worker, born = incarnation.identity.worker, incarnation.started_ms
+        over = {"at_s": time.monotonic(), "event": "over", "worker": worker}
+        self._write_event({**over, "born": born})
+
     def _move(self, pool: str) -> None:
         incarnation, self.incarnation = self.incarnation, None
         if incarnation is not None:
-            incarnation.end()
+            self._end(incarnation)
         self.pool = pool
         self._is_crashed, self._next_worker = False, None
         if pool != SPARE:
--- a/src/jayshunt_soak/platform/worker.py
+++ b/src/jayshunt_soak/platform/worker.py
@@ -214,7 +214,8 @@
 
     def record_life(self) -> None:
         """Record that the incarnation has begun."""
-        self._record({"event": "life", "pool": self.identity.pool})
+        who = self.identity
+        self._record({"event": "life", "pool": who.pool, "labels": who.labels})
 
     def resize(self, millicores: int) -> None:
         """Change the capacity; what runs goes on."""
