--- a/src/jayshunt_soak/const.py
+++ b/src/jayshunt_soak/const.py
@@ -63,6 +63,13 @@
 STOP_TAKES_S = 0.18
 # Longest lease of a worker.
 HOLD_MAX_MS = 10_000
+# How long a lasting task may be without a run in calm times, from when on after its
+# last run, and how long it must have been calm before.
+MAX_IDLE_S = 3.0
+IDLE_COUNTS_AFTER_S = 6.0
+CALM_BEFORE_S = 4.0
+# Time without faults at the end: long enough for the rule on idle tasks, and 4 s more.
+CALM_S = CALM_BEFORE_S + MAX_IDLE_S + 4.0
 # Settings `configApplyMs` and `revokeMs` of the entries.
 CONFIG_APPLY_S = 3.0
 REVOKE_S = 5.0
--- a/src/jayshunt_soak/tests/builders.py
+++ b/src/jayshunt_soak/tests/builders.py
@@ -55,6 +55,11 @@
     return {"at_s": at_s, "event": "capacity", "worker": worker, "cpu": millicores}
 
 
+def left(at_s: float, worker: str) -> dict:
+    """Return the event that a worker left with its VM."""
+    return {"at_s": at_s, "event": "over", "worker": worker}
+
+
 def crash(at_s: float, run: int, worker: str = "w1", task: str = TASK) -> list[dict]:
     """Return the events that a task started and crashed its worker."""
     row = {"event": "crash", "worker": worker, "task": task, "run": run}
