Take VMs away in the soak while the dispatcher changes

The soak had neither.

Change: a fault lets one of the two busiest VMs leave, by notice or by a crash, while the entry that holds the term is killed, paused for 2 to 4 s or stopped, from 1.5 s after that to 4 s before it. It is drawn apart from the others and comes during the load and once more when all other faults have ended; lasting tasks are then watched for 11 s.

--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -9,21 +9,38 @@
 
 from jayshunt_soak.callers import Load, wait_until_listening
 from jayshunt_soak.checks import check
-from jayshunt_soak.const import SETTLE_TIMEOUT_S
-from jayshunt_soak.faults import Fault, FaultPlayer, draw_faults, impairments
+from jayshunt_soak.const import CALM_S, SETTLE_TIMEOUT_S
+from jayshunt_soak.faults import (
+    Fault,
+    FaultPlayer,
+    departure_fault,
+    disturbances,
+    draw_faults,
+    impairments,
+)
 from jayshunt_soak.keys import KeyProber, check_keys, check_secrecy
+from jayshunt_soak.lasting import check_lasting
 from jayshunt_soak.odd_entries import check_survival
 from jayshunt_soak.starts import check_starts
 from jayshunt_soak.testbed import Testbed
 
 START_TIMEOUT_S = 20.0
+# How long after the other faults a VM is taken away: tasks that they ended run again.
+HEALED_S = 3.0
 
 
 def run_seed(
-    seed: int, seconds: float, folder: Path, with_lives: bool = True
+    seed: int,
+    seconds: float,
+    folder: Path,
+    with_lives: bool = True,
+    with_departures: bool = True,
 ) -> tuple[list[str], str]:
-    """Run one seed; return the violated guarantees and a line of counts."""
-    faults = draw_faults(seed, seconds, with_lives)
+    """Run one seed; return the violated guarantees and a line of counts.
+
+    `with_departures` also takes a VM away once all other faults have ended.
+    """
+    faults = draw_faults(seed, seconds, with_lives, with_departures)
     testbed = Testbed(folder, seed)
     load = Load(testbed, seed)
     prober = KeyProber(testbed, load, seed)
@@ -45,6 +62,8 @@
         # Let the last faults end by themselves; `heal` ends any that still last.
         time.sleep(max((fault.for_s for fault in faults[-4:]), default=0.0))
         testbed.heal()
+        if with_departures:
+            faults.append(_take_vm_away(testbed, faults, load_started_s, seed))
         load.cancel_lasting_jobs()
         load.wait_until_ended(SETTLE_TIMEOUT_S)
         testbed.record_due_ends()
@@ -52,6 +71,8 @@
         events = testbed.events()
         broken = check(load.jobs, events, disturbed)
         broken += check_starts(load.jobs, events, testbed.stored_queues)
+        calm_but = disturbances(faults, load_started_s)
+        broken += check_lasting(load.jobs, events, testbed.stored_queues, calm_but)
         broken += check_keys(prober.probes, disturbed) + check_secrecy(testbed)
         broken += check_survival(testbed.entries)
     finally:
@@ -60,9 +81,26 @@
     accepted = sum(job.accepted_s is not None for job in load.jobs)
     counts = f"jobs={len(load.jobs)} accepted={accepted} faults={len(faults)}"
     counts += f" key_probes={len(prober.probes)}"
+    if with_departures:
+        counts += f" last_departure={faults[-1].at_s:.1f} s"
     return broken, counts
 
 
+def _take_vm_away(
+    testbed: Testbed, faults: list[Fault], load_started_s: float, seed: int
+) -> Fault:
+    """Take a VM away once all faults have ended, and wait while lasting tasks run.
+
+    Calm times are rare before, and some rules hold only then.
+    """
+    last_end_s = max((fault.at_s + fault.for_s for fault in faults), default=0.0)
+    passed_s = time.monotonic() - load_started_s
+    fault = departure_fault(max(last_end_s, passed_s) + HEALED_S, seed)
+    FaultPlayer(testbed, [fault]).run(load_started_s)
+    time.sleep(fault.for_s + CALM_S)
+    return fault
+
+
 def report(seed: int, broken: list[str], counts: str, faults: list[Fault]) -> None:
     """Print the verdict of one seed, and its faults if a guarantee was violated."""
     verdict = "kept" if not broken else f"BROKEN ({len(broken)})"
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -23,6 +23,7 @@
     UNSEEN_PAUSE_S,
     VMS_PER_RACK,
 )
+from jayshunt_soak.departures import draw_departure
 from jayshunt_soak.odd_entries import draw_entries
 from jayshunt_soak.platform.store import StoreFaults
 from jayshunt_soak.testbed import Program, Testbed
@@ -63,6 +64,7 @@
     RESTARTS_UNSEEN = "workers started again as another kind while entries are paused"
     WORKER_RECUT = "worker started again under its id and cut off soon after"
     QUEUE_MOVE = "queue sent to another pool"
+    VM_LEAVES = "VM taken away while the dispatcher changes"
 
 
 # Drawn apart from the others, so that a seed draws the same others as before.
@@ -81,10 +83,13 @@
         *LIVES,
         FaultKind.QUEUE_MOVE,
         FaultKind.WORKER_RECUT,
+        FaultKind.VM_LEAVES,
     }
 )
 # Faults that are drawn apart and disturb entries or paths.
-DISTURBING = frozenset({FaultKind.RESTARTS_UNSEEN, FaultKind.WORKER_RECUT})
+DISTURBING = frozenset(
+    {FaultKind.RESTARTS_UNSEEN, FaultKind.WORKER_RECUT, FaultKind.VM_LEAVES}
+)
 # A queue that moves may run in both pools from then on, which hides starts in a wrong
 # one. Therefore only one queue moves, and only in one seed of this many.
 SEEDS_PER_QUEUE_MOVE = 3
@@ -103,10 +108,13 @@
     target: int
 
 
-def draw_faults(seed: int, seconds: float, with_lives: bool = True) -> list[Fault]:
+def draw_faults(
+    seed: int, seconds: float, with_lives: bool = True, with_departures: bool = True
+) -> list[Fault]:
     """Return the faults of a run; they come in bursts and overlap.
 
-    Without `with_lives`, ids, addresses and queues stay with their workers.
+    Without `with_lives`, ids, addresses and queues stay with their workers, without
+    `with_departures` the VMs stay.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -119,6 +127,8 @@
     faults += _draw_shrinks(seed, seconds) + _draw_odd_entries(seed, seconds)
     if with_lives:
         faults += _draw_lives(seed, seconds) + _draw_recuts(seed, seconds)
+    if with_departures:
+        faults += _draw_departures(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -159,6 +169,21 @@
     return faults
 
 
+def _draw_departures(seed: int, seconds: float) -> list[Fault]:
+    rng = random.Random(f"{seed}-departures")
+    faults: list[Fault] = []
+    at_s = rng.uniform(0.0, 3.0)
+    while at_s < seconds:
+        faults.append(departure_fault(at_s, rng.randrange(100_000)))
+        at_s += rng.uniform(3.0, 8.0)
+    return faults
+
+
+def departure_fault(at_s: float, target: int) -> Fault:
+    """Return the fault that takes a VM away while the dispatcher changes."""
+    return Fault(FaultKind.VM_LEAVES, at_s, draw_departure(target).for_s, target)
+
+
 def _draw_shrinks(seed: int, seconds: float) -> list[Fault]:
     rng = random.Random(f"{seed}-shrink")
     faults: list[Fault] = []
@@ -188,6 +213,20 @@
     ]
 
 
+def disturbances(
+    faults: list[Fault], load_started_s: float
+) -> list[tuple[float, float]]:
+    """Return from when until when any fault lasts, for rules that hold in calm."""
+    spans: list[tuple[float, float]] = []
+    for fault in faults:
+        at_s = load_started_s + fault.at_s
+        # A departure includes the time in which the dispatcher is back.
+        is_timed = fault.kind is FaultKind.VM_LEAVES
+        for_s = fault.for_s if is_timed else max(fault.for_s, RESTARTED_S)
+        spans.append((at_s, at_s + for_s))
+    return spans
+
+
 class FaultPlayer:
     """Inject the faults into a testbed."""
 
@@ -272,6 +311,8 @@
                 return _restart_unseen(testbed, fault.target % RACKS)
             case FaultKind.WORKER_RECUT:
                 return _recut(testbed, vm_name, entry, fault)
+            case FaultKind.VM_LEAVES:
+                return draw_departure(fault.target).begin(testbed)
             case FaultKind.ADDRESS_SWAP:
                 return testbed.swap_addresses(vm_name, fault.target // len(relays))
             case FaultKind.ORDERS_LATE:
--- a/src/jayshunt_soak/testbed.py
+++ b/src/jayshunt_soak/testbed.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from jayshunt import http_client
+from jayshunt.dispatch.records import TERM_KEY
 from jayshunt.errors import JayshuntError
 from jayshunt_soak.const import (
     ENTRIES,
@@ -235,6 +236,16 @@
         else:
             self.vm_relays[vm].silence()
 
+    def take_away(self, vm: str, order: dict) -> None:
+        """Let a VM leave with its worker, and come back with another one.
+
+        `order` has `drain_s`, how long the worker announces its end before (0: it
+        crashes); `away_s`; `state`, how the VM is listed meanwhile, and `lag_s`, how
+        long after the end; `is_silent`, whether calls get no answer or are closed; and
+        `listed_s`, how long the entry of the worker is still written.
+        """
+        self._call_vm(vm, "leave", order, CONTROL_TIMEOUT_S)
+
     def delay_orders(self, vm: str, for_s: float) -> None:
         """Let a VM's worker leave orders unanswered and carry them out late."""
         self._call_vm(vm, "late", {"for_s": for_s}, CONTROL_TIMEOUT_S)
@@ -277,6 +288,13 @@
 
         threading.Timer(STOP_GRACE_S, kill).start()
 
+    def dispatcher(self) -> Program | None:
+        """Return the entry that holds the present term, None if none does."""
+        for value in self.store.values(TERM_KEY).values():
+            holder = json.loads(value)["entry"]
+            return next((p for p in self.entries if p.name == holder), None)
+        return None
+
     def events(self) -> list[dict]:
         """Return the events that workers recorded and the ends of their processes."""
         rows: list[dict] = []
--- a/src/jayshunt_soak/tests/test_soak.py
+++ b/src/jayshunt_soak/tests/test_soak.py
@@ -19,13 +19,21 @@
     hide another.
     """
 
-    def check_seed(self, seed: int, seconds: float, with_lives: bool = False) -> None:
+    def check_seed(
+        self,
+        seed: int,
+        seconds: float,
+        with_lives: bool = False,
+        with_departures: bool = False,
+    ) -> None:
         """Run one seed and check that no guarantee was violated.
 
         The seeds that failed run with the faults that they had then.
         """
         with tempfile.TemporaryDirectory() as folder:
-            broken, counts = run_seed(seed, seconds, Path(folder), with_lives)
+            broken, counts = run_seed(
+                seed, seconds, Path(folder), with_lives, with_departures
+            )
             logs = excerpt(Path(folder), broken)
         self.assertEqual([], broken, f"{counts}\n{logs}")
 
