--- a/src/jayshunt_soak/departures.py
+++ b/src/jayshunt_soak/departures.py
@@ -18,7 +18,8 @@
 CRASH_RATIO = 0.4
 DRAIN_S = (2.0, 4.0)
 PAUSE_S = (2.0, 4.0)
-AWAY_S = (8.0, 12.0)
+# Longer than a successor may wait for the worker: the next one on the VM ends the wait.
+AWAY_S = (13.0, 18.0)
 # How late the list of VMs shows it, and how long the worker's entry is still written.
 LIST_LAG_S = (0.0, 0.4)
 LISTED_S = (0.0, 2.5)
