Do not run a task that is started after its group has stopped

The next `supervise` raised "cannot schedule new futures after shutdown", an unexpected error of the loop that follows the term. The loop started again after 0.25 s.

Change: a task that is started after the stop returns a finished Future and does not run, as one that was started just before it.

Result: the test fails without the change and passes with it. The race itself was not played again.

--- a/src/jayshunt/tasks.py
+++ b/src/jayshunt/tasks.py
@@ -20,7 +20,8 @@
 
     A background task, here called task, is no part of a job. It is a function that
     takes the stop event and returns soon after the event is set. An exception that
-    a task raises is logged, never lost.
+    a task raises is logged, never lost. A task that is started after `stop` does not
+    run.
     """
 
     def __init__(self, name: str, max_tasks: int = MAX_TASKS) -> None:
@@ -69,7 +70,15 @@
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _submit(self, run: Callable[[Task], None], task: Task) -> Future:
-        future = self._executor.submit(run, task)
+        try:
+            future = self._executor.submit(run, task)
+        except RuntimeError:
+            if not self._stop.is_set():
+                raise
+            # The group was stopped by another thread while it was being set up.
+            future = Future()
+            future.set_result(None)
+            return future
         with self._lock:
             self._futures.add(future)
             count = len(self._futures)
--- a/src/jayshunt/tests/test_tasks.py
+++ b/src/jayshunt/tests/test_tasks.py
@@ -48,6 +48,16 @@
             group.supervise(fail_once)
             self.assertTrue(recovered.wait(WAIT_S))
 
+    def test_task_that_is_started_after_the_stop_does_not_run(self) -> None:
+        """A term that ended while its threads started looked like an unexpected error.
+
+        The entry was stopped right after it had taken over (soak seed 110).
+        """
+        group = TaskGroup("test")
+        group.stop()
+        for start in (group.start, group.supervise):
+            self.assertIsNone(start(lambda stop: self.fail("ran")).result(WAIT_S))
+
     def test_task_over_the_limit_is_logged(self) -> None:
         """A session that waits for a thread gets no lease, which must be visible."""
         release = threading.Event()
