--- a/src/jayshunt_soak/tests/test_soak.py
+++ b/src/jayshunt_soak/tests/test_soak.py
@@ -6,8 +6,9 @@
 
 from jayshunt_soak.__main__ import run_seed
 from jayshunt_soak.excerpt import excerpt
-from jayshunt_soak.faults import draw_faults
+from jayshunt_soak.faults import FaultKind, draw_faults
 
+VERY_SHORT_S = 2.5
 SHORT_S = 6.0
 USUAL_S = 15.0
 
@@ -52,6 +53,13 @@
         """Their next life holds the longest lease, by a call meant for the former."""
         self.check_seed(47, SHORT_S, with_lives=True)
 
+    def test_lasting_tasks_of_a_worker_that_left_run_again_in_time(self) -> None:
+        """A successor held them back for the longest lease of a worker that had left.
+
+        The worker leaves with its VM by notice right after the dispatcher is killed.
+        """
+        self.check_seed(2278, VERY_SHORT_S, with_departures=True)
+
     def test_seed_2003_keeps_every_guarantee(self) -> None:
         """Crashes were lost with dispatchers, and a shrunk worker was overfilled.
 
@@ -82,6 +90,8 @@
     def test_faults_of_a_seed_are_the_same_each_time(self) -> None:
         """A seed that failed must draw the same faults again to be reproducible."""
         self.assertEqual(draw_faults(11, 20.0), draw_faults(11, 20.0))
+        others = [f for f in draw_faults(11, 20.0) if f.kind != FaultKind.VM_LEAVES]
+        self.assertEqual(others, draw_faults(11, 20.0, with_departures=False))
         self.assertNotEqual(draw_faults(11, 20.0), draw_faults(12, 20.0))
 
 
