Let the list of VMs of the soak be up to 0.9 s old

Cause: the fix takes a worker for gone that the list of VMs does not show, and allows for a list that is 1 s old. The list of the soak was always the present one, so that a worker that is missed because it is too young for the list could not show.

--- a/src/jayshunt_soak/__main__.py
+++ b/src/jayshunt_soak/__main__.py
@@ -16,6 +16,7 @@
     departure_fault,
     disturbances,
     draw_faults,
+    draw_list_lag_s,
     impairments,
 )
 from jayshunt_soak.keys import KeyProber, check_keys, check_secrecy
@@ -44,6 +45,8 @@
     testbed = Testbed(folder, seed)
     load = Load(testbed, seed)
     prober = KeyProber(testbed, load, seed)
+    if with_departures:
+        testbed.machines.lag_s = draw_list_lag_s(seed)
     testbed.start()
     try:
         if not wait_until_listening(testbed, START_TIMEOUT_S):
--- a/src/jayshunt_soak/faults.py
+++ b/src/jayshunt_soak/faults.py
@@ -93,6 +93,8 @@
 # A queue that moves may run in both pools from then on, which hides starts in a wrong
 # one. Therefore only one queue moves, and only in one seed of this many.
 SEEDS_PER_QUEUE_MOVE = 3
+# The entries allow for a list of VMs that is up to 1 s old.
+LIST_LAGS_S = (0.0, 0.4, 0.9)
 
 
 @dataclass(frozen=True)
@@ -179,6 +181,11 @@
     return faults
 
 
+def draw_list_lag_s(seed: int) -> float:
+    """Return how old the list of VMs is when it is read, for a whole run."""
+    return random.Random(f"{seed}-lag").choice(LIST_LAGS_S)
+
+
 def departure_fault(at_s: float, target: int) -> Fault:
     """Return the fault that takes a VM away while the dispatcher changes."""
     return Fault(FaultKind.VM_LEAVES, at_s, draw_departure(target).for_s, target)
--- a/src/jayshunt_soak/platform/machines.py
+++ b/src/jayshunt_soak/platform/machines.py
@@ -3,6 +3,7 @@
 import json
 import threading
 import time
+from collections import deque
 from dataclasses import dataclass
 
 from jayshunt import http_client
@@ -12,6 +13,8 @@
 from jayshunt_standins.server import Call, DropConnection, Reply, StandInServer
 
 CONTROL_TIMEOUT_S = 1.0
+# All VMs send about 24 heartbeats a second, each of which makes a list.
+MAX_LISTS = 100
 
 
 @dataclass
@@ -43,19 +46,35 @@
         self._vms = {vm.vm_id: vm for vm in vms}
         self._store = store
         self._lock = threading.Lock()
+        # The list is as old as this when it is read.
+        self.lag_s = 0.0
+        self._lists: deque[tuple[float, list[dict]]] = deque(maxlen=MAX_LISTS)
 
     def answer(self, call: Call) -> Reply:
         """Return the answer to one call."""
         match call.method, call.path:
             case "GET", "/machines":
-                listed = [vm for vm in self._vms.values() if vm.state != "gone"]
-                rows = [self._row(vm) for vm in listed]
-                return Reply(200, {"machines": rows})
+                return Reply(200, {"machines": self._list()})
             case "POST", "/machine-move":
-                return self._move(call.json())
+                reply = self._move(call.json())
             case "POST", "/standin/beat":
-                return self._receive_heartbeat(call.json())
-        return Reply(400, {})
+                reply = self._receive_heartbeat(call.json())
+            case _:
+                return Reply(400, {})
+        self._lists.append((time.monotonic(), self._rows()))
+        return reply
+
+    def _list(self) -> list[dict]:
+        """Return the rows as they were `lag_s` ago, the oldest if none is as old."""
+        lists = list(self._lists)
+        if not self.lag_s or not lists:
+            return self._rows()
+        until_s = time.monotonic() - self.lag_s
+        older = [rows for at_s, rows in lists if at_s <= until_s]
+        return older[-1] if older else lists[0][1]
+
+    def _rows(self) -> list[dict]:
+        return [self._row(vm) for vm in self._vms.values() if vm.state != "gone"]
 
     def pools(self) -> dict[str, str]:
         """Return the pool of each VM."""
--- a/src/jayshunt_soak/tests/test_machines.py
+++ b/src/jayshunt_soak/tests/test_machines.py
@@ -1,6 +1,7 @@
 """Test that the stand-in of the VM list shows what left, and nothing else as gone."""
 
 import json
+import time
 import unittest
 
 from jayshunt_soak.platform.machines import ListedVm, MachinesStandIn
@@ -53,6 +54,16 @@
             self.beat(f"i-{number + 1}")
             self.assertEqual([("up", f"i-{number + 1}")], self.rows())
 
+    def test_list_may_be_old(self) -> None:
+        """Entries that take an old list for the present one were not noticed."""
+        self.machines.lag_s = 0.1
+        self.beat("i-2")
+        time.sleep(0.05)
+        self.beat("i-3")
+        self.assertEqual([("up", "i-1")], self.rows())
+        time.sleep(0.06)
+        self.assertEqual([("up", "i-2")], self.rows())
+
     def test_late_report_does_not_end_the_next_worker(self) -> None:
         """A worker that runs must never be shown as gone: its tasks would run twice."""
         self.beat("i-2")
