Let the first cancellation count in the check of lasting tasks

Change: the time of the first call is kept. Nothing else reads the time.

Result: the test fails without the change and passes with it.

--- a/src/jayshunt_soak/callers.py
+++ b/src/jayshunt_soak/callers.py
@@ -231,7 +231,9 @@
         return job
 
     def _cancel(self, caller: Caller, job: SubmittedJob) -> None:
-        job.cancel_sent_s = time.monotonic()
+        if job.cancel_sent_s is None:
+            # A cancellation without an answer may have been carried out.
+            job.cancel_sent_s = time.monotonic()
         answer = caller.call_for(job, "DELETE")
         is_unknown = job.accepted_s is None and answer is not None and answer[0] == 410
         if is_unknown or answer is not None and answer[0] == 200:
--- a/src/jayshunt_soak/tests/test_lasting.py
+++ b/src/jayshunt_soak/tests/test_lasting.py
@@ -1,7 +1,9 @@
 """Test that the check of lasting tasks finds idle ones, and only those."""
 
 import unittest
+from unittest.mock import Mock
 
+from jayshunt_soak.callers import Load
 from jayshunt_soak.lasting import check_lasting
 from jayshunt_soak.queues import StoredQueues
 from jayshunt_soak.tests.builders import (
@@ -61,6 +63,17 @@
         self.assertEqual([], self.idle_from(cancel_sent_s=18.9))
         self.assertEqual(["16.00 on"], self.idle_from(cancel_sent_s=19.0))
 
+    def test_first_cancellation_counts(self) -> None:
+        """A cancellation without an answer was carried out, and its tasks looked idle.
+
+        The job was cancelled again 27 s later (soak seed 431).
+        """
+        job, caller = build_job(), Mock()
+        caller.call_for.return_value = None
+        job.cancel_sent_s = 18.9
+        Load(Mock(), 1)._cancel(caller, job)
+        self.assertEqual(18.9, job.cancel_sent_s)
+
     def test_task_that_never_ran_is_found(self) -> None:
         """A task that is forgotten right after it was accepted must be found, too."""
         rows = [incarnation("w1"), start(0.5, 1, task=OTHER_TASK)]
