Let simulations of terms replace how a term is built and run

A simulation in which dispatchers end in several ways, or act beside their successor, needs its own term, store and client for each. The base class built all three in new_term.

They are methods now.

--- a/src/jayshunt/dispatch/tests/start_simulation.py
+++ b/src/jayshunt/dispatch/tests/start_simulation.py
@@ -332,26 +332,46 @@
         self.store.items.pop(TERM_KEY, None)
         token = self.store.transact({}, (Put(TERM_KEY, b"{}"),)).revision
         term = Term(EntryId("e"), LOOPBACK, "e", token=token, lease=LeaseId("1"))
-        own = OwnTerm(term, 0.0, lambda: 0.0)
+        own, store = self.build_term(term)
         known = [self.config]
         dispatcher = Dispatcher(
             build_node(),
             own,
-            self.store,
+            store,
             self.clock,
             lambda: known[0],
-            lambda reason: self.problems.append(f"deposed: {reason}"),
-            lambda worker, token: SimulatedApi(self, worker, token),
+            lambda reason: self.depose(dispatcher, reason),
+            self.connect,
         )
         self.dispatcher, self.known_config = dispatcher, known
         dispatcher._worker_loop = SimpleNamespace(spawn=self._spawner(dispatcher))
         dispatcher._intake._read_all()
         dispatcher.ready.set()
+        self.run_term(dispatcher)
+
+    def build_term(self, term: Term) -> tuple[OwnTerm, FakeStore]:
+        """Return a term that stays valid, and the store."""
+        return OwnTerm(term, 0.0, lambda: 0.0), self.store
+
+    def depose(self, dispatcher: Dispatcher, reason: str) -> None:
+        """Record that a dispatcher wrongly found its term to be over."""
+        self.problems.append(f"deposed: {reason}")
+
+    def connect(self, worker: Worker, token: int) -> SimulatedApi:
+        """Return the client of a worker for one term."""
+        return SimulatedApi(self, worker, token)
+
+    def run_term(self, dispatcher: Dispatcher) -> None:
+        """Let a dispatcher act until it is replaced."""
         dispatcher.fleet.knows_all_workers = self._are_known
         self._repeat_in_term(dispatcher, self._read_list, 0.25)
         self._repeat_in_term(dispatcher, dispatcher.planner._round, 0.05)
         self._repeat_in_term(dispatcher, dispatcher.progress.write_once, 0.2)
 
+    def is_acting(self, dispatcher: Dispatcher) -> bool:
+        """Return whether a dispatcher acts."""
+        return dispatcher is self.dispatcher
+
     def _spawner(self, dispatcher: Dispatcher) -> Callable:
         def spawn(build: Callable[[], Steps], restarts: bool = False) -> None:
             steps = build()
@@ -360,7 +380,7 @@
         return spawn
 
     def _resume(self, dispatcher: Dispatcher, steps: Steps) -> None:
-        if dispatcher is not self.dispatcher:
+        if not self.is_acting(dispatcher):
             return
         match next(steps, None):
             case Sleep(duration_s):
@@ -373,7 +393,7 @@
         self, dispatcher: Dispatcher, action: Callable[[], object], interval_s: float
     ) -> None:
         def act() -> None:
-            if dispatcher is self.dispatcher:
+            if self.is_acting(dispatcher):
                 action()
                 self.after(interval_s, act)
 
