Count no crash for a worker that left by notice

Cause: a worker that the list of VMs shows to be gone counted as lost, and so its tasks as possible suspects of a crash, once another life answered on its VM, also if it had been draining. Ends that a later life shows leave draining workers out.

Change: they are left out here too. The new test fails before, with one unsettled run.

--- a/src/jayshunt/dispatch/crash_tracker.py
+++ b/src/jayshunt/dispatch/crash_tracker.py
@@ -113,6 +113,9 @@
                         self._count(lost, view.worker.worker)
                     else:
                         others.append(lost)
+            case WorkerEnd.VM_GONE if view.is_draining:
+                # It left by notice.
+                pass
             case WorkerEnd.LEASE_EXPIRED | WorkerEnd.VM_GONE if vm is not None:
                 for lost in examine_crash(view):
                     if lost.task.key in keys:
--- a/src/jayshunt/dispatch/tests/test_gone_workers.py
+++ b/src/jayshunt/dispatch/tests/test_gone_workers.py
@@ -6,7 +6,7 @@
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.const import LATE_CALL_S, VM_LIST_LAG_S
 from jayshunt.dispatch.fleet_duty import FleetDuty
-from jayshunt.dispatch.models import Bounds
+from jayshunt.dispatch.models import Bounds, WorkerState
 from jayshunt.dispatch.tests.builders import (
     add_worker_view,
     build_config,
@@ -87,6 +87,14 @@
                 vms = (build_vm("w1", **changes),)
                 self.assertTrue(self.is_free_after(vms, vms))
 
+    def test_departure_by_notice_is_no_crash(self) -> None:
+        """The tasks counted as suspects of a crash once the VM was back."""
+        for state, expected in ((WorkerState.READY, 1), (WorkerState.DRAINING, 0)):
+            self.setUp()
+            self.view.worker = replace(self.view.worker, state=state)
+            self.assertTrue(self.is_free_after(GONE, GONE))
+            self.assertEqual(expected, len(self.task.unsettled_runs))
+
     def test_cut_off_worker_keeps_its_tasks(self) -> None:
         """It runs on, and its tasks would run twice."""
         self.assertFalse(self.is_free_after(*[(build_vm("w1"), OTHER)] * 2))
