Trust stored starts only once all lasting runs are stored

Cause: a job that a dispatcher of an earlier version accepted or started has no stored starts, which looked as if its tasks ran nowhere. The first successor after an upgrade would have started them again before any worker had answered (TWICE).

Change: a key in the store tells that each run of a lasting job is stored. It is written once all runs of earlier terms are known and stored, or at once where there are no such jobs, as in a new deployment. Without it, lasting jobs are held back like others. The simulations begin with it.

Result: the new test uses what this change adds.

--- a/src/jayshunt/dispatch/inherited_starts.py
+++ b/src/jayshunt/dispatch/inherited_starts.py
@@ -51,7 +51,12 @@
     """
 
     def __init__(self, dispatcher, started_s: float) -> None:
-        """Start without tasks, in a term that began at `started_s`."""
+        """Start without tasks, in a term that began at `started_s`.
+
+        `are_complete` is False if a dispatcher of a version that stores no starts may
+        have started tasks. Its jobs are then held back like those that store none.
+        """
+        self.are_complete = False
         self._dispatcher = dispatcher
         self._started_s = started_s
         self._waiting: dict[str, tuple[Job, Task]] = {}
@@ -67,6 +72,10 @@
         }
         self._names |= self._waiting.keys()
 
+    def tells_all_runs(self, job: Job) -> bool:
+        """Return whether the stored starts tell where each task of a job may run."""
+        return job.stores_starts and self.are_complete
+
     def has_stored_start(self, name: str) -> bool:
         """Return whether a task, by its name, waits here or did so before."""
         return name in self._names
--- a/src/jayshunt/dispatch/intake_reader.py
+++ b/src/jayshunt/dispatch/intake_reader.py
@@ -27,6 +27,7 @@
     HANDOFF_KEY,
     INTAKE_PREFIX,
     PROGRESS_PREFIX,
+    STARTS_STORED_KEY,
     SUSPECT_KEY,
     accepted_key,
     apply_progress,
@@ -37,7 +38,7 @@
     progress_key,
     stored_state,
 )
-from jayshunt.dispatch.store_models import Item
+from jayshunt.dispatch.store_models import Item, Put
 from jayshunt.dispatch.suspicion import decode_suspicion
 from jayshunt.dispatch.tasks import EndedJob, Job
 from jayshunt.errors import DECODE_ERRORS
@@ -111,6 +112,7 @@
                 self._add_deferred()
                 self._remove_expired()
                 self._delete_old_suspicion()
+                self._mark_starts_stored()
             except HistoryGone:
                 _LOGGER.info("dispatch: store history is gone, reading all jobs again")
                 self._revision = None
@@ -270,6 +272,7 @@
             self._apply_cancel(item)
         self._read_handoff()
         self._read_or_delete_suspicion()
+        self._read_starts_mark()
         if self._dispatcher.interference_summary is not None:
             self._dispatcher.interference_summary.read()
         self._revision = first
@@ -333,6 +336,34 @@
             self._malformed.log(item.key, item.revision, describe_invalid(error))
             return None
 
+    def _read_starts_mark(self) -> None:
+        """Read whether earlier terms stored each start that has to be stored."""
+        starts, tracker = self._dispatcher.inherited_starts, self._dispatcher.tracker
+        if self._store.get(STARTS_STORED_KEY) is not None:
+            starts.are_complete = True
+            return
+        has_jobs = tracker.deferred or any(
+            tracker.jobs[job_id].stores_starts for job_id in tracker.active
+        )
+        if not has_jobs:
+            self._write_starts_mark()
+
+    def _mark_starts_stored(self) -> None:
+        """Store that each start is stored, once all runs are known and stored."""
+        dispatcher = self._dispatcher
+        if dispatcher.inherited_starts.are_complete:
+            return
+        with dispatcher.lock:
+            is_dirty = bool(dispatcher.tracker.dirty)
+        if dispatcher.planner.knows_all_runs and not is_dirty:
+            self._write_starts_mark()
+
+    def _write_starts_mark(self) -> None:
+        result = self._store.transact(
+            self._dispatcher.term_condition, (Put(STARTS_STORED_KEY, b"{}"),)
+        )
+        self._dispatcher.inherited_starts.are_complete = result.revision is not None
+
     def _read_or_delete_suspicion(self) -> None:
         """Read whether other entries ended the last term on suspicion.
 
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -424,7 +424,8 @@
             return lambda job: True
         self._log_unheard(silent or [], now_s)
         if silent is None:
-            return lambda job: not job.is_inherited or job.stores_starts
+            tells_all_runs = dispatcher.inherited_starts.tells_all_runs
+            return lambda job: not job.is_inherited or tells_all_runs(job)
         return self._hold_back_jobs_on(silent)
 
     def _log_unheard(self, silent: list[WorkerView], now_s: float) -> None:
@@ -490,12 +491,14 @@
         inherited job that may have runs in the worker's pool is held back.
         """
         handoff = self._dispatcher.handoff
+        inherited_starts = self._dispatcher.inherited_starts
         if handoff is None:
             pools = {view.worker.pool for view in silent}
             return lambda job: (
-                not job.is_inherited or job.stores_starts or pools.isdisjoint(job.pools)
+                not job.is_inherited
+                or inherited_starts.tells_all_runs(job)
+                or pools.isdisjoint(job.pools)
             )
-        inherited_starts = self._dispatcher.inherited_starts
         blocked_jobs = {
             name.partition(".")[0]
             for view in silent
--- a/src/jayshunt/dispatch/records.py
+++ b/src/jayshunt/dispatch/records.py
@@ -50,6 +50,9 @@
 HANDOFF_KEY = "jayshunt/handoff"
 ORDERED_KEY = "jayshunt/ordered"
 SUSPECT_KEY = "jayshunt/suspect"
+# Exists once each run of a job that stores its starts is stored. Versions before do not
+# write it.
+STARTS_STORED_KEY = "jayshunt/starts-stored"
 
 # A long-running task may fail any number of times; only its last failures are kept.
 MAX_FAILED_RUNS = 32
--- a/src/jayshunt/dispatch/tests/start_simulation.py
+++ b/src/jayshunt/dispatch/tests/start_simulation.py
@@ -25,7 +25,12 @@
     TaskKey,
     Worker,
 )
-from jayshunt.dispatch.records import TERM_KEY, accepted_key, encode_job
+from jayshunt.dispatch.records import (
+    STARTS_STORED_KEY,
+    TERM_KEY,
+    accepted_key,
+    encode_job,
+)
 from jayshunt.dispatch.store_models import Put, Term
 from jayshunt.dispatch.term import OwnTerm
 from jayshunt.dispatch.tests.builders import (
@@ -265,6 +270,7 @@
         self.sent_pools = {POOL}
         self.stopped: set[tuple[TaskKey, int]] = set()
         self.store = FakeStore()
+        self.store.transact({}, (Put(STARTS_STORED_KEY, b"{}"),))
         self.vms = [SimulatedVm(self, number) for number in range(VMS)]
         self.steps: dict[JobId, StepSpec] = {}
         for _ in range(2):
--- a/src/jayshunt/dispatch/tests/test_inherited_starts.py
+++ b/src/jayshunt/dispatch/tests/test_inherited_starts.py
@@ -7,7 +7,11 @@
 from jayshunt.dispatch.const import LATE_CALL_S, VM_LIST_LAG_S
 from jayshunt.dispatch.inherited_starts import EndFact
 from jayshunt.dispatch.models import RunningRun, RunReport
-from jayshunt.dispatch.records import apply_progress, encode_progress
+from jayshunt.dispatch.records import (
+    STARTS_STORED_KEY,
+    apply_progress,
+    encode_progress,
+)
 from jayshunt.dispatch.tasks import TaskPhase
 from jayshunt.dispatch.tests.builders import (
     add_worker_view,
@@ -46,6 +50,7 @@
         self.dispatcher._own.record_renewal(0.0)
         self.dispatcher._started_s = 0.0
         self.starts = self.dispatcher.inherited_starts
+        self.starts.are_complete = True
         self.starts._started_s = 0.0
         self.tracker = self.dispatcher.tracker
         self.tracker.add_job(self.job)
@@ -66,6 +71,21 @@
         """All tasks of a pool waited for one worker that did not answer."""
         self.assertEqual([2], self.may_start())
 
+    def test_job_of_a_version_that_stores_no_starts_is_held_back(self) -> None:
+        """Its tasks would run twice after an upgrade, as no start of them is stored."""
+        self.starts.are_complete = False
+        self.dispatcher.worker_list_read = True
+        self.assertFalse(self.dispatcher.planner._may_start(0.0)(self.job))
+        self.dispatcher._intake._mark_starts_stored()
+        self.assertFalse(self.starts.are_complete)
+        for view in self.views:
+            self.tracker.apply_run_report(view, build_report(), 0.1, 0.1)
+        self.may_start()
+        self.tracker.dirty.clear()
+        self.dispatcher._intake._mark_starts_stored()
+        self.assertTrue(self.starts.are_complete)
+        self.assertIsNotNone(self.dispatcher._store.get(STARTS_STORED_KEY))
+
     def test_answer_frees_the_tasks_that_it_lacks(self) -> None:
         """Those that it reports go on, and those of other workers wait."""
         first, second = self.job.tasks()[:2]
--- a/src/jayshunt/workspaces/tests/limit_builders.py
+++ b/src/jayshunt/workspaces/tests/limit_builders.py
@@ -139,6 +139,7 @@
         starts = self.dispatcher.inherited_starts = InheritedStarts(
             self.dispatcher, self.now_s
         )
+        starts.are_complete = True
         for job in self.tracker.jobs.values():
             starts.add_job(job)
         clock = SimpleNamespace(monotonic_s=lambda: self.now_s, now_s=lambda: 0.0)
