Send no stored start long after a term may have ended

Cause: a start is sent when it is at the head of its worker's queue, which may be seconds after it was stored. A dispatcher that reaches only a slow worker of its zone, and neither the store nor workers that know its successor, sent such starts beside the successor. If the worker crashed and came back under its id, its next life took one, while the VM list showed the successor, from 3 s after the term began on, that the worker was gone. Only a term in force stores a start, but that says nothing of when it is sent.

Change: a start of a job that stores its starts is withheld unless it was placed, or the term renewed, within 1 s. After a suspicion, the VM list counts 1 s later.

--- a/src/jayshunt/dispatch/const.py
+++ b/src/jayshunt/dispatch/const.py
@@ -23,6 +23,9 @@
 # A wait for a worker of an earlier term is logged after this time. Workers that can be
 # reached answer sooner.
 LOGGED_WAIT_S = 1.0
+# A stored start is sent only this long after it was placed or the term was renewed. A
+# dispatcher that reaches no store may act beside its successor for longer.
+STORED_START_VALID_S = 1.0
 # A call that finds its worker down may reach the worker's next life this late.
 LATE_CALL_S = 2.0
 # Counted instead for a start without an answer while the worker's VM is listed, so that
--- a/src/jayshunt/dispatch/dispatcher.py
+++ b/src/jayshunt/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
     LEASE_MARGIN_S,
     MAX_LEASE_FRACTION,
     PREDECESSOR_IN_FLIGHT_S,
+    STORED_START_VALID_S,
     TERM_LEASE_S,
     VM_LIST_LAG_S,
     WORKER_LEASE_S,
@@ -318,10 +319,12 @@
     def vm_list_counts_from_s(self) -> float:
         """Return from when on a VM list tells the end of runs that a term stored.
 
-        Only a term in force stores a start, so that the last one was sent about when
-        this term began. It may reach the next life of its worker a moment later.
+        Only a term in force stores a start. If other entries ended it on suspicion, its
+        dispatcher may send the start a while later (STORED_START_VALID_S). It may reach
+        the next life of its worker a moment after that.
         """
-        return self._started_s + LATE_CALL_S + VM_LIST_LAG_S
+        overlap_s = STORED_START_VALID_S if self.was_predecessor_suspected else 0.0
+        return self._started_s + overlap_s + LATE_CALL_S + VM_LIST_LAG_S
 
     def add_worker(self, worker: Worker) -> None:
         """Open a session with a worker that is not yet known."""
--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -4,7 +4,7 @@
 import threading
 from collections import deque
 
-from jayshunt.dispatch.const import ORDER_TIMEOUT_S
+from jayshunt.dispatch.const import ORDER_TIMEOUT_S, STORED_START_VALID_S
 from jayshunt.dispatch.fleet import WorkerEnd, WorkerView
 from jayshunt.dispatch.free_capacity import step_key
 from jayshunt.dispatch.messages import PaceTask, SessionContext, StartTask, WorkerApi
@@ -228,6 +228,9 @@
             return exclusion.value
         if not self._is_stored(item):
             return "the store does not know of the start"
+        in_force_s = max(item.task.ordered_s, self._context.term_confirmed_s())
+        if job.stores_starts and now_s - in_force_s > STORED_START_VALID_S:
+            return "a successor may have read the start"
         return None
 
     def _withhold_start(self, item: StartTask, reason: str, now_s: float) -> None:
--- a/src/jayshunt/dispatch/tests/test_departures.py
+++ b/src/jayshunt/dispatch/tests/test_departures.py
@@ -1,10 +1,11 @@
 """Test that lasting tasks go on after workers and dispatchers left, and never twice."""
 
+import itertools
 import logging
 import unittest
 from collections import Counter
 
-from jayshunt.dispatch.tests.departure_simulation import DepartureSimulation
+from jayshunt.dispatch.tests.departure_simulation import LASTING, DepartureSimulation
 
 SIMULATED_S = 70.0
 # All but 4 and 31 lose tasks if a successor holds back all inherited tasks of a pool
@@ -39,6 +40,26 @@
             self.assertGreater(counts[kind], 0, kind)
         self.assertGreater(counts["calm"], 100 * len(SEEDS))
 
+    def test_start_that_was_queued_as_its_term_ended_runs_once(self) -> None:
+        """It was sent to a life of which the VM list knew nothing when it was read."""
+        for seed, crash_s, back_s in itertools.product((1, 2), (1.8, 2.1), (0.8, 1.9)):
+            with self.subTest(seed=seed, crash_s=crash_s, back_s=back_s):
+                simulation = DepartureSimulation(seed, has_phases=False)
+                simulation.run(8.0)
+                vm = max(simulation.vms, key=lambda vm: len(vm.life.server.runs))
+                simulation.slow.add(vm)
+                simulation.drawn_steps = LASTING[:1]
+                for _ in range(14):
+                    super(DepartureSimulation, simulation).add_job()
+                simulation.run(0.5)
+                simulation.cut_zone(vm, 2.0)
+                simulation.run(crash_s)
+                worker = vm.end().worker
+                simulation.run(back_s)
+                vm.begin(worker.pool, worker.worker)
+                simulation.run(6.0)
+                self.assertEqual([], simulation.problems)
+
 
 if __name__ == "__main__":
     unittest.main()
