Log the wait of each task for the worker of its last run

The wait was logged once for the tasks that had been started on a worker together, so that `explain` did not show it for the others. A line for each names its task, as the line at the end of the wait does.

--- a/src/jayshunt/dispatch/inherited_starts.py
+++ b/src/jayshunt/dispatch/inherited_starts.py
@@ -61,7 +61,7 @@
         self._started_s = started_s
         self._waiting: dict[str, tuple[Job, Task]] = {}
         self._names: set[str] = set()
-        self._logged: set[InheritedStart] = set()
+        self._logged: set[str] = set()
 
     def add_job(self, job: Job) -> None:
         """Add the tasks of a job that was read from the store."""
@@ -115,15 +115,16 @@
         return find_end_fact(view, job.added_s, is_gone, is_lease_over)
 
     def _log_wait(self, task: Task, start: InheritedStart, now_s: float) -> None:
-        if now_s - self._started_s < LOGGED_WAIT_S or start in self._logged:
+        name = task.key.name
+        if now_s - self._started_s < LOGGED_WAIT_S or name in self._logged:
             return
-        self._logged.add(start)
+        self._logged.add(name)
         view = self._dispatcher.tracker.workers.get(start.worker)
         left_s = self._dispatcher.inherited_runs_end_s - now_s
         _LOGGER.info(
             "dispatch: a task waits for the worker of its last run",
             extra={
-                "task": task.key.name,
+                "task": name,
                 "run": start.run,
                 "worker": start.worker,
                 "vm": start.vm,
