--- a/review/standins-3/bed.py
+++ b/review/standins-3/bed.py
@@ -1,6 +1,7 @@
 """Start the entries of a small deployment with stand-ins on loopback."""
 
 import http.client
+import itertools
 import json
 import os
 import shlex
@@ -54,11 +55,14 @@
 """
 
 
+_PORTS = itertools.count(11_000 + os.getpid() * 37 % 20_000)
+
+
 def free_ports(count):
     """Return free loopback ports below the range of outgoing connections."""
-    found, port = [], 11_000 + os.getpid() * 37 % 20_000
+    found = []
     while len(found) < count:
-        port += 1
+        port = next(_PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -119,7 +123,9 @@
 
     def send(self, number):
         """Send a signal to the process."""
-        self.bed.record.add("signal", name=self.name, signal=signal.Signals(number).name)
+        self.bed.record.add(
+            "signal", name=self.name, signal=signal.Signals(number).name
+        )
         self.process.send_signal(number)
 
     def call(self, method, path, body=None, timeout_s=3.0):
@@ -142,7 +148,11 @@
         status = "none" if found is None else found[0]
         fields = {} if found is None else found[1]
         self.bed.record.add(
-            "client", entry=self.name, call=f"{method} {path}", status=status, got=fields
+            "client",
+            entry=self.name,
+            call=f"{method} {path}",
+            status=status,
+            got=fields,
         )
         return found
 
@@ -150,12 +160,16 @@
 class Bed:
     """Hold the stand-ins and the entries of one run."""
 
-    def __init__(self, record_path, spare="spare", advice=None, **fleet):
-        """Start the stand-ins; `advice` is the stand-in for the advice service."""
+    def __init__(self, record, spare="spare", advice=None, names="front", **fleet):
+        """Start the stand-ins; `advice` is the stand-in for the advice service.
+
+        `record` is a path, or the record of another bed.
+        """
         # The processes that this one started are ended also if it runs too long.
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.record = Record(record_path)
+        self.record = record if isinstance(record, Record) else Record(record)
+        self._names = names
         self.advice = advice
         self.store = Store()
         self.fleet = Fleet(self.store, self.record, spare, **fleet)
@@ -186,7 +200,9 @@
         ports = free_ports(5 * count)
         for n in range(count):
             own = ports[5 * n : 5 * n + 4]
-            self.entries.append(Entry(self, f"front-{n}", f"z{n + 1}", own, extra))
+            self.entries.append(
+                Entry(self, f"{self._names}-{n}", f"z{n + 1}", own, extra)
+            )
         for entry in self.entries:
             entry.start()
 
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -60,6 +60,8 @@
         self.lock = threading.Condition()
         self.runs, self.ends, self.last_end = {}, [], 0
         self.highest, self.fence, self.lease_ms = {}, 0, 0
+        self.used = {"cpu": 0, "memMb": 0}
+        self.next_end_s = float("inf")
         self.is_gone = False
         self.state = "ready"
 
@@ -85,12 +87,16 @@
                 fields = {"task": task, "run": run.number, "how": why}
                 self.record.add("end", minion=self.worker, **fields)
             self.runs.clear()
+            self.used = dict.fromkeys(self.used, 0)
             self.lock.notify_all()
 
     def advance(self):
         """End the runs whose time has come; the caller holds the lock."""
         now_s = time.monotonic()
         lapsed = self.clock_ms() >= self.lease_ms
+        if not lapsed and now_s < self.next_end_s:
+            return
+        self.next_end_s = float("inf")
         for task, run in list(self.runs.items()):
             if run.stop_s is not None and now_s >= run.stop_s:
                 self._end(task, run, "stopped")
@@ -98,9 +104,14 @@
                 self._end(task, run, run.work.get("how", "done"))
             elif lapsed:
                 self._end(task, run, "lapsed")
+            else:
+                due_s = [s for s in (run.stop_s, run.end_s) if s is not None]
+                self.next_end_s = min(self.next_end_s, *due_s, float("inf"))
 
     def _end(self, task, run, how):
         del self.runs[task]
+        for name in self.used:
+            self.used[name] -= run.work.get(name, 0)
         self.last_end += 1
         self.ends.append([self.last_end, task, run.number, how, run.saved])
         fields = {"task": task, "run": run.number, "how": how}
@@ -151,15 +162,16 @@
         if not self.machine.fleet.allows(self, body):
             return self._refuse("ticket")
         work = self.machine.fleet.work_of(task, body["spec"])
-        used = {"cpu": 0, "memMb": 0}
-        for other in [*(r.work for r in self.runs.values()), work]:
-            for name in used:
-                used[name] += other.get(name, 0)
-        if any(used[name] > self.machine.capacity[name] for name in used):
+        capacity = self.machine.capacity
+        if any(self.used[n] + work.get(n, 0) > capacity[n] for n in self.used):
             return self._refuse("room")
+        for name in self.used:
+            self.used[name] += work.get(name, 0)
         self.highest[task] = number
         saved = body.get("saved", "")
-        self.runs[task] = Run(number, work, body["spec"], saved)
+        run = self.runs[task] = Run(number, work, body["spec"], saved)
+        if run.end_s is not None:
+            self.next_end_s = min(self.next_end_s, run.end_s)
         fields = {"task": task, "run": number, "fence": self.fence}
         fields |= {"pool": self.pool, "machine": self.machine.name}
         self.record.add("start", minion=self.worker, **fields)
@@ -171,6 +183,7 @@
         run = self.runs.get(task)
         if run is not None and run.number == number and run.stop_s is None:
             run.stop_s = time.monotonic() + STOP_S
+            self.next_end_s = min(self.next_end_s, run.stop_s)
         return 200, {"clockMs": self.clock_ms()}
 
     def _hold(self, body):
@@ -216,6 +229,8 @@
 
     def answer(self, call):
         """Pass an order to the minion that is up."""
+        if self.fleet.way_s:
+            time.sleep(self.fleet.way_s)
         minion = self.minion
         if minion is None or minion.is_gone:
             raise Drop
@@ -236,6 +251,8 @@
         self.machines, self.lock, self.seq = {}, threading.RLock(), 0
         self.lose_answer = lambda call, reply: False
         self.allows = lambda minion, body: True
+        # The way to a machine and back.
+        self.way_s = 0.0
 
     def start(self):
         """Serve, and send heartbeats for all minions."""
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -44,7 +44,9 @@
             case "GET", "kv-key":
                 return self._get(call.query["key"])
             case "GET", "kv-range":
-                return self._range(call.query.get("prefix", ""), call.query.get("after"))
+                return self._range(
+                    call.query.get("prefix", ""), call.query.get("after")
+                )
             case "GET", "kv-watch":
                 return self._watch(call.query)
             case "POST", "kv-txn":
@@ -107,7 +109,9 @@
             current = {k: self._items[k]["rev"] for k in expected if k in self._items}
             if any(current.get(key, 0) != rev for key, rev in expected.items()):
                 return 412, {"items": [self._row(key) for key in current]}
-            if any(put.get("lease") and put["lease"] not in self._leases for put in puts):
+            if any(
+                put.get("lease") and put["lease"] not in self._leases for put in puts
+            ):
                 return 404, {}
             values = {
                 put["key"]: (base64.b64decode(put["value"]), put.get("lease", 0))
