--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -10,6 +10,7 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 10_000
 STOP_S = 0.3
+SAVE_S = 1
 
 
 class Record:
@@ -46,6 +47,14 @@
         ms = work.get("ms")
         self.end_s = None if ms is None else self.began_s + ms / 1000
         self.stop_s = None
+        self.saves = 0
+
+    def save(self, now_s):
+        """Save the progress made, once each SAVE_S, if the work has `savedChars`."""
+        chars, count = self.work.get("savedChars", 0), int(now_s - self.began_s)
+        if chars and count >= SAVE_S and count != self.saves:
+            self.saves = count
+            self.saved = f"{self.number}-{count}-".ljust(chars, "s")
 
 
 class Minion:
@@ -204,6 +213,8 @@
         if self.is_gone:
             raise Drop
         now_s = time.monotonic()
+        for run in self.runs.values():
+            run.save(now_s)
         running = [
             [task, run.number, run.saved, 100 if now_s - run.began_s > 0.3 else 50, 0]
             for task, run in self.runs.items()
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -6,6 +6,9 @@
 
 from http_base import Api
 
+# `valueBytes` in the settings of the entries.
+VALUE_BYTES = 1_048_576
+
 
 class Store(Api):
     """Keep items with revisions, leases and a history of changes in memory."""
@@ -103,6 +106,8 @@
         for key in [put["key"] for put in puts] + removals:
             if key.startswith(("op/", "servers/")):
                 return 403, {}
+        if any(len(put["value"]) * 3 // 4 > VALUE_BYTES + 2 for put in puts):
+            return 400, {}
         with self._changed:
             self._expire()
             expected = {row["key"]: row["rev"] for row in body.get("expectRev", [])}
