--- a/review/c14/run.sh
+++ b/review/14/run.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")" || exit 2
 timeout 115 python3 -B case.py
 code=$?
-[ "$code" -le 1 ] || code=2
+[ "$code" -le 1 ] && grep -q " result " record.txt || code=2
 exit "$code"
