Complete a wave only on evidence that is newer than the wave

Cause: WaveBook.open_states took each VM that is missing from the list of VMs for gone. The list is read every 3 s, waves every 2 s, so that a VM that was added in between is missing although it exists. The completion is never taken back. Two more answers counted as the end of a VM's part in the same way: one "not of that wave", which a platform may also give before it knows of the wave, and the first declaration of a wave, although the operator may change it.

Change: a VM counts as gone only if two whole lists lack it that were requested 3 s (VM_LIST_JOIN_LAG_S) after the wave was read, or 1 s after the last list that named it; meanwhile the list is read once a second. "Not of that wave" counts if it is still the answer 5 s later. A changed declaration is followed. A completed wave with a VM that is listed and had no upkeep is open again, also in a later term. A line names the evidence before a wave is completed: how many VMs were accepted, stored as done, not of the wave or gone, and those without upkeep.

--- a/src/jayshunt/dispatch/diagnostics.py
+++ b/src/jayshunt/dispatch/diagnostics.py
@@ -64,7 +64,11 @@
             "service_order": describe_order(dispatcher.planner.service_order),
             "interference": describe_interference(dispatcher.planner.interference),
             "waves": {
-                number: {"done": sorted(state.done), "completed": state.is_completed}
+                number: {
+                    "done": sorted(state.done),
+                    "due": state.due(),
+                    "completed": state.is_completed,
+                }
                 for number, state in dispatcher.fleet.waves.states.items()
             },
         }
--- a/src/jayshunt/dispatch/fleet_duty.py
+++ b/src/jayshunt/dispatch/fleet_duty.py
@@ -133,6 +133,7 @@
             is_busy = (
                 bool(self.departures.being_emptied())
                 or self.inventory.is_changing()
+                or self.waves.names_unlisted(self.inventory)
                 or bool(self._dispatcher.tracker.silent_workers())
             )
         return now_s - listed_s >= (
@@ -218,7 +219,7 @@
             return
         if now_s < self.departures.recent_orders.unknown_until_s:
             return
-        for state in self.waves.open_states(set(self.inventory.vms)):
+        for state in self.waves.open_states(self.inventory):
             self._plan_wave(state, now_s)
         self._plan_moves(config, now_s)
         self.departures.advance(now_s)
@@ -238,7 +239,7 @@
             self._dispatcher.planner.wake()
         self._end_gone_workers()
         if self._waves_read_s is None or now_s - self._waves_read_s >= WAVES_POLL_S:
-            self.waves.read(self._store)
+            self.waves.read(self._store, self._clock.monotonic_s)
             self._waves_read_s = now_s
 
     def _plan_wave(self, state: WaveState, now_s: float) -> None:
--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -309,6 +309,7 @@
         self.is_complete = True
         self.orders: list = []
         self.refused: set[VmId] = set()
+        self.refusal = DutyRefusal.BUSY
         self.together: threading.Barrier | None = None
 
     def list(self):
@@ -325,7 +326,7 @@
     def upkeep(self, vm, wave, token) -> DutyAnswer:
         """Record an upkeep, and refuse it for the VMs in `refused`."""
         self.orders.append((vm, wave))
-        return DutyAnswer(DutyRefusal.BUSY if vm in self.refused else None)
+        return DutyAnswer(self.refusal if vm in self.refused else None)
 
 
 def build_fleet_dispatcher(tracker: RunTracker) -> SimpleNamespace:
--- a/src/jayshunt/dispatch/tests/test_odd_entries.py
+++ b/src/jayshunt/dispatch/tests/test_odd_entries.py
@@ -35,6 +35,7 @@
 from jayshunt.dispatch.term import TermElection
 from jayshunt.dispatch.tests.builders import (
     add_worker_view,
+    build_config,
     build_node,
     build_queue,
     build_spec,
@@ -167,14 +168,16 @@
     def test_good_waves_are_followed(self, odd: list[bytes], stored: bytes) -> None:
         """One odd wave, or one odd record of a wave, stopped the duty for VMs."""
         store, waves = FakeStore(), WaveBook()
+        inventory = VmInventory(build_config)
+        inventory.apply_list([build_vm("w1")], 0.0)
         for number, value in enumerate(odd):
             put(store, f"{DECLARED_PREFIX}{number}", value)
         good = json.dumps({**WAVE, "wave": 50}).encode()
         put(store, f"{DECLARED_PREFIX}50", good)
         put(store, f"{WAVE_PREFIX}50", stored)
         for _ in range(2):
-            waves.read(store)
-            waves.open_states({"vm-w1"})
+            waves.read(store, lambda: 0.0)
+            waves.open_states(inventory)
             waves.write(store, {})
         self.assertIn(50, waves.states)
 
--- a/src/jayshunt/dispatch/tests/test_repeated_orders.py
+++ b/src/jayshunt/dispatch/tests/test_repeated_orders.py
@@ -68,7 +68,7 @@
         self.duty._read(0.0)
         wave = {"wave": 1, "machines": ["vm-w1"], "deadlineS": 30}
         self.store.transact({}, (Put("op/wave/1", json.dumps(wave).encode()),))
-        self.duty.waves.read(self.store)
+        self.duty.waves.read(self.store, self.clock.monotonic_s)
 
     def order(self, reason: EvacuationReason) -> None:
         """Order the VM, which the platform accepts."""
--- a/src/jayshunt/dispatch/vm_departures.py
+++ b/src/jayshunt/dispatch/vm_departures.py
@@ -277,4 +277,6 @@
         if view is not None:
             view.evacuation_reason = None
         if refusal is DutyRefusal.NOT_OF_WAVE:
-            self._waves.mark_done(evacuation.reason.wave, evacuation.vm)
+            self._waves.record_not_of_wave(
+                evacuation.reason.wave, evacuation.vm, self._clock.monotonic_s()
+            )
--- a/src/jayshunt/dispatch/vm_inventory.py
+++ b/src/jayshunt/dispatch/vm_inventory.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from jayshunt.dispatch.const import VM_LIST_JOIN_LAG_S, VM_LIST_LAG_S
 from jayshunt.dispatch.evacuation import EvacuationReason
 from jayshunt.dispatch.fleet import WorkerView, has_not_answered
 from jayshunt.dispatch.models import FleetConfig
@@ -27,6 +28,8 @@
         self.vms: dict[VmId, Vm] = {}
         self.listed_s: float | None = None
         self.named: set[WorkerId] = set()
+        self._last_named_s: dict[VmId, float] = {}
+        self._before_s = 0.0
         self._recent_vms: set[VmId] = set()
         self._recent_workers: set[WorkerId | None] = set()
         self._is_whole = False
@@ -43,7 +46,9 @@
         before, self.vms = self.vms, {vm.vm: self._at_full_size(vm) for vm in vms}
         if self.listed_s is not None:
             self._log_changes(before)
+            self._before_s = self.listed_s
         self.listed_s = now_s
+        self._last_named_s.update(dict.fromkeys(self.vms, now_s))
         self._record_recent(before, is_complete)
 
     def shows_gone(self, worker: WorkerId, vm: VmId | None) -> bool:
@@ -63,6 +68,21 @@
             is_unnamed and known.pool not in self.spare_pools()
         )
 
+    def shows_absent(self, vm: VmId, known_s: float) -> bool:
+        """Return whether the last two lists show that there is no VM of a name.
+
+        The name was in use at `known_s`, in monotonic seconds. A list that was
+        requested before or shortly after may be older than the VM, also if the name was
+        listed earlier: the VM may have left and come back.
+        """
+        if not self._are_whole or vm in self._recent_vms:
+            return False
+        counts_from_s = known_s + VM_LIST_JOIN_LAG_S
+        named_s = self._last_named_s.get(vm)
+        if named_s is not None and named_s >= known_s:
+            counts_from_s = named_s + VM_LIST_LAG_S
+        return self._before_s >= counts_from_s
+
     def may_return(self, vm: VmId | None) -> bool:
         """Return whether the last worker of a VM may start again under its id."""
         known = None if vm is None else self.vms.get(vm)
