Use the worker of a VM again that left the list while it was emptied

A list of VMs may lack a VM for a moment. Its evacuation was then forgotten, but the worker's view kept the reason of it, with which nothing is placed there: without a later choice of the same VM, the worker stayed idle until the end of the term.

The reason goes with the evacuation now, and a line says so. The new test fails before (the reason is still set).

--- a/src/jayshunt/dispatch/tests/test_fleet_duty.py
+++ b/src/jayshunt/dispatch/tests/test_fleet_duty.py
@@ -135,6 +135,17 @@
         self.assertIsNone(self.view.evacuation_reason)
         self.assertEqual(set(), duty.departures.being_emptied())
 
+    def test_worker_of_a_vm_that_one_list_lacks_is_used_again(self) -> None:
+        """It counted as being emptied for ever, as nothing emptied it any more."""
+        duty = self.duty(build_vm("w1"), build_vm("w2"))
+        duty._read(0.0)
+        move = EvacuationReason.move(PoolName("other"))
+        duty.departures.begin(VmId("vm-w1"), move, self.view, 0.0)
+        self.machines.vms = (build_vm("w2"),)
+        duty._read(4.0)
+        self.assertEqual(set(), duty.departures.being_emptied())
+        self.assertIsNone(self.view.evacuation_reason)
+
     def test_orders_for_many_vms_go_out_together(self) -> None:
         """Sent one by one, the orders for a fleet take up most of a burst."""
         vms = [build_vm(f"w{n}") for n in range(1, 9)]
--- a/src/jayshunt/dispatch/vm_departures.py
+++ b/src/jayshunt/dispatch/vm_departures.py
@@ -98,9 +98,16 @@
         )
 
     def drop_gone_vms(self) -> None:
-        """Forget the VMs that left the platform's list."""
+        """Forget the VMs that left the platform's list, whose workers may be used."""
+        views = self._inventory.views_by_vm(self._dispatcher.tracker.workers)
         for vm in self._evacuations.keys() - self._inventory.vms.keys():
-            del self._evacuations[vm]
+            evacuation = self._evacuations.pop(vm)
+            if vm in views:
+                views[vm].evacuation_reason = None
+            _LOGGER.info(
+                "dispatch: a VM that was being emptied left the list",
+                extra={"vm": vm, "reason": str(evacuation.reason)},
+            )
         for vm in self._refused_s.keys() - self._inventory.vms.keys():
             del self._refused_s[vm]
 
