Count an upkeep without an answer as carried out until a list shows otherwise

Two more ways showed in simulated time: a list that was requested after an accepted order but shows the state before it hid the VM, and so did the first list of a new term.

A VM counts as down from an order that was accepted or got no answer until a list that was requested 1 s (VM_LIST_LAG_S) after the call shows its state, and in a new term while it may not be ordered yet. An answer with a 5xx status other than 503 no longer counts as not carried out.

--- a/src/jayshunt/dispatch/tests/fakes.py
+++ b/src/jayshunt/dispatch/tests/fakes.py
@@ -3,7 +3,7 @@
 import math
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 
 from jayshunt.clock import ManualClock
@@ -25,7 +25,7 @@
     TransactionResult,
     WatchAnswer,
 )
-from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal
+from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, VmState
 from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import LeaseId, Revision, VmId
 from jayshunt.platform.store import LeaseGone
@@ -329,6 +329,51 @@
         return DutyAnswer(self.refusal if vm in self.refused else None)
 
 
+class TimedMachines(FakeMachines):
+    """Fake a platform on which upkeep takes a while, and whose list is a little old.
+
+    The answers to the orders for the VMs in `unanswered` are lost, once each.
+    `most_down` is how many VMs were in upkeep at once.
+    """
+
+    upkeep_s = 2.0
+    lag_s = 0.9
+
+    def __init__(self, clock: ManualClock, *vms) -> None:
+        """Start with VMs that are up."""
+        super().__init__(*vms)
+        self._clock = clock
+        self._begun_s: dict[VmId, float] = {}
+        self.unanswered: set[VmId] = set()
+        self.most_down = 0
+
+    def list(self):
+        """Return the VMs as they were `lag_s` before."""
+        at_s = self._clock.monotonic_s() - self.lag_s
+        return tuple(
+            replace(vm, state=VmState.UPKEEP) if self._is_down(vm.vm, at_s) else vm
+            for vm in self.vms
+        )
+
+    def _is_down(self, vm: VmId, at_s: float) -> bool:
+        return 0 <= at_s - self._begun_s.get(vm, math.inf) < self.upkeep_s
+
+    def upkeep(self, vm, wave, token) -> DutyAnswer:
+        """Take a VM down unless it is or was."""
+        now_s = self._clock.monotonic_s()
+        self.orders.append((vm, wave))
+        if self._is_down(vm, now_s):
+            return DutyAnswer(DutyRefusal.BUSY)
+        if vm not in self._begun_s:
+            self._begun_s[vm] = now_s
+            down = sum(self._is_down(other, now_s) for other in self._begun_s)
+            self.most_down = max(self.most_down, down)
+        if vm in self.unanswered:
+            self.unanswered.remove(vm)
+            raise no_answer(Outcome.UNKNOWN)
+        return DutyAnswer(None)
+
+
 def build_fleet_dispatcher(tracker: RunTracker) -> SimpleNamespace:
     """Return what the duty for VMs uses of a dispatcher whose term is valid."""
     run_times = SimpleNamespace(predict_ms=lambda _, step: step.estimate_ms)
--- a/src/jayshunt/dispatch/tests/test_waves_and_lists.py
+++ b/src/jayshunt/dispatch/tests/test_waves_and_lists.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest.mock import patch
 
 from jayshunt.clock import ManualClock
 from jayshunt.dispatch.const import VM_LIST_JOIN_LAG_S
@@ -17,6 +18,7 @@
 from jayshunt.dispatch.tests.fakes import (
     FakeMachines,
     FakeStore,
+    TimedMachines,
     build_fleet_dispatcher,
 )
 from jayshunt.dispatch.vms import DutyRefusal
@@ -36,12 +38,20 @@
     def setUp(self) -> None:
         """Set up a duty for one VM whose worker runs nothing."""
         self.tracker = build_tracker()
-        self.view = add_worker_view(self.tracker)
+        self.views = [add_worker_view(self.tracker)]
         self.store = FakeStore()
         self.clock = ManualClock(0.0)
         self.machines = FakeMachines(build_vm("w1"))
         self.duty = self.begin_term()
 
+    def use_platform_with_upkeep(self, count: int) -> list[str]:
+        """List `count` VMs whose upkeep takes its time; return their names."""
+        vms = [build_vm(f"u{n}") for n in range(count)]
+        self.views = [add_worker_view(self.tracker, vm.worker) for vm in vms]
+        self.machines = TimedMachines(self.clock, *vms)
+        self.duty = self.begin_term()
+        return [vm.vm for vm in vms]
+
     def begin_term(self) -> FleetDuty:
         """Return the duty of a term that begins now."""
         return FleetDuty(
@@ -59,10 +69,11 @@
         self.store.transact({}, (Put(f"op/wave/{wave}", json.dumps(fields).encode()),))
 
     def play(self, seconds: float) -> None:
-        """Let time pass; the worker answers all the while."""
+        """Let time pass; the workers answer all the while."""
         for _ in range(round(seconds / ROUND_S)):
             self.clock.advance(ROUND_S)
-            self.view.last_answer_s = self.clock.monotonic_s()
+            for view in self.views:
+                view.last_answer_s = self.clock.monotonic_s()
             try:
                 self.duty._round()
             except JayshuntError:
@@ -181,6 +192,38 @@
         self.assertEqual([(VmId("vm-w1"), 1), (NEW, 1)], self.machines.orders)
         self.assertEqual("completed", self.state())
 
+    def test_order_without_an_answer_counts_as_carried_out(self) -> None:
+        """A second VM of the wave was taken down beside the first (review case 15).
+
+        The order was repeated and refused, as the VM was busy with its upkeep.
+        """
+        names = self.use_platform_with_upkeep(4)
+        self.machines.unanswered = set(names)
+        self.declare(*names)
+        self.play(60.0)
+        self.assertEqual(1, self.machines.most_down)
+        self.assertEqual("completed", self.state())
+
+    def test_list_that_is_older_than_an_order_does_not_show_the_vm_as_up(self) -> None:
+        """It hid the first VM of a wave, and the next one was taken down beside it."""
+        names = self.use_platform_with_upkeep(4)
+        self.declare(*names)
+        with patch("jayshunt.dispatch.fleet_duty.MACHINES_POLL_S", ROUND_S):
+            self.play(30.0)
+        self.assertEqual(1, self.machines.most_down)
+        self.assertEqual("completed", self.state())
+
+    def test_vm_that_an_earlier_term_ordered_counts_as_down(self) -> None:
+        """The list of the next term may be older than that order."""
+        names = self.use_platform_with_upkeep(3)
+        self.declare(*names)
+        while not self.machines.orders:
+            self.play(ROUND_S)
+        self.duty = self.begin_term()
+        self.play(30.0)
+        self.assertEqual(1, self.machines.most_down)
+        self.assertEqual("completed", self.state())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/src/jayshunt/dispatch/vm_departures.py
+++ b/src/jayshunt/dispatch/vm_departures.py
@@ -1,19 +1,20 @@
 """Empty VMs that are to move or due for upkeep, and order the platform to take them."""
 
 import logging
-from collections import Counter
 from collections.abc import Set
 from concurrent.futures import ThreadPoolExecutor
 
 from jayshunt.clock import Clock
+from jayshunt.dispatch.const import VM_LIST_LAG_S
 from jayshunt.dispatch.evacuation import Evacuation, EvacuationReason
 from jayshunt.dispatch.fleet import WorkerView, has_not_answered
 from jayshunt.dispatch.order_budget import OrderBudget
 from jayshunt.dispatch.recent_orders import RecentOrders
 from jayshunt.dispatch.run_reports import StopOrder
 from jayshunt.dispatch.vm_inventory import VmInventory
-from jayshunt.dispatch.vms import DutyRefusal, VmState
+from jayshunt.dispatch.vms import DutyAnswer, DutyRefusal, VmState
 from jayshunt.dispatch.wave_book import WaveBook
+from jayshunt.errors import JayshuntError, Outcome
 from jayshunt.ids import VmId, WorkerId
 from jayshunt.platform.machine_calls import VmServiceClient
 from jayshunt.platform.store import PlatformStore
@@ -56,6 +57,7 @@
         self._waves = waves
         self._evacuations: dict[VmId, Evacuation] = {}
         self._refused_s: dict[VmId, float] = {}
+        self._maybe_down_s: dict[VmId, float] = {}
         self._budget = OrderBudget(orders_per_s)
         self._callers = ThreadPoolExecutor(MAX_CALLS_AT_ONCE, "vm-orders")
         self.recent_orders: RecentOrders | None = None
@@ -110,6 +112,9 @@
             )
         for vm in self._refused_s.keys() - self._inventory.vms.keys():
             del self._refused_s[vm]
+        for vm, ordered_s in list(self._maybe_down_s.items()):
+            if self._inventory.listed_s >= ordered_s + VM_LIST_LAG_S:
+                del self._maybe_down_s[vm]
 
     def advance(self, now_s: float) -> None:
         """Stop what is to be stopped, and order the VMs that are empty.
@@ -147,7 +152,7 @@
             views = self._inventory.views_by_vm(tracker.workers)
             spare = self._inventory.spare_pools()
             blocked = self.recent_orders.blocked(now_s)
-            down = self._count_down()
+            down = self._find_down(blocked)
             for evacuation in self._evacuations.values():
                 vm, wave = evacuation.vm, evacuation.reason.wave
                 view = views.get(vm)
@@ -157,10 +162,11 @@
                 is_off = self._inventory.vms[vm].pool in spare
                 if vm in blocked or not self._runs_nothing(is_off, view, now_s):
                     continue
-                if wave is not None:
-                    if down[wave] >= self._waves.states[wave].wave.max_down:
+                if wave is not None and vm not in down:
+                    declared = self._waves.states[wave].wave
+                    if len(down.intersection(declared.vms)) >= declared.max_down:
                         continue
-                    down[wave] += 1
+                    down.add(vm)
                 leaving.append((evacuation, view))
             self._use_blocked_again(views, now_s)
         return leaving, stops
@@ -186,23 +192,16 @@
                 },
             )
 
-    def _count_down(self) -> Counter[int]:
-        """Return how many VMs of each wave that empties some are in upkeep."""
-        waves: Set[int] = {
-            evacuation.reason.wave
-            for evacuation in self._evacuations.values()
-            if evacuation.reason.wave is not None
-        }
-        vms = self._inventory.vms
-        return Counter(
-            {
-                number: sum(
-                    vm in vms and vms[vm].state is VmState.UPKEEP
-                    for vm in self._waves.states[number].wave.vms
-                )
-                for number in waves
-            }
-        )
+    def _find_down(self, blocked: Set[VmId]) -> set[VmId]:
+        """Return the VMs that are in upkeep or may be.
+
+        A VM for which upkeep was ordered may be until a list shows its state after the
+        call, also if the order got no answer. So may those in `blocked`, which an
+        earlier dispatcher ordered.
+        """
+        vms = self._inventory.vms.values()
+        listed = {vm.vm for vm in vms if vm.state is VmState.UPKEEP}
+        return listed | self._maybe_down_s.keys() | blocked
 
     def _worker_on(self, vm: VmId, view: WorkerView | None) -> WorkerId | None:
         """Return the worker that an order for a VM ends.
@@ -232,17 +231,18 @@
         vm, reason = evacuation.vm, evacuation.reason
         if not self._dispatcher.term_valid():
             return
-        token = self._dispatcher.token
-        if reason.wave is not None:
-            answer = self._machines.upkeep(vm, reason.wave, token)
-        else:
-            answer = self._machines.move(vm, reason.pool, token)
+        try:
+            answer = self._call(evacuation)
+        except JayshuntError as error:
+            if error.outcome is Outcome.UNKNOWN:
+                self._record_maybe_down(evacuation)
+            raise
         _LOGGER.info(
             "dispatch: ordered for a VM",
             extra={
                 "vm": vm,
                 "order": str(reason),
-                "token": token,
+                "token": self._dispatcher.token,
                 "refusal": answer.refusal.value if answer.refusal else None,
                 "emptied_in_ms": round((now_s - evacuation.begun_s) * 1000),
             },
@@ -253,6 +253,25 @@
             else:
                 self._apply_refusal(evacuation, view, answer.refusal)
 
+    def _call(self, evacuation: Evacuation) -> DutyAnswer:
+        vm, reason, token = evacuation.vm, evacuation.reason, self._dispatcher.token
+        if reason.wave is not None:
+            return self._machines.upkeep(vm, reason.wave, token)
+        return self._machines.move(vm, reason.pool, token)
+
+    def _record_maybe_down(self, evacuation: Evacuation) -> None:
+        """Record that an order got no answer, and may have been carried out.
+
+        A later refusal tells nothing of it: a VM that is in upkeep is busy.
+        """
+        vm, reason = evacuation.vm, evacuation.reason
+        with self._dispatcher.lock:
+            self._maybe_down_s[vm] = self._clock.monotonic_s()
+        _LOGGER.info(
+            "dispatch: an order for a VM got no answer and may be carried out",
+            extra={"vm": vm, "order": str(reason)},
+        )
+
     def _apply_accepted(self, evacuation: Evacuation, view: WorkerView | None) -> None:
         """Apply an accepted order: the VM had its upkeep, or is in the pool.
 
@@ -268,6 +287,7 @@
                 view, self._clock.monotonic_s()
             )
         if reason.wave is not None:
+            self._maybe_down_s[vm] = self._clock.monotonic_s()
             self._waves.mark_done(reason.wave, vm)
         else:
             self.moves += 1
--- a/src/jayshunt/platform/machine_calls.py
+++ b/src/jayshunt/platform/machine_calls.py
@@ -130,9 +130,11 @@
         )
         if answer.status in (200, 400, 409):
             return answer
+        is_not_run = answer.status in (429, 503)
         raise JayshuntError(
             "machines_refused",
             step=step,
+            outcome=Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN,
             retry_after_s=1.0,
             detail=f"status {answer.status}",
         )
