Look again whether a start is stored once it is held

A store write that was answered between the check of a new start and its place among the held ones signalled nobody, and a lane that ended at that moment took the sender off the list of those to signal: the start waited for 0.6 s and was placed again. The held start is looked at once more, and both changes of the list are made under the sender's lock. The new test fails before (it waits 0.6 s).

--- a/src/jayshunt/dispatch/order_sender.py
+++ b/src/jayshunt/dispatch/order_sender.py
@@ -85,11 +85,16 @@
         if self._is_stored(item):
             self._add(lambda: self._queue.add_start(item))
             return
-        hold_until_s = self._context.clock.monotonic_s() + STORE_WAIT_S
-        self._context.waiting_for_store.add(self)
-        self._add(lambda: self._queue.add_start(item, hold_until_s))
+        self._add(lambda: self._hold(item))
         self._context.notify_changed()
 
+    def _hold(self, item: StartTask) -> None:
+        """Hold a start back; it may have been stored just now, so look again."""
+        now_s = self._context.clock.monotonic_s()
+        self._queue.add_start(item, now_s + STORE_WAIT_S)
+        self._context.waiting_for_store.add(self)
+        self._may_release = True
+
     def pace(self, item: PaceTask) -> None:
         """Queue a change of a run's speed."""
         self._add(lambda: self._queue.add_pace(item))
@@ -181,9 +186,9 @@
                 # An order was queued since the lane looked for one.
                 return False
             self._lanes -= 1
-        if is_last:
-            self._context.waiting_for_store.discard(self)
-        else:
+            if is_last:
+                self._context.waiting_for_store.discard(self)
+        if not is_last:
             self._context.extra_lanes.release()
         return True
 
--- a/src/jayshunt/dispatch/tests/test_order_sender.py
+++ b/src/jayshunt/dispatch/tests/test_order_sender.py
@@ -284,6 +284,16 @@
         run_steps(steps, self.clock)
         self.assertEqual(3, len(self.worker_api.sent))
 
+    def test_start_that_is_stored_while_it_is_queued_is_sent_at_once(self) -> None:
+        """The signal had passed, and the start waited for as long as it may."""
+        task = self.place_two().tasks()[0]
+        self.worker_api.start_answers = [OrderAnswer(None)]
+        self.orders.start(StartTask(task, 16, "payload", stored_version=1))
+        self.tracker.stored_versions[task.key.job] = 1
+        run_steps(self.background.pop()())
+        self.assertEqual(1, len(self.worker_api.sent))
+        self.assertEqual(set(), self.context.waiting_for_store)
+
     def test_queued_starts_are_bounded_by_what_the_planner_is_told(self) -> None:
         """A stop of an inherited queue, or urgent work, came behind thousands."""
         job = self.place_many(MAX_QUEUED_STARTS)
