Refuse a lasting job that could not be stopped in time

The limit on the runs of a job fits jobs that run in parts. Such a job is refused when it is submitted, with 429 and `job_too_wide`, unless it is already stored; the members of a gang end together and do not count. Found while looking what else the limit of touches; the new test fails without the check. The figure moves to stop_limits.py.

--- a/src/jayshunt/dispatch/entry.py
+++ b/src/jayshunt/dispatch/entry.py
@@ -1,6 +1,7 @@
 """Serve job callers on one entry: submit, query, cancel and count jobs."""
 
 import logging
+import math
 import threading
 import time
 from collections import OrderedDict
@@ -27,6 +28,7 @@
     stored_state,
     stored_workspace,
 )
+from jayshunt.dispatch.stop_limits import is_too_wide
 from jayshunt.dispatch.store_models import Item, Put
 from jayshunt.dispatch.withdrawals import Withdrawals
 from jayshunt.errors import DECODE_ERRORS, JayshuntError, Outcome
@@ -51,6 +53,8 @@
 EXCEEDS_LIMIT = ("exceeds_workspace_limit", 60.0)
 # Memory is free again once jobs have ended; the code, and the time in seconds.
 NO_MEMORY = ("jobs_exhaust_memory", 5.0)
+# It never fits, so that an early retry is useless.
+TOO_WIDE = ("job_too_wide", 60.0)
 
 
 @dataclass(frozen=True)
@@ -75,13 +79,16 @@
         refusals: RefusalLog | None = None,
         limit_of: Callable[[WorkspaceName], Resources | None] = lambda _: None,
         observe_refusal: Callable[[WorkspaceName, str], None] = lambda *_: None,
+        max_runs_per_job: float = math.inf,
     ) -> None:
         """Use the store, and `link` to reach the dispatcher.
 
         `refusals` records calls for another workspace's jobs. `limit_of` returns the
         limit of a workspace in the configuration in force, None if it has none.
         `observe_refusal` is called with the workspace and the code of each refusal.
+        `max_runs_per_job` is how many runs of a job can be stopped in time.
         """
+        self._max_runs_per_job = max_runs_per_job
         self._observe_refusal = observe_refusal
         self._limit_of = limit_of
         self._store = store
@@ -114,6 +121,13 @@
             return self._refuse_unless_known(
                 spec, *EXCEEDS_LIMIT, f"a task or gang exceeds the limit {limit}"
             )
+        if is_too_wide(spec, self._max_runs_per_job):
+            return self._refuse_unless_known(
+                spec,
+                *TOO_WIDE,
+                f"more than {self._max_runs_per_job} tasks that last could not be "
+                "stopped in time",
+            )
         if not self._link.has_room(estimate_job_bytes(spec)):
             return self._refuse_unless_known(
                 spec, *NO_MEMORY, "the dispatcher has no memory for the job"
--- a/src/jayshunt/dispatch/planner.py
+++ b/src/jayshunt/dispatch/planner.py
@@ -22,6 +22,7 @@
 from jayshunt.dispatch.placing import Placement, plan_placements, prioritize_jobs
 from jayshunt.dispatch.run_reports import StopOrder
 from jayshunt.dispatch.speeds import WorkerSpeeds
+from jayshunt.dispatch.stop_limits import count_separate_tasks, count_stoppable_runs
 from jayshunt.dispatch.tasks import Job, Task
 from jayshunt.dispatch.term import may_be_of_successor
 from jayshunt.dispatch.tickets import TicketCache
@@ -47,16 +48,6 @@
 # A worker without an answer for this long gets no new runs.
 SILENT_S = 2.2
 
-# Several times as many are sent by a dispatcher that does nothing else, as CAPACITY.md
-# shows. The margin is for the cancellation to reach the dispatcher.
-STOPS_PER_S = 500
-CANCEL_MARGIN_MS = 500
-
-
-def count_stoppable_runs(bounds: Bounds) -> int:
-    """Return how many runs of a job can be stopped in time when it is cancelled."""
-    return max(1, (bounds.cancel_ms - CANCEL_MARGIN_MS) * STOPS_PER_S // 1000)
-
 
 @dataclass(frozen=True)
 class TrialRound:
@@ -145,7 +136,7 @@
     def predict_work(self, job: Job) -> None:
         """Set the predicted critical path of a new job, and so its deadline."""
         job.critical_path_ms = self.run_times.critical_path_ms(job.spec)
-        tasks = job.spec.occurrences * sum(step.task_count for step in job.spec.steps)
+        tasks = count_separate_tasks(job.spec)
         if tasks > self.max_runs_per_job:
             _LOGGER.info(
                 "dispatch: a job runs in parts that can be stopped in time",
--- a/src/jayshunt/dispatch/tests/test_store_use.py
+++ b/src/jayshunt/dispatch/tests/test_store_use.py
@@ -338,6 +338,27 @@
             self.submit()
         self.assertEqual({}, self.store.items)
 
+    def test_job_that_could_not_be_stopped_in_time_is_refused(self) -> None:
+        """Its tasks all have to run, and some would run on after it was cancelled."""
+        entry = EntryJobService(
+            self.store, self.link, self.clock, max_runs_per_job=1_250
+        )
+        lasting = {"is_long_running": True}
+        for step, is_taken in (
+            (build_step(task_count=1_250, **lasting), True),
+            (build_step(task_count=1_251, **lasting), False),
+            (build_step(task_count=1_251, is_gang=True, **lasting), True),
+            (build_step(task_count=1_251), True),
+        ):
+            spec = build_spec(step, job=JobId(f"{len(self.store.items):016x}"))
+            if is_taken:
+                self.assertTrue(entry.submit(spec, build_queue(), 0.05).is_new)
+                continue
+            with self.assertRaises(JobRefused) as raised:
+                entry.submit(spec, build_queue(), 0.05)
+            self.assertEqual("job_too_wide", raised.exception.code)
+            self.assertIsNone(self.store.get(accepted_key(spec.job)))
+
     def test_job_cancelled_before_it_is_stored_is_never_accepted(self) -> None:
         """A paused entry stored it after its cancelling was told (review case 8)."""
         self.assertFalse(self.entry.cancel(self.spec.job, NO_WORKSPACE, 0.1))
--- a/src/jayshunt/platform_entry.py
+++ b/src/jayshunt/platform_entry.py
@@ -20,6 +20,7 @@
 from jayshunt.dispatch.metrics import EntryMetrics
 from jayshunt.dispatch.models import EntryNode, Resources, Worker
 from jayshunt.dispatch.peer_api import PeerApi, ReadyApi
+from jayshunt.dispatch.stop_limits import count_stoppable_runs
 from jayshunt.dispatch.suspicion import DispatcherFailureDetector
 from jayshunt.dispatch.term import OwnTerm, TermElection
 from jayshunt.ids import WorkspaceName
@@ -83,6 +84,7 @@
             refusals,
             self._limit_of,
             self._metrics.observe_refusal,
+            count_stoppable_runs(node.bounds),
         )
         self._tasks = TaskGroup("entry")
         self._front_server = HttpServer(
