Give workers that have just come the time to answer before a handover

A worker without an answer counts as silent 3 s (WORKER_SILENT_S) after it was first seen, or when a call to it fails, as every other worker. The new test fails before: the term is given up at once.

--- a/src/jayshunt/dispatch/handover.py
+++ b/src/jayshunt/dispatch/handover.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from jayshunt.clock import Clock
+from jayshunt.dispatch.fleet import WorkerView
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -62,8 +63,7 @@
 def has_lost_most_workers(answer_ages_s: Iterable[float | None]) -> bool:
     """Return whether most workers are silent.
 
-    An age of None means that the last call failed or that the worker has not answered
-    in this term.
+    An age of None means that the last call failed.
     """
     ages = list(answer_ages_s)
     if len(ages) < MIN_WORKERS:
@@ -72,6 +72,17 @@
     return silent * 2 > len(ages)
 
 
+def _silent_for_s(view: WorkerView, now_s: float) -> float | None:
+    """Return how long a worker has been silent, None if the last call to it failed.
+
+    One that was listed a moment ago has not had the time to answer.
+    """
+    if view.is_failing:
+        return None
+    heard_s = view.first_seen_s if view.last_answer_s is None else view.last_answer_s
+    return now_s - heard_s
+
+
 class HandoverMonitor:
     """Check periodically whether this entry should give up the term that it holds."""
 
@@ -112,11 +123,7 @@
             return
         with dispatcher.lock:
             ages = [
-                (
-                    None
-                    if view.last_answer_s is None or view.is_failing
-                    else now_s - view.last_answer_s
-                )
+                _silent_for_s(view, now_s)
                 for view in dispatcher.tracker.workers.values()
                 if view.is_listed
                 and view.ordered_away_s is None
--- a/src/jayshunt/dispatch/tests/test_odd_entries.py
+++ b/src/jayshunt/dispatch/tests/test_odd_entries.py
@@ -239,32 +239,55 @@
 
 
 class HandoverTest(unittest.TestCase):
-    """List more workers that do not exist than workers that answer."""
+    """List more workers that do not exist or have just come than those that answer."""
 
-    def test_workers_that_do_not_exist_cause_no_handover(self) -> None:
-        """Each dispatcher gave up its term, as it did not reach most of the list."""
-        clock = ManualClock(0.0)
-        dispatcher = FakeFleet(0).build_dispatcher()
-        tracker = dispatcher.tracker
-        resigned: list[float] = []
+    def setUp(self) -> None:
+        """Let a dispatcher act for a while, with four workers that answer."""
+        self.clock = ManualClock(0.0)
+        self.dispatcher = FakeFleet(0).build_dispatcher()
+        self.resigned: list[float] = []
         election = SimpleNamespace(
             own=SimpleNamespace(is_valid=True, term=SimpleNamespace(token=1)),
-            resign=resigned.append,
+            resign=self.resigned.append,
         )
-        link = SimpleNamespace(own_dispatcher=dispatcher, reports=tuple)
-        monitor = HandoverMonitor(election, link, FakeStore(), clock)
-        monitor._check()
-        clock.advance(2.5)
-        views = [add_worker_view(tracker, f"w{n}", 2.4) for n in range(4)]
+        link = SimpleNamespace(own_dispatcher=self.dispatcher, reports=tuple)
+        self.monitor = HandoverMonitor(election, link, FakeStore(), self.clock)
+        self.monitor._check()
+        self.clock.advance(2.5)
+        tracker = self.dispatcher.tracker
+        self.views = [add_worker_view(tracker, f"w{n}", 2.4) for n in range(4)]
+
+    def list_vms(self, *names: str) -> None:
+        """Let the platform list the VMs of workers."""
+        vms = [build_vm(name) for name in names]
+        self.dispatcher.fleet.inventory.apply_list(vms, 2)
+
+    def test_workers_that_do_not_exist_cause_no_handover(self) -> None:
+        """Each dispatcher gave up its term, as it did not reach most of the list."""
         for number in range(8):
-            add_worker_view(tracker, f"odd{number}", None)
-        dispatcher.fleet.inventory.apply_list([build_vm(f"w{n}") for n in range(4)], 2)
-        monitor._check()
-        self.assertEqual([], resigned)
-        for view in views:
+            add_worker_view(self.dispatcher.tracker, f"odd{number}", None)
+        self.list_vms(*(f"w{n}" for n in range(4)))
+        self.monitor._check()
+        self.assertEqual([], self.resigned)
+        for view in self.views:
             view.is_failing = True
-        monitor._check()
-        self.assertEqual(1, len(resigned))
+        self.monitor._check()
+        self.assertEqual(1, len(self.resigned))
+
+    def test_workers_that_have_just_come_cause_no_handover(self) -> None:
+        """The dispatcher gave up its term as most VMs of a pool came back at once."""
+        new = [f"new{n}" for n in range(6)]
+        for name in new:
+            view = add_worker_view(self.dispatcher.tracker, name, None)
+            view.first_seen_s = self.clock.monotonic_s() - 0.1
+        self.list_vms(*(f"w{n}" for n in range(4)), *new)
+        self.monitor._check()
+        self.assertEqual([], self.resigned)
+        self.clock.advance(3.0)
+        for view in self.views:
+            view.last_answer_s = self.clock.monotonic_s()
+        self.monitor._check()
+        self.assertEqual(1, len(self.resigned), "they never answered")
 
 
 class TakeOverTest(unittest.TestCase):
