--- a/src/jayshunt/dispatch/order_queue.py
+++ b/src/jayshunt/dispatch/order_queue.py
@@ -1,7 +1,6 @@
 """Queue the orders for one worker, without network or clock."""
 
 from collections.abc import Callable
-from itertools import chain
 
 from jayshunt.dispatch.messages import PaceTask, StartTask
 from jayshunt.dispatch.models import TaskKey
@@ -105,7 +104,3 @@
     def has_stop(self, key: RunKey) -> bool:
         """Return whether a stop of a run is queued."""
         return key in self._stops
-
-    def keys(self) -> chain[RunKey]:
-        """Return the runs of all orders that are not sent."""
-        return chain(self._stops, self._paces, self._starts, self._held)
